--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+PYTHON ?= python3
+VENV ?= .venv
+PACKAGES := laburnumscale-schema laburnumscale laburnumscaled laburnumscalectl
+SOURCES := packages tests bench tools
+PY := $(VENV)/bin/python
+PROTO_DIR := packages/laburnumscale-schema/proto
+GENERATED_DIR := packages/laburnumscale-schema/src
+
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: venv demo test features check format generate check-generated bench clean
+
+venv: $(VENV)/.stamp
+
+$(VENV)/.stamp: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -c constraints.txt -r requirements.txt
+	$(PY) -m pip install -q --disable-pip-version-check --no-build-isolation --no-deps \
+		$(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: venv
+	$(PY) tools/demo.py
+
+test: check check-generated features
+
+check: venv
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+
+format: venv
+	$(VENV)/bin/ruff format $(SOURCES)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+generate: venv
+	$(PY) tools/generate.py $(PROTO_DIR) $(GENERATED_DIR)
+
+check-generated: venv
+	$(PY) tools/generate.py --check $(PROTO_DIR) $(GENERATED_DIR)
+
+features: venv
+	$(PY) tools/run_features.py
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/laburnumscale-schema/src/laburnumscale_schema/__init__.py
@@ -0,0 +1,20 @@
+"""Schema.
+
+Messages and settings of laburnumscale, generated from the files in ``proto``.
+"""
+
+from laburnumscale_schema import (
+    daemon_pb2,
+    peer_pb2,
+    peer_pb2_grpc,
+    settings_pb2,
+    target_pb2,
+)
+
+__all__ = [
+    "daemon_pb2",
+    "peer_pb2",
+    "peer_pb2_grpc",
+    "settings_pb2",
+    "target_pb2",
+]
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/announcements.py
@@ -0,0 +1,86 @@
+"""Announcements.
+
+The HTTP interface on loopback through which targets announce themselves.
+"""
+
+import ujson
+from google.protobuf import json_format
+from sanic import HTTPResponse, Request, Sanic
+from sanic.response import json
+
+from laburnumscale.addresses import get_loopback_address_opt
+from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import LaburnumscaleError, OptionOutOfRange, RequestInvalid
+from laburnumscale.places import EndpointPlace, parse_place
+from laburnumscale.targets import LocalTarget, LocalTargets
+from laburnumscale.webserver import new_app
+from laburnumscale_schema import peer_pb2, target_pb2
+
+__all__ = ["announcement_app"]
+
+PATH = "/_laburnumscale/v1/targets/<service:str>/<endpoint:str>"
+DEFAULT_SLOTS = 5
+HIGHEST_SLOTS = 10_000
+DEFAULT_LEASE_MS = 3_000
+HIGHEST_LEASE_MS = 3_600_000
+READY = peer_pb2.TARGET_STATE_READY
+STATES = {
+    "starting": peer_pb2.TARGET_STATE_STARTING,
+    "ready": READY,
+    "draining": peer_pb2.TARGET_STATE_DRAINING,
+}
+
+
+def _read(request: Request, service: str, endpoint: str) -> LocalTarget:
+    place = str(EndpointPlace(service, endpoint))
+    parse_place(place)
+    try:
+        message = _parse(request.body)
+    except (json_format.ParseError, AttributeError, TypeError, ValueError) as error:
+        raise RequestInvalid(place, str(error)) from error
+    address = get_loopback_address_opt(place, "address", message.address)
+    slots = message.slots or DEFAULT_SLOTS
+    if slots > HIGHEST_SLOTS:
+        raise OptionOutOfRange(place, "slots", slots, 0, HIGHEST_SLOTS)
+    lease_ms = message.lease_ms or DEFAULT_LEASE_MS
+    if lease_ms > HIGHEST_LEASE_MS:
+        raise OptionOutOfRange(place, "lease_ms", lease_ms, 0, HIGHEST_LEASE_MS)
+    return LocalTarget(
+        service=service,
+        endpoint=endpoint,
+        address=address,
+        slots=slots,
+        state=message.state or READY,
+        lease_deadline=Deadline.after_ms(lease_ms),
+    )
+
+
+def _parse(body: bytes) -> target_pb2.TargetAnnouncement:
+    value = ujson.loads(body)
+    if isinstance(value, dict) and value.get("state") in STATES:
+        value["state"] = STATES[value["state"]]
+    return json_format.ParseDict(value, target_pb2.TargetAnnouncement())
+
+
+def announcement_app(daemon: str, targets: LocalTargets) -> Sanic:
+    """Return the HTTP application for the targets of this host.
+
+    :param daemon: name of the daemon.
+    :param targets: where announcements are kept.
+    """
+    app = new_app(f"{daemon}-targets")
+
+    @app.put(PATH)
+    async def announce(request: Request, service: str, endpoint: str) -> HTTPResponse:
+        try:
+            targets.announce(_read(request, service, endpoint))
+        except LaburnumscaleError as error:
+            return json({"error": str(error)}, status=400)
+        return json({})
+
+    @app.delete(PATH)
+    async def withdraw(request: Request, service: str, endpoint: str) -> HTTPResponse:
+        found = targets.withdraw(service, endpoint)
+        return json({}, status=200 if found else 404)
+
+    return app
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -0,0 +1,106 @@
+"""Daemon settings.
+
+The settings that one daemon reads at its start, checked.
+"""
+
+import attrs
+from google.protobuf import json_format
+
+from laburnumscale.addresses import (
+    Address,
+    get_address_opt,
+    get_loopback_address_opt,
+)
+from laburnumscale.errors import OptionMissing, OptionUnknown, OptionValueInvalid
+from laburnumscale.settingsfile import SettingsFile, read_settings_file
+from laburnumscale_schema import daemon_pb2
+
+__all__ = ["DaemonSettings", "read_daemon_settings"]
+
+DEFAULT_DRAIN_MS = 10_000
+DEFAULT_ISOLATION_MS = 60_000
+DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
+LOG_FORMATS = ("json", "console")
+
+
+@attrs.frozen
+class DaemonSettings:
+    """Checked settings of one daemon.
+
+    :ivar drain_ms: how long calls in flight may take after SIGTERM.
+    :ivar isolation_ms: age of the last contact with the log or a peer after which
+        the daemon is not ready.
+    """
+
+    daemon: str
+    data_centre: str
+    caller_address: Address
+    operator_address: Address
+    peer_address: Address
+    target_address: Address
+    log_url: str
+    seed_addresses: tuple[Address, ...]
+    log_format: str
+    drain_ms: int
+    isolation_ms: int
+    body_limit_bytes: int
+
+
+def read_daemon_settings(path: str) -> DaemonSettings:
+    """Read and check the settings of a daemon.
+
+    :param path: a file of JSON with comments.
+    :raises LaburnumscaleError: names the file, the line and the setting.
+    """
+    return _check(read_settings_file(path))
+
+
+def _parse(file: SettingsFile) -> daemon_pb2.DaemonSettings:
+    message = daemon_pb2.DaemonSettings()
+    known = message.DESCRIPTOR.fields_by_name
+    for name, value in file.value.items():
+        if name not in known:
+            raise OptionUnknown(file.where(name), name)
+        try:
+            json_format.ParseDict({name: value}, message)
+        except json_format.ParseError as error:
+            raise OptionValueInvalid(file.where(name), name, str(error)) from error
+    return message
+
+
+def _check(file: SettingsFile) -> DaemonSettings:
+    message = _parse(file)
+
+    def text(name: str) -> str:
+        value = getattr(message, name)
+        if not value:
+            raise OptionMissing(file.where(name), name)
+        return value
+
+    def address(name: str) -> Address:
+        return get_address_opt(file.where(name), name, text(name))
+
+    seeds = tuple(
+        get_address_opt(file.where("seed_addresses", seed), "seed_addresses", seed)
+        for seed in message.seed_addresses
+    )
+    log_format = message.log_format or "json"
+    if log_format not in LOG_FORMATS:
+        reason = f'"{log_format}" is none of {", ".join(LOG_FORMATS)}'
+        raise OptionValueInvalid(file.where("log_format"), "log_format", reason)
+    return DaemonSettings(
+        daemon=text("daemon"),
+        data_centre=text("data_centre"),
+        caller_address=address("caller_address"),
+        operator_address=address("operator_address"),
+        peer_address=address("peer_address"),
+        target_address=get_loopback_address_opt(
+            file.where("target_address"), "target_address", text("target_address")
+        ),
+        log_url=text("log_url").rstrip("/"),
+        seed_addresses=seeds,
+        log_format=log_format,
+        drain_ms=message.drain_ms or DEFAULT_DRAIN_MS,
+        isolation_ms=message.isolation_ms or DEFAULT_ISOLATION_MS,
+        body_limit_bytes=message.body_limit_bytes or DEFAULT_BODY_LIMIT_BYTES,
+    )
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -0,0 +1,169 @@
+"""Errors.
+
+Every failure of the library has a type here; its message says what and where.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+__all__ = [
+    "AddressInvalid",
+    "AddressNotLoopback",
+    "FileSyntaxInvalid",
+    "FileUnreadable",
+    "LaburnumscaleError",
+    "LogReplyInvalid",
+    "LogUnavailable",
+    "OptionMissing",
+    "OptionOutOfRange",
+    "OptionUnknown",
+    "OptionValueInvalid",
+    "PlaceInvalid",
+    "RecordInvalid",
+    "RequestInvalid",
+    "SettingsUnavailable",
+]
+
+
+@dataclass(eq=False)
+class LaburnumscaleError(Exception):
+    """Base of all typed errors; ``template`` is filled from the fields."""
+
+    template: ClassVar[str] = "unspecified failure"
+
+    def __str__(self) -> str:
+        return self.template.format(**vars(self))
+
+
+@dataclass(eq=False)
+class FileUnreadable(LaburnumscaleError):
+    """A settings file cannot be opened or decoded."""
+
+    path: str
+    reason: str
+    template: ClassVar[str] = "{path}: cannot be read: {reason}"
+
+
+@dataclass(eq=False)
+class FileSyntaxInvalid(LaburnumscaleError):
+    """A settings file is not JSON with comments."""
+
+    path: str
+    line: int
+    reason: str
+    template: ClassVar[str] = "{path}:{line}: {reason}"
+
+
+@dataclass(eq=False)
+class OptionUnknown(LaburnumscaleError):
+    """A setting does not exist."""
+
+    where: str
+    option: str
+    template: ClassVar[str] = '{where}: setting "{option}" does not exist'
+
+
+@dataclass(eq=False)
+class OptionMissing(LaburnumscaleError):
+    """A required setting is absent."""
+
+    where: str
+    option: str
+    template: ClassVar[str] = '{where}: setting "{option}" is missing'
+
+
+@dataclass(eq=False)
+class OptionValueInvalid(LaburnumscaleError):
+    """The value of a setting has the wrong form."""
+
+    where: str
+    option: str
+    reason: str
+    template: ClassVar[str] = '{where}: setting "{option}": {reason}'
+
+
+@dataclass(eq=False)
+class OptionOutOfRange(LaburnumscaleError):
+    """The value of a setting is outside its range."""
+
+    where: str
+    option: str
+    value: int
+    lowest: int
+    highest: int
+    template: ClassVar[str] = (
+        '{where}: setting "{option}" is {value}, not within {lowest} to {highest}'
+    )
+
+
+@dataclass(eq=False)
+class AddressInvalid(LaburnumscaleError):
+    """An address is not ``IP:PORT``."""
+
+    where: str
+    option: str
+    value: str
+    template: ClassVar[str] = '{where}: setting "{option}": "{value}" is not IP:PORT'
+
+
+@dataclass(eq=False)
+class AddressNotLoopback(LaburnumscaleError):
+    """An address that must stay on the host is reachable from outside."""
+
+    where: str
+    option: str
+    value: str
+    template: ClassVar[str] = '{where}: setting "{option}": "{value}" is not loopback'
+
+
+@dataclass(eq=False)
+class PlaceInvalid(LaburnumscaleError):
+    """The text form of a place cannot be parsed."""
+
+    text: str
+    template: ClassVar[str] = '"{text}" names no place'
+
+
+@dataclass(eq=False)
+class LogUnavailable(LaburnumscaleError):
+    """The platform's log did not answer; an append may have taken effect."""
+
+    url: str
+    reason: str
+    template: ClassVar[str] = "log {url}: no answer: {reason}"
+
+
+@dataclass(eq=False)
+class LogReplyInvalid(LaburnumscaleError):
+    """The platform's log answered with something that is not its protocol."""
+
+    url: str
+    reason: str
+    template: ClassVar[str] = "log {url}: invalid answer: {reason}"
+
+
+@dataclass(eq=False)
+class RecordInvalid(LaburnumscaleError):
+    """A record of a stream cannot be used."""
+
+    stream: str
+    offset: int
+    reason: str
+    template: ClassVar[str] = 'stream "{stream}", offset {offset}: {reason}'
+
+
+@dataclass(eq=False)
+class RequestInvalid(LaburnumscaleError):
+    """A caller, target or operator sent a request that cannot be used."""
+
+    where: str
+    reason: str
+    template: ClassVar[str] = "{where}: {reason}"
+
+
+@dataclass(eq=False)
+class SettingsUnavailable(LaburnumscaleError):
+    """A daemon has no settings tree yet."""
+
+    daemon: str
+    template: ClassVar[str] = 'daemon "{daemon}" has no settings yet'
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -0,0 +1,125 @@
+"""Peers.
+
+The gRPC channels to other daemons and the server for them.
+"""
+
+from collections.abc import AsyncIterator
+
+import grpc
+
+from laburnumscale.addresses import Address
+from laburnumscale.guard import Guard
+from laburnumscale.members import Members
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
+
+__all__ = ["PeerChannels", "serve_peers"]
+
+CHANNEL_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 50),
+    ("grpc.min_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+)
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+)
+
+
+class PeerChannels:
+    """One channel for each peer address, opened on first use."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
+        """Return the stub for calls to the targets beside a daemon."""
+        return peer_pb2_grpc.GuardStub(self._channel(address))
+
+    def peer(self, address: str) -> peer_pb2_grpc.PeerStub:
+        """Return the stub for membership and settings."""
+        return peer_pb2_grpc.PeerStub(self._channel(address))
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            self._channels[address] = channel
+        return channel
+
+
+class _GuardServicer(peer_pb2_grpc.GuardServicer):
+    def __init__(self, guard: Guard) -> None:
+        self._guard = guard
+
+    async def Call(  # noqa: N802
+        self, request: peer_pb2.CallRequest, context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[peer_pb2.CallReply]:
+        async for reply in self._guard.call(request.head, request.body):
+            yield reply
+
+    async def Upload(  # noqa: N802
+        self,
+        requests: AsyncIterator[peer_pb2.CallRequest],
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[peer_pb2.CallReply]:
+        first = await anext(requests)
+        body = _upload_body(first.body, requests)
+        async for reply in self._guard.call(first.head, body):
+            yield reply
+
+
+async def _upload_body(
+    first: bytes, requests: AsyncIterator[peer_pb2.CallRequest]
+) -> AsyncIterator[bytes]:
+    if first:
+        yield first
+    async for request in requests:
+        if request.body:
+            yield request.body
+        if request.end:
+            break
+
+
+class _PeerServicer(peer_pb2_grpc.PeerServicer):
+    def __init__(self, members: Members, feed: SettingsFeed) -> None:
+        self._members = members
+        self._feed = feed
+
+    async def ExchangeMembers(  # noqa: N802
+        self, request: peer_pb2.MemberTable, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.MemberTable:
+        for member in request.members:
+            self._members.merge(member)
+        return peer_pb2.MemberTable(
+            sender=self._members.own.daemon,
+            settings_revision=self._feed.tree.revision,
+            members=self._members.all(),
+        )
+
+    async def FetchSettings(  # noqa: N802
+        self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.SettingsReply:
+        snapshot = settings_pb2.Snapshot()
+        if self._feed.tree.revision > request.after_revision:
+            snapshot = self._feed.tree.snapshot()
+        return peer_pb2.SettingsReply(snapshot=snapshot)
+
+
+async def serve_peers(
+    address: Address, guard: Guard, members: Members, feed: SettingsFeed
+) -> grpc.aio.Server:
+    """Start the gRPC server for the other daemons."""
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
+    peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
+    server.add_insecure_port(str(address))
+    await server.start()
+    return server
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -0,0 +1,131 @@
+"""Publishing.
+
+Turns a settings file of operators into the edits of a change.
+"""
+
+from collections.abc import Iterator
+
+from google.protobuf import json_format
+
+from laburnumscale.errors import (
+    LaburnumscaleError,
+    OptionOutOfRange,
+    OptionUnknown,
+    OptionValueInvalid,
+)
+from laburnumscale.places import (
+    FLEET,
+    DataCentrePlace,
+    EndpointPlace,
+    Place,
+    RoutePlace,
+    ServiceInDataCentrePlace,
+    ServicePlace,
+    parse_place,
+)
+from laburnumscale.settingsfile import SettingsFile
+from laburnumscale_schema import settings_pb2
+
+__all__ = ["RANGES", "read_edits"]
+
+#: Lowest and highest value of each number in the settings.
+RANGES = {
+    "time_limit_ms": (1, 600_000),
+    "floor_percent": (0, 100),
+    "slots": (1, 10_000),
+    "queue_limit": (0, 100_000),
+    "attempt_limit": (1, 10),
+    "retry_budget_percent": (0, 100),
+}
+
+SECTIONS = ("fleet", "data_centres", "services", "routes")
+NESTED = ("data_centres", "endpoints")
+
+
+def read_edits(file: SettingsFile) -> list[settings_pb2.Edit]:
+    """Return one edit for each place of a settings file.
+
+    :raises LaburnumscaleError: names the file, the line and the setting.
+    """
+    for name in file.value:
+        if name not in SECTIONS:
+            raise OptionUnknown(file.where(name), name)
+    edits = [
+        _settings_edit(file, place, keys, value) for place, keys, value in _places(file)
+    ]
+    edits.extend(_route_edit(file, route) for route in file.value.get("routes", []))
+    return edits
+
+
+def _places(file: SettingsFile) -> Iterator[tuple[Place, tuple[str, ...], dict]]:
+    if "fleet" in file.value:
+        yield FLEET, ("fleet",), file.value["fleet"]
+    for name, value in _section(file, "data_centres"):
+        yield DataCentrePlace(name), ("data_centres", name), value
+    for service, value in _section(file, "services"):
+        keys = ("services", service)
+        own = {key: v for key, v in value.items() if key not in NESTED}
+        yield ServicePlace(service), keys, own
+        for name, nested in _section(file, *keys, "data_centres"):
+            place = ServiceInDataCentrePlace(service, name)
+            yield place, (*keys, "data_centres", name), nested
+        for name, nested in _section(file, *keys, "endpoints"):
+            yield EndpointPlace(service, name), (*keys, "endpoints", name), nested
+
+
+def _section(file: SettingsFile, *keys: str) -> list[tuple[str, dict]]:
+    value = file.value
+    for key in keys:
+        value = value.get(key, {})
+        if not isinstance(value, dict):
+            raise OptionValueInvalid(file.where(*keys), key, "the value is no object")
+    for name, nested in value.items():
+        if not isinstance(nested, dict):
+            where = file.where(*keys, name)
+            raise OptionValueInvalid(where, name, "the value is no object")
+    return list(value.items())
+
+
+def _settings_edit(
+    file: SettingsFile, place: Place, keys: tuple[str, ...], value: dict
+) -> settings_pb2.Edit:
+    try:
+        parse_place(str(place))
+    except LaburnumscaleError as error:
+        raise OptionValueInvalid(file.where(*keys), keys[-1], str(error)) from error
+    edit = settings_pb2.Edit(place=str(place))
+    edit.settings.SetInParent()
+    known = edit.settings.DESCRIPTOR.fields_by_name
+    for name, setting in value.items():
+        where = file.where(*keys, name)
+        if name not in known:
+            raise OptionUnknown(where, name)
+        try:
+            json_format.ParseDict({name: setting}, edit.settings)
+        except json_format.ParseError as error:
+            raise OptionValueInvalid(where, name, str(error)) from error
+        _check_range(where, name, edit.settings)
+    return edit
+
+
+def _check_range(where: str, name: str, settings: settings_pb2.ServiceSettings) -> None:
+    if name not in RANGES:
+        return
+    lowest, highest = RANGES[name]
+    value = getattr(settings, name)
+    if not lowest <= value <= highest:
+        raise OptionOutOfRange(where, name, value, lowest, highest)
+
+
+def _route_edit(file: SettingsFile, value: dict) -> settings_pb2.Edit:
+    try:
+        route = json_format.ParseDict(value, settings_pb2.Route())
+    except json_format.ParseError as error:
+        raise OptionValueInvalid(file.where("routes"), "routes", str(error)) from error
+    place = RoutePlace(route.host, route.path_prefix)
+    try:
+        parse_place(str(place))
+    except LaburnumscaleError as error:
+        where = file.where("routes", route.path_prefix)
+        raise OptionValueInvalid(where, "path_prefix", str(error)) from error
+    return settings_pb2.Edit(place=str(place), route=route)
--- /dev/null
+++ b/packages/laburnumscalectl/src/laburnumscalectl/__init__.py
@@ -0,0 +1,1 @@
+"""laburnumscalectl: the command line for operators."""
--- /dev/null
+++ b/packages/laburnumscaled/src/laburnumscaled/__init__.py
@@ -0,0 +1,1 @@
+"""laburnumscaled: the daemon of one target host."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of laburnumscale."""
--- /dev/null
+++ b/tests/features/steps/fleet_steps.py
@@ -0,0 +1,143 @@
+import json
+import signal
+from pathlib import Path
+
+from behave import given, then, when
+
+from tests.standins.fleet import wait_until
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+@given("a fleet of {count:d} daemons in {data_centres}")
+def step_fleet(context, count, data_centres):
+    names = data_centres.split(", ")
+    context.fleet.start_log()
+    for index in range(count):
+        data_centre = names[index % len(names)]
+        context.fleet.start_daemon(f"d{index + 1}", data_centre)
+
+
+@given("targets {endpoints} of {service} beside {daemon}")
+def step_targets(context, endpoints, service, daemon):
+    for endpoint in endpoints.split(", "):
+        context.fleet.start_target(service, endpoint, daemon)
+
+
+@given("the fleet is ready with the settings of {deployment}")
+def step_ready(context, deployment):
+    context.fleet.wait_ready()
+    path = str(EXAMPLES / deployment / "services.jsonc")
+    done = context.fleet.ctl("d1", "publish", path)
+    assert done.returncode == 0, done
+    wait_until(lambda: len(revisions(context)) == 1, "one revision everywhere")
+
+
+def revisions(context):
+    return {d.status()["revision"] for d in context.fleet.daemons.values()}
+
+
+@when("a caller sends one {method} {path} to {daemon}")
+def step_call(context, method, path, daemon):
+    body = b"{}" if method == "POST" else None
+    context.reply = context.fleet.daemons[daemon].call(path, method, body)
+
+
+@when("a caller sends {count:d} calls {method} {path} to each daemon")
+def step_calls(context, count, method, path):
+    body = b"{}" if method == "POST" else None
+    context.replies = [
+        daemon.call(path, method, body)
+        for daemon in context.fleet.daemons.values()
+        for _ in range(count)
+    ]
+
+
+@then("the status is {status:d}")
+def step_status(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@then("all statuses are {status:d}")
+def step_statuses(context, status):
+    assert {r.status for r in context.replies} == {status}, context.replies
+
+
+@then('the problem is "{outcome}" because of "{reason}"')
+def step_problem(context, outcome, reason):
+    problem = context.reply.json()
+    assert (problem["outcome"], problem["reason"]) == (outcome, reason), problem
+
+
+@then("the answer has {size:d} bytes")
+def step_size(context, size):
+    assert len(context.reply.body) == size, len(context.reply.body)
+
+
+@then("every target of {service} has run a call")
+def step_all_run(context, service):
+    for target in context.fleet.targets.values():
+        assert target.service != service or target.ledger(), target.endpoint
+
+
+@when("target {endpoint} is frozen")
+def step_freeze(context, endpoint):
+    context.fleet.targets[endpoint].process.send_signal(signal.SIGSTOP)
+
+
+@when("target {endpoint} is drained at {daemon}")
+def step_drain(context, endpoint, daemon):
+    service = context.fleet.targets[endpoint].service
+    done = context.fleet.ctl(daemon, "drain", service, endpoint)
+    assert done.returncode == 0, done
+
+
+@then("no daemon sends calls of {service} to {endpoint}")
+def step_left(context, service, endpoint):
+    def gone(daemon):
+        state = daemon.endpoints(service).get(endpoint)
+        return state in (None, "TARGET_STATE_DRAINING")
+
+    for daemon in context.fleet.daemons.values():
+        wait_until(lambda d=daemon: gone(d), f"{endpoint} has left {daemon.name}")
+
+
+@when("daemon {daemon} gets SIGTERM")
+def step_term(context, daemon):
+    process = context.fleet.daemons[daemon].process
+    context.exit_code = context.fleet.stop(process)
+
+
+@then("its exit code is {code:d}")
+def step_exit_code(context, code):
+    assert context.exit_code == code, context.exit_code
+
+
+@given('a daemon settings file with "{name}" set to {value}')
+def step_daemon_file(context, name, value):
+    path = context.fleet.directory / "daemon.jsonc"
+    settings = {
+        "daemon": "makati-1",
+        "data_centre": "makati",
+        "caller_address": "127.0.0.1:7001",
+        "operator_address": "127.0.0.1:7002",
+        "peer_address": "127.0.0.1:7003",
+        "target_address": "127.0.0.1:7004",
+        "log_url": "http://127.0.0.1:7000",
+    }
+    settings[name] = json.loads(value)
+    path.write_text("// one daemon\n" + json.dumps(settings, indent=2))
+    context.settings_path = path
+
+
+@when("the daemon is started with that file")
+def step_start_with_file(context):
+    path = str(context.settings_path)
+    process = context.fleet.start("checked", "-m", "laburnumscaled", path)
+    context.exit_code = process.wait(30)
+    context.output = (context.fleet.directory / "checked.log").read_text()
+
+
+@then('it prints "{text}"')
+def step_prints(context, text):
+    assert text in context.output, context.output
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins: small processes that take the place of outside systems."""
--- /dev/null
+++ b/tests/standins/target.py
@@ -0,0 +1,150 @@
+"""Stand-in for a target.
+
+Answers lookups and holds, keeps a ledger, announces itself, and fails on demand.
+"""
+
+import argparse
+import asyncio
+import hashlib
+
+import aiohttp
+from aiohttp import web
+
+__all__ = ["TargetStandIn"]
+
+RENEW_INTERVAL_S = 0.3
+LEASE_MS = 1500
+DOWNLOAD_CHUNK_BYTES = 64 * 1024
+
+
+class TargetStandIn:
+    """One target: ``/ledger`` lists what was run, ``/faults`` sets failures."""
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self.options = options
+        self.ledger: list[dict] = []
+        self.state = "ready"
+        self.latency_ms = options.latency_ms
+        self.error_percent = 0
+        self.announcing = True
+        self.cut_after_bytes = 0
+        self._calls = 0
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(client_max_size=1024 * 1024 * 1024)
+        app.router.add_get("/healthz", self.health)
+        app.router.add_get("/ledger", self.show_ledger)
+        app.router.add_post("/faults", self.faults)
+        app.router.add_get("/download/{size}", self.download)
+        app.router.add_route("*", "/{path:.*}", self.work)
+        app.cleanup_ctx.append(self.announce)
+        return app
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Answer the health check, also while real work fails."""
+        return web.Response(text="ok")
+
+    async def show_ledger(self, request: web.Request) -> web.Response:
+        """Return everything that was run."""
+        return web.json_response(self.ledger)
+
+    async def faults(self, request: web.Request) -> web.Response:
+        """Set the failures."""
+        for name, value in (await request.json()).items():
+            setattr(self, name, value)
+        return web.json_response({})
+
+    async def work(self, request: web.Request) -> web.Response:
+        """Run a call and note it in the ledger."""
+        digest = hashlib.sha256()
+        size = 0
+        async for chunk in request.content.iter_any():
+            digest.update(chunk)
+            size += len(chunk)
+        self._calls += 1
+        content_id = request.headers.get("X-Content-Id", "")
+        entry = {
+            "method": request.method,
+            "path": request.path_qs,
+            "content_id": content_id,
+            "started_at_s": asyncio.get_running_loop().time(),
+        }
+        self.ledger.append(entry)
+        await asyncio.sleep(self.latency_ms / 1000)
+        if self._calls * self.error_percent % 100 < self.error_percent:
+            return web.Response(status=500, text="failed")
+        return web.json_response(
+            {
+                "endpoint": self.options.endpoint,
+                "content_id": content_id,
+                "bytes": size,
+                "sha256": digest.hexdigest(),
+            }
+        )
+
+    async def download(self, request: web.Request) -> web.StreamResponse:
+        """Stream a body of the wanted size, perhaps cut short."""
+        size = int(request.match_info["size"])
+        response = web.StreamResponse(headers={"Content-Length": str(size)})
+        await response.prepare(request)
+        sent = 0
+        while sent < size:
+            if self.cut_after_bytes and sent >= self.cut_after_bytes:
+                self.cut_after_bytes = 0
+                request.transport.abort()
+                break
+            chunk = min(DOWNLOAD_CHUNK_BYTES, size - sent)
+            await response.write(bytes([sent // DOWNLOAD_CHUNK_BYTES % 251]) * chunk)
+            sent += chunk
+        return response
+
+    async def announce(self, app: web.Application):
+        """Announce the target to the daemon beside it while it runs."""
+        task = asyncio.create_task(self._renew())
+        yield
+        task.cancel()
+
+    async def _renew(self) -> None:
+        options = self.options
+        url = (
+            f"http://{options.daemon}/_laburnumscale/v1/targets/"
+            f"{options.service}/{options.endpoint}"
+        )
+        async with aiohttp.ClientSession() as session:
+            while True:
+                if self.announcing:
+                    body = {
+                        "address": f"127.0.0.1:{options.port}",
+                        "slots": options.slots,
+                        "state": self.state,
+                        "lease_ms": LEASE_MS,
+                    }
+                    try:
+                        async with session.put(url, json=body) as response:
+                            await response.read()
+                    except aiohttp.ClientError:
+                        pass
+                await asyncio.sleep(RENEW_INTERVAL_S)
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--daemon", required=True, help="IP:PORT for targets")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--endpoint", required=True)
+    parser.add_argument("--slots", type=int, default=5)
+    parser.add_argument("--latency-ms", type=float, default=1.0)
+    options = parser.parse_args()
+    web.run_app(
+        TargetStandIn(options).app(),
+        host="127.0.0.1",
+        port=options.port,
+        print=lambda _: None,
+    )
+
+
+if __name__ == "__main__":
+    main()
