--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -10,10 +10,12 @@
 import aiohttp
 
 from laburnumscale.announcements import announcement_app
+from laburnumscale.calls import CallRunner
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.entry import Entry
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
+from laburnumscale.health import TargetHealth
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
@@ -59,11 +61,18 @@
         feed = SettingsFeed(log, metrics)
         targets = LocalTargets(members.set_endpoints)
         guard = Guard(
-            settings.daemon, settings.data_centre, targets, feed, session, metrics
+            settings.daemon,
+            settings.data_centre,
+            targets,
+            feed,
+            TargetHealth(metrics),
+            session,
+            metrics,
         )
         channels = PeerChannels()
         gossip = Gossip(members, feed, channels, log, metrics)
-        entry = Entry(members, feed, guard, channels, Router(members), metrics)
+        runner = CallRunner(members, guard, channels, Router(members))
+        entry = Entry(members, feed, runner, metrics)
         peer_server = await serve_peers(settings.peer_address, guard, members, feed)
         servers = [
             await serve_app(
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -4,16 +4,19 @@
 """
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
 from laburnumscale.deadlines import Deadline
+from laburnumscale.health import TargetHealth
 from laburnumscale.metrics import Metrics
+from laburnumscale.replies import AttemptRefused, not_run, unknown
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.slots import hold_slot
 from laburnumscale.targets import LocalTarget, LocalTargets
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
@@ -22,28 +25,9 @@
 
 SMALL_BODY_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
-OVERLOAD_RETRY_AFTER_MS = 1000
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+SERVER_ERROR = 500
 DEADLINE_HEADER = "X-Request-Timeout-Ms"
-READY = peer_pb2.TARGET_STATE_READY
-
-
-class _Refused(Exception):
-    def __init__(self, reason: int, retry_after_ms: int = 0) -> None:
-        super().__init__(reason)
-        self.reply = not_run(reason, retry_after_ms)
-
-
-def not_run(reason: int, retry_after_ms: int = 0) -> peer_pb2.CallReply:
-    """Return the reply for an attempt that was not run."""
-    return peer_pb2.CallReply(
-        not_run=peer_pb2.NotRunReply(reason=reason, retry_after_ms=retry_after_ms)
-    )
-
-
-def unknown(reason: int) -> peer_pb2.CallReply:
-    """Return the reply for an attempt that may have run."""
-    return peer_pb2.CallReply(unknown=peer_pb2.UnknownReply(reason=reason))
 
 
 class Guard:
@@ -55,6 +39,7 @@
         data_centre: str,
         targets: LocalTargets,
         feed: SettingsFeed,
+        health: TargetHealth,
         session: aiohttp.ClientSession,
         metrics: Metrics,
     ) -> None:
@@ -62,6 +47,7 @@
         self._data_centre = data_centre
         self._targets = targets
         self._feed = feed
+        self._health = health
         self._session = session
         self._metrics = metrics
 
@@ -82,43 +68,12 @@
             head.service, self._data_centre, head.endpoint
         )
         try:
-            async with self._slot(target, settings, deadline):
+            async with hold_slot(target, settings, deadline):
                 async for reply in self._run(target, settings, head, body, deadline):
                     yield reply
-        except _Refused as refused:
+        except AttemptRefused as refused:
             yield refused.reply
 
-    @asynccontextmanager
-    async def _slot(
-        self, target: LocalTarget, settings: EffectiveSettings, deadline: Deadline
-    ) -> AsyncIterator[None]:
-        if target.state != READY:
-            raise _Refused(peer_pb2.NOT_RUN_REASON_DRAINING)
-        if target.running >= target.slots:
-            await self._wait_for_slot(target, settings, deadline)
-        target.running += 1
-        try:
-            yield
-        finally:
-            target.running -= 1
-            async with target.slot_freed:
-                target.slot_freed.notify()
-
-    async def _wait_for_slot(
-        self, target: LocalTarget, settings: EffectiveSettings, deadline: Deadline
-    ) -> None:
-        if target.queued >= settings.queue_limit:
-            raise _Refused(peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS)
-        target.queued += 1
-        try:
-            async with asyncio.timeout(deadline.left_s()), target.slot_freed:
-                await target.slot_freed.wait_for(lambda: target.running < target.slots)
-        except TimeoutError:
-            reason = peer_pb2.NOT_RUN_REASON_DEADLINE
-            raise _Refused(reason, OVERLOAD_RETRY_AFTER_MS) from None
-        finally:
-            target.queued -= 1
-
     async def _run(
         self,
         target: LocalTarget,
@@ -130,6 +85,8 @@
         url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
         headers = CIMultiDict((header.name, header.value) for header in head.headers)
         headers[DEADLINE_HEADER] = str(deadline.left_ms())
+        started_at_s = time.monotonic()
+        failed = True
         try:
             async with (
                 asyncio.timeout(deadline.left_s()),
@@ -143,17 +100,21 @@
                 ) as response,
             ):
                 if response.status in settings.shed:
-                    raise _Refused(peer_pb2.NOT_RUN_REASON_SHED)
+                    raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
                 async for reply in self._replies(target, response):
                     yield reply
+                failed = response.status >= SERVER_ERROR
         except aiohttp.ClientConnectorError:
-            raise _Refused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
         except TimeoutError:
             yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
         except aiohttp.ClientPayloadError:
             yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
         except aiohttp.ClientError:
             yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+        finally:
+            latency_us = int((time.monotonic() - started_at_s) * 1_000_000)
+            self._health.observe(target, failed, latency_us)
 
     async def _replies(
         self, target: LocalTarget, response: aiohttp.ClientResponse
