Keep a drained target drained, and reserve the ports of tests

Ruled out: gossip order (the draining state reached all daemons first). Change: the guard keeps the operator's drain over announcements.

Tests picked ports inside the system's range for outgoing connections, where another connection may take them; each fleet now holds a block below it. Peer addresses can be overridden, and a fault-injecting link stands between daemons.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -69,7 +69,7 @@
             session,
             metrics,
         )
-        channels = PeerChannels()
+        channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(members, feed, channels, log, metrics)
         runner = CallRunner(members, guard, channels, Router(members))
         entry = Entry(members, feed, runner, metrics)
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -44,6 +44,7 @@
     drain_ms: int
     isolation_ms: int
     body_limit_bytes: int
+    peer_address_overrides: dict[str, str]
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -103,4 +104,16 @@
         drain_ms=message.drain_ms or DEFAULT_DRAIN_MS,
         isolation_ms=message.isolation_ms or DEFAULT_ISOLATION_MS,
         body_limit_bytes=message.body_limit_bytes or DEFAULT_BODY_LIMIT_BYTES,
+        peer_address_overrides=_overrides(file, message),
     )
+
+
+def _overrides(
+    file: SettingsFile, message: daemon_pb2.DaemonSettings
+) -> dict[str, str]:
+    option = "peer_address_overrides"
+    for announced, reached in message.peer_address_overrides.items():
+        where = file.where(option, announced)
+        get_address_opt(where, option, announced)
+        get_address_opt(where, option, reached)
+    return dict(message.peer_address_overrides)
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -3,7 +3,7 @@
 The gRPC channels to other daemons and the server for them.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 import grpc
 
@@ -29,9 +29,13 @@
 
 
 class PeerChannels:
-    """One channel for each peer address, opened on first use."""
+    """One channel for each peer address, opened on first use.
 
-    def __init__(self) -> None:
+    :param overrides: addresses at which announced addresses are reached.
+    """
+
+    def __init__(self, overrides: Mapping[str, str]) -> None:
+        self._overrides = overrides
         self._channels: dict[str, grpc.aio.Channel] = {}
 
     def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
@@ -48,6 +52,7 @@
             await channel.close()
 
     def _channel(self, address: str) -> grpc.aio.Channel:
+        address = self._overrides.get(address, address)
         channel = self._channels.get(address)
         if channel is None:
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -15,6 +15,7 @@
 __all__ = ["LocalTarget", "LocalTargets"]
 
 LAPSE_CHECK_S = 0.2
+DRAINING = peer_pb2.TARGET_STATE_DRAINING
 
 
 @attrs.define(eq=False)
@@ -22,6 +23,7 @@
     """One target of the daemon's own host.
 
     :ivar lease_deadline: when the announcement lapses.
+    :ivar drained: an operator drains it; its own announcements do not undo that.
     :ivar running: calls that hold a slot.
     :ivar queued: calls that wait for a slot.
     """
@@ -32,6 +34,7 @@
     slots: int
     state: int
     lease_deadline: Deadline
+    drained: bool = False
     running: int = 0
     queued: int = 0
     slot_freed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
@@ -73,13 +76,10 @@
             self._tell()
             return
         target.lease_deadline = announced.lease_deadline
-        visible_change = (target.state, target.slots) != (
-            announced.state,
-            announced.slots,
-        )
-        target.state = announced.state
-        target.slots = announced.slots
-        if visible_change:
+        state = DRAINING if target.drained else announced.state
+        if (target.state, target.slots) != (state, announced.slots):
+            target.state = state
+            target.slots = announced.slots
             self._tell()
 
     def drain(self, service: str, endpoint: str) -> bool:
@@ -90,7 +90,8 @@
         target = self.get(service, endpoint)
         if target is None:
             return False
-        target.state = peer_pb2.TARGET_STATE_DRAINING
+        target.drained = True
+        target.state = DRAINING
         self._tell()
         return True
 
--- /dev/null
+++ b/tests/features/link.feature
@@ -0,0 +1,11 @@
+Feature: Calls over a link with faults
+
+  Scenario: A path that is cut one way does not stop lookups
+    Given links between daemons d1, d2
+    And a fleet of 2 daemons in makati, pasig
+    And targets e1 of slot-desk beside d1
+    And targets e2 of slot-desk beside d2
+    And the fleet is ready with the settings of bantayog
+    When the way from d1 to d2 is cut
+    And a caller sends 5 calls GET /slot-desk/lookup to each daemon
+    Then all statuses are 200
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -141,3 +141,30 @@
 @then('it prints "{text}"')
 def step_prints(context, text):
     assert text in context.output, context.output
+
+
+@given("links between daemons {names}")
+def step_links(context, names):
+    daemons = names.split(", ")
+    for source in daemons:
+        for destination in daemons:
+            if source != destination:
+                context.fleet.link_daemons(source, destination)
+
+
+@when("the way from {source} to {destination} is cut")
+def step_cut(context, source, destination):
+    context.fleet.links[f"{source}>{destination}"].faults(forward={"cut": True})
+
+
+@when("the way back from {destination} to {source} is cut")
+def step_cut_back(context, source, destination):
+    context.fleet.links[f"{source}>{destination}"].faults(backward={"cut": True})
+
+
+@when("the ways between {source} and {destination} are healed")
+def step_heal(context, source, destination):
+    for name in (f"{source}>{destination}", f"{destination}>{source}"):
+        context.fleet.links[name].faults(
+            forward={"cut": False}, backward={"cut": False}
+        )
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +25,10 @@
 WAIT_LIMIT_S = 30.0
 POLL_INTERVAL_S = 0.05
 TERM_LIMIT_S = 20.0
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+BLOCK_PORTS = 500
+ROLES = ("caller", "operator", "peer", "target")
 
 
 def wait_until(condition: Callable[[], bool], what: str, limit_s=WAIT_LIMIT_S) -> float:
@@ -85,6 +90,55 @@
         request("POST", f"http://127.0.0.1:{self.port}/faults", body)
 
 
+def can_bind(port: int) -> bool:
+    """Tell whether a port is free."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+class PortBlock:
+    """A block of ports below the system's range for outgoing connections.
+
+    The first port of the block stays bound, so that no other test takes the block.
+    """
+
+    def __init__(self) -> None:
+        starts = list(range(LOWEST_PORT, HIGHEST_PORT, BLOCK_PORTS))
+        random.SystemRandom().shuffle(starts)
+        for start in starts:
+            self._lock = socket.socket()
+            try:
+                self._lock.bind(("127.0.0.1", start))
+            except OSError:
+                self._lock.close()
+                continue
+            self.ports = range(start + 1, start + BLOCK_PORTS)
+            return
+        raise AssertionError("no block of ports is free")
+
+    def close(self) -> None:
+        """Give the block back."""
+        self._lock.close()
+
+
+@attrs.define(eq=False)
+class Link:
+    """A fault-injecting link that was started."""
+
+    name: str
+    port: int
+    control_port: int
+
+    def faults(self, **directions: dict) -> dict:
+        """Set the faults of ``forward`` and ``backward``; return passed bytes."""
+        url = f"http://127.0.0.1:{self.control_port}/faults/{self.name}"
+        return request("POST", url, json.dumps(directions).encode()).json()
+
+
 @attrs.define(eq=False)
 class DaemonProcess:
     """A daemon that was started."""
@@ -136,18 +190,19 @@
         self.processes: list[subprocess.Popen] = []
         self.daemons: dict[str, DaemonProcess] = {}
         self.targets: dict[str, TargetProcess] = {}
+        self.links: dict[str, Link] = {}
         self.log_port = 0
-        self._used_ports: set[int] = set()
+        self._daemon_ports: dict[str, dict[str, int]] = {}
+        self._control_port = 0
+        self._block = PortBlock()
+        self._ports = iter(self._block.ports)
 
     def free_port(self) -> int:
         """Return a port that no one uses and that was not returned before."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            if port not in self._used_ports:
-                self._used_ports.add(port)
+        for port in self._ports:
+            if can_bind(port):
                 return port
+        raise AssertionError("the block of ports is used up")
 
     def start(self, name: str, *arguments: str) -> subprocess.Popen:
         """Start a Python program of this environment."""
@@ -170,17 +225,54 @@
         url = f"http://127.0.0.1:{self.log_port}/faults"
         request("POST", url, json.dumps(faults).encode())
 
+    def daemon_ports(self, name: str) -> dict[str, int]:
+        """Return the ports of a daemon, also before it is started."""
+        if name not in self._daemon_ports:
+            self._daemon_ports[name] = {role: self.free_port() for role in ROLES}
+        return self._daemon_ports[name]
+
+    def link(self, name: str, to_port: int) -> Link:
+        """Start a link to a port and return it."""
+        if not self._control_port:
+            self._control_port = self.free_port()
+            control = ("--port", str(self._control_port))
+            self.start("links", "-m", "tests.standins.link", *control)
+            url = f"http://127.0.0.1:{self._control_port}/healthz"
+            wait_until(lambda: request("GET", url).status == 200, "the links answer")
+        link = Link(name, self.free_port(), self._control_port)
+        url = f"http://127.0.0.1:{self._control_port}/links/{name}"
+        body = json.dumps({"port": link.port, "to_port": to_port}).encode()
+        assert request("POST", url, body).status == 200, name
+        self.links[name] = link
+        return link
+
+    def link_daemons(self, source: str, destination: str) -> Link:
+        """Put a link on the way from one daemon to another.
+
+        Call it before the source is started; the link is named ``source>destination``.
+        """
+        name = f"{source}>{destination}"
+        return self.link(name, self.daemon_ports(destination)["peer"])
+
+    def _overrides(self, source: str) -> dict[str, str]:
+        overrides = {}
+        for name, link in self.links.items():
+            link_source, separator, destination = name.partition(">")
+            if separator and link_source == source:
+                announced = f"127.0.0.1:{self.daemon_ports(destination)['peer']}"
+                overrides[announced] = f"127.0.0.1:{link.port}"
+        return overrides
+
     def start_daemon(self, name: str, data_centre: str, **settings) -> DaemonProcess:
         """Start a daemon, or start it again on the same ports."""
-        known = self.daemons.get(name)
-        roles = ("caller", "operator", "peer", "target")
-        ports = known.ports if known else {role: self.free_port() for role in roles}
+        ports = self.daemon_ports(name)
         path = self.directory / f"{name}.jsonc"
         value = {
             "daemon": name,
             "data_centre": data_centre,
             "log_url": f"http://127.0.0.1:{self.log_port}",
-            **{f"{role}_address": f"127.0.0.1:{ports[role]}" for role in roles},
+            **{f"{role}_address": f"127.0.0.1:{ports[role]}" for role in ROLES},
+            "peer_address_overrides": self._overrides(name),
             **settings,
         }
         path.write_text(json.dumps(value, indent=2))
@@ -249,4 +341,5 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        self._block.close()
         self._scratch.cleanup()
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -107,6 +107,7 @@
 
     async def _renew(self) -> None:
         options = self.options
+        port = options.announced_port or options.port
         url = (
             f"http://{options.daemon}/_laburnumscale/v1/targets/"
             f"{options.service}/{options.endpoint}"
@@ -115,7 +116,7 @@
             while True:
                 if self.announcing:
                     body = {
-                        "address": f"127.0.0.1:{options.port}",
+                        "address": f"127.0.0.1:{port}",
                         "slots": options.slots,
                         "state": self.state,
                         "lease_ms": LEASE_MS,
@@ -132,6 +133,7 @@
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--announced-port", type=int, default=0)
     parser.add_argument("--daemon", required=True, help="IP:PORT for targets")
     parser.add_argument("--service", required=True)
     parser.add_argument("--endpoint", required=True)
