Give the channels to peers a module of their own

The server for peers needs the call runner, which needs the channels; in one module they would import each other.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -9,12 +9,12 @@
 import grpc
 from sanic import HTTPResponse, Request
 
+from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
 from laburnumscale.guard import Guard
 from laburnumscale.headers import end_to_end
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown
-from laburnumscale.peers import PeerChannels
 from laburnumscale.problems import problem
 from laburnumscale.replies import failure, not_run, unknown
 from laburnumscale.routing import Router
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -11,6 +11,7 @@
 
 from laburnumscale.announcements import announcement_app
 from laburnumscale.calls import CallRunner
+from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.entry import Entry
 from laburnumscale.gossip import Gossip
@@ -20,7 +21,7 @@
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
 from laburnumscale.operators import Operators
-from laburnumscale.peers import PeerChannels, serve_peers
+from laburnumscale.peers import serve_peers
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.routing import Router
 from laburnumscale.settingsfeed import SettingsFeed
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -9,10 +9,10 @@
 import grpc
 from google.protobuf.message import DecodeError
 
+from laburnumscale.channels import PeerChannels
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.peers import PeerChannels
 from laburnumscale.platformlog import PlatformLog, sleep_until_retry
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -1,9 +1,9 @@
 """Peers.
 
-The gRPC channels to other daemons and the server for them.
+The gRPC server for the other daemons.
 """
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 
 import grpc
 
@@ -13,53 +13,14 @@
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
 
-__all__ = ["PeerChannels", "serve_peers"]
+__all__ = ["serve_peers"]
 
-CHANNEL_OPTIONS = (
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.initial_reconnect_backoff_ms", 50),
-    ("grpc.min_reconnect_backoff_ms", 200),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
-)
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
 )
 
 
-class PeerChannels:
-    """One channel for each peer address, opened on first use.
-
-    :param overrides: addresses at which announced addresses are reached.
-    """
-
-    def __init__(self, overrides: Mapping[str, str]) -> None:
-        self._overrides = overrides
-        self._channels: dict[str, grpc.aio.Channel] = {}
-
-    def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
-        """Return the stub for calls to the targets beside a daemon."""
-        return peer_pb2_grpc.GuardStub(self._channel(address))
-
-    def peer(self, address: str) -> peer_pb2_grpc.PeerStub:
-        """Return the stub for membership and settings."""
-        return peer_pb2_grpc.PeerStub(self._channel(address))
-
-    async def close(self) -> None:
-        """Close all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        address = self._overrides.get(address, address)
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-            self._channels[address] = channel
-        return channel
-
-
 class _GuardServicer(peer_pb2_grpc.GuardServicer):
     def __init__(self, guard: Guard) -> None:
         self._guard = guard
