Run a call with an operation key at most once, from any daemon

Cause: a caller that does not know whether its hold was run could only send it again, and risk a second run.

Weighed: a home found by hashing over the members (two views of the membership give two homes), and leases in the log (one append and one read-back for each hold). Taken: the key names the daemon that minted it, and its incarnation; any daemon leads a request there, through a third daemon if the direct way is silent. A planned shutdown hands the keys to one successor; a second is tried only if the first was certainly not reached. A home that is gone means unknown.

--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -38,6 +38,10 @@
         """Return the stub for membership and settings."""
         return peer_pb2_grpc.PeerStub(self._channel(address))
 
+    def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
+        """Return the stub for calls with operation keys."""
+        return peer_pb2_grpc.OperationKeysStub(self._channel(address))
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -13,10 +13,13 @@
 from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
+from laburnumscale.deadlines import Deadline
 from laburnumscale.entry import Entry
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
+from laburnumscale.keyedcalls import KeyedCalls
+from laburnumscale.keytable import KeyTable
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
@@ -73,8 +76,14 @@
         channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(members, feed, channels, log, metrics)
         runner = CallRunner(members, guard, channels, Router(members))
-        entry = Entry(members, feed, runner, metrics)
-        peer_server = await serve_peers(settings.peer_address, guard, members, feed)
+        key_table = KeyTable(
+            settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
+        )
+        keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
+        entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
+        peer_server = await serve_peers(
+            settings.peer_address, guard, members, feed, keyed_calls
+        )
         servers = [
             await serve_app(
                 entry.app(settings.body_limit_bytes), settings.caller_address
@@ -94,12 +103,14 @@
                 targets.watch_leases(),
                 gossip.follow_presence(),
                 gossip.exchange_forever(),
+                key_table.forget_expired(),
             )
         ]
         get_logger().info("daemon started", incarnation=members.own.incarnation)
         await self._stopping.wait()
         get_logger().info("daemon draining")
         members.set_draining()
+        await keyed_calls.hand_over(Deadline.after_ms(settings.drain_ms))
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -8,14 +8,18 @@
 from collections.abc import AsyncIterator
 
 from sanic import HTTPResponse, Request, Sanic
+from sanic.response import json
 
 from laburnumscale.calls import Call, CallRunner
 from laburnumscale.deadlines import Deadline
 from laburnumscale.guard import SMALL_BODY_BYTES
+from laburnumscale.keyedcalls import KeyedCalls
+from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.outcomes import NotRun, Outcome, outcome_name
+from laburnumscale.outcomes import Answered, NotRun, Outcome, outcome_name
 from laburnumscale.problems import problem
+from laburnumscale.replies import failure
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.webserver import new_app
 from laburnumscale_schema import peer_pb2
@@ -23,6 +27,9 @@
 __all__ = ["Entry"]
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+KEYS_PATH = "/_laburnumscale/v1/operation-keys"
+KEY_HEADER = "idempotency-key"
+KEY_COUNT_LIMIT = 1000
 TIMEOUT_HEADER = "x-request-timeout-ms"
 
 
@@ -34,11 +41,15 @@
         members: Members,
         feed: SettingsFeed,
         runner: CallRunner,
+        keyed_calls: KeyedCalls,
+        key_table: KeyTable,
         metrics: Metrics,
     ) -> None:
         self._members = members
         self._feed = feed
         self._runner = runner
+        self._keyed_calls = keyed_calls
+        self._key_table = key_table
         self._metrics = metrics
 
     def app(self, body_limit_bytes: int) -> Sanic:
@@ -48,6 +59,10 @@
         async def handle(request: Request, path: str = "") -> HTTPResponse | None:
             return await self.handle(request)
 
+        async def mint(request: Request) -> HTTPResponse:
+            return await self.mint_keys(request)
+
+        app.add_route(mint, KEYS_PATH, methods=["POST"], name="keys")
         app.add_route(handle, "/", methods=METHODS, stream=True, name="root")
         app.add_route(handle, "/<path:path>", methods=METHODS, stream=True, name="any")
         return app
@@ -61,10 +76,24 @@
             response = problem(prepared, request_id)
             self._record("", prepared, started_at_s)
             return response
-        outcome, response = await self._runner.run(prepared)
+        key = request.headers.get(KEY_HEADER)
+        if key is None:
+            outcome, response = await self._runner.run(prepared)
+        else:
+            reply = await self._keyed_calls.lead(prepared, key)
+            outcome, response = _keyed_response(reply, request_id)
         self._record(prepared.service, outcome, started_at_s)
         return response
 
+    async def mint_keys(self, request: Request) -> HTTPResponse:
+        """Answer a caller's wish for operation keys."""
+        count = request.args.get("count", "1")
+        if not count.isdecimal() or not 1 <= int(count) <= KEY_COUNT_LIMIT:
+            refused = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
+            return problem(refused, uuid.uuid4().hex)
+        keys = [str(key) for key in self._key_table.mint(int(count))]
+        return json({"keys": keys})
+
     async def _prepare(self, request: Request, request_id: str) -> Call | NotRun:
         raw = request.raw_url.decode("latin-1")
         path, _, _ = raw.partition("?")
@@ -115,3 +144,21 @@
         if not chunk:
             return
         yield chunk
+
+
+def _keyed_response(
+    reply: peer_pb2.CallReply, request_id: str
+) -> tuple[Outcome, HTTPResponse]:
+    outcome = failure(reply)
+    if outcome is not None:
+        return outcome, problem(outcome, request_id)
+    headers = [
+        (header.name, header.value)
+        for header in reply.head.headers
+        if header.name != "x-request-id"
+    ]
+    headers.append(("x-request-id", request_id))
+    response = HTTPResponse(
+        reply.body, status=reply.head.status, headers=headers, content_type=None
+    )
+    return Answered(reply.head.status), response
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -93,6 +93,20 @@
         self.own.state = LEFT
         self._own_changed()
 
+    def set_key_homes(self, homes: list[peer_pb2.KeyHolder]) -> None:
+        """Say whose operation keys this daemon has taken over."""
+        del self.own.key_homes[:]
+        self.own.key_homes.extend(homes)
+        self._own_changed()
+
+    def key_holder(self, daemon: str, incarnation: int) -> peer_pb2.Member | None:
+        """Return the daemon that took over the operation keys of another, or None."""
+        wanted = peer_pb2.KeyHolder(daemon=daemon, incarnation=incarnation)
+        for member in self._table.values():
+            if wanted in member.key_homes and member.state in (ALIVE, SUSPECT):
+                return member
+        return None
+
     def endpoints(self, service: str) -> list[EndpointView]:
         """Return the endpoints of a service."""
         if self._by_service is None:
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -9,6 +9,7 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.guard import Guard
+from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
@@ -79,13 +80,36 @@
         return peer_pb2.SettingsReply(snapshot=snapshot)
 
 
+class _OperationKeysServicer(peer_pb2_grpc.OperationKeysServicer):
+    def __init__(self, keyed_calls: KeyedCalls) -> None:
+        self._keyed_calls = keyed_calls
+
+    async def Run(  # noqa: N802
+        self, request: peer_pb2.KeyedCall, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.CallReply:
+        return await self._keyed_calls.run_here(request)
+
+    async def HandOver(  # noqa: N802
+        self, request: peer_pb2.KeyHandOver, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.KeyHandOverReply:
+        self._keyed_calls.adopt(request)
+        return peer_pb2.KeyHandOverReply()
+
+
 async def serve_peers(
-    address: Address, guard: Guard, members: Members, feed: SettingsFeed
+    address: Address,
+    guard: Guard,
+    members: Members,
+    feed: SettingsFeed,
+    keyed_calls: KeyedCalls,
 ) -> grpc.aio.Server:
     """Start the gRPC server for the other daemons."""
     server = grpc.aio.server(options=SERVER_OPTIONS)
     peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
     peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
+    peer_pb2_grpc.add_OperationKeysServicer_to_server(
+        _OperationKeysServicer(keyed_calls), server
+    )
     server.add_insecure_port(str(address))
     await server.start()
     return server
