--- a/tests/features/operationkeys.feature
+++ b/tests/features/operationkeys.feature
@@ -86,3 +86,28 @@
     And the keyed hold is sent to d1, d4
     Then the last 2 keyed answers are "unknown" with status 504
     And the targets ran the keyed hold exactly 1 time
+
+  Scenario: The reply of the hand-over of an unused key is lost
+    Given an operation key from d3
+    When the way back from d1 to d3 is cut
+    And daemon d3 gets SIGTERM
+    And the keyed hold is sent to d1, d2
+    Then every keyed answer is the same with status 200
+    And the targets ran the keyed hold exactly 1 time
+
+  Scenario: The hand-over never arrives
+    Given an operation key from d3
+    When the keyed hold is sent to d1
+    And the way from d3 to d1 is cut
+    And daemon d3 gets SIGTERM
+    And the keyed hold is sent to d1, d2
+    Then the last 2 keyed answers are "unknown" with status 504
+    And the targets ran the keyed hold exactly 1 time
+
+  Scenario: The home is shut down while the operation runs
+    Given an operation key from d3
+    And every target takes 600 ms
+    When the keyed hold is sent to d1 while daemon d3 gets SIGTERM
+    And the keyed hold is sent to d1, d2
+    Then every keyed answer is the same with status 200
+    And the targets ran the keyed hold exactly 1 time
--- a/tests/features/steps/operationkeys_steps.py
+++ b/tests/features/steps/operationkeys_steps.py
@@ -1,12 +1,21 @@
 from concurrent.futures import ThreadPoolExecutor
 
-from behave import given, then, when
+import parse
+from behave import given, register_type, then, when
 
 from tests.standins.fleet import wait_until
 
 CONTENT_ID = "keyed-hold"
 
 
+@parse.with_pattern(r"d\d(?:, d\d)*")
+def daemon_names(text):
+    return text.split(", ")
+
+
+register_type(DaemonNames=daemon_names)
+
+
 def mint(context, daemon):
     path = "/_laburnumscale/v1/operation-keys"
     reply = context.fleet.daemons[daemon].call(path, "POST", b"")
@@ -59,9 +68,9 @@
     context.fleet.wait_ready()
 
 
-@when("the keyed hold is sent to {daemons}")
+@when("the keyed hold is sent to {daemons:DaemonNames}")
 def step_send(context, daemons):
-    for daemon in daemons.split(", "):
+    for daemon in daemons:
         context.keyed_replies.append(send(context, daemon))
 
 
@@ -78,6 +87,15 @@
     context.keyed_replies = [send(context, daemon, b"another")]
 
 
+@when("the keyed hold is sent to {daemon} while daemon {home} gets SIGTERM")
+def step_send_and_stop(context, daemon, home):
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(send, context, daemon)
+        wait_until(lambda: runs(context), "the hold has reached a target")
+        context.fleet.stop(context.fleet.daemons[home].process)
+        context.keyed_replies.append(pending.result())
+
+
 @when("the life of the operation key has ended")
 def step_life_ended(context):
     daemon = context.key.partition("~")[0]
