--- a/packages/laburnumscale-schema/src/laburnumscale_schema/__init__.py
+++ b/packages/laburnumscale-schema/src/laburnumscale_schema/__init__.py
@@ -5,6 +5,7 @@
 
 from laburnumscale_schema import (
     daemon_pb2,
+    gossip_pb2,
     peer_pb2,
     peer_pb2_grpc,
     settings_pb2,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "daemon_pb2",
+    "gossip_pb2",
     "peer_pb2",
     "peer_pb2_grpc",
     "settings_pb2",
--- a/packages/laburnumscale/src/laburnumscale/announcements.py
+++ b/packages/laburnumscale/src/laburnumscale/announcements.py
@@ -10,7 +10,12 @@
 
 from laburnumscale.addresses import get_loopback_address_opt
 from laburnumscale.deadlines import Deadline
-from laburnumscale.errors import LaburnumscaleError, OptionOutOfRange, RequestInvalid
+from laburnumscale.errors import (
+    EndpointMoved,
+    LaburnumscaleError,
+    OptionOutOfRange,
+    RequestInvalid,
+)
 from laburnumscale.places import EndpointPlace, parse_place
 from laburnumscale.targets import LocalTarget, LocalTargets
 from laburnumscale.webserver import new_app
@@ -74,6 +79,8 @@
     async def announce(request: Request, service: str, endpoint: str) -> HTTPResponse:
         try:
             targets.announce(_read(request, service, endpoint))
+        except EndpointMoved as error:
+            return json({"error": str(error)}, status=409)
         except LaburnumscaleError as error:
             return json({"error": str(error)}, status=400)
         return json({})
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -59,7 +59,7 @@
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(log, metrics)
-        targets = LocalTargets(members.set_endpoints)
+        targets = LocalTargets(settings.daemon, members, metrics)
         guard = Guard(
             settings.daemon,
             settings.data_centre,
@@ -70,10 +70,21 @@
             metrics,
         )
         channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(members, feed, channels, log, metrics)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+        )
+        await gossip.join()
         runner = CallRunner(members, guard, channels, Router(members))
         entry = Entry(members, feed, runner, metrics)
-        peer_server = await serve_peers(settings.peer_address, guard, members, feed)
+        peer_server = await serve_peers(
+            settings.peer_address, guard, gossip.exchange.answer, feed
+        )
+        await gossip.start(settings.peer_address)
         servers = [
             await serve_app(
                 entry.app(settings.body_limit_bytes), settings.caller_address
@@ -91,8 +102,6 @@
             for part in (
                 feed.tail(),
                 targets.watch_leases(),
-                gossip.follow_presence(),
-                gossip.exchange_forever(),
             )
         ]
         get_logger().info("daemon started", incarnation=members.own.incarnation)
@@ -106,6 +115,7 @@
             server.close()
             await server.wait_closed()
         await peer_server.stop(settings.drain_ms / 1000)
+        await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
 
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -9,6 +9,9 @@
 __all__ = [
     "AddressInvalid",
     "AddressNotLoopback",
+    "DaemonNameTaken",
+    "DatagramInvalid",
+    "EndpointMoved",
     "FileSyntaxInvalid",
     "FileUnreadable",
     "LaburnumscaleError",
@@ -116,6 +119,41 @@
     template: ClassVar[str] = '{where}: setting "{option}": "{value}" is not loopback'
 
 
+@dataclass(eq=False)
+class DaemonNameTaken(LaburnumscaleError):
+    """A later process runs under the name of this daemon."""
+
+    daemon: str
+    incarnation: int
+    taken_by_incarnation: int
+    taken_by_address: str
+    template: ClassVar[str] = (
+        'daemon "{daemon}", incarnation {incarnation}: its name was taken by '
+        "incarnation {taken_by_incarnation} at {taken_by_address}"
+    )
+
+
+@dataclass(eq=False)
+class DatagramInvalid(LaburnumscaleError):
+    """A datagram of the gossip cannot be used."""
+
+    source: str
+    reason: str
+    template: ClassVar[str] = "datagram from {source}: {reason}"
+
+
+@dataclass(eq=False)
+class EndpointMoved(LaburnumscaleError):
+    """An endpoint was announced later beside another daemon."""
+
+    service: str
+    endpoint: str
+    daemon: str
+    template: ClassVar[str] = (
+        'endpoint "{endpoint}" of "{service}" has moved to daemon "{daemon}"'
+    )
+
+
 @dataclass(eq=False)
 class PlaceInvalid(LaburnumscaleError):
     """The text form of a place cannot be parsed."""
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -1,95 +1,216 @@
 """Gossip.
 
-Tells the other daemons what this one knows of the membership.
+Keeps the membership table of one daemon in step with those of the others.
 """
 
 import asyncio
+import math
 import random
+import time
+from collections.abc import Callable, Sequence
 
-import grpc
-from google.protobuf.message import DecodeError
-
-from laburnumscale.errors import LaburnumscaleError
+from laburnumscale.addresses import Address
+from laburnumscale.claims import Claims
+from laburnumscale.datagrams import DatagramSocket
+from laburnumscale.detector import FailureDetector
+from laburnumscale.exchange import TableExchange
+from laburnumscale.joining import Joining
+from laburnumscale.localhealth import LATE_LIMIT_S, LocalHealth
 from laburnumscale.members import Members
+from laburnumscale.messenger import Messenger
 from laburnumscale.metrics import Metrics
 from laburnumscale.peers import PeerChannels
-from laburnumscale.platformlog import PlatformLog, sleep_until_retry
-from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale_schema import peer_pb2
+from laburnumscale.platformlog import PlatformLog
+from laburnumscale.presence import Presence
+from laburnumscale.suspicions import Suspicions
+from laburnumscale.views import DEAD, is_listed
+from laburnumscale_schema import gossip_pb2, peer_pb2
 
 __all__ = ["Gossip"]
 
-PRESENCE_STREAM = "presence"
-PRESENCE_WAIT_MS = 1000
-EXCHANGE_INTERVAL_S = 0.25
-EXCHANGE_TIMEOUT_S = 1.0
+SPREAD_INTERVAL_S = 0.2
+SPREAD_FANOUT = 2
+LEAVE_FANOUT = 8
+FORGET_INTERVAL_S = 5.0
+EXCHANGE_CHECK_S = 0.5
+EXCHANGE_S_PER_DECADE_SQUARED = 2.0
+MISMATCHES_BEFORE_EXCHANGE = 3
+HIGHEST_WANTED_EXCHANGES = 4
+
+PING = gossip_pb2.DATAGRAM_KIND_PING
+ACK = gossip_pb2.DATAGRAM_KIND_ACK
+PING_REQUEST = gossip_pb2.DATAGRAM_KIND_PING_REQUEST
+NACK = gossip_pb2.DATAGRAM_KIND_NACK
+UPDATES = gossip_pb2.DATAGRAM_KIND_UPDATES
+
+
+def exchange_interval_s(group_size: int) -> float:
+    """Return the least time between exchanges over differing digests."""
+    decades = max(1.0, math.log10(max(1, group_size)))
+    return EXCHANGE_S_PER_DECADE_SQUARED * decades * decades
 
 
 class Gossip:
-    """Exchanges membership tables with peers picked at random."""
+    """The membership of one daemon: joining, probing, spreading, leaving.
+
+    :param revision: returns the settings revision of this daemon.
+    :param heard_revision: called with a newer revision and the peer address of
+        the daemon that has it.
+    """
 
     def __init__(
         self,
         members: Members,
-        feed: SettingsFeed,
         channels: PeerChannels,
         log: PlatformLog,
         metrics: Metrics,
+        *,
+        seeds: Sequence[Address] = (),
+        revision: Callable[[], int] = lambda: 0,
+        heard_revision: Callable[[int, str], None] = lambda revision, address: None,
     ) -> None:
         self._members = members
-        self._feed = feed
-        self._channels = channels
-        self._log = log
         self._metrics = metrics
+        self._revision = revision
+        self._heard_revision = heard_revision
+        self._health = LocalHealth()
+        self._socket = DatagramSocket(channels.overrides, metrics)
+        self._messenger = Messenger(members, self._socket, revision)
+        self._suspicions = Suspicions(members, self._health, metrics)
+        self._detector = FailureDetector(
+            members, self._messenger, self._suspicions, self._health, metrics
+        )
+        self._claims = Claims(members, self._detector.ping, metrics)
+        self.exchange = TableExchange(members, self._claims, channels, metrics)
+        presence = Presence(log, members, metrics)
+        self._joining = Joining(members, presence, self.exchange, metrics, seeds)
+        self._mismatches: list[str] = []
+        self._wanted: dict[str, None] = {}
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def contact_at_s(self) -> float:
+        """Return the monotonic time of the last datagram from a peer, 0 for none."""
+        return self._health.heard_at_s
+
+    async def join(self) -> None:
+        """Learn who is there, and settle the incarnation of this daemon."""
+        await self._joining.join()
+
+    async def start(self, address: Address) -> None:
+        """Take part from now on.
+
+        :param address: where datagrams arrive.
+        """
+        await self._socket.open(address, self._receive)
+        for peer in random.sample(self._members.peers(), len(self._members.peers())):
+            self._want_exchange(peer.peer_address)
+        for part in (
+            self._detector.probe_forever(),
+            self._spread_forever(),
+            self._exchange_forever(),
+            self._joining.follow(),
+        ):
+            self._tasks.append(asyncio.create_task(part))
+
+    async def leave(self) -> None:
+        """Tell several peers that this daemon has left, and stop."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._members.set_left()
+        for peer in self._sample(LEAVE_FANOUT):
+            farewell = gossip_pb2.Datagram(kind=UPDATES)
+            self._messenger.send(peer, farewell, [self._members.own])
+        self._socket.close()
 
-    async def follow_presence(self) -> None:
-        """Announce this daemon in the log and read who else is there."""
-        attempt = 0
-        offset = 0
-        announced = False
+    async def _spread_forever(self) -> None:
+        forget_at_s = time.monotonic() + FORGET_INTERVAL_S
         while True:
-            try:
-                if not announced:
-                    payload = self._members.own.SerializeToString()
-                    await self._log.append(PRESENCE_STREAM, payload)
-                    announced = True
-                batch = await self._log.read(PRESENCE_STREAM, offset, PRESENCE_WAIT_MS)
-            except LaburnumscaleError:
-                self._metrics.count("presence_failures")
-                await sleep_until_retry(attempt)
-                attempt += 1
-                continue
-            attempt = 0
-            for record in batch.records:
-                offset = record.offset + 1
-                self._merge_presence(record.payload)
-
-    async def exchange_forever(self) -> None:
-        """Exchange tables with one random peer after another."""
+            expected_at_s = time.monotonic() + SPREAD_INTERVAL_S
+            await asyncio.sleep(SPREAD_INTERVAL_S)
+            late_s = time.monotonic() - expected_at_s
+            if late_s > LATE_LIMIT_S:
+                self._metrics.count("loop_pauses")
+                self._health.bad()
+                self._suspicions.postpone(late_s)
+            self._suspicions.expire()
+            self._spread()
+            if time.monotonic() > forget_at_s:
+                forget_at_s = time.monotonic() + FORGET_INTERVAL_S
+                self._members.forget_gone()
+
+    def _spread(self) -> None:
+        for peer in self._sample(SPREAD_FANOUT):
+            if self._messenger.can_spread():
+                self._messenger.send(peer, gossip_pb2.Datagram(kind=UPDATES))
+
+    async def _exchange_forever(self) -> None:
         while True:
-            await asyncio.sleep(EXCHANGE_INTERVAL_S)
-            peers = self._members.peers()
-            if peers:
-                await self.exchange(random.choice(peers).peer_address)
-
-    async def exchange(self, address: str) -> None:
-        """Exchange membership tables, and fetch newer settings."""
-        table = peer_pb2.MemberTable(
-            sender=self._members.own.daemon,
-            settings_revision=self._feed.tree.revision,
-            members=self._members.all(),
-        )
-        stub = self._channels.peer(address)
-        try:
-            reply = await stub.ExchangeMembers(table, timeout=EXCHANGE_TIMEOUT_S)
-        except grpc.RpcError:
-            self._metrics.count("exchange_failures")
+            await asyncio.sleep(EXCHANGE_CHECK_S * random.uniform(0.5, 1.5))
+            address = self._next_exchange()
+            if address is not None:
+                await self.exchange.exchange(address)
+
+    def _next_exchange(self) -> str | None:
+        if self._wanted:
+            address, _ = self._wanted.popitem()
+            return address
+        age_s = time.monotonic() - self.exchange.done_at_s
+        least_s = exchange_interval_s(len(self._members.peers()) + 1)
+        if len(self._mismatches) < MISMATCHES_BEFORE_EXCHANGE or age_s < least_s:
+            return None
+        address = self._mismatches[-1]
+        self._mismatches.clear()
+        return address
+
+    def _sample(self, count: int) -> list[peer_pb2.Member]:
+        peers = self._members.peers()
+        return random.sample(peers, min(count, len(peers)))
+
+    def _want_exchange(self, address: str) -> None:
+        if len(self._wanted) < HIGHEST_WANTED_EXCHANGES:
+            self._wanted[address] = None
+
+    def _receive(self, datagram: gossip_pb2.Datagram) -> None:
+        self._health.heard()
+        for update in datagram.updates:
+            self._hear(update)
+        sender = self._sender(datagram)
+        self._compare(datagram)
+        if datagram.kind == PING:
+            self._detector.answer_ping(datagram, sender)
+        elif datagram.kind == PING_REQUEST:
+            self._detector.answer_ping_request(datagram, sender)
+        elif datagram.kind == ACK:
+            self._detector.take_ack(datagram)
+        elif datagram.kind == NACK:
+            self._detector.take_nack(datagram)
+
+    def _hear(self, update: peer_pb2.Member) -> None:
+        merge = self._claims.hear(update)
+        if merge is None or not is_listed(merge.after):
             return
-        for member in reply.members:
-            self._members.merge(member)
-
-    def _merge_presence(self, payload: bytes) -> None:
-        try:
-            self._members.merge(peer_pb2.Member.FromString(payload))
-        except DecodeError:
-            self._metrics.count("presence_records_invalid")
+        if merge.before is None or merge.before.state == DEAD:
+            self._want_exchange(merge.after.peer_address)
+
+    def _sender(self, datagram: gossip_pb2.Datagram) -> peer_pb2.Member:
+        known = self._members.get(datagram.sender)
+        if known is not None and known.incarnation == datagram.sender_incarnation:
+            self._claims.heard_from(datagram.sender)
+            return known
+        if known is None or known.incarnation < datagram.sender_incarnation:
+            self._want_exchange(datagram.sender_address)
+        return peer_pb2.Member(
+            daemon=datagram.sender,
+            incarnation=datagram.sender_incarnation,
+            peer_address=datagram.sender_address,
+        )
+
+    def _compare(self, datagram: gossip_pb2.Datagram) -> None:
+        if datagram.settings_revision > self._revision():
+            self._heard_revision(datagram.settings_revision, datagram.sender_address)
+        if datagram.table_digest == self._members.table_digest:
+            self._mismatches.clear()
+        elif len(self._mismatches) < MISMATCHES_BEFORE_EXCHANGE:
+            self._mismatches.append(datagram.sender_address)
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -4,16 +4,31 @@
 """
 
 import time
+from collections.abc import Callable
 
 import attrs
 
+from laburnumscale.deadlines import Deadline
+from laburnumscale.endpointindex import EndpointIndex, EndpointView
+from laburnumscale.errors import DaemonNameTaken
+from laburnumscale.logs import get_logger
+from laburnumscale.views import (
+    DEAD,
+    GONE,
+    LEFT,
+    digest,
+    identity,
+    is_listed,
+    join,
+    liveness,
+)
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["EndpointView", "Members", "new_incarnation"]
+__all__ = ["EndpointView", "Members", "Merge", "new_incarnation"]
 
-ALIVE = peer_pb2.MEMBER_STATE_ALIVE
-SUSPECT = peer_pb2.MEMBER_STATE_SUSPECT
-LEFT = peer_pb2.MEMBER_STATE_LEFT
+GONE_KEPT_MS = 3_600_000
+HIGHEST_GONE_MEMBERS = 4_096
+DIGEST_MODULUS = 1 << 64
 
 
 def new_incarnation() -> int:
@@ -22,103 +37,226 @@
 
 
 @attrs.frozen
-class EndpointView:
-    """An endpoint together with the daemon that guards it."""
+class Merge:
+    """A change of the table: one entry before and after."""
 
-    service: str
-    endpoint: str
-    slots: int
-    state: int
-    ejected: bool
-    daemon: str
-    incarnation: int
-    peer_address: str
-    data_centre: str
+    before: peer_pb2.Member | None
+    after: peer_pb2.Member
 
 
 class Members:
-    """The membership table of one daemon."""
+    """The membership table of one daemon.
+
+    Entries are never changed in place, but for the daemon's own one.
+
+    :ivar own: the entry of this daemon.
+    :ivar name_taken: set once another process has taken this daemon's name.
+    :ivar refutations: how often this daemon had to say that it is alive.
+    """
 
     def __init__(self, own: peer_pb2.Member) -> None:
         self.own = own
+        self.name_taken: DaemonNameTaken | None = None
+        self.refutations = 0
+        self._settled = False
         self._table: dict[str, peer_pb2.Member] = {own.daemon: own}
-        self._by_service: dict[str, list[EndpointView]] | None = None
+        self._digests: dict[str, int] = {own.daemon: digest(own)}
+        self._table_digest = self._digests[own.daemon]
+        self._peers: list[peer_pb2.Member] | None = None
+        self._gone_deadlines: dict[str, Deadline] = {}
+        self._index = EndpointIndex(self.get)
+        self._listeners: list[Callable[[peer_pb2.Member], None]] = []
+
+    def on_change(self, listener: Callable[[peer_pb2.Member], None]) -> None:
+        """Call a function with the news of each change, for passing on."""
+        self._listeners.append(listener)
 
     def get(self, daemon: str) -> peer_pb2.Member | None:
         """Return the entry of a daemon, or None."""
         return self._table.get(daemon)
 
     def all(self) -> list[peer_pb2.Member]:
-        """Return the entries of all daemons, this one included."""
-        return list(self._table.values())
+        """Return the entries of all daemons, this one included, to show them."""
+        return [_shown(member) for member in self._table.values()]
 
     def peers(self) -> list[peer_pb2.Member]:
         """Return the other daemons that are not known to be gone."""
-        return [
-            member
-            for member in self._table.values()
-            if member.daemon != self.own.daemon and member.state in (ALIVE, SUSPECT)
-        ]
+        if self._peers is None:
+            self._peers = [
+                member
+                for member in self._table.values()
+                if member.daemon != self.own.daemon and is_listed(member)
+            ]
+        return self._peers
+
+    def dead(self) -> list[peer_pb2.Member]:
+        """Return the daemons that went without a word and may come back."""
+        gone = (self._table[daemon] for daemon in self._gone_deadlines)
+        return [member for member in gone if member.state == DEAD]
+
+    @property
+    def table_digest(self) -> int:
+        """Return a digest of the whole table."""
+        return self._table_digest
+
+    def digests(self) -> dict[str, int]:
+        """Return the digest of each listed daemon's entry."""
+        return {daemon: value for daemon, value in self._digests.items() if value}
+
+    def settle_incarnation(self) -> None:
+        """Fix the incarnation for the life of this process."""
+        self._settled = True
 
-    def merge(self, heard: peer_pb2.Member) -> bool:
-        """Take an entry that is newer than the known one.
+    def merge(self, heard: peer_pb2.Member) -> Merge | None:
+        """Join an entry with the known one.
 
-        :returns: whether the table changed.
+        :returns: the change, or None if there was nothing new in it.
         """
-        known = self._table.get(heard.daemon)
         if heard.daemon == self.own.daemon:
-            return False
-        if known is not None and (heard.incarnation, heard.version) <= (
-            known.incarnation,
-            known.version,
-        ):
-            return False
-        self._table[heard.daemon] = heard
-        self._by_service = None
-        return True
+            self._merge_own(heard)
+            return None
+        known = self._table.get(heard.daemon)
+        joined = join(heard if known is None else known, heard)
+        if joined == known:
+            return None
+        self._put(known, joined)
+        if known is not None or is_listed(joined):
+            self._notify(_news(known, heard, joined))
+        return Merge(known, joined)
+
+    def judge(self, daemon: str, state: int) -> None:
+        """Change the state of another daemon at its known version."""
+        known = self._table.get(daemon)
+        if known is not None:
+            claim = liveness(known)
+            claim.state = state
+            self.merge(claim)
 
     def set_endpoints(self, endpoints: list[peer_pb2.Endpoint]) -> None:
-        """Replace the endpoints of this daemon."""
-        del self.own.endpoints[:]
-        self.own.endpoints.extend(endpoints)
-        self._own_changed()
+        """Replace the endpoints of this daemon; only what differs is passed on."""
+        own = self.own
+        news = liveness(own)
+        before = {(each.service, each.endpoint): each for each in own.endpoints}
+        for endpoint in endpoints:
+            old = before.pop((endpoint.service, endpoint.endpoint), None)
+            endpoint.version = old.version if old is not None else 0
+            if endpoint != old:
+                own.endpoints_version += 1
+                endpoint.version = own.endpoints_version
+                news.endpoints.append(endpoint)
+        for old in before.values():
+            own.endpoints_version += 1
+            removed = peer_pb2.Endpoint(service=old.service, endpoint=old.endpoint)
+            removed.version = own.endpoints_version
+            removed.state = GONE
+            news.endpoints.append(removed)
+        if news.endpoints:
+            self._replace_own(endpoints)
+            self._notify(news)
 
     def set_draining(self) -> None:
         """Say that this daemon is about to leave."""
-        self.own.draining = True
-        self._own_changed()
+        self._change_own(draining=True)
 
     def set_left(self) -> None:
         """Say that this daemon has left."""
-        self.own.state = LEFT
-        self._own_changed()
+        self._change_own(state=LEFT)
 
     def endpoints(self, service: str) -> list[EndpointView]:
-        """Return the endpoints of a service."""
-        if self._by_service is None:
-            self._by_service = self._index()
-        return self._by_service.get(service, [])
+        """Return the endpoints of a service, each beside one daemon."""
+        return self._index.endpoints(service)
+
+    def endpoint(self, service: str, endpoint: str) -> EndpointView | None:
+        """Return one endpoint, beside the daemon that has it."""
+        views = self.endpoints(service)
+        return next((view for view in views if view.endpoint == endpoint), None)
+
+    def forget_gone(self) -> None:
+        """Drop members that have been gone for long, or are too many."""
+        for daemon, deadline in list(self._gone_deadlines.items()):
+            too_many = len(self._gone_deadlines) > HIGHEST_GONE_MEMBERS
+            if not (deadline.is_over() or too_many):
+                break
+            del self._gone_deadlines[daemon]
+            del self._table[daemon]
+            del self._digests[daemon]
 
-    def _own_changed(self) -> None:
+    def _merge_own(self, heard: peer_pb2.Member) -> None:
+        if identity(heard) > identity(self.own):
+            self._meet_namesake(heard)
+        elif identity(heard) == identity(self.own):
+            self._refute(heard)
+
+    def _meet_namesake(self, heard: peer_pb2.Member) -> None:
+        if not self._settled:
+            self._change_own(incarnation=heard.incarnation + 1)
+        elif self.name_taken is None and is_listed(heard):
+            self.name_taken = DaemonNameTaken(
+                self.own.daemon,
+                self.own.incarnation,
+                heard.incarnation,
+                heard.peer_address,
+            )
+            get_logger().error("daemon name taken", reason=str(self.name_taken))
+
+    def _refute(self, heard: peer_pb2.Member) -> None:
+        if heard.version < self.own.version or heard.state == self.own.state:
+            return
+        self.refutations += 1
+        self._change_own(version=heard.version)
+
+    def _change_own(self, **fields: int | bool) -> None:
+        before = self._copy_own()
+        for name, value in fields.items():
+            setattr(self.own, name, value)
         self.own.version += 1
-        self._by_service = None
-
-    def _index(self) -> dict[str, list[EndpointView]]:
-        index: dict[str, list[EndpointView]] = {}
-        for member in self._table.values():
-            if member.state not in (ALIVE, SUSPECT):
-                continue
-            for endpoint in member.endpoints:
-                view = EndpointView(
-                    service=endpoint.service,
-                    endpoint=endpoint.endpoint,
-                    slots=endpoint.slots,
-                    state=endpoint.state,
-                    ejected=endpoint.ejected,
-                    daemon=member.daemon,
-                    incarnation=member.incarnation,
-                    peer_address=member.peer_address,
-                    data_centre=member.data_centre,
-                )
-                index.setdefault(endpoint.service, []).append(view)
-        return index
+        self._put(before, self.own)
+        self._notify(liveness(self.own))
+
+    def _copy_own(self) -> peer_pb2.Member:
+        copy = peer_pb2.Member()
+        copy.CopyFrom(self.own)
+        return copy
+
+    def _replace_own(self, endpoints: list[peer_pb2.Endpoint]) -> None:
+        before = self._copy_own()
+        del self.own.endpoints[:]
+        self.own.endpoints.extend(endpoints)
+        self._put(before, self.own)
+
+    def _put(self, before: peer_pb2.Member | None, after: peer_pb2.Member) -> None:
+        daemon = after.daemon
+        self._table[daemon] = after
+        old_digest = self._digests.get(daemon, 0)
+        self._digests[daemon] = digest(after)
+        change = self._digests[daemon] - old_digest
+        self._table_digest = (self._table_digest + change) % DIGEST_MODULUS
+        self._peers = None
+        self._index.update(before, after)
+        self._gone_deadlines.pop(daemon, None)
+        if not is_listed(after):
+            self._gone_deadlines[daemon] = Deadline.after_ms(GONE_KEPT_MS)
+
+    def _notify(self, news: peer_pb2.Member) -> None:
+        for listener in self._listeners:
+            listener(news)
+
+
+def _shown(member: peer_pb2.Member) -> peer_pb2.Member:
+    """Return an entry without the marks of removed endpoints."""
+    if all(endpoint.state != GONE for endpoint in member.endpoints):
+        return member
+    shown = liveness(member)
+    shown.endpoints.extend(each for each in member.endpoints if each.state != GONE)
+    return shown
+
+
+def _news(
+    known: peer_pb2.Member | None, heard: peer_pb2.Member, joined: peer_pb2.Member
+) -> peer_pb2.Member:
+    """Return the part of a joined entry that was not known before."""
+    if known is None or identity(known) != identity(joined):
+        return joined
+    news = liveness(joined)
+    news.endpoints.extend(each for each in heard.endpoints if each in joined.endpoints)
+    return news
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -3,13 +3,13 @@
 The gRPC channels to other daemons and the server for them.
 """
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
 
 import grpc
 
 from laburnumscale.addresses import Address
 from laburnumscale.guard import Guard
-from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
 
@@ -35,7 +35,7 @@
     """
 
     def __init__(self, overrides: Mapping[str, str]) -> None:
-        self._overrides = overrides
+        self.overrides = overrides
         self._channels: dict[str, grpc.aio.Channel] = {}
 
     def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
@@ -46,13 +46,26 @@
         """Return the stub for membership and settings."""
         return peer_pb2_grpc.PeerStub(self._channel(address))
 
+    @asynccontextmanager
+    async def transient_peer(
+        self, address: str
+    ) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
+        """Give a stub for rare questions, over a channel that is closed after use."""
+        if self.overrides.get(address, address) in self._channels:
+            yield self.peer(address)
+            return
+        reached = self.overrides.get(address, address)
+        options = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
+        async with grpc.aio.insecure_channel(reached, options=options) as channel:
+            yield peer_pb2_grpc.PeerStub(channel)
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
             await channel.close()
 
     def _channel(self, address: str) -> grpc.aio.Channel:
-        address = self._overrides.get(address, address)
+        address = self.overrides.get(address, address)
         channel = self._channels.get(address)
         if channel is None:
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
@@ -93,21 +106,18 @@
             break
 
 
+MemberAnswer = Callable[[peer_pb2.MemberTable], peer_pb2.MemberTable]
+
+
 class _PeerServicer(peer_pb2_grpc.PeerServicer):
-    def __init__(self, members: Members, feed: SettingsFeed) -> None:
-        self._members = members
+    def __init__(self, answer_members: MemberAnswer, feed: SettingsFeed) -> None:
+        self._answer_members = answer_members
         self._feed = feed
 
     async def ExchangeMembers(  # noqa: N802
         self, request: peer_pb2.MemberTable, context: grpc.aio.ServicerContext
     ) -> peer_pb2.MemberTable:
-        for member in request.members:
-            self._members.merge(member)
-        return peer_pb2.MemberTable(
-            sender=self._members.own.daemon,
-            settings_revision=self._feed.tree.revision,
-            members=self._members.all(),
-        )
+        return self._answer_members(request)
 
     async def FetchSettings(  # noqa: N802
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
@@ -119,12 +129,17 @@
 
 
 async def serve_peers(
-    address: Address, guard: Guard, members: Members, feed: SettingsFeed
+    address: Address, guard: Guard, answer_members: MemberAnswer, feed: SettingsFeed
 ) -> grpc.aio.Server:
-    """Start the gRPC server for the other daemons."""
+    """Start the gRPC server for the other daemons.
+
+    :param answer_members: answers a step of an exchange of membership tables.
+    """
     server = grpc.aio.server(options=SERVER_OPTIONS)
     peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
-    peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
+    peer_pb2_grpc.add_PeerServicer_to_server(
+        _PeerServicer(answer_members, feed), server
+    )
     server.add_insecure_port(str(address))
     await server.start()
     return server
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -4,17 +4,23 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import time
 
 import attrs
 
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import EndpointMoved
+from laburnumscale.logs import get_logger
+from laburnumscale.members import EndpointView, Members
+from laburnumscale.metrics import Metrics
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["LocalTarget", "LocalTargets"]
 
 LAPSE_CHECK_S = 0.2
+LAPSED_KEPT_MS = 10_000
+LAPSED = peer_pb2.TARGET_STATE_LAPSED
 DRAINING = peer_pb2.TARGET_STATE_DRAINING
 
 
@@ -23,6 +29,7 @@
     """One target of the daemon's own host.
 
     :ivar lease_deadline: when the announcement lapses.
+    :ivar announced_us: when it announced itself here, later than at any other daemon.
     :ivar drained: an operator drains it; its own announcements do not undo that.
     :ivar running: calls that hold a slot.
     :ivar queued: calls that wait for a slot.
@@ -34,6 +41,7 @@
     slots: int
     state: int
     lease_deadline: Deadline
+    announced_us: int = 0
     drained: bool = False
     running: int = 0
     queued: int = 0
@@ -46,6 +54,7 @@
             endpoint=self.endpoint,
             slots=self.slots,
             state=self.state,
+            announced_us=self.announced_us,
         )
 
     def load(self) -> peer_pb2.LoadReport:
@@ -56,28 +65,37 @@
 class LocalTargets:
     """All targets of the daemon's own host.
 
-    :param changed: called with the endpoints after each visible change.
+    A target that does not renew its announcement is listed as lapsed for a while,
+    then withdrawn. An endpoint that was announced later beside another daemon is
+    given up here.
     """
 
-    def __init__(self, changed: Callable[[list[peer_pb2.Endpoint]], None]) -> None:
+    def __init__(self, daemon: str, members: Members, metrics: Metrics) -> None:
+        self._daemon = daemon
+        self._members = members
+        self._metrics = metrics
         self._targets: dict[tuple[str, str], LocalTarget] = {}
-        self._changed = changed
+        self._moved: dict[tuple[str, str], Address] = {}
 
     def get(self, service: str, endpoint: str) -> LocalTarget | None:
         """Return a target, or None if it is not announced."""
         return self._targets.get((service, endpoint))
 
     def announce(self, announced: LocalTarget) -> None:
-        """Add a target or renew its lease."""
+        """Add a target or renew its lease.
+
+        :raises EndpointMoved: it was announced later beside another daemon.
+        """
         key = (announced.service, announced.endpoint)
         target = self._targets.get(key)
         if target is None or target.address != announced.address:
-            self._targets[key] = announced
-            self._tell()
+            self._add(announced)
             return
         target.lease_deadline = announced.lease_deadline
         state = DRAINING if target.drained else announced.state
         if (target.state, target.slots) != (state, announced.slots):
+            if target.state == LAPSED:
+                self._metrics.count("targets_returned")
             target.state = state
             target.slots = announced.slots
             self._tell()
@@ -106,12 +124,55 @@
         return found is not None
 
     async def watch_leases(self) -> None:
-        """Remove targets whose announcements lapse, until cancelled."""
+        """Mark targets that lapse and give up those that moved, until cancelled."""
         while True:
             await asyncio.sleep(LAPSE_CHECK_S)
             for target in list(self._targets.values()):
-                if target.lease_deadline.is_over():
-                    self.withdraw(target.service, target.endpoint)
+                self._check_lease(target)
+                self._check_place(target)
+
+    def _add(self, announced: LocalTarget) -> None:
+        key = (announced.service, announced.endpoint)
+        elsewhere = self._elsewhere(*key)
+        if elsewhere is not None and self._moved.get(key) == announced.address:
+            raise EndpointMoved(*key, elsewhere.daemon)
+        self._moved.pop(key, None)
+        announced.announced_us = time.time_ns() // 1000
+        if elsewhere is not None:
+            self._metrics.count("targets_taken_over")
+            later_us = elsewhere.announced_us + 1
+            announced.announced_us = max(announced.announced_us, later_us)
+        self._targets[key] = announced
+        self._tell()
+
+    def _elsewhere(self, service: str, endpoint: str) -> EndpointView | None:
+        """Return an endpoint if another daemon has it."""
+        view = self._members.endpoint(service, endpoint)
+        return None if view is None or view.daemon == self._daemon else view
+
+    def _check_lease(self, target: LocalTarget) -> None:
+        if not target.lease_deadline.is_over():
+            return
+        if target.state == LAPSED:
+            self._metrics.count("targets_gone")
+            self.withdraw(target.service, target.endpoint)
+            return
+        self._metrics.count("targets_lapsed")
+        target.state = LAPSED
+        target.lease_deadline = Deadline.after_ms(LAPSED_KEPT_MS)
+        self._tell()
+
+    def _check_place(self, target: LocalTarget) -> None:
+        key = (target.service, target.endpoint)
+        elsewhere = self._elsewhere(*key)
+        if elsewhere is None or key not in self._targets:
+            return
+        self._metrics.count("targets_moved")
+        moved = EndpointMoved(*key, elsewhere.daemon)
+        get_logger().warning("target moved", reason=str(moved))
+        self._moved[key] = target.address
+        self.withdraw(*key)
 
     def _tell(self) -> None:
-        self._changed([target.message() for target in self._targets.values()])
+        messages = [target.message() for target in self._targets.values()]
+        self._members.set_endpoints(messages)
