--- a/packages/laburnumscale/src/laburnumscale/exchange.py
+++ b/packages/laburnumscale/src/laburnumscale/exchange.py
@@ -9,10 +9,10 @@
 import grpc
 import xxhash
 
+from laburnumscale.channels import PeerChannels
 from laburnumscale.claims import Claims
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.peers import PeerChannels
 from laburnumscale.views import is_listed
 from laburnumscale_schema import peer_pb2
 
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Sequence
 
 from laburnumscale.addresses import Address
+from laburnumscale.channels import PeerChannels
 from laburnumscale.claims import Claims
 from laburnumscale.datagrams import DatagramSocket
 from laburnumscale.detector import FailureDetector
@@ -19,7 +20,6 @@
 from laburnumscale.members import Members
 from laburnumscale.messenger import Messenger
 from laburnumscale.metrics import Metrics
-from laburnumscale.peers import PeerChannels
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.presence import Presence
 from laburnumscale.suspicions import Suspicions
