--- a/packages/laburnumscale/src/laburnumscale/exchange.py
+++ b/packages/laburnumscale/src/laburnumscale/exchange.py
@@ -24,7 +24,7 @@
 
 def bucket(daemon: str) -> int:
     """Return the bucket of a daemon's name."""
-    return xxhash.xxh32_intdigest(daemon) % BUCKETS
+    return xxhash.xxh32_intdigest(daemon.encode()) % BUCKETS
 
 
 def bucket_digests(digests: dict[str, int]) -> list[int]:
--- a/packages/laburnumscale/src/laburnumscale/views.py
+++ b/packages/laburnumscale/src/laburnumscale/views.py
@@ -73,7 +73,7 @@
         if endpoint.state != GONE
     )
     content = (member.daemon, *identity(member), member.version, endpoints)
-    return xxhash.xxh64_intdigest(repr(content))
+    return xxhash.xxh64_intdigest(repr(content).encode())
 
 
 def _precedence(member: peer_pb2.Member) -> tuple[int, int, bool, str]:
