--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -84,6 +84,8 @@
         self.exchange = TableExchange(members, self._claims, channels, metrics)
         presence = Presence(log, members, metrics)
         self._joining = Joining(members, presence, self.exchange, metrics, seeds)
+        self._refuted = 0
+        self._name_taken = False
         self._mismatches: list[str] = []
         self._wanted: dict[str, None] = {}
         self._tasks: list[asyncio.Task] = []
@@ -136,10 +138,21 @@
                 self._suspicions.postpone(late_s)
             self._suspicions.expire()
             self._spread()
+            self._count_own()
             if time.monotonic() > forget_at_s:
                 forget_at_s = time.monotonic() + FORGET_INTERVAL_S
                 self._members.forget_gone()
 
+    def _count_own(self) -> None:
+        """Count what others said of this daemon."""
+        refuted = self._members.refutations - self._refuted
+        if refuted:
+            self._metrics.count("suspicions_refuted", amount=refuted)
+            self._refuted += refuted
+        if self._members.name_taken is not None and not self._name_taken:
+            self._name_taken = True
+            self._metrics.count("daemon_name_taken")
+
     def _spread(self) -> None:
         for peer in self._sample(SPREAD_FANOUT):
             if self._messenger.can_spread():
