--- /dev/null
+++ b/tests/features/members_views.feature
@@ -0,0 +1,15 @@
+Feature: Joining of views
+
+  Entries of one daemon come in any order, more than once, and by way of others.
+
+  Scenario: The order of joining does not matter
+    When entries from 300 random histories of a daemon are joined in two orders
+    Then joining was commutative, associative and idempotent
+
+  Scenario: Whoever has heard the last full entry holds what the daemon holds
+    When 300 random histories end with a full entry that comes first or last
+    Then every joined view has the endpoints of the daemon
+
+  Scenario: A gone daemon does not come back by late news
+    When a table hears random entries of a daemon after its last word
+    Then the daemon stays gone in the table
