--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -39,6 +39,10 @@
         """Return the stub for membership and settings."""
         return peer_pb2_grpc.PeerStub(self._channel(address))
 
+    def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
+        """Return the stub for calls with operation keys."""
+        return peer_pb2_grpc.OperationKeysStub(self._channel(address))
+
     @asynccontextmanager
     async def transient_peer(
         self, address: str
--- a/packages/laburnumscale/src/laburnumscale/views.py
+++ b/packages/laburnumscale/src/laburnumscale/views.py
@@ -39,6 +39,7 @@
         data_centre=member.data_centre,
         state=member.state,
         draining=member.draining,
+        key_homes=member.key_homes,
     )
 
 
