--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -63,7 +63,7 @@
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(log, metrics)
-        targets = LocalTargets(members.set_endpoints)
+        targets = LocalTargets(settings.daemon, members, metrics)
         guard = Guard(
             settings.daemon,
             settings.data_centre,
@@ -74,7 +74,15 @@
             metrics,
         )
         channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(members, feed, channels, log, metrics)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+        )
+        await gossip.join()
         runner = CallRunner(members, guard, channels, Router(members))
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
@@ -82,8 +90,9 @@
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
         entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, members, feed, keyed_calls
+            settings.peer_address, guard, gossip.exchange.answer, feed, keyed_calls
         )
+        await gossip.start(settings.peer_address)
         servers = [
             await serve_app(
                 entry.app(settings.body_limit_bytes), settings.caller_address
@@ -101,8 +110,6 @@
             for part in (
                 feed.tail(),
                 targets.watch_leases(),
-                gossip.follow_presence(),
-                gossip.exchange_forever(),
                 key_table.forget_expired(),
             )
         ]
@@ -118,6 +125,7 @@
             server.close()
             await server.wait_closed()
         await peer_server.stop(settings.drain_ms / 1000)
+        await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
 
