--- /dev/null
+++ b/bench/profiled.py
@@ -0,0 +1,25 @@
+"""Profiled daemon.
+
+Runs ``laburnumscaled`` under cProfile and writes the profile when it ends.
+"""
+
+import cProfile
+import sys
+from pathlib import Path
+
+from laburnumscaled.cli import main as run_daemon
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the daemon; the profile goes beside its settings file."""
+    profile = cProfile.Profile()
+    try:
+        profile.runcall(run_daemon)
+    finally:
+        profile.dump_stats(Path(sys.argv[-1]).with_suffix(".prof"))
+
+
+if __name__ == "__main__":
+    main()
