--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -10,19 +10,26 @@
 
 from laburnumscale.addresses import Address
 
-__all__ = ["new_app", "serve_app"]
+__all__ = ["App", "new_app", "serve_app"]
 
 KEEP_ALIVE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 1024
 
 
-def new_app(name: str, body_limit_bytes: int = 1024 * 1024) -> Sanic:
+class App(Sanic):
+    """An application without signals, which cost a fifth of Sanic's own time."""
+
+    async def dispatch(self, *args, **kwargs) -> None:
+        """Tell no one, as nothing listens to signals."""
+
+
+def new_app(name: str, body_limit_bytes: int = 1024 * 1024) -> App:
     """Return an application without log output of its own.
 
     :param name: unique in the process.
     :param body_limit_bytes: size of the largest request body.
     """
-    app = Sanic("".join(c if c.isalnum() else "_" for c in f"laburnum-{name}"))
+    app = App("".join(c if c.isalnum() else "_" for c in f"laburnum-{name}"))
     app.config.ACCESS_LOG = False
     app.config.FALLBACK_ERROR_FORMAT = "json"
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_TIMEOUT_S
