--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -1,65 +1,27 @@
 """Peers.
 
-The gRPC channels to other daemons and the server for them.
+The gRPC server for the other daemons.
 """
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 
 import grpc
 
 from laburnumscale.addresses import Address
 from laburnumscale.guard import Guard
+from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
 
-__all__ = ["PeerChannels", "serve_peers"]
+__all__ = ["serve_peers"]
 
-CHANNEL_OPTIONS = (
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.initial_reconnect_backoff_ms", 50),
-    ("grpc.min_reconnect_backoff_ms", 200),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
-)
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
 )
 
 
-class PeerChannels:
-    """One channel for each peer address, opened on first use.
-
-    :param overrides: addresses at which announced addresses are reached.
-    """
-
-    def __init__(self, overrides: Mapping[str, str]) -> None:
-        self._overrides = overrides
-        self._channels: dict[str, grpc.aio.Channel] = {}
-
-    def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
-        """Return the stub for calls to the targets beside a daemon."""
-        return peer_pb2_grpc.GuardStub(self._channel(address))
-
-    def peer(self, address: str) -> peer_pb2_grpc.PeerStub:
-        """Return the stub for membership and settings."""
-        return peer_pb2_grpc.PeerStub(self._channel(address))
-
-    async def close(self) -> None:
-        """Close all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        address = self._overrides.get(address, address)
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-            self._channels[address] = channel
-        return channel
-
-
 class _GuardServicer(peer_pb2_grpc.GuardServicer):
     def __init__(self, guard: Guard) -> None:
         self._guard = guard
@@ -118,13 +80,36 @@
         return peer_pb2.SettingsReply(snapshot=snapshot)
 
 
+class _OperationKeysServicer(peer_pb2_grpc.OperationKeysServicer):
+    def __init__(self, keyed_calls: KeyedCalls) -> None:
+        self._keyed_calls = keyed_calls
+
+    async def Run(  # noqa: N802
+        self, request: peer_pb2.KeyedCall, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.CallReply:
+        return await self._keyed_calls.run_here(request)
+
+    async def HandOver(  # noqa: N802
+        self, request: peer_pb2.KeyHandOver, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.KeyHandOverReply:
+        self._keyed_calls.adopt(request)
+        return peer_pb2.KeyHandOverReply()
+
+
 async def serve_peers(
-    address: Address, guard: Guard, members: Members, feed: SettingsFeed
+    address: Address,
+    guard: Guard,
+    members: Members,
+    feed: SettingsFeed,
+    keyed_calls: KeyedCalls,
 ) -> grpc.aio.Server:
     """Start the gRPC server for the other daemons."""
     server = grpc.aio.server(options=SERVER_OPTIONS)
     peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
     peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
+    peer_pb2_grpc.add_OperationKeysServicer_to_server(
+        _OperationKeysServicer(keyed_calls), server
+    )
     server.add_insecure_port(str(address))
     await server.start()
     return server
