Ask a third daemon also when the direct question fails at once

A cold channel whose way back is cut gives up connecting within its shortest backoff, before the patience for the direct answer is over, and only silence led to a third daemon. Ruled out: the membership (both daemons stayed listed). Change: a failed direct question counts as silence.

The index of successors also uses the membership's own test for listed members.

--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -155,7 +155,7 @@
         try:
             patience_s = call.deadline.left_s() * DIRECT_SHARE
             done, _ = await asyncio.wait(tasks, timeout=patience_s)
-            if not done:
+            if not done or direct.result() is None:
                 tasks |= self._indirect(holder, message)
             for finished in asyncio.as_completed(tasks):
                 reply = await finished
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -64,6 +64,7 @@
         self._table_digest = self._digests[own.daemon]
         self._peers: list[peer_pb2.Member] | None = None
         self._gone_deadlines: dict[str, Deadline] = {}
+        self._key_holders: dict[tuple[str, int], str] = {}
         self._index = EndpointIndex(self.get)
         self._listeners: list[Callable[[peer_pb2.Member], None]] = []
 
@@ -170,11 +171,8 @@
 
     def key_holder(self, daemon: str, incarnation: int) -> peer_pb2.Member | None:
         """Return the daemon that took over the operation keys of another, or None."""
-        wanted = peer_pb2.KeyHolder(daemon=daemon, incarnation=incarnation)
-        for member in self._table.values():
-            if wanted in member.key_homes and member.state in (ALIVE, SUSPECT):
-                return member
-        return None
+        holder = self._key_holders.get((daemon, incarnation))
+        return self._table.get(holder) if holder is not None else None
 
     def endpoints(self, service: str) -> list[EndpointView]:
         """Return the endpoints of a service, each beside one daemon."""
@@ -246,11 +244,19 @@
         change = self._digests[daemon] - old_digest
         self._table_digest = (self._table_digest + change) % DIGEST_MODULUS
         self._peers = None
+        self._note_key_homes(after)
         self._index.update(before, after)
         self._gone_deadlines.pop(daemon, None)
         if not is_listed(after):
             self._gone_deadlines[daemon] = Deadline.after_ms(GONE_KEPT_MS)
 
+    def _note_key_homes(self, member: peer_pb2.Member) -> None:
+        for home in member.key_homes:
+            if is_listed(member):
+                self._key_holders[home.daemon, home.incarnation] = member.daemon
+            else:
+                self._key_holders.pop((home.daemon, home.incarnation), None)
+
     def _notify(self, news: peer_pb2.Member) -> None:
         for listener in self._listeners:
             listener(news)
