Split the settings by role, and accept a change only when held

A change was called accepted after read-back alone, a place could not be removed, explained or audited, and a daemon heard settings from the log only.

The checks of publishing run on reading too. The relay pushes new revisions to some peers and pulls from some; the publisher confirms that two data centres hold a change before it says accepted.

Ruled out: an append that is tried again after a lost reply, since it could land twice; the change is read back, or cancelled under its own id.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -24,6 +24,10 @@
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.routing import Router
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingslog import SettingsLog
+from laburnumscale.settingsoperators import SettingsOperators
+from laburnumscale.settingspublisher import SettingsPublisher
+from laburnumscale.settingsrelay import SettingsRelay
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
 from laburnumscale_schema import peer_pb2
@@ -58,7 +62,7 @@
         metrics = Metrics()
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
-        feed = SettingsFeed(log, metrics)
+        feed = SettingsFeed(metrics, settings.isolation_ms)
         targets = LocalTargets(members.set_endpoints)
         guard = Guard(
             settings.daemon,
@@ -70,6 +74,14 @@
             metrics,
         )
         channels = PeerChannels(settings.peer_address_overrides)
+        seeds = tuple(str(address) for address in settings.seed_addresses)
+        relay = SettingsRelay(members, feed, channels, seeds, metrics)
+        settings_log = SettingsLog(
+            feed, log, metrics, settings.snapshot_interval_ms, relay.is_tailer
+        )
+        publisher = SettingsPublisher(
+            settings.daemon, feed, settings_log, relay, log, metrics
+        )
         gossip = Gossip(members, feed, channels, log, metrics)
         runner = CallRunner(members, guard, channels, Router(members))
         entry = Entry(members, feed, runner, metrics)
@@ -79,7 +91,13 @@
                 entry.app(settings.body_limit_bytes), settings.caller_address
             ),
             await serve_app(
-                Operators(members, feed, targets, metrics, settings.isolation_ms).app(),
+                Operators(
+                    members,
+                    feed,
+                    targets,
+                    metrics,
+                    SettingsOperators(feed, publisher, log, members),
+                ).app(),
                 settings.operator_address,
             ),
             await serve_app(
@@ -89,7 +107,9 @@
         tasks = [
             asyncio.create_task(part)
             for part in (
-                feed.tail(),
+                settings_log.run(),
+                relay.pull_forever(),
+                relay.push_forever(),
                 targets.watch_leases(),
                 gossip.follow_presence(),
                 gossip.exchange_forever(),
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -19,6 +19,7 @@
 
 DEFAULT_DRAIN_MS = 10_000
 DEFAULT_ISOLATION_MS = 60_000
+DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
 LOG_FORMATS = ("json", "console")
 
@@ -30,6 +31,7 @@
     :ivar drain_ms: how long calls in flight may take after SIGTERM.
     :ivar isolation_ms: age of the last contact with the log or a peer after which
         the daemon is not ready.
+    :ivar snapshot_interval_ms: longest time between two snapshots in the log.
     """
 
     daemon: str
@@ -45,6 +47,7 @@
     isolation_ms: int
     body_limit_bytes: int
     peer_address_overrides: dict[str, str]
+    snapshot_interval_ms: int
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -105,6 +108,9 @@
         isolation_ms=message.isolation_ms or DEFAULT_ISOLATION_MS,
         body_limit_bytes=message.body_limit_bytes or DEFAULT_BODY_LIMIT_BYTES,
         peer_address_overrides=_overrides(file, message),
+        snapshot_interval_ms=(
+            message.snapshot_interval_ms or DEFAULT_SNAPSHOT_INTERVAL_MS
+        ),
     )
 
 
--- a/packages/laburnumscale/src/laburnumscale/deadlines.py
+++ b/packages/laburnumscale/src/laburnumscale/deadlines.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["Deadline"]
+__all__ = ["MS_PER_S", "Deadline"]
 
 MS_PER_S = 1000
 
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -11,7 +11,7 @@
 
 from laburnumscale.calls import Call, CallRunner
 from laburnumscale.deadlines import Deadline
-from laburnumscale.guard import SMALL_BODY_BYTES
+from laburnumscale.guard import SMALL_BODY_BYTES, STALE_RETRY_AFTER_MS
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import NotRun, Outcome, outcome_name
@@ -23,6 +23,8 @@
 __all__ = ["Entry"]
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+STARTING_RETRY_AFTER_MS = 1000
+STALE_SETTINGS = peer_pb2.NOT_RUN_REASON_STALE_SETTINGS
 TIMEOUT_HEADER = "x-request-timeout-ms"
 
 
@@ -66,6 +68,8 @@
         return response
 
     async def _prepare(self, request: Request, request_id: str) -> Call | NotRun:
+        if not self._feed.has_tree:
+            return NotRun(peer_pb2.NOT_RUN_REASON_STARTING, STARTING_RETRY_AFTER_MS)
         raw = request.raw_url.decode("latin-1")
         path, _, _ = raw.partition("?")
         host = request.headers.get("host", "").partition(":")[0]
@@ -78,6 +82,9 @@
         if service not in self._feed.tree.services():
             return NotRun(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
         settings = self._feed.tree.effective(service, self._members.own.data_centre)
+        idempotent = request.method in settings.idempotent
+        if not (idempotent or settings.serve_when_stale) and self._feed.is_stale():
+            return NotRun(STALE_SETTINGS, STALE_RETRY_AFTER_MS)
         wanted_ms = request.headers.get(TIMEOUT_HEADER, str(settings.time_limit_ms))
         if not wanted_ms.isdecimal():
             return NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
@@ -88,7 +95,7 @@
             service=service,
             path_and_query=path_and_query,
             settings=settings,
-            idempotent=request.method in settings.idempotent,
+            idempotent=idempotent,
             deadline=Deadline.after_ms(time_left_ms),
             body=await self._body(request),
         )
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -14,6 +14,7 @@
     "LaburnumscaleError",
     "LogReplyInvalid",
     "LogUnavailable",
+    "LogUnreachable",
     "OptionMissing",
     "OptionOutOfRange",
     "OptionUnknown",
@@ -133,6 +134,13 @@
     template: ClassVar[str] = "log {url}: no answer: {reason}"
 
 
+@dataclass(eq=False)
+class LogUnreachable(LogUnavailable):
+    """No connection to the platform's log; nothing was sent."""
+
+    template: ClassVar[str] = "log {url}: no connection: {reason}"
+
+
 @dataclass(eq=False)
 class LogReplyInvalid(LaburnumscaleError):
     """The platform's log answered with something that is not its protocol."""
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -87,6 +87,7 @@
             return
         for member in reply.members:
             self._members.merge(member)
+        self._feed.hear(reply.settings_revision, address)
 
     def _merge_presence(self, payload: bytes) -> None:
         try:
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -26,6 +26,7 @@
 SMALL_BODY_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+STALE_RETRY_AFTER_MS = 5000
 SERVER_ERROR = 500
 DEADLINE_HEADER = "X-Request-Timeout-Ms"
 
@@ -67,6 +68,9 @@
         settings = self._feed.tree.effective(
             head.service, self._data_centre, head.endpoint
         )
+        if not (head.idempotent or settings.serve_when_stale) and self._feed.is_stale():
+            yield not_run(peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, STALE_RETRY_AFTER_MS)
+            return
         try:
             async with hold_slot(target, settings, deadline):
                 async for reply in self._run(target, settings, head, body, deadline):
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -11,7 +11,7 @@
 from laburnumscale.guard import Guard
 from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["PeerChannels", "serve_peers"]
 
@@ -103,6 +103,7 @@
     ) -> peer_pb2.MemberTable:
         for member in request.members:
             self._members.merge(member)
+        self._hear(request.settings_revision, request.sender)
         return peer_pb2.MemberTable(
             sender=self._members.own.daemon,
             settings_revision=self._feed.tree.revision,
@@ -112,10 +113,23 @@
     async def FetchSettings(  # noqa: N802
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.SettingsReply:
-        snapshot = settings_pb2.Snapshot()
-        if self._feed.tree.revision > request.after_revision:
-            snapshot = self._feed.tree.snapshot()
-        return peer_pb2.SettingsReply(snapshot=snapshot)
+        own = self._members.own.daemon
+        return self._feed.reply_after(request.after_revision, own)
+
+    async def PushSettings(  # noqa: N802
+        self, request: peer_pb2.SettingsReply, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.SettingsHeld:
+        self._feed.take_reply(request)
+        if request.held.has_tree:
+            self._feed.note_contact(from_peer=True)
+        await self._feed.note_changed()
+        self._hear(request.held.revision, request.sender)
+        return self._feed.held()
+
+    def _hear(self, revision: int, sender: str) -> None:
+        member = self._members.get(sender)
+        if member is not None:
+            self._feed.hear(revision, member.peer_address)
 
 
 async def serve_peers(
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -10,9 +10,9 @@
 import aiohttp
 import attrs
 
-from laburnumscale.errors import LogReplyInvalid, LogUnavailable
+from laburnumscale.errors import LogReplyInvalid, LogUnavailable, LogUnreachable
 
-__all__ = ["Batch", "PlatformLog", "Record"]
+__all__ = ["Batch", "PlatformLog", "Record", "sleep_until_retry"]
 
 APPEND_TIMEOUT_S = 2.0
 READ_MARGIN_S = 2.0
@@ -50,6 +50,7 @@
         """Append a record.
 
         :returns: its offset.
+        :raises LogUnreachable: no connection; the record was not appended.
         :raises LogUnavailable: no answer came; the record may have been appended.
         """
         timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
@@ -59,6 +60,8 @@
                 url, data=payload, timeout=timeout
             ) as response:
                 return int((await self._json(response))["offset"])
+        except aiohttp.ClientConnectorError as error:
+            raise LogUnreachable(url, repr(error)) from error
         except (aiohttp.ClientError, TimeoutError) as error:
             raise LogUnavailable(url, repr(error)) from error
         except (KeyError, TypeError, ValueError) as error:
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -43,7 +43,7 @@
 
 
 def read_edits(file: SettingsFile) -> list[settings_pb2.Edit]:
-    """Return one edit for each place of a settings file.
+    """Return one edit for each place of a settings file; null removes a place.
 
     :raises LaburnumscaleError: names the file, the line and the setting.
     """
@@ -57,13 +57,16 @@
     return edits
 
 
-def _places(file: SettingsFile) -> Iterator[tuple[Place, tuple[str, ...], dict]]:
+def _places(file: SettingsFile) -> Iterator[tuple[Place, tuple[str, ...], dict | None]]:
     if "fleet" in file.value:
         yield FLEET, ("fleet",), file.value["fleet"]
     for name, value in _section(file, "data_centres"):
         yield DataCentrePlace(name), ("data_centres", name), value
     for service, value in _section(file, "services"):
         keys = ("services", service)
+        if value is None:
+            yield ServicePlace(service), keys, None
+            continue
         own = {key: v for key, v in value.items() if key not in NESTED}
         yield ServicePlace(service), keys, own
         for name, nested in _section(file, *keys, "data_centres"):
@@ -73,27 +76,30 @@
             yield EndpointPlace(service, name), (*keys, "endpoints", name), nested
 
 
-def _section(file: SettingsFile, *keys: str) -> list[tuple[str, dict]]:
+def _section(file: SettingsFile, *keys: str) -> list[tuple[str, dict | None]]:
     value = file.value
     for key in keys:
         value = value.get(key, {})
         if not isinstance(value, dict):
             raise OptionValueInvalid(file.where(*keys), key, "the value is no object")
     for name, nested in value.items():
-        if not isinstance(nested, dict):
+        if not isinstance(nested, dict | None):
             where = file.where(*keys, name)
             raise OptionValueInvalid(where, name, "the value is no object")
     return list(value.items())
 
 
 def _settings_edit(
-    file: SettingsFile, place: Place, keys: tuple[str, ...], value: dict
+    file: SettingsFile, place: Place, keys: tuple[str, ...], value: dict | None
 ) -> settings_pb2.Edit:
     try:
         parse_place(str(place))
     except LaburnumscaleError as error:
         raise OptionValueInvalid(file.where(*keys), keys[-1], str(error)) from error
     edit = settings_pb2.Edit(place=str(place))
+    if value is None:
+        edit.removal.SetInParent()
+        return edit
     edit.settings.SetInParent()
     known = edit.settings.DESCRIPTOR.fields_by_name
     for name, setting in value.items():
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -0,0 +1,159 @@
+"""Settings log.
+
+Reads the log's ``settings`` stream into the feed, and writes snapshots to it.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from laburnumscale.deadlines import MS_PER_S
+from laburnumscale.errors import LaburnumscaleError
+from laburnumscale.logs import get_logger
+from laburnumscale.metrics import Metrics
+from laburnumscale.platformlog import Batch, PlatformLog, sleep_until_retry
+from laburnumscale.settingschecks import parse_record
+from laburnumscale.settingsfeed import STREAM, SettingsFeed
+from laburnumscale_schema import settings_pb2
+
+__all__ = ["SettingsLog"]
+
+READ_WAIT_MS = 5000
+IDLE_S = 0.5
+PEER_SILENCE_S = 6.0
+SPOT_CHECK_INTERVAL_S = 60.0
+SNAPSHOT_RECORDS = 500
+SNAPSHOT_JITTER = 0.2
+
+
+class SettingsLog:
+    """The task that reads the stream while this daemon is to read it.
+
+    :param is_tailer: tells whether this daemon is one of those that read all the
+        time; the others read if they hear from no peer, and now and then.
+    :param snapshot_interval_ms: longest time between two snapshots in the log.
+    """
+
+    def __init__(
+        self,
+        feed: SettingsFeed,
+        log: PlatformLog,
+        metrics: Metrics,
+        snapshot_interval_ms: int,
+        is_tailer: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._feed = feed
+        self._log = log
+        self._metrics = metrics
+        self._is_tailer = is_tailer
+        self._snapshot_interval_s = snapshot_interval_ms / MS_PER_S
+        self._snapshot_due_at_s = self._next_snapshot_at_s()
+        self._seen_snapshot_revision = 0
+        self._read_at_s = 0.0
+
+    async def run(self) -> None:
+        """Read the stream whenever this daemon is to read it, until cancelled."""
+        attempt = 0
+        while True:
+            wait_ms = READ_WAIT_MS if self._reads_on() else 0
+            if not wait_ms and not self._spot_check_due():
+                await asyncio.sleep(IDLE_S)
+                continue
+            try:
+                batch = await self.read(wait_ms if self._feed.has_tree else 0)
+                await self._write_snapshot_if_due(batch)
+            except LaburnumscaleError:
+                await sleep_until_retry(attempt)
+                attempt += 1
+                continue
+            attempt = 0
+
+    async def read(self, wait_ms: int) -> Batch:
+        """Read and fold the records that follow the tree's revision.
+
+        :param wait_ms: how long the log may wait for a first record.
+        :raises LogUnavailable: no answer came.
+        """
+        feed = self._feed
+        self._read_at_s = time.monotonic()
+        try:
+            batch = await self._log.read(STREAM, feed.tree.revision, wait_ms)
+            self._metrics.count("log_reads", f'stream="{STREAM}"')
+            if batch.oldest_offset > feed.tree.revision:
+                await self._restart_from_snapshot(batch)
+        except LaburnumscaleError:
+            feed.log_failed = True
+            self._metrics.count("log_read_failures")
+            raise
+        for record in batch.records:
+            feed.take(record.offset, record.payload)
+        if feed.tree.revision >= batch.next_offset:
+            feed.note_contact()
+            feed.has_tree = True
+            feed.log_failed = False
+        if feed.tree.revision > batch.next_offset:
+            self._metrics.count("settings_log_behind")
+        await feed.note_changed()
+        return batch
+
+    def _reads_on(self) -> bool:
+        silence_s = time.monotonic() - self._feed.peer_contact_at_s
+        return (
+            not self._feed.has_tree or self._is_tailer() or silence_s > PEER_SILENCE_S
+        )
+
+    def _spot_check_due(self) -> bool:
+        return time.monotonic() - self._read_at_s > SPOT_CHECK_INTERVAL_S
+
+    async def _restart_from_snapshot(self, batch: Batch) -> None:
+        """Find the newest snapshot from which the kept records lead on."""
+        newest = settings_pb2.Snapshot()
+        oldest = batch.oldest_offset
+        while batch.records:
+            for record in batch.records:
+                found = _snapshot_of(record.payload)
+                if max(oldest, newest.revision + 1) <= found.revision <= record.offset:
+                    newest = found
+            after = batch.records[-1].offset + 1
+            if after >= batch.next_offset:
+                break
+            batch = await self._log.read(STREAM, after)
+        self._metrics.count("settings_restarts")
+        if not self._feed.restore(newest):
+            self._feed.log_failed = True
+            self._metrics.count("settings_snapshots_missing")
+            await asyncio.sleep(IDLE_S)
+
+    async def _write_snapshot_if_due(self, batch: Batch) -> None:
+        feed = self._feed
+        if feed.snapshot_revision > self._seen_snapshot_revision:
+            self._seen_snapshot_revision = feed.snapshot_revision
+            self._snapshot_due_at_s = self._next_snapshot_at_s()
+        if not (feed.has_tree and feed.tree.revision and self._is_tailer()):
+            return
+        is_due = (
+            time.monotonic() > self._snapshot_due_at_s
+            or feed.tree.revision - feed.snapshot_revision > SNAPSHOT_RECORDS
+            or batch.oldest_offset > feed.snapshot_revision
+        )
+        if not is_due:
+            return
+        record = settings_pb2.SettingsRecord(snapshot=feed.tree.snapshot())
+        self._snapshot_due_at_s = self._next_snapshot_at_s()
+        await self._log.append(STREAM, record.SerializeToString())
+        feed.snapshot_revision = record.snapshot.revision
+        self._metrics.count("settings_snapshots_written")
+        get_logger().info("settings snapshot written", revision=feed.snapshot_revision)
+
+    def _next_snapshot_at_s(self) -> float:
+        jitter = 1 - SNAPSHOT_JITTER * random.random()
+        return time.monotonic() + self._snapshot_interval_s * jitter
+
+
+def _snapshot_of(payload: bytes) -> settings_pb2.Snapshot:
+    """Return the snapshot of a record; one of revision 0 if it holds none."""
+    try:
+        return parse_record(payload).snapshot
+    except LaburnumscaleError:
+        return settings_pb2.Snapshot()
--- a/packages/laburnumscalectl/src/laburnumscalectl/cli.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/cli.py
@@ -6,94 +6,44 @@
 import argparse
 import getpass
 import sys
-import time
-import uuid
-
-from google.protobuf import json_format
-from google.protobuf.message import Message
 
 from laburnumscale.errors import LaburnumscaleError
-from laburnumscale.publishing import read_edits
-from laburnumscale.settingsfile import read_settings_file
-from laburnumscale_schema import settings_pb2
+from laburnumscalectl.changes import publish, remove, settle
 from laburnumscalectl.client import DaemonUnreachable, OperatorClient
+from laburnumscalectl.views import explain, history, show, status
 
 __all__ = ["main"]
 
-EXIT_REFUSED = 1
 EXIT_INVALID = 2
-EXIT_UNDETERMINED = 3
 EXIT_UNREACHABLE = 4
 
-EXIT_BY_VERDICT = {
-    settings_pb2.VERDICT_ACCEPTED: 0,
-    settings_pb2.VERDICT_REFUSED: EXIT_REFUSED,
-    settings_pb2.VERDICT_UNDETERMINED: EXIT_UNDETERMINED,
-}
 EXAMPLES = """examples:
   laburnumscalectl --daemon 127.0.0.1:7002 publish examples/bantayog/services.jsonc
+  laburnumscalectl --daemon 127.0.0.1:7002 publish --based-on 17 services.jsonc
+  laburnumscalectl --daemon 127.0.0.1:7002 remove endpoint:slot-desk/e3
+  laburnumscalectl --daemon 127.0.0.1:7002 show service:slot-desk
+  laburnumscalectl --daemon 127.0.0.1:7002 explain endpoint:slot-desk/e3
+  laburnumscalectl --daemon 127.0.0.1:7002 --json history --limit 20
+  laburnumscalectl --daemon 127.0.0.1:7002 settle 5b1f0c9e
   laburnumscalectl --daemon 127.0.0.1:7002 status
-  laburnumscalectl --daemon 127.0.0.1:7002 --json show
   laburnumscalectl --daemon 127.0.0.1:7002 drain slot-desk e3
 
 exit codes:
   0 done   1 refused   2 invalid input   3 undetermined   4 no answer
 """
-
-
-def _print_message(message: Message) -> None:
-    print(json_format.MessageToJson(message, preserving_proto_field_name=True))
-
-
-def publish(options: argparse.Namespace, client: OperatorClient) -> int:
-    """Publish a settings file; edits are based on the daemon's present tree."""
-    edits = read_edits(read_settings_file(options.file))
-    revisions = {place.place: place.revision for place in client.settings().places}
-    for edit in edits:
-        edit.based_on_revision = revisions.get(edit.place, 0)
-    change = settings_pb2.Change(
-        change_id=uuid.uuid4().hex,
-        author=options.author,
-        written_at_unix_ms=time.time_ns() // 1_000_000,
-        edits=edits,
-    )
-    outcome = client.publish(change)
-    if options.json:
-        _print_message(outcome)
-    else:
-        verdict = settings_pb2.Verdict.Name(outcome.verdict)
-        name = verdict.removeprefix("VERDICT_").lower()
-        print(f"change {outcome.change_id}: {name} at revision {outcome.revision}")
-    return EXIT_BY_VERDICT.get(outcome.verdict, EXIT_UNDETERMINED)
-
-
-def show(options: argparse.Namespace, client: OperatorClient) -> int:
-    """Show the settings tree."""
-    snapshot = client.settings()
-    if options.json:
-        _print_message(snapshot)
-        return 0
-    print(f"revision {snapshot.revision}")
-    for place in snapshot.places:
-        print(f"{place.place} (revision {place.revision})")
-    return 0
-
-
-def status(options: argparse.Namespace, client: OperatorClient) -> int:
-    """Show the daemons and endpoints that a daemon knows."""
-    value = client.status()
-    if options.json:
-        print(json_format.json.dumps(value, indent=2))
-        return 0
-    print(f"daemon {value['daemon']}, settings revision {value['revision']}")
-    for member in value["members"]:
-        state = member["state"].removeprefix("MEMBER_STATE_").lower()
-        print(f"{member['daemon']} {member['data_centre']} {state}")
-        for endpoint in member.get("endpoints", []):
-            state = endpoint["state"].removeprefix("TARGET_STATE_").lower()
-            name = f"{endpoint['service']}/{endpoint['endpoint']}"
-            print(f"  {name} {state} slots={endpoint['slots']}")
-    return 0
+PUBLISH_EXAMPLES = """examples:
+  publish services.jsonc                                 based on the tree as it is now
+  publish --based-on 17 services.jsonc                   refused where a place was set
+                                                         after revision 17
+  publish --based-on service:slot-desk=9 services.jsonc  the same for one place
+  publish --dry-run services.jsonc                       checks, appends nothing
+
+A place whose value is null is removed. Places that are equal are left out.
+"""
+SETTLE_EXAMPLES = """examples:
+  settle 5b1f0c9e            reads the log to its end and tells the verdict
+  settle --cancel 5b1f0c9e   also rules the change out if the log does not hold it
+"""
 
 
 def drain(options: argparse.Namespace, client: OperatorClient) -> int:
@@ -112,21 +62,81 @@
     parser.add_argument("--daemon", required=True, help="IP:PORT for operators")
     parser.add_argument("--json", action="store_true", help="print JSON")
     commands = parser.add_subparsers(dest="command", required=True)
-    command = commands.add_parser("publish", help="publish a settings file")
-    command.add_argument("file", help="settings file, JSON with comments")
-    command.add_argument("--author", default=getpass.getuser(), help="who publishes")
-    command.set_defaults(run=publish)
-    command = commands.add_parser("show", help="show the settings tree")
-    command.set_defaults(run=show)
-    command = commands.add_parser("status", help="show daemons and endpoints")
-    command.set_defaults(run=status)
-    command = commands.add_parser("drain", help="drain a target of the daemon's host")
+    _add_changes(commands)
+    _add_views(commands)
+    command = _add(commands, "drain", drain, "drain a target of the daemon's host")
     command.add_argument("service")
     command.add_argument("endpoint")
-    command.set_defaults(run=drain)
     return parser
 
 
+def _add(commands, name: str, run, help_text: str, epilog: str = ""):
+    command = commands.add_parser(
+        name,
+        help=help_text,
+        description=run.__doc__,
+        epilog=epilog,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    command.add_argument(
+        "--json", action="store_true", default=argparse.SUPPRESS, help="print JSON"
+    )
+    command.set_defaults(run=run)
+    return command
+
+
+def _add_changes(commands) -> None:
+    command = _add(
+        commands, "publish", publish, "publish a settings file", PUBLISH_EXAMPLES
+    )
+    command.add_argument("file", help="settings file, JSON with comments")
+    _add_change_options(command)
+    command = _add(commands, "remove", remove, "remove places from the tree")
+    command.add_argument("place", nargs="+", help="such as service:slot-desk@makati")
+    _add_change_options(command)
+    command = _add(
+        commands, "settle", settle, "tell what became of a change", SETTLE_EXAMPLES
+    )
+    command.add_argument("change", help="change id")
+    command.add_argument("--cancel", action="store_true", help="rule it out for good")
+    _add_author(command)
+
+
+def _add_change_options(command: argparse.ArgumentParser) -> None:
+    _add_author(command)
+    command.add_argument(
+        "--based-on",
+        action="append",
+        default=[],
+        metavar="[PLACE=]REVISION",
+        help="refuse the change if a place was set after this revision; by default"
+        " the revisions that the daemon holds now; may be repeated",
+    )
+    command.add_argument(
+        "--dry-run", action="store_true", help="check and show, append nothing"
+    )
+
+
+def _add_author(command: argparse.ArgumentParser) -> None:
+    command.add_argument("--author", default=getpass.getuser(), help="who changes")
+
+
+def _add_views(commands) -> None:
+    command = _add(commands, "show", show, "show the settings tree")
+    command.add_argument("place", nargs="?", help="only this place")
+    command = _add(commands, "explain", explain, "show where settings come from")
+    command.add_argument("place", help="such as endpoint:slot-desk/e3")
+    command.add_argument(
+        "--data-centre",
+        default="",
+        help="of the service or endpoint; by default that of the announced endpoint",
+    )
+    command = _add(commands, "history", history, "show the audit trail")
+    command.add_argument("--place", default="", help="only changes of this place")
+    command.add_argument("--limit", type=int, default=0, help="only the last changes")
+    _add(commands, "status", status, "show daemons and endpoints")
+
+
 def main() -> None:
     """Run the command line."""
     options = _parser().parse_args()
--- a/packages/laburnumscalectl/src/laburnumscalectl/client.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/client.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import urllib.error
+import urllib.parse
 import urllib.request
 from dataclasses import dataclass
 from typing import ClassVar
@@ -46,6 +47,7 @@
     """
 
     def __init__(self, address: str) -> None:
+        self.address = address
         self._base = f"http://{address}"
 
     def status(self) -> dict:
@@ -63,6 +65,30 @@
         value = self._request("POST", "/v1/changes", body)
         return json_format.ParseDict(value, settings_pb2.ChangeOutcome())
 
+    def settle(
+        self, change_id: str, cancel_author: str = ""
+    ) -> settings_pb2.ChangeOutcome:
+        """Return what became of an undetermined change.
+
+        :param cancel_author: cancel the change in this name if it is not in the log.
+        """
+        query = urllib.parse.urlencode({"cancel_author": cancel_author})
+        path = f"/v1/changes/{urllib.parse.quote(change_id, safe='')}/settle?{query}"
+        value = self._request("POST", path, b"")
+        return json_format.ParseDict(value, settings_pb2.ChangeOutcome())
+
+    def history(self, place: str = "", limit: int = 0) -> settings_pb2.History:
+        """Return the audit trail, of one place if it is not empty."""
+        query = urllib.parse.urlencode({"place": place, "limit": limit})
+        value = self._request("GET", f"/v1/history?{query}")
+        return json_format.ParseDict(value, settings_pb2.History())
+
+    def explain(self, place: str, data_centre: str = "") -> settings_pb2.Explanation:
+        """Return the settings of a place and where each is set."""
+        query = urllib.parse.urlencode({"place": place, "data_centre": data_centre})
+        value = self._request("GET", f"/v1/explain?{query}")
+        return json_format.ParseDict(value, settings_pb2.Explanation())
+
     def drain(self, service: str, endpoint: str) -> None:
         """Drain a target beside the daemon."""
         self._request("POST", f"/v1/drain/{service}/{endpoint}", b"")
@@ -75,7 +101,14 @@
             with opener.open(request, timeout=TIMEOUT_S) as response:
                 return json.loads(response.read())
         except urllib.error.HTTPError as error:
-            reason = error.read().decode(errors="replace").strip()
-            raise DaemonRefused(url, error.code, reason) from error
+            raise DaemonRefused(url, error.code, _reason(error)) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise DaemonUnreachable(url, str(error)) from error
+
+
+def _reason(error: urllib.error.HTTPError) -> str:
+    text = error.read().decode(errors="replace").strip()
+    try:
+        return json.loads(text)["error"]
+    except (ValueError, KeyError, TypeError):
+        return text
