--- a/packages/laburnumscale/src/laburnumscale/operators.py
+++ b/packages/laburnumscale/src/laburnumscale/operators.py
@@ -75,6 +75,7 @@
             {
                 "daemon": self._members.own.daemon,
                 "revision": self._feed.tree.revision,
+                "has_settings": self._feed.has_tree,
                 "settings_digest": f"{self._feed.tree.digest:016x}",
                 "members": members,
             }
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -114,6 +114,8 @@
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.SettingsReply:
         own = self._members.own.daemon
+        if request.whole_tree:
+            return self._feed.whole_reply(own)
         return self._feed.reply_after(request.after_revision, own)
 
     async def PushSettings(  # noqa: N802
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -102,6 +102,12 @@
             reply.snapshot.CopyFrom(self.tree.snapshot())
         return reply
 
+    def whole_reply(self, sender: str) -> peer_pb2.SettingsReply:
+        """Return the whole tree for a peer that has none."""
+        return peer_pb2.SettingsReply(
+            snapshot=self.tree.snapshot(), held=self.held(), sender=sender
+        )
+
     def take_reply(self, reply: peer_pb2.SettingsReply) -> None:
         """Take what a peer has sent, as far as it is newer and valid."""
         for record in reply.records:
--- a/packages/laburnumscale/src/laburnumscale/settingsrelay.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsrelay.py
@@ -176,11 +176,13 @@
         self._feed.hear(held.revision, address)
         return held
 
+    async def _ask_whole(self, address: str) -> peer_pb2.SettingsReply | None:
+        return await self._ask(address, peer_pb2.SettingsRequest(whole_tree=True))
+
     async def _ask(
-        self, address: str, after_revision: int
+        self, address: str, request: peer_pb2.SettingsRequest
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
-        request = peer_pb2.SettingsRequest(after_revision=after_revision)
         stub = self._channels.peer(address)
         try:
             reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
@@ -190,7 +192,9 @@
         return reply if reply.held.has_tree else None
 
     async def _fetch(self, address: str) -> peer_pb2.SettingsReply | None:
-        reply = await self._ask(address, self._feed.tree.revision)
+        revision = self._feed.tree.revision
+        request = peer_pb2.SettingsRequest(after_revision=revision)
+        reply = await self._ask(address, request)
         if reply is not None:
             self._feed.note_contact(from_peer=True)
             self._feed.take_reply(reply)
@@ -201,7 +205,7 @@
         """Take the highest revision of several peers while the log is away."""
         addresses = self._addresses()
         asked = random.sample(addresses, min(START_PEERS, len(addresses)))
-        replies = await asyncio.gather(*(self._ask(a, 0) for a in asked))
+        replies = await asyncio.gather(*(self._ask_whole(a) for a in asked))
         answers = [reply for reply in replies if reply is not None]
         if len(answers) < max(1, min(START_ANSWERS, len(addresses))):
             return
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -192,6 +192,7 @@
         self.targets: dict[str, TargetProcess] = {}
         self.links: dict[str, Link] = {}
         self.log_port = 0
+        self.log_process: subprocess.Popen | None = None
         self._daemon_ports: dict[str, dict[str, int]] = {}
         self._control_port = 0
         self._block = PortBlock()
@@ -216,7 +217,8 @@
     def start_log(self) -> None:
         """Start the stand-in for the log."""
         self.log_port = self.log_port or self.free_port()
-        self.start("log", "-m", "tests.standins.log", "--port", str(self.log_port))
+        port = str(self.log_port)
+        self.log_process = self.start("log", "-m", "tests.standins.log", "--port", port)
         url = f"http://127.0.0.1:{self.log_port}/streams/settings"
         wait_until(lambda: request("GET", url).status == 200, "the log answers")
 
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -6,7 +6,7 @@
 import argparse
 import asyncio
 import base64
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import attrs
 from aiohttp import web
@@ -32,7 +32,10 @@
     """The HTTP application of the stand-in.
 
     ``/faults`` takes ``down``, ``delay_ms``, ``lose_replies`` (appends whose reply
-    is lost) and ``down_after_appends``; ``/retention/STREAM/OFFSET`` drops records.
+    is lost), ``down_after_appends``, ``hold_appends`` (appends whose reply is lost and
+    that take effect only on ``/release/STREAM``) and ``read_limit`` (records of one
+    read); ``/retention/STREAM/OFFSET`` drops records; ``/counts`` tells how many
+    requests came, by kind and stream.
     """
 
     def __init__(self) -> None:
@@ -41,6 +44,10 @@
         self.delay_ms = 0
         self.lose_replies = 0
         self.down_after_appends = 0
+        self.hold_appends = 0
+        self.read_limit = 0
+        self.held: dict[str, list[bytes]] = defaultdict(list)
+        self.counts: Counter[str] = Counter()
 
     def app(self) -> web.Application:
         """Return the application."""
@@ -48,26 +55,51 @@
         app.router.add_post("/streams/{stream}", self.append)
         app.router.add_get("/streams/{stream}", self.read)
         app.router.add_post("/faults", self.faults)
+        app.router.add_post("/release/{stream}", self.release)
+        app.router.add_get("/counts", self.count)
         app.router.add_post("/retention/{stream}/{offset}", self.drop)
         return app
 
     async def append(self, request: web.Request) -> web.Response:
         """Append the body as a record."""
+        name = request.match_info["stream"]
+        self.counts[f"append {name}"] += 1
         await self._suffer(request)
-        stream = self.streams[request.match_info["stream"]]
+        stream = self.streams[name]
         payload = await request.read()
-        offset = stream.next
-        stream.records.append(payload)
-        async with stream.appended:
-            stream.appended.notify_all()
+        if self.hold_appends > 0:
+            self.hold_appends -= 1
+            self.held[name].append(payload)
+            request.transport.abort()
+            raise web.HTTPServiceUnavailable
+        offset = await self._take(stream, payload)
         self._count_append()
         if self.lose_replies > 0:
             self.lose_replies -= 1
             request.transport.abort()
         return web.json_response({"offset": offset})
 
+    async def _take(self, stream: Stream, payload: bytes) -> int:
+        offset = stream.next
+        stream.records.append(payload)
+        async with stream.appended:
+            stream.appended.notify_all()
+        return offset
+
+    async def release(self, request: web.Request) -> web.Response:
+        """Let the held appends of a stream take effect."""
+        name = request.match_info["stream"]
+        for payload in self.held.pop(name, []):
+            await self._take(self.streams[name], payload)
+        return web.json_response({})
+
+    async def count(self, request: web.Request) -> web.Response:
+        """Return how many requests came."""
+        return web.json_response(self.counts)
+
     async def read(self, request: web.Request) -> web.Response:
         """Return records from an offset on, waiting for a first one."""
+        self.counts[f"read {request.match_info['stream']}"] += 1
         await self._suffer(request)
         stream = self.streams[request.match_info["stream"]]
         offset = max(int(request.query.get("from", "0")), stream.oldest)
@@ -84,6 +116,8 @@
             for index, p in enumerate(stream.records)
             if stream.oldest + index >= offset
         ]
+        if self.read_limit:
+            records = records[: self.read_limit]
         return web.json_response(
             {"records": records, "oldest": stream.oldest, "next": stream.next}
         )
