Encode names before hashing, and end a daemon whose part fails

All tasks of the settings part had died on their first hash of a name, and nothing said so: the daemon went on to serve old settings. Seen as a resumed daemon that stayed at revision 1 for 10 s (three scenarios). A part that ends with an error now ends the daemon with that error. Waiting for a newer revision holds no lock that a cancelled handler could keep.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import signal
+from collections.abc import Coroutine
 
 import aiohttp
 
@@ -13,6 +14,7 @@
 from laburnumscale.calls import CallRunner
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.entry import Entry
+from laburnumscale.errors import PartFailed
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
@@ -43,6 +45,7 @@
     def __init__(self, settings: DaemonSettings) -> None:
         self.settings = settings
         self._stopping = asyncio.Event()
+        self._failed: PartFailed | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave gracefully."""
@@ -105,7 +108,7 @@
             ),
         ]
         tasks = [
-            asyncio.create_task(part)
+            self._start_part(part)
             for part in (
                 settings_log.run(),
                 relay.pull_forever(),
@@ -128,6 +131,22 @@
         await peer_server.stop(settings.drain_ms / 1000)
         await channels.close()
         get_logger().info("daemon stopped")
+        if self._failed is not None:
+            raise self._failed
+
+    def _start_part(self, part: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(part, name=part.__qualname__)
+        task.add_done_callback(self._part_ended)
+        return task
+
+    def _part_ended(self, task: asyncio.Task) -> None:
+        """End the daemon if a part of it failed: half a daemon misleads callers."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = PartFailed(task.get_name(), repr(task.exception()))
+        get_logger().error("part failed", reason=str(error))
+        self._failed = error
+        self._stopping.set()
 
     def _own_member(self) -> peer_pb2.Member:
         return peer_pb2.Member(
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -19,6 +19,7 @@
     "OptionOutOfRange",
     "OptionUnknown",
     "OptionValueInvalid",
+    "PartFailed",
     "PlaceInvalid",
     "RecordInvalid",
     "RequestInvalid",
@@ -117,6 +118,15 @@
     template: ClassVar[str] = '{where}: setting "{option}": "{value}" is not loopback'
 
 
+@dataclass(eq=False)
+class PartFailed(LaburnumscaleError):
+    """A part of a daemon ended with an error that it does not expect."""
+
+    part: str
+    reason: str
+    template: ClassVar[str] = "{part}: {reason}"
+
+
 @dataclass(eq=False)
 class PlaceInvalid(LaburnumscaleError):
     """The text form of a place cannot be parsed."""
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -124,7 +124,7 @@
         self._feed.take_reply(request)
         if request.held.has_tree:
             self._feed.note_contact(from_peer=True)
-        await self._feed.note_changed()
+        self._feed.note_changed()
         self._hear(request.held.revision, request.sender)
         return self._feed.held()
 
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -51,7 +51,7 @@
         self._metrics = metrics
         self._kept: deque[peer_pb2.LogRecord] = deque()
         self._kept_bytes = 0
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
 
     def contact_age_s(self) -> float:
         """Return the seconds since the log or a peer was heard."""
@@ -73,15 +73,18 @@
             self.hint = address
             self.hinted.set()
 
-    async def note_changed(self) -> None:
-        """Wake what waits for a newer revision."""
-        async with self._changed:
-            self._changed.notify_all()
+    def note_changed(self) -> None:
+        """Wake what waits for a newer revision.
+
+        It holds no lock: the handler of a peer's request may be cancelled anywhere.
+        """
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def wait_newer(self, revision: int) -> None:
         """Wait until the tree is newer than a revision."""
-        async with self._changed:
-            await self._changed.wait_for(lambda: self.tree.revision > revision)
+        while self.tree.revision <= revision:
+            await self._changed.wait()
 
     def held(self) -> peer_pb2.SettingsHeld:
         """Return what this daemon holds."""
--- a/packages/laburnumscale/src/laburnumscale/settingslog.py
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -94,7 +94,7 @@
             feed.log_failed = False
         if feed.tree.revision > batch.next_offset:
             self._metrics.count("settings_log_behind")
-        await feed.note_changed()
+        feed.note_changed()
         return batch
 
     def _reads_on(self) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/settingsrelay.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsrelay.py
@@ -33,7 +33,7 @@
 
 
 def _rank(*names: str) -> int:
-    return xxhash.xxh64_intdigest("\0".join(names))
+    return xxhash.xxh64_intdigest("\0".join(names).encode())
 
 
 class SettingsRelay:
@@ -198,7 +198,7 @@
         if reply is not None:
             self._feed.note_contact(from_peer=True)
             self._feed.take_reply(reply)
-            await self._feed.note_changed()
+            self._feed.note_changed()
         return reply
 
     async def _start_from_peers(self) -> None:
@@ -215,7 +215,7 @@
         if self._feed.tree.revision >= answers[-1].held.revision:
             self._feed.has_tree = True
             self._feed.note_contact(from_peer=True)
-            await self._feed.note_changed()
+            self._feed.note_changed()
             get_logger().info(
                 "settings taken from peers", revision=self._feed.tree.revision
             )
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -89,7 +89,7 @@
     for other in others:
         fleet.link_daemons(daemon, other)
         fleet.link_daemons(other, daemon)
-    link = fleet.link(f"{daemon} log", fleet.log_port)
+    link = fleet.link(f"{daemon}-log", fleet.log_port)
     names = places.split(", ")
     for index in range(count):
         name = f"d{index + 1}"
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -70,13 +70,13 @@
         if self.hold_appends > 0:
             self.hold_appends -= 1
             self.held[name].append(payload)
-            request.transport.abort()
+            _abort(request)
             raise web.HTTPServiceUnavailable
         offset = await self._take(stream, payload)
         self._count_append()
         if self.lose_replies > 0:
             self.lose_replies -= 1
-            request.transport.abort()
+            _abort(request)
         return web.json_response({"offset": offset})
 
     async def _take(self, stream: Stream, payload: bytes) -> int:
@@ -145,10 +145,16 @@
         if self.delay_ms:
             await asyncio.sleep(self.delay_ms / 1000)
         if self.down:
-            request.transport.abort()
+            _abort(request)
             raise web.HTTPServiceUnavailable
 
 
+def _abort(request: web.Request) -> None:
+    """Break the connection of a request, unless the client did."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 def main() -> None:
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
