--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: venv demo test features check format generate check-generated bench clean
+.PHONY: venv demo test features check format generate check-generated bench bench-settings clean
 
 venv: $(VENV)/.stamp
 
@@ -44,5 +44,8 @@
 features: venv
 	$(PY) tools/run_features.py
 
+bench-settings: venv
+	$(PY) bench/settings.py
+
 clean:
 	rm -rf $(VENV) build
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -360,6 +360,7 @@
         if in_force and "revision" in event:
             assert event["revision"] >= highest, (path.name, line, highest)
             highest = event["revision"]
+    assert in_force, f"{path.name}: the last start put no settings in force"
 
 
 def race(context, count, service_of):
