--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -20,6 +20,7 @@
 DEFAULT_DRAIN_MS = 10_000
 DEFAULT_ISOLATION_MS = 60_000
 DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000
+DEFAULT_KEY_LIFE_MS = 600_000
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
 LOG_FORMATS = ("json", "console")
 
@@ -32,6 +33,7 @@
     :ivar isolation_ms: age of the last contact with the log or a peer after which
         the daemon is not ready.
     :ivar snapshot_interval_ms: longest time between two snapshots in the log.
+    :ivar key_life_ms: how long an operation key can be used after it was minted.
     """
 
     daemon: str
@@ -48,6 +50,7 @@
     body_limit_bytes: int
     peer_address_overrides: dict[str, str]
     snapshot_interval_ms: int
+    key_life_ms: int
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -111,6 +114,7 @@
         snapshot_interval_ms=(
             message.snapshot_interval_ms or DEFAULT_SNAPSHOT_INTERVAL_MS
         ),
+        key_life_ms=message.key_life_ms or DEFAULT_KEY_LIFE_MS,
     )
 
 
