--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import signal
+from collections.abc import Coroutine
 
 import aiohttp
 
@@ -15,6 +16,7 @@
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
 from laburnumscale.entry import Entry
+from laburnumscale.errors import PartFailed
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
@@ -28,6 +30,10 @@
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.routing import Router
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingslog import SettingsLog
+from laburnumscale.settingsoperators import SettingsOperators
+from laburnumscale.settingspublisher import SettingsPublisher
+from laburnumscale.settingsrelay import SettingsRelay
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
 from laburnumscale_schema import peer_pb2
@@ -43,6 +49,7 @@
     def __init__(self, settings: DaemonSettings) -> None:
         self.settings = settings
         self._stopping = asyncio.Event()
+        self._failed: PartFailed | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave gracefully."""
@@ -62,7 +69,7 @@
         metrics = Metrics()
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
-        feed = SettingsFeed(log, metrics)
+        feed = SettingsFeed(metrics, settings.isolation_ms)
         targets = LocalTargets(settings.daemon, members, metrics)
         guard = Guard(
             settings.daemon,
@@ -81,8 +88,17 @@
             metrics,
             seeds=settings.seed_addresses,
             revision=lambda: feed.tree.revision,
+            heard_revision=feed.hear,
         )
         await gossip.join()
+        seeds = tuple(str(address) for address in settings.seed_addresses)
+        relay = SettingsRelay(members, feed, channels, seeds, metrics)
+        settings_log = SettingsLog(
+            feed, log, metrics, settings.snapshot_interval_ms, relay.is_tailer
+        )
+        publisher = SettingsPublisher(
+            settings.daemon, feed, settings_log, relay, log, metrics
+        )
         runner = CallRunner(members, guard, channels, Router(members))
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
@@ -90,7 +106,12 @@
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
         entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, gossip.exchange.answer, feed, keyed_calls
+            settings.peer_address,
+            guard,
+            members,
+            gossip.exchange.answer,
+            feed,
+            keyed_calls,
         )
         await gossip.start(settings.peer_address)
         servers = [
@@ -98,7 +119,13 @@
                 entry.app(settings.body_limit_bytes), settings.caller_address
             ),
             await serve_app(
-                Operators(members, feed, targets, metrics, settings.isolation_ms).app(),
+                Operators(
+                    members,
+                    feed,
+                    targets,
+                    metrics,
+                    SettingsOperators(feed, publisher, log, members),
+                ).app(),
                 settings.operator_address,
             ),
             await serve_app(
@@ -106,9 +133,11 @@
             ),
         ]
         tasks = [
-            asyncio.create_task(part)
+            self._start_part(part)
             for part in (
-                feed.tail(),
+                settings_log.run(),
+                relay.pull_forever(),
+                relay.push_forever(),
                 targets.watch_leases(),
                 key_table.forget_expired(),
             )
@@ -128,6 +157,22 @@
         await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
+        if self._failed is not None:
+            raise self._failed
+
+    def _start_part(self, part: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(part, name=part.__qualname__)
+        task.add_done_callback(self._part_ended)
+        return task
+
+    def _part_ended(self, task: asyncio.Task) -> None:
+        """End the daemon if a part of it failed: half a daemon misleads callers."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = PartFailed(task.get_name(), repr(task.exception()))
+        get_logger().error("part failed", reason=str(error))
+        self._failed = error
+        self._stopping.set()
 
     def _own_member(self) -> peer_pb2.Member:
         return peer_pb2.Member(
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -17,10 +17,12 @@
     "LaburnumscaleError",
     "LogReplyInvalid",
     "LogUnavailable",
+    "LogUnreachable",
     "OptionMissing",
     "OptionOutOfRange",
     "OptionUnknown",
     "OptionValueInvalid",
+    "PartFailed",
     "PlaceInvalid",
     "RecordInvalid",
     "RequestInvalid",
@@ -154,6 +156,15 @@
     )
 
 
+@dataclass(eq=False)
+class PartFailed(LaburnumscaleError):
+    """A part of a daemon ended with an error that it does not expect."""
+
+    part: str
+    reason: str
+    template: ClassVar[str] = "{part}: {reason}"
+
+
 @dataclass(eq=False)
 class PlaceInvalid(LaburnumscaleError):
     """The text form of a place cannot be parsed."""
@@ -171,6 +182,13 @@
     template: ClassVar[str] = "log {url}: no answer: {reason}"
 
 
+@dataclass(eq=False)
+class LogUnreachable(LogUnavailable):
+    """No connection to the platform's log; nothing was sent."""
+
+    template: ClassVar[str] = "log {url}: no connection: {reason}"
+
+
 @dataclass(eq=False)
 class LogReplyInvalid(LaburnumscaleError):
     """The platform's log answered with something that is not its protocol."""
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -10,8 +10,9 @@
 from laburnumscale.addresses import Address
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
+from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["serve_peers"]
 
@@ -58,7 +59,10 @@
 
 
 class _PeerServicer(peer_pb2_grpc.PeerServicer):
-    def __init__(self, answer_members: MemberAnswer, feed: SettingsFeed) -> None:
+    def __init__(
+        self, members: Members, answer_members: MemberAnswer, feed: SettingsFeed
+    ) -> None:
+        self._members = members
         self._answer_members = answer_members
         self._feed = feed
 
@@ -70,10 +74,25 @@
     async def FetchSettings(  # noqa: N802
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.SettingsReply:
-        snapshot = settings_pb2.Snapshot()
-        if self._feed.tree.revision > request.after_revision:
-            snapshot = self._feed.tree.snapshot()
-        return peer_pb2.SettingsReply(snapshot=snapshot)
+        own = self._members.own.daemon
+        if request.whole_tree:
+            return self._feed.whole_reply(own)
+        return self._feed.reply_after(request.after_revision, own)
+
+    async def PushSettings(  # noqa: N802
+        self, request: peer_pb2.SettingsReply, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.SettingsHeld:
+        self._feed.take_reply(request)
+        if request.held.has_tree:
+            self._feed.note_contact(from_peer=True)
+        self._feed.note_changed()
+        self._hear(request.held.revision, request.sender)
+        return self._feed.held()
+
+    def _hear(self, revision: int, sender: str) -> None:
+        member = self._members.get(sender)
+        if member is not None:
+            self._feed.hear(revision, member.peer_address)
 
 
 class _OperationKeysServicer(peer_pb2_grpc.OperationKeysServicer):
@@ -95,6 +114,7 @@
 async def serve_peers(
     address: Address,
     guard: Guard,
+    members: Members,
     answer_members: MemberAnswer,
     feed: SettingsFeed,
     keyed_calls: KeyedCalls,
@@ -106,7 +126,7 @@
     server = grpc.aio.server(options=SERVER_OPTIONS)
     peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
     peer_pb2_grpc.add_PeerServicer_to_server(
-        _PeerServicer(answer_members, feed), server
+        _PeerServicer(members, answer_members, feed), server
     )
     peer_pb2_grpc.add_OperationKeysServicer_to_server(
         _OperationKeysServicer(keyed_calls), server
