--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -172,7 +172,7 @@
         """Return the daemon that took over the operation keys of another, or None."""
         wanted = peer_pb2.KeyHolder(daemon=daemon, incarnation=incarnation)
         for member in self._table.values():
-            if wanted in member.key_homes and member.state in (ALIVE, SUSPECT):
+            if wanted in member.key_homes and is_listed(member):
                 return member
         return None
 
