--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -53,6 +53,8 @@
 class Gossip:
     """The membership of one daemon: joining, probing, spreading, leaving.
 
+    :param log: where daemons find each other, or None if seeds do.
+    :param seeds: addresses of daemons that may be there already.
     :param revision: returns the settings revision of this daemon.
     :param heard_revision: called with a newer revision and the peer address of
         the daemon that has it.
@@ -62,7 +64,7 @@
         self,
         members: Members,
         channels: PeerChannels,
-        log: PlatformLog,
+        log: PlatformLog | None,
         metrics: Metrics,
         *,
         seeds: Sequence[Address] = (),
@@ -82,7 +84,7 @@
         )
         self._claims = Claims(members, self._detector.ping, metrics)
         self.exchange = TableExchange(members, self._claims, channels, metrics)
-        presence = Presence(log, members, metrics)
+        presence = None if log is None else Presence(log, members, metrics)
         self._joining = Joining(members, presence, self.exchange, metrics, seeds)
         self._refuted = 0
         self._name_taken = False
--- a/packages/laburnumscale/src/laburnumscale/joining.py
+++ b/packages/laburnumscale/src/laburnumscale/joining.py
@@ -33,13 +33,14 @@
     The whole fleet together reads the log about twice in a second and appends
     about one record in a minute, however large it is.
 
+    :param presence: None for a fleet without a log.
     :param seeds: addresses of daemons that may be there while the log is away.
     """
 
     def __init__(
         self,
         members: Members,
-        presence: Presence,
+        presence: Presence | None,
         exchange: TableExchange,
         metrics: Metrics,
         seeds: Sequence[Address],
@@ -77,10 +78,8 @@
         attempt = 0
         while True:
             try:
-                if time.monotonic() >= announce_at_s:
-                    await self._presence.announce()
-                    announce_at_s = time.monotonic() + self._announce_interval_s()
-                await self._presence.read(0 if self._members.peers() else ALONE_WAIT_MS)
+                if self._presence is not None:
+                    announce_at_s = await self._follow_log(announce_at_s)
                 attempt = 0
             except LaburnumscaleError:
                 self._metrics.count("presence_failures")
@@ -90,8 +89,21 @@
                 await sleep_until_retry(attempt)
             await self._wait()
 
+    async def _follow_log(self, announce_at_s: float) -> float:
+        """Announce this daemon when it is time, and read on.
+
+        :returns: the monotonic time of the next announcement.
+        """
+        if time.monotonic() >= announce_at_s:
+            await self._presence.announce()
+            announce_at_s = time.monotonic() + self._announce_interval_s()
+        await self._presence.read(0 if self._members.peers() else ALONE_WAIT_MS)
+        return announce_at_s
+
     async def _wait(self) -> None:
-        if self._members.peers():
+        if self._presence is None and not self._members.peers():
+            await asyncio.sleep(ALONE_WAIT_MS / 1000)
+        elif self._members.peers():
             group_size = len(self._members.peers()) + 1
             longest_s = max(LOWEST_POLL_S, group_size * POLL_S_PER_MEMBER)
             await asyncio.sleep(longest_s * random.uniform(0.5, 1.5))
@@ -101,6 +113,8 @@
             await self._exchange.exchange(address)
 
     async def _read(self) -> None:
+        if self._presence is None:
+            return
         try:
             await self._presence.read()
         except LaburnumscaleError:
@@ -110,7 +124,8 @@
         """Return addresses of some daemons that are not known yet."""
         own = self._members.own.peer_address
         known = {own} | {peer.peer_address for peer in self._members.peers()}
-        newest = [contact.peer_address for contact in self._presence.contacts()]
+        contacts = [] if self._presence is None else self._presence.contacts()
+        newest = [contact.peer_address for contact in contacts]
         seeds = random.sample(self._seeds, len(self._seeds))
         wanted = [*newest[:JOIN_CONTACTS], *seeds[:JOIN_CONTACTS]]
         return [each for each in dict.fromkeys(wanted) if each not in known]
