Queue updates by endpoint and spread only fresh ones at once

A profile of one daemon: half of it looked up the place of all local targets every 200 ms; the rest were datagrams. An update of one endpoint also sent all waiting endpoints of its daemon again.

--- a/bench/members.py
+++ b/bench/members.py
@@ -26,6 +26,9 @@
 DATA_CENTRES = ("makati", "pasig", "quezon", "taguig")
 ENDPOINTS_PER_DAEMON = 16
 LEASE_MS = 3_600_000
+SETTLE_CHECK_S = 4.0
+SETTLE_LIMIT_S = 240.0
+SETTLED_BYTES_PER_S = 600.0
 WINDOW_S = 20.0
 CHANGES_PER_S = 2.0
 ENDPOINT_TRIALS = 5
@@ -106,6 +109,7 @@
                 "daemons": self.size,
                 "endpoints": self.size * ENDPOINTS_PER_DAEMON,
                 "start_s": started_s,
+                "settle_s": self._settle(),
                 "at_rest": attrs.asdict(self._cost(lambda: None)),
                 "under_change": attrs.asdict(self._cost(self._change_one)),
                 "changes_per_s": CHANGES_PER_S,
@@ -137,6 +141,18 @@
         )
         return time.monotonic() - started_at_s
 
+    def _settle(self) -> float:
+        """Wait until the news of the start are spread; return the seconds it took."""
+        started_at_s = time.monotonic()
+        before = self._totals()["datagram_bytes_sent"]
+        while time.monotonic() - started_at_s < SETTLE_LIMIT_S:
+            time.sleep(SETTLE_CHECK_S)
+            after = self._totals()["datagram_bytes_sent"]
+            if (after - before) / SETTLE_CHECK_S / self.size < SETTLED_BYTES_PER_S:
+                break
+            before = after
+        return time.monotonic() - started_at_s
+
     def _cost(self, change: Callable[[], None]) -> Cost:
         before = self._totals()
         started_at_s = time.monotonic()
--- a/packages/laburnumscale/src/laburnumscale/datagrams.py
+++ b/packages/laburnumscale/src/laburnumscale/datagrams.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 
 from google.protobuf.message import DecodeError
@@ -17,6 +18,7 @@
 
 DATAGRAM_LIMIT_BYTES = 1_200
 IP_AND_UDP_HEADER_BYTES = 28
+HIGHEST_CACHED_ADDRESSES = 4_096
 
 
 class DatagramSocket(asyncio.DatagramProtocol):
@@ -30,6 +32,7 @@
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
         self._receive: Callable[[gossip_pb2.Datagram], None] | None = None
+        self._reached: OrderedDict[str, Address] = OrderedDict()
 
     async def open(
         self, address: Address, receive: Callable[[gossip_pb2.Datagram], None]
@@ -56,9 +59,8 @@
         """
         if self._transport is None or self._transport.is_closing():
             return 0
-        reached = self._overrides.get(address, address)
         try:
-            to = get_address_opt("datagram", "peer_address", reached)
+            to = self._resolve(address)
         except AddressInvalid:
             self._metrics.count("datagrams_unaddressed")
             return 0
@@ -69,6 +71,17 @@
         self._metrics.count("datagram_bytes_sent", amount=size_bytes)
         return size_bytes
 
+    def _resolve(self, address: str) -> Address:
+        """Return where an announced address is reached, from a bounded cache."""
+        reached = self._reached.get(address)
+        if reached is None:
+            text = self._overrides.get(address, address)
+            reached = get_address_opt("datagram", "peer_address", text)
+            self._reached[address] = reached
+            if len(self._reached) > HIGHEST_CACHED_ADDRESSES:
+                self._reached.popitem(last=False)
+        return reached
+
     def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
         """Decode a datagram and hand it on."""
         self._metrics.count("datagrams_received")
--- a/packages/laburnumscale/src/laburnumscale/messenger.py
+++ b/packages/laburnumscale/src/laburnumscale/messenger.py
@@ -61,8 +61,8 @@
         self._credit_bytes -= self._socket.send(to.peer_address, datagram)
 
     def can_spread(self) -> bool:
-        """Tell whether there is news and it is affordable to send it at once."""
-        return bool(len(self.queue)) and self._credit() >= DATAGRAM_LIMIT_BYTES
+        """Tell whether there is fresh news and it is affordable to send it at once."""
+        return self.queue.has_fresh() and self._credit() >= DATAGRAM_LIMIT_BYTES
 
     def _credit(self) -> int:
         now_s = time.monotonic()
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -76,6 +76,8 @@
         self._metrics = metrics
         self._targets: dict[tuple[str, str], LocalTarget] = {}
         self._moved: dict[tuple[str, str], Address] = {}
+        self._contested: set[tuple[str, str]] = set()
+        members.on_change(self._note_contested)
 
     def get(self, service: str, endpoint: str) -> LocalTarget | None:
         """Return a target, or None if it is not announced."""
@@ -129,7 +131,8 @@
             await asyncio.sleep(LAPSE_CHECK_S)
             for target in list(self._targets.values()):
                 self._check_lease(target)
-                self._check_place(target)
+            while self._contested:
+                self._check_place(self._contested.pop())
 
     def _add(self, announced: LocalTarget) -> None:
         key = (announced.service, announced.endpoint)
@@ -162,10 +165,18 @@
         target.lease_deadline = Deadline.after_ms(LAPSED_KEPT_MS)
         self._tell()
 
-    def _check_place(self, target: LocalTarget) -> None:
-        key = (target.service, target.endpoint)
+    def _note_contested(self, news: peer_pb2.Member) -> None:
+        if news.daemon == self._daemon:
+            return
+        for endpoint in news.endpoints:
+            key = (endpoint.service, endpoint.endpoint)
+            if key in self._targets:
+                self._contested.add(key)
+
+    def _check_place(self, key: tuple[str, str]) -> None:
+        target = self._targets.get(key)
         elsewhere = self._elsewhere(*key)
-        if elsewhere is None or key not in self._targets:
+        if elsewhere is None or target is None:
             return
         self._metrics.count("targets_moved")
         moved = EndpointMoved(*key, elsewhere.daemon)
--- a/packages/laburnumscale/src/laburnumscale/updates.py
+++ b/packages/laburnumscale/src/laburnumscale/updates.py
@@ -4,39 +4,61 @@
 """
 
 import math
+from collections.abc import Iterator
 
 import attrs
 
-from laburnumscale.views import join, liveness
+from laburnumscale.views import identity, is_listed, join, liveness
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["UpdateQueue"]
+__all__ = ["UpdateQueue", "send_limit"]
 
-SENDS_PER_DECADE = 4
+BASE_SENDS = 2
+SENDS_PER_DECADE = 2
+FRESH_SENDS = 4
+HIGHEST_SENDS = 16
 FIELD_OVERHEAD_BYTES = 4
 
+Key = tuple[str, str, str]
+
+
+def send_limit(group_size: int) -> int:
+    """Return how often one daemon passes an update on."""
+    decades = math.ceil(math.log10(group_size + 1))
+    return min(HIGHEST_SENDS, BASE_SENDS + SENDS_PER_DECADE * decades)
+
 
 @attrs.define(eq=False)
-class _Update:
-    member: peer_pb2.Member
-    size_bytes: int
-    sends: int = 0
+class _Waiting:
+    """What waits about one daemon; its head goes with every endpoint of it."""
+
+    head: peer_pb2.Member
+    keys: set[Key] = attrs.field(factory=set)
 
 
 class UpdateQueue:
-    """At most one update for each daemon, those sent least going first."""
+    """Changed endpoints and members, those that were sent least going first."""
 
     def __init__(self) -> None:
-        self._updates: dict[str, _Update] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._sends: dict[Key, int] = {}
+        self._levels: list[dict[Key, peer_pb2.Endpoint | None]] = [
+            {} for _ in range(HIGHEST_SENDS)
+        ]
 
-    def __len__(self) -> int:
-        return len(self._updates)
+    def has_fresh(self) -> bool:
+        """Tell whether an update was sent too rarely to wait for the next probe."""
+        return any(self._levels[:FRESH_SENDS])
 
     def add(self, news: peer_pb2.Member) -> None:
-        """Queue news, joined with what waits about the same daemon."""
-        waiting = self._updates.get(news.daemon)
-        member = news if waiting is None else join(waiting.member, news)
-        self._updates[news.daemon] = _Update(member, member.ByteSize())
+        """Queue news in place of what is older about the same daemon."""
+        self._renew_head(news)
+        if not news.endpoints or not is_listed(news):
+            self._put((news.daemon, "", ""), None, 0)
+            return
+        for endpoint in news.endpoints:
+            key = (news.daemon, endpoint.service, endpoint.endpoint)
+            self._put(key, endpoint, 0)
 
     def take(self, room_bytes: int, group_size: int) -> list[peer_pb2.Member]:
         """Return updates for one datagram and count them as sent.
@@ -44,39 +66,69 @@
         :param room_bytes: what the updates may take together.
         :param group_size: number of daemons, which limits the sends of each update.
         """
-        limit = send_limit(group_size)
+        members: dict[str, peer_pb2.Member] = {}
         taken = []
-        for update in sorted(self._updates.values(), key=lambda each: each.sends):
-            member = _part(update, room_bytes)
-            if member is None:
-                continue
-            taken.append(member)
-            room_bytes -= member.ByteSize() + FIELD_OVERHEAD_BYTES
-            update.sends += 1
-            if update.sends >= limit:
-                del self._updates[update.member.daemon]
-        return taken
-
-
-def send_limit(group_size: int) -> int:
-    """Return how often one daemon passes an update on."""
-    return SENDS_PER_DECADE * math.ceil(math.log10(group_size + 1))
-
-
-def _part(update: _Update, room_bytes: int) -> peer_pb2.Member | None:
-    """Return an update, or as many of its endpoints as there is room for."""
-    room_bytes -= FIELD_OVERHEAD_BYTES
-    if update.size_bytes <= room_bytes:
-        return update.member
-    part = liveness(update.member)
-    endpoints = list(update.member.endpoints)
-    start = update.sends * len(endpoints) // 2 % max(1, len(endpoints))
-    used_bytes = part.ByteSize()
-    if used_bytes > room_bytes:
-        return None
-    for endpoint in endpoints[start:] + endpoints[:start]:
-        used_bytes += endpoint.ByteSize() + FIELD_OVERHEAD_BYTES
-        if used_bytes > room_bytes:
-            break
-        part.endpoints.append(endpoint)
-    return part
+        for key, endpoint in self._least_sent():
+            size_bytes = self._size_bytes(key, endpoint, members)
+            if size_bytes > room_bytes:
+                break
+            room_bytes -= size_bytes
+            member = members.setdefault(key[0], liveness(self._waiting[key[0]].head))
+            if endpoint is not None:
+                member.endpoints.append(endpoint)
+            taken.append((key, endpoint))
+        limit = send_limit(group_size)
+        for key, endpoint in taken:
+            sends = self._drop(key) + 1
+            if sends < limit:
+                self._put(key, endpoint, sends)
+            else:
+                self._forget_head(key[0])
+        return list(members.values())
+
+    def _least_sent(self) -> Iterator[tuple[Key, peer_pb2.Endpoint | None]]:
+        for level in self._levels:
+            yield from level.items()
+
+    def _size_bytes(
+        self,
+        key: Key,
+        endpoint: peer_pb2.Endpoint | None,
+        members: dict[str, peer_pb2.Member],
+    ) -> int:
+        size_bytes = 0
+        if key[0] not in members:
+            head = self._waiting[key[0]].head
+            size_bytes += head.ByteSize() + FIELD_OVERHEAD_BYTES
+        if endpoint is not None:
+            size_bytes += endpoint.ByteSize() + FIELD_OVERHEAD_BYTES
+        return size_bytes
+
+    def _renew_head(self, news: peer_pb2.Member) -> None:
+        head = liveness(news)
+        waiting = self._waiting.get(news.daemon)
+        if waiting is None:
+            self._waiting[news.daemon] = _Waiting(head)
+            return
+        joined = join(waiting.head, head)
+        if identity(joined) != identity(waiting.head) or not is_listed(joined):
+            for key in list(waiting.keys):
+                self._drop(key)
+        waiting.head = joined
+
+    def _put(self, key: Key, endpoint: peer_pb2.Endpoint | None, sends: int) -> None:
+        self._drop(key)
+        self._sends[key] = sends
+        self._levels[sends][key] = endpoint
+        self._waiting[key[0]].keys.add(key)
+
+    def _drop(self, key: Key) -> int:
+        """Take a key out of its level and return how often it was sent."""
+        sends = self._sends.pop(key, 0)
+        self._levels[sends].pop(key, None)
+        self._waiting[key[0]].keys.discard(key)
+        return sends
+
+    def _forget_head(self, daemon: str) -> None:
+        if not self._waiting[daemon].keys:
+            del self._waiting[daemon]
