--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -56,6 +56,12 @@
         async with grpc.aio.insecure_channel(reached, options=options) as channel:
             yield peer_pb2_grpc.PeerStub(channel)
 
+    async def forget(self, address: str) -> None:
+        """Close the channel to an address at which nobody is left."""
+        channel = self._channels.pop(self.overrides.get(address, address), None)
+        if channel is not None:
+            await channel.close()
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/packages/laburnumscale/src/laburnumscale/claims.py
+++ b/packages/laburnumscale/src/laburnumscale/claims.py
@@ -87,9 +87,10 @@
         self._metrics.count("deaths_doubted")
         self._challenged_at_s[claim.daemon] = now_s
         self._challenge(claim)
-        self._drop_old(now_s)
 
-    def _drop_old(self, now_s: float) -> None:
+    def forget_old(self) -> None:
+        """Drop the times that no longer matter."""
+        now_s = time.monotonic()
         for times in (self._heard_at_s, self._challenged_at_s):
             old = [each for each, at_s in times.items() if now_s - at_s > RECENT_S]
             for daemon in old:
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -72,6 +72,7 @@
         heard_revision: Callable[[int, str], None] = lambda revision, address: None,
     ) -> None:
         self._members = members
+        self._channels = channels
         self._metrics = metrics
         self._revision = revision
         self._heard_revision = heard_revision
@@ -143,7 +144,9 @@
             self._count_own()
             if time.monotonic() > forget_at_s:
                 forget_at_s = time.monotonic() + FORGET_INTERVAL_S
-                self._members.forget_gone()
+                self._claims.forget_old()
+                for address in self._members.forget_gone():
+                    await self._channels.forget(address)
 
     def _count_own(self) -> None:
         """Count what others said of this daemon."""
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -189,15 +189,22 @@
         views = self.endpoints(service)
         return next((view for view in views if view.endpoint == endpoint), None)
 
-    def forget_gone(self) -> None:
-        """Drop members that have been gone for long, or are too many."""
+    def forget_gone(self) -> list[str]:
+        """Drop members that have been gone for long, or are too many.
+
+        :returns: peer addresses at which nobody is left.
+        """
+        forgotten = set()
         for daemon, deadline in list(self._gone_deadlines.items()):
             too_many = len(self._gone_deadlines) > HIGHEST_GONE_MEMBERS
             if not (deadline.is_over() or too_many):
                 break
             del self._gone_deadlines[daemon]
-            del self._table[daemon]
             del self._digests[daemon]
+            forgotten.add(self._table.pop(daemon).peer_address)
+        if not forgotten:
+            return []
+        return sorted(forgotten - {each.peer_address for each in self._table.values()})
 
     def _merge_own(self, heard: peer_pb2.Member) -> None:
         if identity(heard) > identity(self.own):
