--- a/bench/members.py
+++ b/bench/members.py
@@ -6,7 +6,6 @@
 
 import argparse
 import json
-import os
 import random
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 import numpy
 
 from bench.membertable import measure_table
+from bench.processes import cpu_us, memory_bytes
 from tests.standins.fleet import DaemonProcess, Fleet, request, wait_until
 from tests.standins.views import member_states
 
@@ -30,6 +30,8 @@
 SETTLE_LIMIT_S = 120.0
 SETTLED_BYTES_PER_S = 600.0
 WINDOW_S = 20.0
+US_PER_S = 1_000_000
+BYTES_PER_MB = 1_000_000
 CHANGES_PER_S = 2.0
 ENDPOINT_TRIALS = 5
 DEATH_TRIALS = 2
@@ -62,19 +64,6 @@
     exchanges: int
 
 
-def processor_s(daemon: DaemonProcess) -> float:
-    """Return the processor time that a daemon has used, in seconds."""
-    stat = Path(f"/proc/{daemon.process.pid}/stat").read_text()
-    fields = stat.rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def memory_mb(daemon: DaemonProcess) -> float:
-    """Return the resident memory of a daemon, in MB."""
-    pages = int(Path(f"/proc/{daemon.process.pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 def counters(daemon: DaemonProcess) -> dict[str, int]:
     """Return the counters without labels of a daemon."""
     body = request("GET", f"http://{daemon.operator}/metrics").body.decode()
@@ -113,7 +102,7 @@
                 "at_rest": attrs.asdict(self._cost(lambda: None)),
                 "under_change": attrs.asdict(self._cost(self._change_one)),
                 "changes_per_s": CHANGES_PER_S,
-                "memory_mb": sum(map(memory_mb, self.daemons)) / self.size,
+                "memory_mb": self._memory_mb(),
                 "endpoint_change_spread_s": self._endpoint_spreads(),
                 "death_spread_s": self._death_spreads(),
             }
@@ -174,12 +163,17 @@
             **traffic,
         )
 
+    def _memory_mb(self) -> float:
+        sizes = [memory_bytes(daemon.process.pid) for daemon in self.daemons]
+        return sum(sizes) / len(sizes) / BYTES_PER_MB
+
     def _totals(self) -> dict[str, float]:
         totals = dict.fromkeys((*BYTE_COUNTERS, *EVENT_COUNTERS), 0.0)
         for found in self.pool.map(counters, self.daemons):
             for name in totals:
                 totals[name] += found.get(name, 0)
-        totals["processor_s"] = sum(map(processor_s, self.daemons))
+        pids = [daemon.process.pid for daemon in self.daemons]
+        totals["processor_s"] = sum(map(cpu_us, pids)) / US_PER_S
         return totals
 
     def _change_one(self) -> None:
--- a/packages/laburnumscale/src/laburnumscale/joining.py
+++ b/packages/laburnumscale/src/laburnumscale/joining.py
@@ -30,7 +30,7 @@
 class Joining:
     """Makes the first contact with others, and later with parts that split off.
 
-    The whole fleet together reads the log about twice in a second and appends
+    The whole fleet together reads the log about once in two seconds and appends
     about one record in a minute, however large it is.
 
     :param presence: None for a fleet without a log.
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -12,9 +12,9 @@
 from laburnumscale.endpointindex import EndpointIndex, EndpointView
 from laburnumscale.errors import DaemonNameTaken
 from laburnumscale.logs import get_logger
+from laburnumscale.news import news_of, renumber, shown
 from laburnumscale.views import (
     DEAD,
-    GONE,
     LEFT,
     digest,
     identity,
@@ -80,7 +80,7 @@
 
     def all(self) -> list[peer_pb2.Member]:
         """Return the entries of all daemons, this one included, to show them."""
-        return [_shown(member) for member in self._table.values()]
+        return [shown(member) for member in self._table.values()]
 
     def peers(self) -> list[peer_pb2.Member]:
         """Return the other daemons that are not known to be gone."""
@@ -126,7 +126,7 @@
             return None
         self._put(known, joined)
         if known is not None or is_listed(joined):
-            self._notify(_news(known, heard, joined))
+            self._notify(news_of(known, heard, joined))
         return Merge(known, joined)
 
     def judge(self, daemon: str, state: int) -> None:
@@ -139,22 +139,7 @@
 
     def set_endpoints(self, endpoints: list[peer_pb2.Endpoint]) -> None:
         """Replace the endpoints of this daemon; only what differs is passed on."""
-        own = self.own
-        news = liveness(own)
-        before = {(each.service, each.endpoint): each for each in own.endpoints}
-        for endpoint in endpoints:
-            old = before.pop((endpoint.service, endpoint.endpoint), None)
-            endpoint.version = old.version if old is not None else 0
-            if endpoint != old:
-                own.endpoints_version += 1
-                endpoint.version = own.endpoints_version
-                news.endpoints.append(endpoint)
-        for old in before.values():
-            own.endpoints_version += 1
-            removed = peer_pb2.Endpoint(service=old.service, endpoint=old.endpoint)
-            removed.version = own.endpoints_version
-            removed.state = GONE
-            news.endpoints.append(removed)
+        news = renumber(self.own, endpoints)
         if news.endpoints:
             self._replace_own(endpoints)
             self._notify(news)
@@ -274,23 +259,3 @@
     def _notify(self, news: peer_pb2.Member) -> None:
         for listener in self._listeners:
             listener(news)
-
-
-def _shown(member: peer_pb2.Member) -> peer_pb2.Member:
-    """Return an entry without the marks of removed endpoints."""
-    if all(endpoint.state != GONE for endpoint in member.endpoints):
-        return member
-    shown = liveness(member)
-    shown.endpoints.extend(each for each in member.endpoints if each.state != GONE)
-    return shown
-
-
-def _news(
-    known: peer_pb2.Member | None, heard: peer_pb2.Member, joined: peer_pb2.Member
-) -> peer_pb2.Member:
-    """Return the part of a joined entry that was not known before."""
-    if known is None or identity(known) != identity(joined):
-        return joined
-    news = liveness(joined)
-    news.endpoints.extend(each for each in heard.endpoints if each in joined.endpoints)
-    return news
