Say when a part of the membership fails, and survive a failed send

Cause: found by reading; an exception in a task ended it without a word. Also the silence rule of the suspicions reads straight down.

--- a/packages/laburnumscale/src/laburnumscale/datagrams.py
+++ b/packages/laburnumscale/src/laburnumscale/datagrams.py
@@ -65,7 +65,11 @@
             self._metrics.count("datagrams_unaddressed")
             return 0
         payload = datagram.SerializeToString()
-        self._transport.sendto(payload, (to.host, to.port))
+        try:
+            self._transport.sendto(payload, (to.host, to.port))
+        except OSError:
+            self._metrics.count("datagram_errors")
+            return 0
         size_bytes = len(payload) + IP_AND_UDP_HEADER_BYTES
         self._metrics.count("datagrams_sent")
         self._metrics.count("datagram_bytes_sent", amount=size_bytes)
--- a/packages/laburnumscale/src/laburnumscale/detector.py
+++ b/packages/laburnumscale/src/laburnumscale/detector.py
@@ -12,7 +12,6 @@
 from laburnumscale.members import Members
 from laburnumscale.messenger import Messenger
 from laburnumscale.metrics import Metrics
-from laburnumscale.suspicions import Suspicions
 from laburnumscale.views import ALIVE, SUSPECT
 from laburnumscale_schema import gossip_pb2, peer_pb2
 
@@ -32,13 +31,11 @@
         self,
         members: Members,
         messenger: Messenger,
-        suspicions: Suspicions,
         health: LocalHealth,
         metrics: Metrics,
     ) -> None:
         self._members = members
         self._messenger = messenger
-        self._suspicions = suspicions
         self._health = health
         self._metrics = metrics
         self._sequences = itertools.count(1)
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -17,6 +17,7 @@
 from laburnumscale.exchange import TableExchange
 from laburnumscale.joining import Joining
 from laburnumscale.localhealth import LATE_LIMIT_S, LocalHealth
+from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.messenger import Messenger
 from laburnumscale.metrics import Metrics
@@ -81,7 +82,7 @@
         self._messenger = Messenger(members, self._socket, revision)
         self._suspicions = Suspicions(members, self._health, metrics)
         self._detector = FailureDetector(
-            members, self._messenger, self._suspicions, self._health, metrics
+            members, self._messenger, self._health, metrics
         )
         self._claims = Claims(members, self._detector.ping, metrics)
         self.exchange = TableExchange(members, self._claims, channels, metrics)
@@ -116,7 +117,9 @@
             self._exchange_forever(),
             self._joining.follow(),
         ):
-            self._tasks.append(asyncio.create_task(part))
+            task = asyncio.create_task(part, name=part.__qualname__)
+            task.add_done_callback(self._part_ended)
+            self._tasks.append(task)
 
     async def leave(self) -> None:
         """Tell several peers that this daemon has left, and stop."""
@@ -129,6 +132,15 @@
             self._messenger.send(peer, farewell, [self._members.own])
         self._socket.close()
 
+    def _part_ended(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self._metrics.count("membership_part_failures")
+        reason = repr(task.exception())
+        get_logger().error(
+            "membership part failed", part=task.get_name(), reason=reason
+        )
+
     async def _spread_forever(self) -> None:
         forget_at_s = time.monotonic() + FORGET_INTERVAL_S
         while True:
--- a/packages/laburnumscale/src/laburnumscale/suspicions.py
+++ b/packages/laburnumscale/src/laburnumscale/suspicions.py
@@ -54,10 +54,11 @@
 
     def _extend_in_silence(self, over: list[str]) -> bool:
         """Wait longer if this daemon hears nobody, and may itself be cut off."""
+        if time.monotonic() - self._health.heard_at_s < SILENCE_S:
+            self._extensions = 0
+            return False
         alone = len(self._members.peers()) < 2
-        silent = time.monotonic() - self._health.heard_at_s > SILENCE_S
-        if alone or not silent or self._extensions >= HIGHEST_EXTENSIONS:
-            self._extensions = 0 if not silent else self._extensions
+        if alone or self._extensions >= HIGHEST_EXTENSIONS:
             return False
         self._extensions += 1
         for daemon in over:
