--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -17,6 +17,7 @@
 from laburnumscale.exchange import TableExchange
 from laburnumscale.joining import Joining
 from laburnumscale.localhealth import LATE_LIMIT_S, LocalHealth
+from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.messenger import Messenger
 from laburnumscale.metrics import Metrics
@@ -33,7 +34,7 @@
 LEAVE_FANOUT = 8
 FORGET_INTERVAL_S = 5.0
 EXCHANGE_CHECK_S = 0.5
-EXCHANGE_S_PER_DECADE_SQUARED = 2.0
+EXCHANGE_S_PER_DECADE_SQUARED = 4.0
 MISMATCHES_BEFORE_EXCHANGE = 3
 HIGHEST_WANTED_EXCHANGES = 4
 
@@ -53,6 +54,8 @@
 class Gossip:
     """The membership of one daemon: joining, probing, spreading, leaving.
 
+    :param log: where daemons find each other, or None if seeds do.
+    :param seeds: addresses of daemons that may be there already.
     :param revision: returns the settings revision of this daemon.
     :param heard_revision: called with a newer revision and the peer address of
         the daemon that has it.
@@ -62,7 +65,7 @@
         self,
         members: Members,
         channels: PeerChannels,
-        log: PlatformLog,
+        log: PlatformLog | None,
         metrics: Metrics,
         *,
         seeds: Sequence[Address] = (),
@@ -70,6 +73,7 @@
         heard_revision: Callable[[int, str], None] = lambda revision, address: None,
     ) -> None:
         self._members = members
+        self._channels = channels
         self._metrics = metrics
         self._revision = revision
         self._heard_revision = heard_revision
@@ -78,11 +82,11 @@
         self._messenger = Messenger(members, self._socket, revision)
         self._suspicions = Suspicions(members, self._health, metrics)
         self._detector = FailureDetector(
-            members, self._messenger, self._suspicions, self._health, metrics
+            members, self._messenger, self._health, metrics
         )
         self._claims = Claims(members, self._detector.ping, metrics)
         self.exchange = TableExchange(members, self._claims, channels, metrics)
-        presence = Presence(log, members, metrics)
+        presence = None if log is None else Presence(log, members, metrics)
         self._joining = Joining(members, presence, self.exchange, metrics, seeds)
         self._refuted = 0
         self._name_taken = False
@@ -113,7 +117,9 @@
             self._exchange_forever(),
             self._joining.follow(),
         ):
-            self._tasks.append(asyncio.create_task(part))
+            task = asyncio.create_task(part, name=part.__qualname__)
+            task.add_done_callback(self._part_ended)
+            self._tasks.append(task)
 
     async def leave(self) -> None:
         """Tell several peers that this daemon has left, and stop."""
@@ -126,6 +132,15 @@
             self._messenger.send(peer, farewell, [self._members.own])
         self._socket.close()
 
+    def _part_ended(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self._metrics.count("membership_part_failures")
+        reason = repr(task.exception())
+        get_logger().error(
+            "membership part failed", part=task.get_name(), reason=reason
+        )
+
     async def _spread_forever(self) -> None:
         forget_at_s = time.monotonic() + FORGET_INTERVAL_S
         while True:
@@ -141,7 +156,9 @@
             self._count_own()
             if time.monotonic() > forget_at_s:
                 forget_at_s = time.monotonic() + FORGET_INTERVAL_S
-                self._members.forget_gone()
+                self._claims.forget_old()
+                for address in self._members.forget_gone():
+                    await self._channels.forget(address)
 
     def _count_own(self) -> None:
         """Count what others said of this daemon."""
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -12,15 +12,17 @@
 from laburnumscale.endpointindex import EndpointIndex, EndpointView
 from laburnumscale.errors import DaemonNameTaken
 from laburnumscale.logs import get_logger
+from laburnumscale.news import news_of, renumber, shown
 from laburnumscale.views import (
     DEAD,
-    GONE,
     LEFT,
     digest,
     identity,
+    is_known,
     is_listed,
     join,
     liveness,
+    renew,
 )
 from laburnumscale_schema import peer_pb2
 
@@ -78,7 +80,7 @@
 
     def all(self) -> list[peer_pb2.Member]:
         """Return the entries of all daemons, this one included, to show them."""
-        return [_shown(member) for member in self._table.values()]
+        return [shown(member) for member in self._table.values()]
 
     def peers(self) -> list[peer_pb2.Member]:
         """Return the other daemons that are not known to be gone."""
@@ -117,12 +119,14 @@
             self._merge_own(heard)
             return None
         known = self._table.get(heard.daemon)
-        joined = join(heard if known is None else known, heard)
+        if known is not None and is_known(known, heard):
+            return None
+        joined = join(heard, heard) if known is None else renew(known, heard)
         if joined == known:
             return None
         self._put(known, joined)
         if known is not None or is_listed(joined):
-            self._notify(_news(known, heard, joined))
+            self._notify(news_of(known, heard, joined))
         return Merge(known, joined)
 
     def judge(self, daemon: str, state: int) -> None:
@@ -135,22 +139,7 @@
 
     def set_endpoints(self, endpoints: list[peer_pb2.Endpoint]) -> None:
         """Replace the endpoints of this daemon; only what differs is passed on."""
-        own = self.own
-        news = liveness(own)
-        before = {(each.service, each.endpoint): each for each in own.endpoints}
-        for endpoint in endpoints:
-            old = before.pop((endpoint.service, endpoint.endpoint), None)
-            endpoint.version = old.version if old is not None else 0
-            if endpoint != old:
-                own.endpoints_version += 1
-                endpoint.version = own.endpoints_version
-                news.endpoints.append(endpoint)
-        for old in before.values():
-            own.endpoints_version += 1
-            removed = peer_pb2.Endpoint(service=old.service, endpoint=old.endpoint)
-            removed.version = own.endpoints_version
-            removed.state = GONE
-            news.endpoints.append(removed)
+        news = renumber(self.own, endpoints)
         if news.endpoints:
             self._replace_own(endpoints)
             self._notify(news)
@@ -165,8 +154,10 @@
 
     def set_key_homes(self, homes: list[peer_pb2.KeyHolder]) -> None:
         """Say whose operation keys this daemon has taken over."""
+        before = self._copy_own()
         del self.own.key_homes[:]
         self.own.key_homes.extend(homes)
+        self._note_key_homes(before, self.own)
         self._change_own()
 
     def key_holder(self, daemon: str, incarnation: int) -> peer_pb2.Member | None:
@@ -183,15 +174,22 @@
         views = self.endpoints(service)
         return next((view for view in views if view.endpoint == endpoint), None)
 
-    def forget_gone(self) -> None:
-        """Drop members that have been gone for long, or are too many."""
+    def forget_gone(self) -> list[str]:
+        """Drop members that have been gone for long, or are too many.
+
+        :returns: peer addresses at which nobody is left.
+        """
+        forgotten = set()
         for daemon, deadline in list(self._gone_deadlines.items()):
             too_many = len(self._gone_deadlines) > HIGHEST_GONE_MEMBERS
             if not (deadline.is_over() or too_many):
                 break
             del self._gone_deadlines[daemon]
-            del self._table[daemon]
             del self._digests[daemon]
+            forgotten.add(self._table.pop(daemon).peer_address)
+        if not forgotten:
+            return []
+        return sorted(forgotten - {each.peer_address for each in self._table.values()})
 
     def _merge_own(self, heard: peer_pb2.Member) -> None:
         if identity(heard) > identity(self.own):
@@ -244,39 +242,20 @@
         change = self._digests[daemon] - old_digest
         self._table_digest = (self._table_digest + change) % DIGEST_MODULUS
         self._peers = None
-        self._note_key_homes(after)
+        self._note_key_homes(before, after)
         self._index.update(before, after)
         self._gone_deadlines.pop(daemon, None)
         if not is_listed(after):
             self._gone_deadlines[daemon] = Deadline.after_ms(GONE_KEPT_MS)
 
-    def _note_key_homes(self, member: peer_pb2.Member) -> None:
-        for home in member.key_homes:
-            if is_listed(member):
-                self._key_holders[home.daemon, home.incarnation] = member.daemon
-            else:
-                self._key_holders.pop((home.daemon, home.incarnation), None)
+    def _note_key_homes(
+        self, before: peer_pb2.Member | None, after: peer_pb2.Member
+    ) -> None:
+        for home in before.key_homes if before is not None else ():
+            self._key_holders.pop((home.daemon, home.incarnation), None)
+        for home in after.key_homes if is_listed(after) else ():
+            self._key_holders[home.daemon, home.incarnation] = after.daemon
 
     def _notify(self, news: peer_pb2.Member) -> None:
         for listener in self._listeners:
             listener(news)
-
-
-def _shown(member: peer_pb2.Member) -> peer_pb2.Member:
-    """Return an entry without the marks of removed endpoints."""
-    if all(endpoint.state != GONE for endpoint in member.endpoints):
-        return member
-    shown = liveness(member)
-    shown.endpoints.extend(each for each in member.endpoints if each.state != GONE)
-    return shown
-
-
-def _news(
-    known: peer_pb2.Member | None, heard: peer_pb2.Member, joined: peer_pb2.Member
-) -> peer_pb2.Member:
-    """Return the part of a joined entry that was not known before."""
-    if known is None or identity(known) != identity(joined):
-        return joined
-    news = liveness(joined)
-    news.endpoints.extend(each for each in heard.endpoints if each in joined.endpoints)
-    return news
