Number attempts, settle lost ones, and drain daemons in order

Cause: a late or doubled attempt could run, a lost reply left the entry guessing, aiohttp resent idempotent requests by itself, a not-run verdict could hide an earlier attempt that ran, and SIGTERM closed listeners before any peer had heard of it.

Change: attempts carry a sequence and a low-water mark; the guard refuses what is late, doubled or aimed at another incarnation, and settles lost ones, also through a relay. A request is written once, after a last check of its fence and deadline. gRPC's own retries are off, and an entry says not run by itself only if nothing was sent. A retry budget bounds the attempts. A drain tells peers, waits, refuses, waits for the calls.

Ruled out for now: hedging, see docs/design/outcomes.md.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -6,29 +6,51 @@
 from collections.abc import AsyncIterator
 
 import attrs
-import grpc
 from sanic import HTTPResponse, Request
 
-from laburnumscale.channels import PeerChannels
+from laburnumscale.attempting import Attempter, AttemptRequest
 from laburnumscale.deadlines import Deadline
-from laburnumscale.guard import Guard
 from laburnumscale.headers import end_to_end
-from laburnumscale.members import EndpointView, Members
+from laburnumscale.inflight import InFlight
+from laburnumscale.members import EndpointView
+from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown
+from laburnumscale.passing import pass_on, whole_response
 from laburnumscale.problems import problem
-from laburnumscale.replies import failure, not_run, unknown
+from laburnumscale.replies import RETRY_AFTER_MS, failure
+from laburnumscale.retrybudget import RetryBudget
 from laburnumscale.routing import Router
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["Call", "CallRunner"]
 
-NO_TARGET_RETRY_AFTER_MS = 1000
+REPLY_SHARE = 0.6
+FREE_ATTEMPTS = 8
+#: Refusals that cost the target nothing, so that a retry needs no budget.
+FREE_REASONS = frozenset(
+    {
+        peer_pb2.NOT_RUN_REASON_TARGET_GONE,
+        peer_pb2.NOT_RUN_REASON_DRAINING,
+        peer_pb2.NOT_RUN_REASON_EJECTED,
+        peer_pb2.NOT_RUN_REASON_NOT_CONNECTED,
+        peer_pb2.NOT_RUN_REASON_FENCED,
+        peer_pb2.NOT_RUN_REASON_STALE_SETTINGS,
+        peer_pb2.NOT_RUN_REASON_STARTING,
+    }
+)
 
 
 @attrs.define(eq=False)
 class Call:
-    """One call of a caller and its attempts so far."""
+    """One call of a caller and its attempts so far.
+
+    :ivar tried: names of the endpoints that were tried.
+    :ivar paid_attempts: attempts that count towards the limit.
+    :ivar free_attempts: attempts refused for one of ``FREE_REASONS``.
+    :ivar lost: the last attempt that may have run.
+    :ivar answer_started: the caller has got the first part of an answer.
+    """
 
     request: Request
     request_id: str
@@ -39,166 +61,136 @@
     deadline: Deadline
     body: bytes | AsyncIterator[bytes]
     tried: set[str] = attrs.field(factory=set)
-
-    def attempt_deadline(self) -> Deadline:
-        """Return the end of the next attempt, which leaves time for the others."""
-        attempts_left = self.settings.attempt_limit - len(self.tried) + 1
-        if not (self.idempotent and self.replayable):
-            attempts_left = 1
-        return Deadline.after_ms(self.deadline.left_ms() / max(1, attempts_left))
+    paid_attempts: int = 0
+    free_attempts: int = 0
+    lost: Unknown | None = None
+    answer_started: bool = False
 
     @property
     def replayable(self) -> bool:
         """Tell whether the body can be sent again."""
         return isinstance(self.body, bytes)
 
+    @property
+    def runs_once(self) -> bool:
+        """Tell whether the call may run no more than once."""
+        return not (self.idempotent and self.replayable)
+
+    def reply_deadline(self) -> Deadline:
+        """Return the end of the wait for the first reply to the next attempt.
+
+        It leaves time to settle the attempt, or for the attempts that are left.
+        """
+        if self.runs_once:
+            return Deadline.after_ms(self.deadline.left_ms() * REPLY_SHARE)
+        attempts_left = self.settings.attempt_limit - self.paid_attempts
+        return Deadline.after_ms(self.deadline.left_ms() / max(1, attempts_left))
+
+    def note(self, outcome: Outcome) -> None:
+        """Note how an attempt ended."""
+        if isinstance(outcome, Unknown):
+            self.lost = outcome
+        if is_free(outcome):
+            self.free_attempts += 1
+        else:
+            self.paid_attempts += 1
+
+    def may_retry(self, outcome: Outcome) -> bool:
+        """Tell whether another attempt is safe and within the limits."""
+        if self.answer_started or not self.replayable or self.deadline.is_over():
+            return False
+        if isinstance(outcome, Unknown) and not self.idempotent:
+            return False
+        if self.free_attempts >= FREE_ATTEMPTS:
+            return False
+        return self.paid_attempts < self.settings.attempt_limit
+
+
+def is_free(outcome: Outcome) -> bool:
+    """Tell whether an attempt cost its target nothing."""
+    return isinstance(outcome, NotRun) and outcome.reason in FREE_REASONS
+
 
 class CallRunner:
-    """Makes the attempts of calls."""
-
-    def __init__(
-        self, members: Members, guard: Guard, channels: PeerChannels, router: Router
-    ) -> None:
-        self._members = members
-        self._guard = guard
-        self._channels = channels
+    """Makes the attempts of calls.
+
+    :ivar in_flight: the calls that are not over.
+    """
+
+    def __init__(self, attempter: Attempter, router: Router, metrics: Metrics) -> None:
+        self.in_flight = InFlight()
+        self._attempter = attempter
         self._router = router
+        self._metrics = metrics
+        self._budget = RetryBudget()
 
     async def run(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         """Try targets until the call has its outcome.
 
         :returns: the outcome, and the response unless it was already streamed.
         """
-        outcome: Outcome = NotRun(
-            peer_pb2.NOT_RUN_REASON_NO_TARGET, NO_TARGET_RETRY_AFTER_MS
-        )
-        for _ in range(call.settings.attempt_limit):
-            view = self._router.pick(call.service, call.tried)
-            if view is None or call.deadline.is_over():
-                break
+        with self.in_flight.one():
+            percent = call.settings.retry_budget_percent
+            self._budget.add_call(call.service, percent)
+            outcome, response = await self._try_targets(call)
+        if isinstance(outcome, Answered) or call.answer_started:
+            return outcome, response
+        # An attempt that may have run outweighs the refusals of the others.
+        outcome = call.lost or outcome
+        return outcome, problem(outcome, call.request_id)
+
+    async def _try_targets(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
+        outcome: Outcome = NotRun(peer_pb2.NOT_RUN_REASON_NO_TARGET, RETRY_AFTER_MS)
+        while (view := self._router.pick(call.service, call.tried)) is not None:
             call.tried.add(view.endpoint)
             outcome, response = await self._attempt(call, view)
             if isinstance(outcome, Answered):
                 return outcome, response
-            if not call.replayable:
-                break
-            if isinstance(outcome, Unknown) and not call.idempotent:
+            call.note(outcome)
+            if not call.may_retry(outcome) or not self._pay(call, outcome):
                 break
-        return outcome, problem(outcome, call.request_id)
+        return outcome, None
+
+    def _pay(self, call: Call, outcome: Outcome) -> bool:
+        """Tell whether the budget allows a retry after an outcome."""
+        if is_free(outcome):
+            return True
+        allowed = self._budget.take_retry(call.service)
+        name = "retries" if allowed else "retries_over_budget"
+        self._metrics.count(name, f'service="{call.service}"')
+        return allowed
 
     async def _attempt(
         self, call: Call, view: EndpointView
     ) -> tuple[Outcome, HTTPResponse | None]:
         self._router.started(view)
-        replies = self._replies(call, view)
         try:
-            first = await anext(replies)
-            outcome = failure(first)
-            if outcome is not None:
-                return outcome, None
-            if first.end:
-                return Answered(first.head.status), _whole(call, first)
-            return await self._pass_on(call, first, replies)
+            request = self._attempt_request(call, view)
+            async with self._attempter.open(view, request) as (first, rest):
+                outcome = failure(first)
+                if outcome is not None:
+                    return outcome, None
+                if first.end:
+                    response = whole_response(first, call.request_id)
+                    return Answered(first.head.status), response
+                call.answer_started = True
+                return await pass_on(call.request, call.request_id, first, rest), None
         finally:
             self._router.ended(view)
-            await replies.aclose()
-
-    async def _pass_on(
-        self,
-        call: Call,
-        first: peer_pb2.CallReply,
-        replies: AsyncIterator[peer_pb2.CallReply],
-    ) -> tuple[Outcome, None]:
-        headers = end_to_end((h.name, h.value) for h in first.head.headers)
-        response = await call.request.respond(
-            status=first.head.status,
-            headers=_header_dict(headers, call.request_id),
-            content_type=None,
-        )
-        async for reply in replies:
-            failed = failure(reply)
-            if failed is not None:
-                call.request.transport.abort()
-                return failed, None
-            if reply.body:
-                await response.send(reply.body)
-            if reply.end:
-                await response.eof()
-                return Answered(first.head.status), None
-        call.request.transport.abort()
-        return Unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT), None
-
-    async def _replies(
-        self, call: Call, view: EndpointView
-    ) -> AsyncIterator[peer_pb2.CallReply]:
-        deadline = call.attempt_deadline()
-        head = self._head(call, view, deadline)
-        if view.daemon == self._members.own.daemon:
-            async for reply in self._guard.call(head, call.body):
-                yield reply
-            return
-        stub = self._channels.guard(view.peer_address)
-        timeout_s = deadline.left_s()
-        if call.replayable:
-            request = peer_pb2.CallRequest(head=head, body=call.body, end=True)
-            stream = stub.Call(request, timeout=timeout_s)
-        else:
-            stream = stub.Upload(_requests(head, call.body), timeout=timeout_s)
-        try:
-            async for reply in stream:
-                yield reply
-        except grpc.aio.AioRpcError as error:
-            yield _rpc_failure(error)
-        finally:
-            stream.cancel()
-
-    def _head(
-        self, call: Call, view: EndpointView, deadline: Deadline
-    ) -> peer_pb2.CallHead:
-        return peer_pb2.CallHead(
-            attempt=peer_pb2.AttemptId(
-                entry=self._members.own.daemon,
-                entry_incarnation=self._members.own.incarnation,
-                guard_incarnation=view.incarnation,
+
+    def _attempt_request(self, call: Call, view: EndpointView) -> AttemptRequest:
+        return AttemptRequest(
+            head=peer_pb2.CallHead(
+                request_id=call.request_id,
+                service=call.service,
+                endpoint=view.endpoint,
+                method=call.request.method,
+                path_and_query=call.path_and_query,
+                headers=end_to_end(call.request.headers.items()),
+                idempotent=call.idempotent,
             ),
-            request_id=call.request_id,
-            service=call.service,
-            endpoint=view.endpoint,
-            method=call.request.method,
-            path_and_query=call.path_and_query,
-            headers=end_to_end(call.request.headers.items()),
-            time_left_ms=deadline.left_ms(),
-            idempotent=call.idempotent,
+            body=call.body,
+            reply_deadline=call.reply_deadline(),
+            deadline=call.deadline,
+            settled=call.runs_once,
         )
-
-
-async def _requests(
-    head: peer_pb2.CallHead, body: AsyncIterator[bytes]
-) -> AsyncIterator[peer_pb2.CallRequest]:
-    yield peer_pb2.CallRequest(head=head)
-    async for chunk in body:
-        yield peer_pb2.CallRequest(body=chunk)
-    yield peer_pb2.CallRequest(end=True)
-
-
-def _rpc_failure(error: grpc.aio.AioRpcError) -> peer_pb2.CallReply:
-    if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
-        return unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
-    if "failed to connect" in (error.details() or "").lower():
-        return not_run(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED)
-    return unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
-
-
-def _header_dict(headers: list[peer_pb2.Header], request_id: str) -> list:
-    pairs = [(header.name, header.value) for header in headers]
-    return [*pairs, ("x-request-id", request_id)]
-
-
-def _whole(call: Call, reply: peer_pb2.CallReply) -> HTTPResponse:
-    headers = end_to_end((h.name, h.value) for h in reply.head.headers)
-    return HTTPResponse(
-        reply.body,
-        status=reply.head.status,
-        headers=_header_dict(headers, call.request_id),
-        content_type=None,
-    )
--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -3,16 +3,21 @@
 The gRPC channels to other daemons.
 """
 
+import asyncio
 from collections.abc import Mapping
 
 import grpc
 
+from laburnumscale.deadlines import Deadline
 from laburnumscale_schema import peer_pb2_grpc
 
 __all__ = ["PeerChannels"]
 
+READY = grpc.ChannelConnectivity.READY
+FAILED = (grpc.ChannelConnectivity.TRANSIENT_FAILURE, grpc.ChannelConnectivity.SHUTDOWN)
 CHANNEL_OPTIONS = (
     ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),  # a call goes out once; only the entry retries
     ("grpc.initial_reconnect_backoff_ms", 50),
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
@@ -38,6 +43,22 @@
         """Return the stub for membership and settings."""
         return peer_pb2_grpc.PeerStub(self._channel(address))
 
+    async def connect(self, address: str, deadline: Deadline) -> bool:
+        """Wait for the connection to a peer.
+
+        :returns: False if it failed or took too long; then nothing was sent.
+        """
+        channel = self._channel(address)
+        try:
+            async with asyncio.timeout(deadline.left_s()):
+                while (state := channel.get_state(try_to_connect=True)) != READY:
+                    if state in FAILED:
+                        return False
+                    await channel.wait_for_state_change(state)
+        except TimeoutError:
+            return False
+        return True
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -10,9 +10,12 @@
 import aiohttp
 
 from laburnumscale.announcements import announcement_app
+from laburnumscale.attempting import Attempter
+from laburnumscale.attempts import AttemptTable
 from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
+from laburnumscale.draining import Drain, close_server
 from laburnumscale.entry import Entry
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
@@ -24,7 +27,9 @@
 from laburnumscale.peers import serve_peers
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.routing import Router
+from laburnumscale.sending import SendOnceRequest
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settling import Settler
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
 from laburnumscale_schema import peer_pb2
@@ -32,6 +37,7 @@
 __all__ = ["Daemon"]
 
 EXIT_AT_ONCE = 130
+PEER_GRACE_S = 0.5
 
 
 class Daemon:
@@ -50,6 +56,7 @@
             connector=connector,
             timeout=timeout,
             auto_decompress=False,
+            request_class=SendOnceRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
         ) as session:
             await self._run_parts(session)
@@ -69,12 +76,17 @@
             TargetHealth(metrics),
             session,
             metrics,
+            AttemptTable(members.own.incarnation),
         )
         channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(members, feed, channels, log, metrics)
-        runner = CallRunner(members, guard, channels, Router(members))
+        settler = Settler(members, guard.attempts, channels, metrics)
+        attempter = Attempter(members, guard, channels, settler)
+        runner = CallRunner(attempter, Router(members), metrics)
         entry = Entry(members, feed, runner, metrics)
-        peer_server = await serve_peers(settings.peer_address, guard, members, feed)
+        peer_server = await serve_peers(
+            settings.peer_address, guard, settler, members, feed
+        )
         servers = [
             await serve_app(
                 entry.app(settings.body_limit_bytes), settings.caller_address
@@ -94,19 +106,20 @@
                 targets.watch_leases(),
                 gossip.follow_presence(),
                 gossip.exchange_forever(),
+                guard.forget_gone_entries(members),
             )
         ]
         get_logger().info("daemon started", incarnation=members.own.incarnation)
         await self._stopping.wait()
         get_logger().info("daemon draining")
-        members.set_draining()
+        drain = Drain(members, guard, runner, gossip.exchange, servers[0])
+        await drain.run(settings.drain_ms)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in servers:
-            server.close()
-            await server.wait_closed()
-        await peer_server.stop(settings.drain_ms / 1000)
+        for server in servers[1:]:
+            await close_server(server)
+        await peer_server.stop(PEER_GRACE_S)
         await channels.close()
         get_logger().info("daemon stopped")
 
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -0,0 +1,85 @@
+"""Draining.
+
+Ends a daemon without cutting a call off: the peers hear of it first, then no new work
+is taken, and the calls in flight end.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+from sanic.server.async_server import AsyncioServer
+
+from laburnumscale.calls import CallRunner
+from laburnumscale.deadlines import Deadline
+from laburnumscale.guard import Guard
+from laburnumscale.logs import get_logger
+from laburnumscale.members import Members
+
+__all__ = ["Drain", "close_server"]
+
+PEERS_TOLD = 16
+HIGHEST_NOTICE_MS = 2_000
+NOTICE_SHARE = 0.25
+FLUSH_POLL_S = 0.02
+FLUSH_LIMIT_MS = 2_000
+
+
+@attrs.frozen(eq=False)
+class Drain:
+    """What takes part in the end of a daemon.
+
+    :ivar tell: exchanges membership tables with the peer at an address.
+    :ivar callers: the server for callers.
+    """
+
+    members: Members
+    guard: Guard
+    runner: CallRunner
+    tell: Callable[[str], Awaitable[None]]
+    callers: AsyncioServer
+
+    async def run(self, drain_ms: int) -> None:
+        """Stop to take work and wait for the calls in flight.
+
+        :param drain_ms: how long this may take.
+        """
+        deadline = Deadline.after_ms(drain_ms)
+        self.members.set_draining()
+        await self._tell_peers()
+        # Peers that hear of it later still find the guard at work.
+        notice_ms = min(HIGHEST_NOTICE_MS, drain_ms * NOTICE_SHARE)
+        await asyncio.sleep(Deadline.after_ms(notice_ms).left_s())
+        self.callers.server.close()
+        self.guard.draining = True
+        calls_over = await self.runner.in_flight.wait_empty(deadline)
+        attempts_over = await self.guard.in_flight.wait_empty(deadline)
+        if not (calls_over and attempts_over):
+            get_logger().warning(
+                "calls cut off",
+                calls=self.runner.in_flight.count,
+                attempts=self.guard.in_flight.count,
+            )
+        await close_server(self.callers)
+        self.members.set_left()
+        await self._tell_peers()
+
+    async def _tell_peers(self) -> None:
+        peers = self.members.peers()
+        told = random.sample(peers, min(PEERS_TOLD, len(peers)))
+        await asyncio.gather(
+            *(self.tell(peer.peer_address) for peer in told), return_exceptions=True
+        )
+
+
+async def close_server(server: AsyncioServer) -> None:
+    """Close a server once its answers are written; idle connections end at once."""
+    server.close()
+    deadline = Deadline.after_ms(FLUSH_LIMIT_MS)
+    while server.connections and not deadline.is_over():
+        for connection in list(server.connections):
+            connection.close_if_idle()
+        await asyncio.sleep(FLUSH_POLL_S)
+    for connection in list(server.connections):
+        connection.abort()
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -55,6 +55,8 @@
     async def handle(self, request: Request) -> HTTPResponse | None:
         """Answer one call."""
         started_at_s = time.monotonic()
+        if self._members.own.draining:
+            request.stream.keep_alive = False
         request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
         prepared = await self._prepare(request, request_id)
         if isinstance(prepared, NotRun):
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -9,6 +9,8 @@
 __all__ = [
     "AddressInvalid",
     "AddressNotLoopback",
+    "AnswerUnframed",
+    "AttemptSentTwice",
     "FileSyntaxInvalid",
     "FileUnreadable",
     "LaburnumscaleError",
@@ -22,6 +24,7 @@
     "RecordInvalid",
     "RequestInvalid",
     "SettingsUnavailable",
+    "UploadCutShort",
 ]
 
 
@@ -167,3 +170,27 @@
 
     daemon: str
     template: ClassVar[str] = 'daemon "{daemon}" has no settings yet'
+
+
+@dataclass(eq=False)
+class AttemptSentTwice(LaburnumscaleError):
+    """A request that went to a target is about to be sent to it again."""
+
+    state: str
+    template: ClassVar[str] = "the attempt is {state}, so it is not sent again"
+
+
+@dataclass(eq=False)
+class UploadCutShort(LaburnumscaleError):
+    """A request body ended before its last message."""
+
+    request_id: str
+    template: ClassVar[str] = 'request "{request_id}": the body was cut short'
+
+
+@dataclass(eq=False)
+class AnswerUnframed(LaburnumscaleError):
+    """The end of an answer cannot be told from a lost connection."""
+
+    url: str
+    template: ClassVar[str] = "{url}: the answer has neither a length nor chunks"
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -6,15 +6,21 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, aclosing
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from laburnumscale.attempts import Attempt, AttemptState, AttemptTable
 from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import AnswerUnframed, AttemptSentTwice, UploadCutShort
 from laburnumscale.health import TargetHealth
+from laburnumscale.inflight import InFlight
+from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.replies import AttemptRefused, not_run, unknown
+from laburnumscale.replies import AttemptRefused, unknown
+from laburnumscale.sending import Sending, check_framed, send_once
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.slots import hold_slot
 from laburnumscale.targets import LocalTarget, LocalTargets
@@ -25,13 +31,18 @@
 
 SMALL_BODY_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
-SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+FORGET_INTERVAL_S = 10
 SERVER_ERROR = 500
 DEADLINE_HEADER = "X-Request-Timeout-Ms"
 
 
 class Guard:
-    """Runs attempts at the targets beside this daemon."""
+    """Runs attempts at the targets beside this daemon.
+
+    :ivar attempts: what entries sent here, for settling.
+    :ivar in_flight: the attempts that are not over.
+    :ivar draining: every new attempt is refused.
+    """
 
     def __init__(
         self,
@@ -42,8 +53,12 @@
         health: TargetHealth,
         session: aiohttp.ClientSession,
         metrics: Metrics,
+        attempts: AttemptTable,
     ) -> None:
         self.daemon = daemon
+        self.attempts = attempts
+        self.in_flight = InFlight()
+        self.draining = False
         self._data_centre = data_centre
         self._targets = targets
         self._feed = feed
@@ -59,20 +74,73 @@
         :param head: what to run, and the time that is left for it.
         :param body: the request body, whole or as a stream.
         """
-        deadline = Deadline.after_ms(head.time_left_ms)
-        target = self._targets.get(head.service, head.endpoint)
-        if target is None:
-            yield not_run(peer_pb2.NOT_RUN_REASON_TARGET_GONE)
+        try:
+            attempt = self.attempts.admit(head)
+        except AttemptRefused as late:
+            self._metrics.count("attempts_fenced")
+            yield late.reply
             return
+        last = None
+        with self.in_flight.one():
+            try:
+                async with aclosing(self._admitted(attempt, head, body)) as replies:
+                    async for reply in replies:
+                        last = reply
+                        self._keep_early(attempt, head, reply)
+                        yield reply
+            finally:
+                self.attempts.end(attempt, _kept_reply(head, last))
+
+    async def forget_gone_entries(self, members: Members) -> None:
+        """Shrink what is kept for entries that are gone, until cancelled."""
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_S)
+            present = {member.daemon for member in members.peers()}
+            self.attempts.forget_gone(present | {self.daemon})
+
+    async def _admitted(
+        self,
+        attempt: Attempt,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
+    ) -> AsyncIterator[peer_pb2.CallReply]:
+        deadline = Deadline.after_ms(head.time_left_ms)
+        send_deadline = Deadline.after_ms(head.send_left_ms)
         settings = self._feed.tree.effective(
             head.service, self._data_centre, head.endpoint
         )
         try:
-            async with hold_slot(target, settings, deadline):
-                async for reply in self._run(target, settings, head, body, deadline):
-                    yield reply
-        except AttemptRefused as refused:
-            yield refused.reply
+            target = self._available(head)
+            async with hold_slot(target, settings, send_deadline):
+                self._available(head)
+                sending = Sending(attempt, send_deadline, deadline)
+                running = self._run(target, settings, head, body, sending)
+                async with aclosing(running) as replies:
+                    async for reply in replies:
+                        yield reply
+        except AttemptRefused as refusal:
+            yield refusal.reply
+
+    def _keep_early(
+        self, attempt: Attempt, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
+    ) -> None:
+        """Let the attempt be settled before the entry has taken its last reply."""
+        if reply.end or reply.HasField("not_run") or reply.HasField("unknown"):
+            self.attempts.end(attempt, _kept_reply(head, reply))
+
+    def _available(self, head: peer_pb2.CallHead) -> LocalTarget:
+        """Return the target of an attempt.
+
+        :raises AttemptRefused: it is gone or takes no new work.
+        """
+        if self.draining:
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
+        target = self._targets.get(head.service, head.endpoint)
+        if target is None:
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_TARGET_GONE)
+        if target.state == peer_pb2.TARGET_STATE_DRAINING:
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
+        return target
 
     async def _run(
         self,
@@ -80,54 +148,64 @@
         settings: EffectiveSettings,
         head: peer_pb2.CallHead,
         body: bytes | AsyncIterator[bytes],
-        deadline: Deadline,
+        sending: Sending,
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
-        headers = CIMultiDict((header.name, header.value) for header in head.headers)
-        headers[DEADLINE_HEADER] = str(deadline.left_ms())
         started_at_s = time.monotonic()
         failed = True
         try:
             async with (
-                asyncio.timeout(deadline.left_s()),
-                self._session.request(
-                    head.method,
-                    url,
-                    headers=headers,
-                    data=body or None,
-                    allow_redirects=False,
-                    skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                ) as response,
+                asyncio.timeout(sending.deadline.left_s()),
+                self._request(target, head, body, sending) as response,
             ):
                 if response.status in settings.shed:
                     raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
-                async for reply in self._replies(target, response):
-                    yield reply
+                async with aclosing(self._replies(target, head, response)) as replies:
+                    async for reply in replies:
+                        yield reply
                 failed = response.status >= SERVER_ERROR
         except aiohttp.ClientConnectorError:
-            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
+            if sending.attempt.state is AttemptState.WAITING:
+                raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
+            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
         except TimeoutError:
             yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
-        except aiohttp.ClientPayloadError:
+        except (aiohttp.ClientPayloadError, UploadCutShort):
             yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
-        except aiohttp.ClientError:
+        except AnswerUnframed:
+            yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED)
+        except (aiohttp.ClientError, AttemptSentTwice):
             yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
         finally:
             latency_us = int((time.monotonic() - started_at_s) * 1_000_000)
             self._health.observe(target, failed, latency_us)
 
+    def _request(
+        self,
+        target: LocalTarget,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
+        sending: Sending,
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
+        headers = CIMultiDict((header.name, header.value) for header in head.headers)
+        headers[DEADLINE_HEADER] = str(sending.deadline.left_ms())
+        return send_once(
+            self._session,
+            sending,
+            head.method,
+            url,
+            headers=headers,
+            data=body or None,
+        )
+
     async def _replies(
-        self, target: LocalTarget, response: aiohttp.ClientResponse
+        self,
+        target: LocalTarget,
+        head: peer_pb2.CallHead,
+        response: aiohttp.ClientResponse,
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        reply_head = peer_pb2.ReplyHead(
-            status=response.status,
-            headers=[
-                peer_pb2.Header(
-                    name=name.decode("latin-1"), value=value.decode("latin-1")
-                )
-                for name, value in response.raw_headers
-            ],
-        )
+        check_framed(head.method, response)
+        reply_head = _reply_head(response)
         length = response.content_length
         if length is not None and length <= SMALL_BODY_BYTES:
             whole = await response.read()
@@ -135,7 +213,28 @@
                 head=reply_head, body=whole, end=True, load=target.load()
             )
             return
-        yield peer_pb2.CallReply(head=reply_head)
+        # The head goes with the first bytes: until then, a failure can be retried.
         async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-            yield peer_pb2.CallReply(body=chunk)
-        yield peer_pb2.CallReply(end=True, load=target.load())
+            yield peer_pb2.CallReply(head=reply_head, body=chunk)
+            reply_head = None
+        yield peer_pb2.CallReply(head=reply_head, end=True, load=target.load())
+
+
+def _reply_head(response: aiohttp.ClientResponse) -> peer_pb2.ReplyHead:
+    return peer_pb2.ReplyHead(
+        status=response.status,
+        headers=[
+            peer_pb2.Header(name=name.decode("latin-1"), value=value.decode("latin-1"))
+            for name, value in response.raw_headers
+        ],
+    )
+
+
+def _kept_reply(
+    head: peer_pb2.CallHead, reply: peer_pb2.CallReply | None
+) -> peer_pb2.CallReply | None:
+    """Return what settles an attempt: its refusal, or a whole answer."""
+    if reply is None or reply.HasField("not_run"):
+        return reply
+    whole = reply.end and reply.HasField("head")
+    return reply if whole and not head.idempotent else None
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -14,6 +14,7 @@
 ALIVE = peer_pb2.MEMBER_STATE_ALIVE
 SUSPECT = peer_pb2.MEMBER_STATE_SUSPECT
 LEFT = peer_pb2.MEMBER_STATE_LEFT
+DRAINING = peer_pb2.TARGET_STATE_DRAINING
 
 
 def new_incarnation() -> int:
@@ -113,7 +114,7 @@
                     service=endpoint.service,
                     endpoint=endpoint.endpoint,
                     slots=endpoint.slots,
-                    state=endpoint.state,
+                    state=DRAINING if member.draining else endpoint.state,
                     ejected=endpoint.ejected,
                     daemon=member.daemon,
                     incarnation=member.incarnation,
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -8,9 +8,11 @@
 import grpc
 
 from laburnumscale.addresses import Address
+from laburnumscale.errors import UploadCutShort
 from laburnumscale.guard import Guard
 from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settling import Settler
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
 
 __all__ = ["serve_peers"]
@@ -22,8 +24,9 @@
 
 
 class _GuardServicer(peer_pb2_grpc.GuardServicer):
-    def __init__(self, guard: Guard) -> None:
+    def __init__(self, guard: Guard, settler: Settler) -> None:
         self._guard = guard
+        self._settler = settler
 
     async def Call(  # noqa: N802
         self, request: peer_pb2.CallRequest, context: grpc.aio.ServicerContext
@@ -37,21 +40,27 @@
         context: grpc.aio.ServicerContext,
     ) -> AsyncIterator[peer_pb2.CallReply]:
         first = await anext(requests)
-        body = _upload_body(first.body, requests)
+        body = _upload_body(first, requests)
         async for reply in self._guard.call(first.head, body):
             yield reply
 
+    async def Settle(  # noqa: N802
+        self, request: peer_pb2.SettleRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.SettleReply:
+        return await self._settler.answer(request)
+
 
 async def _upload_body(
-    first: bytes, requests: AsyncIterator[peer_pb2.CallRequest]
+    first: peer_pb2.CallRequest, requests: AsyncIterator[peer_pb2.CallRequest]
 ) -> AsyncIterator[bytes]:
-    if first:
-        yield first
+    if first.body:
+        yield first.body
     async for request in requests:
         if request.body:
             yield request.body
         if request.end:
-            break
+            return
+    raise UploadCutShort(first.head.request_id)
 
 
 class _PeerServicer(peer_pb2_grpc.PeerServicer):
@@ -80,11 +89,15 @@
 
 
 async def serve_peers(
-    address: Address, guard: Guard, members: Members, feed: SettingsFeed
+    address: Address,
+    guard: Guard,
+    settler: Settler,
+    members: Members,
+    feed: SettingsFeed,
 ) -> grpc.aio.Server:
     """Start the gRPC server for the other daemons."""
     server = grpc.aio.server(options=SERVER_OPTIONS)
-    peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
+    peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard, settler), server)
     peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
     server.add_insecure_port(str(address))
     await server.start()
--- a/packages/laburnumscale/src/laburnumscale/replies.py
+++ b/packages/laburnumscale/src/laburnumscale/replies.py
@@ -6,7 +6,9 @@
 from laburnumscale.outcomes import NotRun, Unknown
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["AttemptRefused", "failure", "not_run", "unknown"]
+__all__ = ["AttemptRefused", "failure", "not_run", "refused", "unknown"]
+
+RETRY_AFTER_MS = 1000
 
 
 class AttemptRefused(Exception):
@@ -15,9 +17,17 @@
     :ivar reply: the reply for the entry.
     """
 
-    def __init__(self, reason: int, retry_after_ms: int = 0) -> None:
-        super().__init__(peer_pb2.NotRunReason.Name(reason))
-        self.reply = not_run(reason, retry_after_ms)
+    def __init__(
+        self, cause: int | peer_pb2.CallReply, retry_after_ms: int = RETRY_AFTER_MS
+    ) -> None:
+        reply = not_run(cause, retry_after_ms) if isinstance(cause, int) else cause
+        super().__init__(str(reply).strip())
+        self.reply = reply
+
+
+def refused(reason: int) -> peer_pb2.CallReply:
+    """Return the reply for an attempt that may succeed elsewhere or later."""
+    return not_run(reason, RETRY_AFTER_MS)
 
 
 def not_run(reason: int, retry_after_ms: int = 0) -> peer_pb2.CallReply:
