Cause the faults that outcomes must survive, and let guards see a message's age

Cause: a guard that is frozen before it has read a message gave it a fresh deadline after the thaw, because only the time left was in it.

Ruled out: synchronised clocks; asking the entry again before sending, which costs one round trip for each call.

Change: replies carry the guard's monotonic clock, messages its estimate at sending, so the guard knows an upper bound of the age.

--- a/packages/laburnumscale/src/laburnumscale/attempting.py
+++ b/packages/laburnumscale/src/laburnumscale/attempting.py
@@ -13,6 +13,7 @@
 from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
 from laburnumscale.guard import Guard
+from laburnumscale.guardclocks import GuardClocks
 from laburnumscale.logs import get_logger
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.replies import refused, unknown
@@ -104,6 +105,7 @@
         self._guard = guard
         self._channels = channels
         self._settler = settler
+        self._clocks = GuardClocks()
         own = members.own
         self._sequences = AttemptSequences(own.daemon, own.incarnation)
 
@@ -135,6 +137,7 @@
         head.low_water_sequence = self._sequences.low_water(view.daemon)
         head.time_left_ms = max(0, request.deadline.left_ms() - HOP_MARGIN_MS)
         head.send_left_ms = max(0, request.reply_deadline.left_ms() - HOP_MARGIN_MS)
+        head.guard_time_us = self._clocks.time_us(view)
         return head
 
     async def _settle(
@@ -184,6 +187,7 @@
             stream = stub.Upload(_requests(head, request.body), timeout=timeout_s)
         try:
             async for reply in stream:
+                self._clocks.heard(view, reply.guard_time_us)
                 yield reply
         finally:
             stream.cancel()
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -15,6 +15,7 @@
 from laburnumscale.attempts import Attempt, AttemptState, AttemptTable
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import AnswerUnframed, AttemptSentTwice, UploadCutShort
+from laburnumscale.guardclocks import monotonic_us
 from laburnumscale.health import TargetHealth
 from laburnumscale.inflight import InFlight
 from laburnumscale.members import Members
@@ -78,7 +79,7 @@
             attempt = self.attempts.admit(head)
         except AttemptRefused as late:
             self._metrics.count("attempts_fenced")
-            yield late.reply
+            yield _stamped(late.reply)
             return
         last = None
         with self.in_flight.one():
@@ -87,7 +88,7 @@
                     async for reply in replies:
                         last = reply
                         self._keep_early(attempt, head, reply)
-                        yield reply
+                        yield _stamped(reply)
             finally:
                 self.attempts.end(attempt, _kept_reply(head, last))
 
@@ -104,12 +105,15 @@
         head: peer_pb2.CallHead,
         body: bytes | AsyncIterator[bytes],
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        deadline = Deadline.after_ms(head.time_left_ms)
-        send_deadline = Deadline.after_ms(head.send_left_ms)
+        age_ms = _age_ms(head)
+        deadline = Deadline.after_ms(head.time_left_ms - age_ms)
+        send_deadline = Deadline.after_ms(head.send_left_ms - age_ms)
         settings = self._feed.tree.effective(
             head.service, self._data_centre, head.endpoint
         )
         try:
+            if send_deadline.is_over():
+                raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DEADLINE)
             target = self._available(head)
             async with hold_slot(target, settings, send_deadline):
                 self._available(head)
@@ -230,6 +234,18 @@
     )
 
 
+def _age_ms(head: peer_pb2.CallHead) -> float:
+    """Return how long a message was on its way at most; 0 if that is unknown."""
+    if not head.guard_time_us:
+        return 0
+    return max(0, monotonic_us() - head.guard_time_us) / 1000
+
+
+def _stamped(reply: peer_pb2.CallReply) -> peer_pb2.CallReply:
+    reply.guard_time_us = monotonic_us()
+    return reply
+
+
 def _kept_reply(
     head: peer_pb2.CallHead, reply: peer_pb2.CallReply | None
 ) -> peer_pb2.CallReply | None:
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/guardclocks.py
@@ -0,0 +1,67 @@
+"""Guard clocks.
+
+Estimates the monotonic clocks of guards, so that a guard can tell the age of a message.
+"""
+
+import time
+
+import attrs
+
+from laburnumscale.members import EndpointView
+
+__all__ = ["GuardClocks", "monotonic_us"]
+
+HIGHEST_DRIFT_PPM = 500
+US_PER_S = 1_000_000
+
+
+def monotonic_us() -> int:
+    """Return the monotonic clock of this process in microseconds."""
+    return time.monotonic_ns() // 1000
+
+
+@attrs.define
+class _Estimate:
+    """How far the clock of this process is ahead of a guard's, at most.
+
+    :ivar ahead_us: own clock at receipt minus the guard's clock at sending.
+    :ivar heard_at_us: own clock when this was heard.
+    """
+
+    incarnation: int
+    ahead_us: int
+    heard_at_us: int
+
+
+class GuardClocks:
+    """The clocks of guards as their replies showed them.
+
+    The estimate of a guard's clock is behind the true one by the delay of the fastest
+    reply. So the age that a guard computes for a message is never too small, and too
+    large only by that delay. No clocks are synchronised; only their rates are trusted.
+    """
+
+    def __init__(self) -> None:
+        self._estimates: dict[str, _Estimate] = {}
+
+    def heard(self, view: EndpointView, guard_time_us: int) -> None:
+        """Take the clock in a reply of the guard of an endpoint into account."""
+        if not guard_time_us:
+            return
+        now_us = monotonic_us()
+        ahead_us = now_us - guard_time_us
+        known = self._estimates.get(view.daemon)
+        if known is not None and known.incarnation == view.incarnation:
+            drift_us = (now_us - known.heard_at_us) * HIGHEST_DRIFT_PPM // US_PER_S
+            if known.ahead_us + drift_us < ahead_us:
+                return
+        self._estimates[view.daemon] = _Estimate(view.incarnation, ahead_us, now_us)
+
+    def time_us(self, view: EndpointView) -> int:
+        """Return the clock of a guard now, never ahead of it; 0 if it is unknown."""
+        known = self._estimates.get(view.daemon)
+        if known is None or known.incarnation != view.incarnation:
+            return 0
+        now_us = monotonic_us()
+        drift_us = (now_us - known.heard_at_us) * HIGHEST_DRIFT_PPM // US_PER_S
+        return max(1, now_us - known.ahead_us - drift_us)
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import hashlib
+import json
 
 import aiohttp
 from aiohttp import web
@@ -18,7 +19,11 @@
 
 
 class TargetStandIn:
-    """One target: ``/ledger`` lists what was run, ``/faults`` sets failures."""
+    """One target: ``/ledger`` lists what was run, ``/faults`` sets failures.
+
+    :ivar cut_after_bytes: reset the next download that has sent so many bytes.
+    :ivar drop_calls: so many calls are run, but the connection is reset unanswered.
+    """
 
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
@@ -28,6 +33,7 @@
         self.error_percent = 0
         self.announcing = True
         self.cut_after_bytes = 0
+        self.drop_calls = 0
         self._calls = 0
 
     def app(self) -> web.Application:
@@ -69,9 +75,17 @@
             "path": request.path_qs,
             "content_id": content_id,
             "started_at_s": asyncio.get_running_loop().time(),
+            "time_left_ms": int(request.headers.get("X-Request-Timeout-Ms", 0)),
         }
-        self.ledger.append(entry)
-        await asyncio.sleep(self.latency_ms / 1000)
+        self.note(entry)
+        if self.drop_calls:
+            self.drop_calls -= 1
+            request.transport.abort()
+        try:
+            await asyncio.sleep(self.latency_ms / 1000)
+        except asyncio.CancelledError:
+            entry["cancelled"] = True
+            raise
         if self._calls * self.error_percent % 100 < self.error_percent:
             return web.Response(status=500, text="failed")
         return web.json_response(
@@ -83,6 +97,13 @@
             }
         )
 
+    def note(self, entry: dict) -> None:
+        """Put an entry into the ledger, and into its file if it has one."""
+        self.ledger.append(entry)
+        if self.options.ledger_file:
+            with open(self.options.ledger_file, "a") as file:
+                file.write(json.dumps(entry) + "\n")
+
     async def download(self, request: web.Request) -> web.StreamResponse:
         """Stream a body of the wanted size, perhaps cut short."""
         size = int(request.match_info["size"])
@@ -95,6 +116,8 @@
                 request.transport.abort()
                 break
             chunk = min(DOWNLOAD_CHUNK_BYTES, size - sent)
+            if self.cut_after_bytes:
+                chunk = min(chunk, self.cut_after_bytes - sent)
             await response.write(bytes([sent // DOWNLOAD_CHUNK_BYTES % 251]) * chunk)
             sent += chunk
         return response
@@ -139,12 +162,14 @@
     parser.add_argument("--endpoint", required=True)
     parser.add_argument("--slots", type=int, default=5)
     parser.add_argument("--latency-ms", type=float, default=1.0)
+    parser.add_argument("--ledger-file", default="", help="survives the process")
     options = parser.parse_args()
     web.run_app(
         TargetStandIn(options).app(),
         host="127.0.0.1",
         port=options.port,
         print=lambda _: None,
+        handler_cancellation=True,
     )
 
 
