Drain, restart and bound what a guard remembers, with proofs

Cause: readyz said ok before the caller address was open; a rolling restart lost the ledgers of the targets, so its history could not be checked; memory had no proof.

Idle connections to targets are kept for 4 s.

--- a/packages/laburnumscale/src/laburnumscale/attempts.py
+++ b/packages/laburnumscale/src/laburnumscale/attempts.py
@@ -126,13 +126,14 @@
     """All attempts that a guard remembers, in bounded memory.
 
     :param guard_incarnation: the incarnation that attempts must be aimed at.
+    :ivar kept_bytes: size of the answers that are kept for settling.
     """
 
     def __init__(self, guard_incarnation: int) -> None:
         self._guard_incarnation = guard_incarnation
         self._entries: OrderedDict[str, _EntryRecord] = OrderedDict()
         self._kept: OrderedDict[int, Attempt] = OrderedDict()
-        self._kept_bytes = 0
+        self.kept_bytes = 0
 
     def admit(self, head: peer_pb2.CallHead) -> Attempt:
         """Take in a new attempt.
@@ -179,8 +180,8 @@
             return
         attempt.reply = reply
         self._kept[id(attempt)] = attempt
-        self._kept_bytes += _kept_size(reply)
-        while self._kept_bytes > KEPT_ANSWERS_BYTES:
+        self.kept_bytes += _kept_size(reply)
+        while self.kept_bytes > KEPT_ANSWERS_BYTES:
             self._drop_answer(next(iter(self._kept.values())))
 
     def forget_gone(self, present: Container[str]) -> None:
@@ -189,6 +190,10 @@
             if entry not in present:
                 record.forget_ended()
 
+    def remembered(self) -> int:
+        """Return how many attempts are remembered one by one."""
+        return sum(len(record.attempts) for record in self._entries.values())
+
     def _record(self, number: peer_pb2.AttemptId) -> _EntryRecord:
         record = self._entries.get(number.entry)
         if record is None or record.incarnation < number.entry_incarnation:
@@ -211,5 +216,5 @@
 
     def _drop_answer(self, attempt: Attempt) -> None:
         self._kept.pop(id(attempt))
-        self._kept_bytes -= _kept_size(attempt.reply)
+        self.kept_bytes -= _kept_size(attempt.reply)
         attempt.reply = None
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -39,6 +39,7 @@
 
 EXIT_AT_ONCE = 130
 JOIN_LIMIT_MS = 1_000
+KEEP_ALIVE_S = 4  # less than the idle limit of common HTTP servers
 PEER_GRACE_S = 0.5
 
 
@@ -53,7 +54,7 @@
         """Serve until SIGTERM or SIGINT, then leave gracefully."""
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
         async with aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
@@ -112,6 +113,7 @@
         callers = await serve_app(
             entry.app(settings.body_limit_bytes), settings.caller_address
         )
+        members.serving = True
         get_logger().info("daemon started", incarnation=members.own.incarnation)
         await self._stopping.wait()
         get_logger().info("daemon draining")
--- a/packages/laburnumscale/src/laburnumscale/guardclocks.py
+++ b/packages/laburnumscale/src/laburnumscale/guardclocks.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from collections import OrderedDict
 
 import attrs
 
@@ -12,6 +13,7 @@
 __all__ = ["GuardClocks", "monotonic_us"]
 
 HIGHEST_DRIFT_PPM = 500
+HIGHEST_GUARDS = 4096
 US_PER_S = 1_000_000
 
 
@@ -42,7 +44,7 @@
     """
 
     def __init__(self) -> None:
-        self._estimates: dict[str, _Estimate] = {}
+        self._estimates: OrderedDict[str, _Estimate] = OrderedDict()
 
     def heard(self, view: EndpointView, guard_time_us: int) -> None:
         """Take the clock in a reply of the guard of an endpoint into account."""
@@ -56,6 +58,9 @@
             if known.ahead_us + drift_us < ahead_us:
                 return
         self._estimates[view.daemon] = _Estimate(view.incarnation, ahead_us, now_us)
+        self._estimates.move_to_end(view.daemon)
+        if len(self._estimates) > HIGHEST_GUARDS:
+            self._estimates.popitem(last=False)
 
     def time_us(self, view: EndpointView) -> int:
         """Return the clock of a guard now, never ahead of it; 0 if it is unknown."""
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -38,10 +38,14 @@
 
 
 class Members:
-    """The membership table of one daemon."""
+    """The membership table of one daemon.
+
+    :ivar serving: this daemon has joined and takes the calls of callers.
+    """
 
     def __init__(self, own: peer_pb2.Member) -> None:
         self.own = own
+        self.serving = False
         self._table: dict[str, peer_pb2.Member] = {own.daemon: own}
         self._by_service: dict[str, list[EndpointView]] | None = None
 
--- a/packages/laburnumscale/src/laburnumscale/operators.py
+++ b/packages/laburnumscale/src/laburnumscale/operators.py
@@ -77,6 +77,8 @@
         """Tell whether callers may be sent here."""
         if not self._feed.has_tree:
             return text("no settings yet\n", status=503)
+        if not self._members.serving:
+            return text("joining\n", status=503)
         if self._members.own.draining:
             return text("draining\n", status=503)
         age_ms = (time.monotonic() - self._feed.contact_at_s) * 1000
--- a/tests/features/outcomes_load.feature
+++ b/tests/features/outcomes_load.feature
@@ -2,17 +2,39 @@
 
   Scenario: Outcomes: a rolling restart cuts and refuses nothing
     Given a fleet of 3 daemons in makati, pasig
-    And targets e1, e2 of slot-desk beside d1
-    And targets e3, e4 of slot-desk beside d2
-    And targets e5, e6 of slot-desk beside d3
+    And outcomes targets with ledger files e1, e2, e3 beside d1, d2, d3
+    And outcomes targets with ledger files e4, e5, e6 beside d1, d2, d3
     And the fleet is ready with the settings of bantayog
     When outcomes callers send lookups and holds to all daemons
     And each daemon is restarted in turn under the outcomes load
-    And targets e1, e3 are drained in turn under the outcomes load
+    And each target is drained and restarted in turn under the outcomes load
     And the outcomes callers stop
     Then every outcomes call was answered
     And the outcomes history agrees with the ledgers
 
+  Scenario: Outcomes: a daemon that ends answers its calls in flight first
+    Given a fleet of 2 daemons in makati, pasig
+    And outcomes targets p1 of proof-vault beside d2 with 1500 ms
+    And the fleet is ready with the settings of bantayog
+    When outcomes holds at d1 and d2 are running on p1 while d1 and d2 get SIGTERM
+    Then both outcomes holds were answered and the daemons ended with 0
+
+  Scenario: Outcomes: a second SIGTERM ends a daemon at once
+    Given a fleet of 2 daemons in makati, pasig
+    And outcomes targets p1 of proof-vault beside d2 with 300000 ms
+    And the fleet is ready with the settings of bantayog
+    When an outcomes hold at d1 runs on p1 while d1 gets SIGTERM twice
+    Then its exit code is 130
+
+  Scenario: Outcomes: the memory of a guard for attempts is bounded
+    Given an outcomes table of attempts
+    When 20000 outcomes attempts with answers of 4000 bytes are never over for entry d9
+    Then the outcomes table holds at most 4096 attempts and 1048576 bytes
+    And the outcomes table refuses the first of them
+    When entry d9 is gone from the outcomes table
+    Then the outcomes table holds at most 0 attempts and 1048576 bytes
+    And the outcomes table refuses the first of them
+
   Scenario: Outcomes: overload is refused at once and leaves capacity in use
     Given a fleet of 2 daemons in makati, pasig
     And outcomes targets e1 of slot-desk beside d1 with 100 ms
--- a/tests/features/steps/outcomes_load_steps.py
+++ b/tests/features/steps/outcomes_load_steps.py
@@ -1,14 +1,20 @@
 import json
 import os
 import re
+import signal
+import threading
 import time
 from statistics import median
 
 from behave import given, then, when
 
+from laburnumscale.attempts import AttemptTable
+from laburnumscale.deadlines import Deadline
+from laburnumscale.replies import AttemptRefused
+from laburnumscale_schema import peer_pb2
 from tests.standins.callers import Callers
 from tests.standins.faults import RandomFaults
-from tests.standins.fleet import request, wait_until
+from tests.standins.fleet import TERM_LIMIT_S, request, wait_until
 from tests.standins.history import CallRecord, check_history
 
 DRAIN_LIMIT_S = 5.0
@@ -45,22 +51,117 @@
         wait_for_answers(context, 100)
 
 
-@when("targets {endpoints} are drained in turn under the outcomes load")
-def step_drain_targets(context, endpoints):
-    for endpoint in endpoints.split(", "):
-        target = context.fleet.targets[endpoint]
+@when("each target is drained and restarted in turn under the outcomes load")
+def step_drain_targets(context):
+    for endpoint, target in list(context.fleet.targets.items()):
         target.faults(state="draining")
-
-        def heard(endpoint=endpoint):
-            return all(
-                daemon.endpoints("slot-desk").get(endpoint) == "TARGET_STATE_DRAINING"
-                for daemon in context.fleet.daemons.values()
-            )
-
-        wait_until(heard, f"{endpoint} drains", DRAIN_LIMIT_S)
+        wait_for_state(context, endpoint, "TARGET_STATE_DRAINING")
         runs = len(target.ledger())
         wait_for_answers(context, 100)
         assert len(target.ledger()) == runs, (endpoint, runs)
+        context.fleet.stop(target.process)
+        context.fleet.restart_target(endpoint)
+        wait_for_state(context, endpoint, "TARGET_STATE_READY")
+
+
+def wait_for_state(context, endpoint, state):
+    def heard():
+        return all(
+            daemon.endpoints("slot-desk").get(endpoint) == state
+            for daemon in context.fleet.daemons.values()
+        )
+
+    wait_until(heard, f"{endpoint}: {state}", DRAIN_LIMIT_S)
+
+
+def hold_in_thread(context, daemon):
+    replies = []
+    process = context.fleet.daemons[daemon]
+    caller = threading.Thread(
+        target=lambda: replies.append(process.call("/proof-vault/hold", "POST", b"{}"))
+    )
+    caller.start()
+    return caller, replies
+
+
+@when("outcomes holds at d1 and d2 are running on p1 while d1 and d2 get SIGTERM")
+def step_term_in_flight(context):
+    callers = [hold_in_thread(context, daemon) for daemon in ("d1", "d2")]
+    target = context.fleet.targets["p1"]
+    wait_until(lambda: len(target.ledger()) == 2, "the holds run")
+    processes = [daemon.process for daemon in context.fleet.daemons.values()]
+    for process in processes:
+        process.send_signal(signal.SIGTERM)
+    for caller, _ in callers:
+        caller.join()
+    context.replies = [reply for _, replies in callers for reply in replies]
+    context.exit_codes = [process.wait(TERM_LIMIT_S) for process in processes]
+
+
+@then("both outcomes holds were answered and the daemons ended with 0")
+def step_answered_and_ended(context):
+    assert [reply.status for reply in context.replies] == [200, 200], context.replies
+    assert context.exit_codes == [0, 0], context.exit_codes
+
+
+@when("an outcomes hold at d1 runs on p1 while d1 gets SIGTERM twice")
+def step_term_twice(context):
+    caller, _ = hold_in_thread(context, "d1")
+    target = context.fleet.targets["p1"]
+    wait_until(lambda: len(target.ledger()) == 1, "the hold runs")
+    daemon = context.fleet.daemons["d1"]
+    daemon.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not daemon.ready(), "d1 drains")
+    context.exit_code = context.fleet.stop(daemon.process)
+    caller.join()
+
+
+@given("an outcomes table of attempts")
+def step_table(context):
+    context.attempts = AttemptTable(guard_incarnation=1)
+
+
+def attempt_head(sequence):
+    return peer_pb2.CallHead(
+        attempt=peer_pb2.AttemptId(
+            entry="d9", entry_incarnation=1, guard_incarnation=1, sequence=sequence
+        ),
+        low_water_sequence=1,
+    )
+
+
+@when(
+    "{count:d} outcomes attempts with answers of {size:d} bytes are never over "
+    "for entry d9"
+)
+def step_many_attempts(context, count, size):
+    reply = peer_pb2.CallReply(
+        head=peer_pb2.ReplyHead(status=200), body=bytes(size), end=True
+    )
+    for sequence in range(1, count + 1):
+        attempt = context.attempts.admit(attempt_head(sequence))
+        attempt.mark_sent(Deadline.after_ms(60_000))
+        context.attempts.end(attempt, reply)
+
+
+@then("the outcomes table holds at most {count:d} attempts and {size:d} bytes")
+def step_table_size(context, count, size):
+    assert context.attempts.remembered() <= count, context.attempts.remembered()
+    assert context.attempts.kept_bytes <= size, context.attempts.kept_bytes
+
+
+@then("the outcomes table refuses the first of them")
+def step_table_refuses(context):
+    try:
+        context.attempts.admit(attempt_head(1))
+    except AttemptRefused:
+        return
+    raise AssertionError("the first attempt was admitted again")
+
+
+@when("entry d9 is gone from the outcomes table")
+def step_entry_gone(context):
+    context.attempts.forget_gone(set())
 
 
 @when("the outcomes callers stop")
