--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -59,6 +59,10 @@
             return False
         return True
 
+    def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
+        """Return the stub for calls with operation keys."""
+        return peer_pb2_grpc.OperationKeysStub(self._channel(address))
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -21,6 +21,8 @@
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
+from laburnumscale.keyedcalls import KeyedCalls
+from laburnumscale.keytable import KeyTable
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
@@ -86,9 +88,13 @@
         settler = Settler(members, guard.attempts, channels, metrics)
         attempter = Attempter(members, guard, channels, settler)
         runner = CallRunner(attempter, Router(members), metrics)
-        entry = Entry(members, feed, runner, metrics)
+        key_table = KeyTable(
+            settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
+        )
+        keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
+        entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, settler, members, feed
+            settings.peer_address, guard, settler, members, feed, keyed_calls
         )
         servers = [
             await serve_app(
@@ -107,6 +113,7 @@
                 gossip.follow_presence(),
                 gossip.exchange_forever(),
                 guard.forget_gone_entries(members),
+                key_table.forget_expired(),
             )
         ]
         await self._until_stopped(gossip.join(JOIN_LIMIT_MS))
@@ -117,7 +124,9 @@
         get_logger().info("daemon started", incarnation=members.own.incarnation)
         await self._stopping.wait()
         get_logger().info("daemon draining")
-        drain = Drain(members, guard, runner, gossip.exchange, callers)
+        drain = Drain(
+            members, guard, runner, gossip.exchange, keyed_calls.hand_over, callers
+        )
         await drain.run(settings.drain_ms)
         for task in tasks:
             task.cancel()
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -31,6 +31,7 @@
     """What takes part in the end of a daemon.
 
     :ivar tell: exchanges membership tables with the peer at an address.
+    :ivar hand_over: gives the operation keys to another daemon.
     :ivar callers: the server for callers.
     """
 
@@ -38,6 +39,7 @@
     guard: Guard
     runner: CallRunner
     tell: Callable[[str], Awaitable[None]]
+    hand_over: Callable[[Deadline], Awaitable[bool]]
     callers: AsyncioServer
 
     async def run(self, drain_ms: int) -> None:
@@ -52,6 +54,7 @@
         notice_ms = min(HIGHEST_NOTICE_MS, drain_ms * NOTICE_SHARE)
         await asyncio.sleep(Deadline.after_ms(notice_ms).left_s())
         self.callers.server.close()
+        await self.hand_over(deadline)
         self.guard.draining = True
         calls_over = await self.runner.in_flight.wait_empty(deadline)
         attempts_over = await self.guard.in_flight.wait_empty(deadline)
