--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -11,10 +11,13 @@
 import aiohttp
 
 from laburnumscale.announcements import announcement_app
+from laburnumscale.attempting import Attempter
+from laburnumscale.attempts import AttemptTable
 from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
+from laburnumscale.draining import Drain, close_server
 from laburnumscale.entry import Entry
 from laburnumscale.errors import PartFailed
 from laburnumscale.gossip import Gossip
@@ -29,11 +32,13 @@
 from laburnumscale.peers import serve_peers
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.routing import Router
+from laburnumscale.sending import SendOnceRequest
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingslog import SettingsLog
 from laburnumscale.settingsoperators import SettingsOperators
 from laburnumscale.settingspublisher import SettingsPublisher
 from laburnumscale.settingsrelay import SettingsRelay
+from laburnumscale.settling import Settler
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
 from laburnumscale_schema import peer_pb2
@@ -41,6 +46,9 @@
 __all__ = ["Daemon"]
 
 EXIT_AT_ONCE = 130
+STARTING_MS = 1_000
+KEEP_ALIVE_S = 4  # less than the idle limit of common HTTP servers
+PEER_GRACE_S = 0.5
 
 
 class Daemon:
@@ -55,11 +63,12 @@
         """Serve until SIGTERM or SIGINT, then leave gracefully."""
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
         async with aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
             auto_decompress=False,
+            request_class=SendOnceRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
         ) as session:
             await self._run_parts(session)
@@ -70,16 +79,6 @@
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(metrics, settings.isolation_ms)
-        targets = LocalTargets(settings.daemon, members, metrics)
-        guard = Guard(
-            settings.daemon,
-            settings.data_centre,
-            targets,
-            feed,
-            TargetHealth(metrics),
-            session,
-            metrics,
-        )
         channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(
             members,
@@ -91,6 +90,18 @@
             heard_revision=feed.hear,
         )
         await gossip.join()
+        get_logger().info("daemon started", incarnation=members.own.incarnation)
+        targets = LocalTargets(settings.daemon, members, metrics)
+        guard = Guard(
+            settings.daemon,
+            settings.data_centre,
+            targets,
+            feed,
+            TargetHealth(metrics),
+            session,
+            metrics,
+            AttemptTable(members.own.incarnation),
+        )
         seeds = tuple(str(address) for address in settings.seed_addresses)
         relay = SettingsRelay(members, feed, channels, seeds, metrics)
         settings_log = SettingsLog(
@@ -99,7 +110,9 @@
         publisher = SettingsPublisher(
             settings.daemon, feed, settings_log, relay, log, metrics
         )
-        runner = CallRunner(members, guard, channels, Router(members))
+        settler = Settler(members, guard.attempts, channels, metrics)
+        attempter = Attempter(members, guard, channels, settler)
+        runner = CallRunner(attempter, Router(members), metrics)
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
         )
@@ -108,6 +121,7 @@
         peer_server = await serve_peers(
             settings.peer_address,
             guard,
+            settler,
             members,
             gossip.exchange.answer,
             feed,
@@ -115,9 +129,6 @@
         )
         await gossip.start(settings.peer_address)
         servers = [
-            await serve_app(
-                entry.app(settings.body_limit_bytes), settings.caller_address
-            ),
             await serve_app(
                 Operators(
                     members,
@@ -139,27 +150,49 @@
                 relay.pull_forever(),
                 relay.push_forever(),
                 targets.watch_leases(),
+                guard.forget_gone_entries(members),
                 key_table.forget_expired(),
             )
         ]
-        get_logger().info("daemon started", incarnation=members.own.incarnation)
+        await self._until_stopped(feed.wait_tree(Deadline.after_ms(STARTING_MS)))
+        callers = await serve_app(
+            entry.app(settings.body_limit_bytes), settings.caller_address
+        )
+        members.serving = True
+        get_logger().info("daemon serves callers", has_settings=feed.has_tree)
         await self._stopping.wait()
         get_logger().info("daemon draining")
-        members.set_draining()
-        await keyed_calls.hand_over(Deadline.after_ms(settings.drain_ms))
+        drain = Drain(
+            members,
+            guard,
+            runner,
+            gossip.exchange.exchange,
+            keyed_calls.hand_over,
+            callers,
+        )
+        await drain.run(settings.drain_ms)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
-            server.close()
-            await server.wait_closed()
-        await peer_server.stop(settings.drain_ms / 1000)
+            await close_server(server)
+        await peer_server.stop(PEER_GRACE_S)
         await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
         if self._failed is not None:
             raise self._failed
 
+    async def _until_stopped(self, awaitable: Coroutine) -> None:
+        """Wait for the end of an awaitable, or for a signal that ends the process."""
+        tasks = [
+            asyncio.create_task(awaitable),
+            asyncio.create_task(self._stopping.wait()),
+        ]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+
     def _start_part(self, part: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(part, name=part.__qualname__)
         task.add_done_callback(self._part_ended)
@@ -174,6 +207,16 @@
         self._failed = error
         self._stopping.set()
 
+    async def _until_stopped(self, awaitable: Coroutine) -> None:
+        """Wait for the end of an awaitable, or for a signal that ends the process."""
+        tasks = [
+            asyncio.create_task(awaitable),
+            asyncio.create_task(self._stopping.wait()),
+        ]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+
     def _own_member(self) -> peer_pb2.Member:
         return peer_pb2.Member(
             daemon=self.settings.daemon,
--- a/packages/laburnumscale/src/laburnumscale/endpointindex.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointindex.py
@@ -13,6 +13,8 @@
 
 __all__ = ["EndpointIndex", "EndpointView"]
 
+DRAINING = peer_pb2.TARGET_STATE_DRAINING
+
 
 @attrs.frozen
 class EndpointView:
@@ -103,7 +105,7 @@
             service=sys.intern(endpoint.service),
             endpoint=endpoint.endpoint,
             slots=endpoint.slots,
-            state=endpoint.state,
+            state=DRAINING if member.draining else endpoint.state,
             ejected=endpoint.ejected,
             daemon=sys.intern(member.daemon),
             incarnation=member.incarnation,
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -71,7 +71,13 @@
 
     async def handle(self, request: Request) -> HTTPResponse | None:
         """Answer one call."""
+        with self._runner.in_flight.one():
+            return await self._answer(request)
+
+    async def _answer(self, request: Request) -> HTTPResponse | None:
         started_at_s = time.monotonic()
+        if self._members.own.draining:
+            request.stream.keep_alive = False
         request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
         prepared = await self._prepare(request, request_id)
         if isinstance(prepared, NotRun):
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -54,6 +54,7 @@
     :ivar own: the entry of this daemon.
     :ivar name_taken: set once another process has taken this daemon's name.
     :ivar refutations: how often this daemon had to say that it is alive.
+    :ivar serving: this daemon has joined and takes the calls of callers.
     """
 
     def __init__(self, own: peer_pb2.Member) -> None:
@@ -61,6 +62,7 @@
         self.name_taken: DaemonNameTaken | None = None
         self.refutations = 0
         self._settled = False
+        self.serving = False
         self._table: dict[str, peer_pb2.Member] = {own.daemon: own}
         self._digests: dict[str, int] = {own.daemon: digest(own)}
         self._table_digest = self._digests[own.daemon]
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -8,10 +8,12 @@
 import grpc
 
 from laburnumscale.addresses import Address
+from laburnumscale.errors import UploadCutShort
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settling import Settler
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["serve_peers"]
@@ -23,8 +25,9 @@
 
 
 class _GuardServicer(peer_pb2_grpc.GuardServicer):
-    def __init__(self, guard: Guard) -> None:
+    def __init__(self, guard: Guard, settler: Settler) -> None:
         self._guard = guard
+        self._settler = settler
 
     async def Call(  # noqa: N802
         self, request: peer_pb2.CallRequest, context: grpc.aio.ServicerContext
@@ -38,21 +41,27 @@
         context: grpc.aio.ServicerContext,
     ) -> AsyncIterator[peer_pb2.CallReply]:
         first = await anext(requests)
-        body = _upload_body(first.body, requests)
+        body = _upload_body(first, requests)
         async for reply in self._guard.call(first.head, body):
             yield reply
 
+    async def Settle(  # noqa: N802
+        self, request: peer_pb2.SettleRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.SettleReply:
+        return await self._settler.answer(request)
+
 
 async def _upload_body(
-    first: bytes, requests: AsyncIterator[peer_pb2.CallRequest]
+    first: peer_pb2.CallRequest, requests: AsyncIterator[peer_pb2.CallRequest]
 ) -> AsyncIterator[bytes]:
-    if first:
-        yield first
+    if first.body:
+        yield first.body
     async for request in requests:
         if request.body:
             yield request.body
         if request.end:
-            break
+            return
+    raise UploadCutShort(first.head.request_id)
 
 
 MemberAnswer = Callable[[peer_pb2.MemberTable], peer_pb2.MemberTable]
@@ -114,6 +123,7 @@
 async def serve_peers(
     address: Address,
     guard: Guard,
+    settler: Settler,
     members: Members,
     answer_members: MemberAnswer,
     feed: SettingsFeed,
@@ -124,7 +134,7 @@
     :param answer_members: answers a step of an exchange of membership tables.
     """
     server = grpc.aio.server(options=SERVER_OPTIONS)
-    peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
+    peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard, settler), server)
     peer_pb2_grpc.add_PeerServicer_to_server(
         _PeerServicer(members, answer_members, feed), server
     )
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 
-from laburnumscale.deadlines import MS_PER_S
+from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
@@ -92,6 +92,16 @@
         while self.tree.revision <= revision:
             await self._changed.wait()
 
+    async def wait_tree(self, deadline: Deadline) -> None:
+        """Wait until the tree may be served, or until the deadline."""
+        while not self.has_tree and not deadline.is_over():
+            changed = self._changed
+            try:
+                async with asyncio.timeout(deadline.left_s()):
+                    await changed.wait()
+            except TimeoutError:
+                return
+
     def held(self) -> peer_pb2.SettingsHeld:
         """Return what this daemon holds."""
         return peer_pb2.SettingsHeld(
