--- /dev/null
+++ b/examples/embed_settings.py
@@ -0,0 +1,52 @@
+"""Embedding the settings part.
+
+Follows the settings stream of a platform log and prints the time limit of a service
+whenever it changes; needs no daemon.
+
+    python examples/embed_settings.py http://127.0.0.1:7000 slot-desk
+"""
+
+import argparse
+import asyncio
+
+import aiohttp
+import uvloop
+
+from laburnumscale.metrics import Metrics
+from laburnumscale.platformlog import PlatformLog
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingslog import SettingsLog
+
+SNAPSHOT_INTERVAL_MS = 3_600_000
+
+
+async def follow(log_url: str, service: str, changes: int) -> None:
+    """Print the settings in force until they have changed so many times.
+
+    :param log_url: base URL of the platform log.
+    """
+    metrics = Metrics()
+    feed = SettingsFeed(metrics)
+    async with aiohttp.ClientSession() as session:
+        log = PlatformLog(log_url, session)
+        settings_log = SettingsLog(feed, log, metrics, SNAPSHOT_INTERVAL_MS)
+        reading = asyncio.create_task(settings_log.run())
+        for _ in range(changes):
+            await feed.wait_newer(feed.tree.revision)
+            limit_ms = feed.tree.effective(service).time_limit_ms
+            print(f"revision {feed.tree.revision}: {service} {limit_ms} ms", flush=True)
+        reading.cancel()
+
+
+def main() -> None:
+    """Run the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("log_url")
+    parser.add_argument("service")
+    parser.add_argument("--changes", type=int, default=1)
+    options = parser.parse_args()
+    uvloop.run(follow(options.log_url, options.service, options.changes))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/laburnumscale/src/laburnumscale/settingsrelay.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsrelay.py
@@ -9,10 +9,10 @@
 import grpc
 import xxhash
 
+from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.peers import PeerChannels
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2
 
@@ -26,6 +26,7 @@
 START_PEERS = 6
 START_ANSWERS = 2
 RPC_TIMEOUT_S = 2.0
+ROLES_MS = 3000
 CONFIRM_PEERS_PER_DATA_CENTRE = 2
 CONFIRM_INTERVAL_S = 0.1
 LEFT = peer_pb2.MEMBER_STATE_LEFT
@@ -55,9 +56,23 @@
         self._seeds = seed_addresses
         self._metrics = metrics
         self._last_failed = False
+        self._roles_until = Deadline(0.0)
+        self._tails = True
+        self._partners: list[peer_pb2.Member] = []
 
     def is_tailer(self) -> bool:
         """Tell whether this daemon is one of its data centre's that read the log."""
+        self._renew_roles()
+        return self._tails
+
+    def _renew_roles(self) -> None:
+        """Work out the roles again, but not for each use: it goes over all members."""
+        if self._roles_until.is_over():
+            self._tails = self._is_among_lowest()
+            self._partners = self._nearest_peers()
+            self._roles_until = Deadline.after_ms(ROLES_MS)
+
+    def _is_among_lowest(self) -> bool:
         own = self._members.own
         lower = sum(
             member.data_centre == own.data_centre
@@ -85,7 +100,8 @@
             message = self._feed.reply_after(pushed_revision, self._members.own.daemon)
             message.ClearField("snapshot")
             pushed_revision = message.held.revision
-            partners = self._partners()
+            self._renew_roles()
+            partners = self._partners
             chosen = random.sample(partners, min(PUSH_FANOUT, len(partners)))
             await asyncio.gather(
                 *(self._push(peer.peer_address, message) for peer in chosen)
@@ -226,12 +242,13 @@
         self._feed.hinted.clear()
 
     def _pick_address(self) -> str:
-        partners = [peer.peer_address for peer in self._partners()]
+        self._renew_roles()
+        partners = [peer.peer_address for peer in self._partners]
         if self._last_failed or not partners:
             partners = self._addresses()
         return random.choice(partners) if partners else ""
 
-    def _partners(self) -> list[peer_pb2.Member]:
+    def _nearest_peers(self) -> list[peer_pb2.Member]:
         """Return the few peers with which this daemon keeps connections.
 
         The lowest hashes of the two names give each daemon other partners, so that
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -120,3 +120,8 @@
       | c1        | [{"place": "fleet", "removal": {}}, {"place": "fleet", "removal": {}}] | edited twice |
       | c 1       | [{"place": "fleet", "settings": {"slots": 1}}]       | change id                   |
       | c1        | []                                                   | it must have edits          |
+
+  Scenario: The settings part is embedded in another program
+    Given a settings fleet of 1 daemons in makati
+    When operator amihan sets time_limit_ms of slot-desk to 700 at d1
+    Then examples/embed_settings.py prints "revision 1: slot-desk 700 ms"
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -11,6 +12,7 @@
 from tests.standins.settingsstream import BAD_RECORDS, SettingsStream
 
 ACCEPTED, REFUSED = 0, 1
+EXAMPLES = Path(__file__).parents[3] / "examples"
 
 
 def daemons(context):
@@ -574,3 +576,13 @@
 def step_alive(context):
     for daemon in daemons(context):
         assert daemon.process.poll() is None, daemon.name
+
+
+@then('examples/embed_settings.py prints "{text}"')
+def step_embedded(context, text):
+    example = str(EXAMPLES / "embed_settings.py")
+    url = f"http://127.0.0.1:{context.fleet.log_port}"
+    process = context.fleet.start("embedded", example, url, "slot-desk")
+    assert process.wait(30) == 0
+    output = (context.fleet.directory / "embedded.log").read_text()
+    assert text in output, output
