--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -70,7 +70,7 @@
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(metrics, settings.isolation_ms)
-        targets = LocalTargets(members.set_endpoints)
+        targets = LocalTargets(settings.daemon, members, metrics)
         guard = Guard(
             settings.daemon,
             settings.data_centre,
@@ -89,7 +89,16 @@
         publisher = SettingsPublisher(
             settings.daemon, feed, settings_log, relay, log, metrics
         )
-        gossip = Gossip(members, feed, channels, log, metrics)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+            heard_revision=feed.hear,
+        )
+        await gossip.join()
         runner = CallRunner(members, guard, channels, Router(members))
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
@@ -97,8 +106,9 @@
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
         entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, members, feed, keyed_calls
+            settings.peer_address, guard, gossip.exchange.answer, feed, keyed_calls
         )
+        await gossip.start(settings.peer_address)
         servers = [
             await serve_app(
                 entry.app(settings.body_limit_bytes), settings.caller_address
@@ -124,8 +134,6 @@
                 relay.pull_forever(),
                 relay.push_forever(),
                 targets.watch_leases(),
-                gossip.follow_presence(),
-                gossip.exchange_forever(),
                 key_table.forget_expired(),
             )
         ]
@@ -141,6 +149,7 @@
             server.close()
             await server.wait_closed()
         await peer_server.stop(settings.drain_ms / 1000)
+        await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
         if self._failed is not None:
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -3,14 +3,13 @@
 The gRPC server for the other daemons.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import grpc
 
 from laburnumscale.addresses import Address
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
-from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
@@ -55,30 +54,25 @@
             break
 
 
+MemberAnswer = Callable[[peer_pb2.MemberTable], peer_pb2.MemberTable]
+
+
 class _PeerServicer(peer_pb2_grpc.PeerServicer):
-    def __init__(self, members: Members, feed: SettingsFeed) -> None:
-        self._members = members
+    def __init__(self, answer_members: MemberAnswer, feed: SettingsFeed) -> None:
+        self._answer_members = answer_members
         self._feed = feed
 
     async def ExchangeMembers(  # noqa: N802
         self, request: peer_pb2.MemberTable, context: grpc.aio.ServicerContext
     ) -> peer_pb2.MemberTable:
-        for member in request.members:
-            self._members.merge(member)
-        self._hear(request.settings_revision, request.sender)
-        return peer_pb2.MemberTable(
-            sender=self._members.own.daemon,
-            settings_revision=self._feed.tree.revision,
-            members=self._members.all(),
-        )
+        return self._answer_members(request)
 
     async def FetchSettings(  # noqa: N802
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.SettingsReply:
-        own = self._members.own.daemon
         if request.whole_tree:
-            return self._feed.whole_reply(own)
-        return self._feed.reply_after(request.after_revision, own)
+            return self._feed.whole_reply()
+        return self._feed.reply_after(request.after_revision)
 
     async def PushSettings(  # noqa: N802
         self, request: peer_pb2.SettingsReply, context: grpc.aio.ServicerContext
@@ -87,14 +81,9 @@
         if request.held.has_tree:
             self._feed.note_contact(from_peer=True)
         self._feed.note_changed()
-        self._hear(request.held.revision, request.sender)
+        self._feed.hear(request.held.revision, request.sender_address)
         return self._feed.held()
 
-    def _hear(self, revision: int, sender: str) -> None:
-        member = self._members.get(sender)
-        if member is not None:
-            self._feed.hear(revision, member.peer_address)
-
 
 class _OperationKeysServicer(peer_pb2_grpc.OperationKeysServicer):
     def __init__(self, keyed_calls: KeyedCalls) -> None:
@@ -115,14 +104,19 @@
 async def serve_peers(
     address: Address,
     guard: Guard,
-    members: Members,
+    answer_members: MemberAnswer,
     feed: SettingsFeed,
     keyed_calls: KeyedCalls,
 ) -> grpc.aio.Server:
-    """Start the gRPC server for the other daemons."""
+    """Start the gRPC server for the other daemons.
+
+    :param answer_members: answers a step of an exchange of membership tables.
+    """
     server = grpc.aio.server(options=SERVER_OPTIONS)
     peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
-    peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
+    peer_pb2_grpc.add_PeerServicer_to_server(
+        _PeerServicer(answer_members, feed), server
+    )
     peer_pb2_grpc.add_OperationKeysServicer_to_server(
         _OperationKeysServicer(keyed_calls), server
     )
--- a/packages/laburnumscale/src/laburnumscale/settingsrelay.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsrelay.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import contextlib
 import random
+from collections.abc import AsyncIterator
 
 import grpc
 import xxhash
@@ -14,7 +16,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale_schema import peer_pb2
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["SettingsRelay"]
 
@@ -97,7 +99,7 @@
         pushed_revision = self._feed.tree.revision
         while True:
             await self._feed.wait_newer(pushed_revision)
-            message = self._feed.reply_after(pushed_revision, self._members.own.daemon)
+            message = self._feed.reply_after(pushed_revision)
             message.ClearField("snapshot")
             pushed_revision = message.held.revision
             self._renew_roles()
@@ -159,8 +161,7 @@
     async def _hand_over(self, peer: peer_pb2.Member, revision: int) -> bool:
         known_revision = revision - 1
         for _ in range(2):
-            sender = self._members.own.daemon
-            message = self._feed.reply_after(known_revision, sender)
+            message = self._feed.reply_after(known_revision)
             held = await self._push(peer.peer_address, message)
             if held is None:
                 return False
@@ -180,9 +181,10 @@
         self, address: str, message: peer_pb2.SettingsReply
     ) -> peer_pb2.SettingsHeld | None:
         self._metrics.count("settings_pushes")
-        stub = self._channels.peer(address)
+        message.sender_address = self._members.own.peer_address
         try:
-            held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
+            async with self._stub(address) as stub:
+                held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError:
             self._metrics.count("settings_push_failures")
             return None
@@ -198,14 +200,23 @@
         self, address: str, request: peer_pb2.SettingsRequest
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
-        stub = self._channels.peer(address)
         try:
-            reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
+            async with self._stub(address) as stub:
+                reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError:
             self._metrics.count("settings_fetch_failures")
             return None
         return reply if reply.held.has_tree else None
 
+    @contextlib.asynccontextmanager
+    async def _stub(self, address: str) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
+        """Return the stub of a peer; only partners keep their connection."""
+        if any(address == partner.peer_address for partner in self._partners):
+            yield self._channels.peer(address)
+            return
+        async with self._channels.transient_peer(address) as stub:
+            yield stub
+
     async def _fetch(self, address: str) -> peer_pb2.SettingsReply | None:
         revision = self._feed.tree.revision
         request = peer_pb2.SettingsRequest(after_revision=revision)
