--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -83,10 +83,9 @@
     async def FetchSettings(  # noqa: N802
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.SettingsReply:
-        own = self._members.own.daemon
         if request.whole_tree:
-            return self._feed.whole_reply(own)
-        return self._feed.reply_after(request.after_revision, own)
+            return self._feed.whole_reply()
+        return self._feed.reply_after(request.after_revision)
 
     async def PushSettings(  # noqa: N802
         self, request: peer_pb2.SettingsReply, context: grpc.aio.ServicerContext
@@ -95,14 +94,9 @@
         if request.held.has_tree:
             self._feed.note_contact(from_peer=True)
         self._feed.note_changed()
-        self._hear(request.held.revision, request.sender)
+        self._feed.hear(request.held.revision, request.sender_address)
         return self._feed.held()
 
-    def _hear(self, revision: int, sender: str) -> None:
-        member = self._members.get(sender)
-        if member is not None:
-            self._feed.hear(revision, member.peer_address)
-
 
 class _OperationKeysServicer(peer_pb2_grpc.OperationKeysServicer):
     def __init__(self, keyed_calls: KeyedCalls) -> None:
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -72,6 +72,7 @@
         if not self.has_tree:
             self.has_tree = True
             get_logger().info("settings in force", revision=self.tree.revision)
+            self.note_changed()
 
     def hear(self, revision: int, address: str) -> None:
         """Note the revision that a peer says it holds."""
@@ -110,9 +111,9 @@
             has_tree=self.has_tree,
         )
 
-    def reply_after(self, revision: int, sender: str) -> peer_pb2.SettingsReply:
+    def reply_after(self, revision: int) -> peer_pb2.SettingsReply:
         """Return what a peer at ``revision`` lacks."""
-        reply = peer_pb2.SettingsReply(held=self.held(), sender=sender)
+        reply = peer_pb2.SettingsReply(held=self.held())
         if revision >= self.tree.revision:
             return reply
         if self._kept and self._kept[0].offset <= revision:
@@ -121,11 +122,9 @@
             reply.snapshot.CopyFrom(self.tree.snapshot())
         return reply
 
-    def whole_reply(self, sender: str) -> peer_pb2.SettingsReply:
+    def whole_reply(self) -> peer_pb2.SettingsReply:
         """Return the whole tree for a peer that has none."""
-        return peer_pb2.SettingsReply(
-            snapshot=self.tree.snapshot(), held=self.held(), sender=sender
-        )
+        return peer_pb2.SettingsReply(snapshot=self.tree.snapshot(), held=self.held())
 
     def take_reply(self, reply: peer_pb2.SettingsReply) -> None:
         """Take what a peer has sent, as far as it is newer and valid."""
--- a/packages/laburnumscale/src/laburnumscale/settingslog.py
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -77,8 +77,9 @@
         """
         feed = self._feed
         self._read_at_s = time.monotonic()
+        asked_revision = feed.tree.revision
         try:
-            batch = await self._log.read(STREAM, feed.tree.revision, wait_ms)
+            batch = await self._log.read(STREAM, asked_revision, wait_ms)
             self._metrics.count("log_reads", f'stream="{STREAM}"')
             if batch.oldest_offset > feed.tree.revision:
                 await self._restart_from_snapshot(batch)
@@ -92,7 +93,7 @@
             feed.note_contact()
             feed.note_complete()
             feed.log_failed = False
-        if feed.tree.revision > batch.next_offset:
+        if asked_revision > batch.next_offset:
             self._metrics.count("settings_log_behind")
         feed.note_changed()
         return batch
--- a/packages/laburnumscale/src/laburnumscale/settingsrelay.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsrelay.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import contextlib
 import random
+from collections.abc import AsyncIterator
 
 import grpc
 import xxhash
@@ -14,7 +16,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale_schema import peer_pb2
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["SettingsRelay"]
 
@@ -26,6 +28,7 @@
 START_PEERS = 6
 START_ANSWERS = 2
 RPC_TIMEOUT_S = 2.0
+ROLES_MS = 3000
 CONFIRM_PEERS_PER_DATA_CENTRE = 2
 CONFIRM_INTERVAL_S = 0.1
 LEFT = peer_pb2.MEMBER_STATE_LEFT
@@ -55,9 +58,23 @@
         self._seeds = seed_addresses
         self._metrics = metrics
         self._last_failed = False
+        self._roles_until = Deadline(0.0)
+        self._tails = True
+        self._partners: list[peer_pb2.Member] = []
 
     def is_tailer(self) -> bool:
         """Tell whether this daemon is one of its data centre's that read the log."""
+        self._renew_roles()
+        return self._tails
+
+    def _renew_roles(self) -> None:
+        """Work out the roles again, but not for each use: it goes over all members."""
+        if self._roles_until.is_over():
+            self._tails = self._is_among_lowest()
+            self._partners = self._nearest_peers()
+            self._roles_until = Deadline.after_ms(ROLES_MS)
+
+    def _is_among_lowest(self) -> bool:
         own = self._members.own
         lower = sum(
             member.data_centre == own.data_centre
@@ -82,10 +99,11 @@
         pushed_revision = self._feed.tree.revision
         while True:
             await self._feed.wait_newer(pushed_revision)
-            message = self._feed.reply_after(pushed_revision, self._members.own.daemon)
+            message = self._feed.reply_after(pushed_revision)
             message.ClearField("snapshot")
             pushed_revision = message.held.revision
-            partners = self._partners()
+            self._renew_roles()
+            partners = self._partners
             chosen = random.sample(partners, min(PUSH_FANOUT, len(partners)))
             await asyncio.gather(
                 *(self._push(peer.peer_address, message) for peer in chosen)
@@ -143,8 +161,7 @@
     async def _hand_over(self, peer: peer_pb2.Member, revision: int) -> bool:
         known_revision = revision - 1
         for _ in range(2):
-            sender = self._members.own.daemon
-            message = self._feed.reply_after(known_revision, sender)
+            message = self._feed.reply_after(known_revision)
             held = await self._push(peer.peer_address, message)
             if held is None:
                 return False
@@ -164,9 +181,10 @@
         self, address: str, message: peer_pb2.SettingsReply
     ) -> peer_pb2.SettingsHeld | None:
         self._metrics.count("settings_pushes")
-        stub = self._channels.peer(address)
+        message.sender_address = self._members.own.peer_address
         try:
-            held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
+            async with self._stub(address) as stub:
+                held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError:
             self._metrics.count("settings_push_failures")
             return None
@@ -182,14 +200,23 @@
         self, address: str, request: peer_pb2.SettingsRequest
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
-        stub = self._channels.peer(address)
         try:
-            reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
+            async with self._stub(address) as stub:
+                reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError:
             self._metrics.count("settings_fetch_failures")
             return None
         return reply if reply.held.has_tree else None
 
+    @contextlib.asynccontextmanager
+    async def _stub(self, address: str) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
+        """Return the stub of a peer; only partners keep their connection."""
+        if any(address == partner.peer_address for partner in self._partners):
+            yield self._channels.peer(address)
+            return
+        async with self._channels.transient_peer(address) as stub:
+            yield stub
+
     async def _fetch(self, address: str) -> peer_pb2.SettingsReply | None:
         revision = self._feed.tree.revision
         request = peer_pb2.SettingsRequest(after_revision=revision)
@@ -226,12 +253,13 @@
         self._feed.hinted.clear()
 
     def _pick_address(self) -> str:
-        partners = [peer.peer_address for peer in self._partners()]
+        self._renew_roles()
+        partners = [peer.peer_address for peer in self._partners]
         if self._last_failed or not partners:
             partners = self._addresses()
         return random.choice(partners) if partners else ""
 
-    def _partners(self) -> list[peer_pb2.Member]:
+    def _nearest_peers(self) -> list[peer_pb2.Member]:
         """Return the few peers with which this daemon keeps connections.
 
         The lowest hashes of the two names give each daemon other partners, so that
--- a/tests/features/steps/settings_random_steps.py
+++ b/tests/features/steps/settings_random_steps.py
@@ -84,7 +84,7 @@
 
 def exchange(source, destination, whole):
     revision = destination.tree.revision
-    reply = source.whole_reply("") if whole else source.reply_after(revision, "")
+    reply = source.whole_reply() if whole else source.reply_after(revision)
     destination.take_reply(reply)
     assert destination.tree.revision >= revision
 
