Fill the random queues beyond one datagram

The scenario passed with the limit off, as its queues fitted into one datagram. Run on scratch copies: with the limit off it now fails (1,998 bytes); without states ranked, removed endpoints dropped or LEFT ranked last, the others of the feature fail. run_features.py members_views.feature, 5 passed, 0 failed.

--- a/tests/features/steps/members_views_steps.py
+++ b/tests/features/steps/members_views_steps.py
@@ -23,6 +23,7 @@
 
 EXAMPLES = 300
 GROUP_SIZE = 40
+FILLERS = 40
 ENDPOINTS = ("e1", "e2", "e3")
 ACTIONS = ("announce", "withdraw", "refute", "drain", "restart")
 JUDGEMENTS = (ALIVE, SUSPECT, DEAD)
@@ -204,7 +205,9 @@
     @for_all(strategies.lists(histories(), min_size=1, max_size=8))
     def check(several):
         queue = UpdateQueue()
-        wanted = set()
+        wanted = {(f"filler{index}", "") for index in range(FILLERS)}
+        for name, _ in sorted(wanted):
+            queue.add(new_member(name))
         for index, history in enumerate(several):
             news = liveness(history.full())
             news.daemon = f"d{index}"
