Open the callers' port before the operators' one

Cause: 'A daemon without settings says that it is starting' found the callers' port closed while the operators' port answered.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -128,21 +128,6 @@
             keyed_calls,
         )
         await gossip.start(settings.peer_address)
-        servers = [
-            await serve_app(
-                Operators(
-                    members,
-                    feed,
-                    targets,
-                    metrics,
-                    SettingsOperators(feed, publisher, log, members),
-                ).app(),
-                settings.operator_address,
-            ),
-            await serve_app(
-                announcement_app(settings.daemon, targets), settings.target_address
-            ),
-        ]
         tasks = [
             self._start_part(part)
             for part in (
@@ -158,6 +143,21 @@
         callers = await serve_app(
             entry.app(settings.body_limit_bytes), settings.caller_address
         )
+        servers = [
+            await serve_app(
+                Operators(
+                    members,
+                    feed,
+                    targets,
+                    metrics,
+                    SettingsOperators(feed, publisher, log, members),
+                ).app(),
+                settings.operator_address,
+            ),
+            await serve_app(
+                announcement_app(settings.daemon, targets), settings.target_address
+            ),
+        ]
         members.serving = True
         get_logger().info("daemon serves callers", has_settings=feed.has_tree)
         await self._stopping.wait()
