Refuse malformed input at every edge with a typed answer

Cause: heads with bare LF, folded lines, a space before a colon, two Hosts, bytes that are no UTF-8 or numbers that int() refuses reached the attempt or ended in a closed connection; the limit of streamed bodies was lifted by Sanic; the header could take for ever; a small body that never came held a task; a request stream that ended before its last message was passed on as whole. Change: callerrequests checks the head; own Sanic protocol, error handler and request; calls skip Sanic's router; the web servers drain; records of libraries become single log lines.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -12,7 +12,7 @@
 from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
 from laburnumscale.guard import Guard
-from laburnumscale.headers import end_to_end
+from laburnumscale.headers import as_text, end_to_end
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown
 from laburnumscale.problems import problem
@@ -190,7 +190,7 @@
 
 
 def _header_dict(headers: list[peer_pb2.Header], request_id: str) -> list:
-    pairs = [(header.name, header.value) for header in headers]
+    pairs = [(header.name, as_text(header.value)) for header in headers]
     return [*pairs, ("x-request-id", request_id)]
 
 
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -86,14 +86,19 @@
         )
         servers = [
             await serve_app(
-                entry.app(settings.body_limit_bytes), settings.caller_address
+                entry.app(settings.body_limit_bytes),
+                settings.caller_address,
+                "caller_address",
             ),
             await serve_app(
                 Operators(members, feed, targets, metrics, settings.isolation_ms).app(),
                 settings.operator_address,
+                "operator_address",
             ),
             await serve_app(
-                announcement_app(settings.daemon, targets), settings.target_address
+                announcement_app(settings.daemon, targets),
+                settings.target_address,
+                "target_address",
             ),
         ]
         tasks = [
@@ -110,14 +115,14 @@
         await self._stopping.wait()
         get_logger().info("daemon draining")
         members.set_draining()
-        await keyed_calls.hand_over(Deadline.after_ms(settings.drain_ms))
+        deadline = Deadline.after_ms(settings.drain_ms)
+        await keyed_calls.hand_over(deadline)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
-            server.close()
-            await server.wait_closed()
-        await peer_server.stop(settings.drain_ms / 1000)
+            await server.close(deadline)
+        await peer_server.stop(deadline.left_s())
         await channels.close()
         get_logger().info("daemon stopped")
 
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -3,15 +3,25 @@
 Takes the calls of callers over HTTP and hands them to the call runner.
 """
 
+import asyncio
+import re
 import time
 import uuid
 from collections.abc import AsyncIterator
 
-from sanic import HTTPResponse, Request, Sanic
+from sanic import HTTPResponse, Request
+from sanic.exceptions import SanicException
 from sanic.response import json
 
+from laburnumscale.callerrequests import (
+    check_request,
+    is_number,
+    request_target,
+    timeout_ms,
+)
 from laburnumscale.calls import Call, CallRunner
 from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import BodyBroken, BodyTooLarge, RequestInvalid
 from laburnumscale.guard import SMALL_BODY_BYTES
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
@@ -21,16 +31,19 @@
 from laburnumscale.problems import problem
 from laburnumscale.replies import failure
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale.webserver import new_app
+from laburnumscale.webserver import App, new_app
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["Entry"]
 
-METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+CALLS_IN_FLIGHT_LIMIT = 4096
+OVERLOADED = NotRun(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms=1000)
+BAD_REQUEST = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
+STATUS_TOO_LARGE = 413
+REQUEST_ID = re.compile(r"[!-~]{1,128}")
 KEYS_PATH = "/_laburnumscale/v1/operation-keys"
 KEY_HEADER = "idempotency-key"
 KEY_COUNT_LIMIT = 1000
-TIMEOUT_HEADER = "x-request-timeout-ms"
 
 
 class Entry:
@@ -51,26 +64,48 @@
         self._keyed_calls = keyed_calls
         self._key_table = key_table
         self._metrics = metrics
+        self._in_flight = 0
 
-    def app(self, body_limit_bytes: int) -> Sanic:
+    def app(self, body_limit_bytes: int) -> App:
         """Return the HTTP application for callers."""
-        app = new_app(f"{self._members.own.daemon}-callers", body_limit_bytes)
 
-        async def handle(request: Request, path: str = "") -> HTTPResponse | None:
-            return await self.handle(request)
+        async def handle(request: Request) -> HTTPResponse | None:
+            return await self._checked(request, body_limit_bytes)
 
         async def mint(request: Request) -> HTTPResponse:
             return await self.mint_keys(request)
 
+        app = new_app(f"{self._members.own.daemon}-callers", handle)
         app.add_route(mint, KEYS_PATH, methods=["POST"], name="keys")
-        app.add_route(handle, "/", methods=METHODS, stream=True, name="root")
-        app.add_route(handle, "/<path:path>", methods=METHODS, stream=True, name="any")
         return app
 
+    async def _checked(
+        self, request: Request, body_limit_bytes: int
+    ) -> HTTPResponse | None:
+        if self._in_flight >= CALLS_IN_FLIGHT_LIMIT:
+            return problem(OVERLOADED, _request_id(request))
+        self._in_flight += 1
+        try:
+            check_request(request, body_limit_bytes)
+            return await self.handle(request)
+        except RequestInvalid as error:
+            return self._refused(request, error)
+        except BodyTooLarge as error:
+            return self._refused(request, error, STATUS_TOO_LARGE)
+        finally:
+            self._in_flight -= 1
+
+    def _refused(
+        self, request: Request, error: Exception, status: int = 0
+    ) -> HTTPResponse:
+        self._metrics.count("requests_refused")
+        request.stream.keep_alive = False
+        return problem(BAD_REQUEST, _request_id(request), str(error), status)
+
     async def handle(self, request: Request) -> HTTPResponse | None:
         """Answer one call."""
         started_at_s = time.monotonic()
-        request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
+        request_id = _request_id(request)
         prepared = await self._prepare(request, request_id)
         if isinstance(prepared, NotRun):
             response = problem(prepared, request_id)
@@ -88,16 +123,14 @@
     async def mint_keys(self, request: Request) -> HTTPResponse:
         """Answer a caller's wish for operation keys."""
         count = request.args.get("count", "1")
-        if not count.isdecimal() or not 1 <= int(count) <= KEY_COUNT_LIMIT:
-            refused = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
-            return problem(refused, uuid.uuid4().hex)
+        if not is_number(count) or not 1 <= int(count) <= KEY_COUNT_LIMIT:
+            return problem(BAD_REQUEST, uuid.uuid4().hex)
         keys = [str(key) for key in self._key_table.mint(int(count))]
         return json({"keys": keys})
 
     async def _prepare(self, request: Request, request_id: str) -> Call | NotRun:
-        raw = request.raw_url.decode("latin-1")
+        host, raw = request_target(request)
         path, _, _ = raw.partition("?")
-        host = request.headers.get("host", "").partition(":")[0]
         route = self._feed.tree.route(host, path)
         if route is not None:
             service, path_and_query = route.service, raw
@@ -107,10 +140,7 @@
         if service not in self._feed.tree.services():
             return NotRun(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
         settings = self._feed.tree.effective(service, self._members.own.data_centre)
-        wanted_ms = request.headers.get(TIMEOUT_HEADER, str(settings.time_limit_ms))
-        if not wanted_ms.isdecimal():
-            return NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
-        time_left_ms = min(int(wanted_ms), settings.time_limit_ms)
+        deadline = Deadline.after_ms(timeout_ms(request, settings.time_limit_ms))
         return Call(
             request=request,
             request_id=request_id,
@@ -118,18 +148,19 @@
             path_and_query=path_and_query,
             settings=settings,
             idempotent=request.method in settings.idempotent,
-            deadline=Deadline.after_ms(time_left_ms),
-            body=await self._body(request),
+            deadline=deadline,
+            body=await self._body(request, request_id, deadline),
         )
 
-    async def _body(self, request: Request) -> bytes | AsyncIterator[bytes]:
+    async def _body(
+        self, request: Request, request_id: str, deadline: Deadline
+    ) -> bytes | AsyncIterator[bytes]:
         length = request.headers.get("content-length")
         if length is None and "transfer-encoding" not in request.headers:
             return b""
         if length is not None and int(length) <= SMALL_BODY_BYTES:
-            await request.receive_body()
-            return request.body
-        return _stream(request)
+            return await _small_body(request, deadline)
+        return _stream(request, request_id)
 
     def _record(self, service: str, outcome: Outcome, started_at_s: float) -> None:
         labels = f'service="{service}",outcome="{outcome_name(outcome)}"'
@@ -138,9 +169,28 @@
         self._metrics.record_us("call_latency", elapsed_us, f'service="{service}"')
 
 
-async def _stream(request: Request) -> AsyncIterator[bytes]:
+def _request_id(request: Request) -> str:
+    given = request.headers.get("x-request-id", "")
+    return given if REQUEST_ID.fullmatch(given) else uuid.uuid4().hex
+
+
+async def _small_body(request: Request, deadline: Deadline) -> bytes:
+    try:
+        async with asyncio.timeout(deadline.left_s()):
+            await request.receive_body()
+    except SanicException as error:
+        raise RequestInvalid("body", str(error)) from error
+    except TimeoutError:
+        raise RequestInvalid("body", "it did not come in time") from None
+    return request.body
+
+
+async def _stream(request: Request, request_id: str) -> AsyncIterator[bytes]:
     while True:
-        chunk = await request.stream.read()
+        try:
+            chunk = await request.stream.read()
+        except SanicException as error:
+            raise BodyBroken(request_id, str(error)) from error
         if not chunk:
             return
         yield chunk
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -7,8 +7,11 @@
 from typing import ClassVar
 
 __all__ = [
+    "AddressInUse",
     "AddressInvalid",
     "AddressNotLoopback",
+    "BodyBroken",
+    "BodyTooLarge",
     "FileSyntaxInvalid",
     "FileUnreadable",
     "LaburnumscaleError",
@@ -116,6 +119,16 @@
     template: ClassVar[str] = '{where}: setting "{option}": "{value}" is not loopback'
 
 
+@dataclass(eq=False)
+class AddressInUse(LaburnumscaleError):
+    """A process cannot listen on an address of its settings."""
+
+    option: str
+    value: str
+    reason: str
+    template: ClassVar[str] = 'setting "{option}": cannot listen on {value}: {reason}'
+
+
 @dataclass(eq=False)
 class PlaceInvalid(LaburnumscaleError):
     """The text form of a place cannot be parsed."""
@@ -161,6 +174,24 @@
     template: ClassVar[str] = "{where}: {reason}"
 
 
+@dataclass(eq=False)
+class BodyTooLarge(LaburnumscaleError):
+    """A body is larger than its limit."""
+
+    where: str
+    limit_bytes: int
+    template: ClassVar[str] = "{where}: the body is larger than {limit_bytes} bytes"
+
+
+@dataclass(eq=False)
+class BodyBroken(LaburnumscaleError):
+    """The body of a request ended in an error while it was passed on."""
+
+    request_id: str
+    reason: str
+    template: ClassVar[str] = "body of request {request_id}: {reason}"
+
+
 @dataclass(eq=False)
 class SettingsUnavailable(LaburnumscaleError):
     """A daemon has no settings tree yet."""
--- a/packages/laburnumscale/src/laburnumscale/headers.py
+++ b/packages/laburnumscale/src/laburnumscale/headers.py
@@ -7,11 +7,12 @@
 
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["end_to_end"]
+__all__ = ["as_text", "end_to_end"]
 
 HOP_BY_HOP = frozenset(
     {
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -24,6 +25,13 @@
 )
 
 
+def as_text(value: str) -> str:
+    """Return a field value of a target, one character a byte, as Sanic sends it."""
+    if value.isascii():
+        return value
+    return value.encode("latin-1").decode("utf-8", "surrogateescape")
+
+
 def end_to_end(pairs: Iterable[tuple[str, str]]) -> list[peer_pb2.Header]:
     """Return the header fields that are meant for the other end."""
     kept = [(name.lower(), value) for name, value in pairs]
--- a/packages/laburnumscale/src/laburnumscale/logs.py
+++ b/packages/laburnumscale/src/laburnumscale/logs.py
@@ -11,6 +11,37 @@
 __all__ = ["configure_logs", "get_logger"]
 
 
+class LibraryLogHandler(logging.Handler):
+    """Turns the log records of libraries into single lines, without stack traces.
+
+    A message that a library repeats is written once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._last_messages: dict[str, str] = {}
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        message = _first_line(record)
+        if self._last_messages.get(record.name) == message:
+            return
+        self._last_messages[record.name] = message
+        error = record.exc_info[1] if record.exc_info else None
+        get_logger().log(
+            record.levelno,
+            "library message",
+            library=record.name,
+            message=message,
+            error=repr(error) if error else None,
+        )
+
+
+def _first_line(record: logging.LogRecord) -> str:
+    lines = record.getMessage().splitlines() or [""]
+    return lines[0]
+
+
 def configure_logs(log_format: str, daemon: str) -> None:
     """Set up the log lines of this process, on standard error.
 
@@ -33,6 +64,7 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(daemon=daemon)
+    logging.basicConfig(level=logging.WARNING, handlers=[LibraryLogHandler()])
 
 
 def get_logger() -> structlog.stdlib.BoundLogger:
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -8,6 +8,7 @@
 import grpc
 
 from laburnumscale.addresses import Address
+from laburnumscale.errors import AddressInUse, BodyBroken
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
@@ -16,9 +17,12 @@
 
 __all__ = ["serve_peers"]
 
+MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024
+STREAM_LIMIT = 4096
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_concurrent_streams", STREAM_LIMIT),
+    ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
 )
 
 
@@ -52,7 +56,8 @@
         if request.body:
             yield request.body
         if request.end:
-            break
+            return
+    raise BodyBroken("", "the stream ended before its last message")
 
 
 class _PeerServicer(peer_pb2_grpc.PeerServicer):
@@ -110,6 +115,9 @@
     peer_pb2_grpc.add_OperationKeysServicer_to_server(
         _OperationKeysServicer(keyed_calls), server
     )
-    server.add_insecure_port(str(address))
+    try:
+        server.add_insecure_port(str(address))
+    except RuntimeError as error:
+        raise AddressInUse("peer_address", str(address), "in use") from error
     await server.start()
     return server
--- a/packages/laburnumscale/src/laburnumscale/problems.py
+++ b/packages/laburnumscale/src/laburnumscale/problems.py
@@ -4,6 +4,7 @@
 """
 
 import math
+import uuid
 from functools import singledispatch
 
 from sanic import HTTPResponse
@@ -12,11 +13,12 @@
 from laburnumscale.outcomes import NotRun, Outcome, Unknown, outcome_name, reason_name
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["problem"]
+__all__ = ["problem", "refused_request"]
 
 CONTENT_TYPE = "application/problem+json"
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 504
+STATUS_INTERNAL = 500
 STATUS_BY_REASON = {
     peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE: 404,
     peer_pb2.NOT_RUN_REASON_BAD_REQUEST: 400,
@@ -43,8 +45,26 @@
     return STATUS_UNKNOWN
 
 
-def problem(outcome: NotRun | Unknown, request_id: str) -> HTTPResponse:
-    """Return the response for a call that has no answer."""
+def refused_request(status: int, detail: str) -> HTTPResponse:
+    """Return the response for a request that no handler has answered.
+
+    :param status: below 500 if the request itself was at fault; it was not run then.
+    """
+    if status >= STATUS_INTERNAL:
+        outcome: NotRun | Unknown = Unknown(peer_pb2.UNKNOWN_REASON_UNSPECIFIED)
+    else:
+        outcome = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
+    return problem(outcome, uuid.uuid4().hex, detail, status)
+
+
+def problem(
+    outcome: NotRun | Unknown, request_id: str, detail: str = "", status: int = 0
+) -> HTTPResponse:
+    """Return the response for a call that has no answer.
+
+    :param detail: what was wrong with the request.
+    :param status: HTTP status in place of the outcome's own.
+    """
     document = {
         "type": "about:blank",
         "title": outcome_name(outcome).replace("_", " "),
@@ -53,13 +73,15 @@
         "request_id": request_id,
     }
     headers = {"X-Request-Id": request_id}
+    if detail:
+        document["detail"] = detail
     retry_after_ms = getattr(outcome, "retry_after_ms", 0)
     if retry_after_ms:
         document["retry_after_ms"] = retry_after_ms
         headers["Retry-After"] = str(math.ceil(retry_after_ms / 1000))
     return json(
         document,
-        status=status_of(outcome),
+        status=status or status_of(outcome),
         headers=headers,
         content_type=CONTENT_TYPE,
     )
--- a/packages/laburnumscaled/src/laburnumscaled/cli.py
+++ b/packages/laburnumscaled/src/laburnumscaled/cli.py
@@ -10,7 +10,7 @@
 
 from laburnumscale.daemon import Daemon
 from laburnumscale.daemonsettings import DaemonSettings, read_daemon_settings
-from laburnumscale.errors import LaburnumscaleError
+from laburnumscale.errors import AddressInUse, LaburnumscaleError
 from laburnumscale.logs import configure_logs
 
 __all__ = ["main"]
@@ -49,4 +49,8 @@
     if options.check:
         return
     configure_logs(settings.log_format, settings.daemon)
-    uvloop.run(_run(settings))
+    try:
+        uvloop.run(_run(settings))
+    except AddressInUse as error:
+        print(f"laburnumscaled: {options.settings}: {error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
