--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -3,7 +3,8 @@
 The gRPC channels to other daemons.
 """
 
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
 
 import grpc
 
@@ -27,7 +28,7 @@
     """
 
     def __init__(self, overrides: Mapping[str, str]) -> None:
-        self._overrides = overrides
+        self.overrides = overrides
         self._channels: dict[str, grpc.aio.Channel] = {}
 
     def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
@@ -42,13 +43,26 @@
         """Return the stub for calls with operation keys."""
         return peer_pb2_grpc.OperationKeysStub(self._channel(address))
 
+    @asynccontextmanager
+    async def transient_peer(
+        self, address: str
+    ) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
+        """Give a stub for rare questions, over a channel that is closed after use."""
+        reached = self.overrides.get(address, address)
+        if reached in self._channels:
+            yield self.peer(address)
+            return
+        options = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
+        async with grpc.aio.insecure_channel(reached, options=options) as channel:
+            yield peer_pb2_grpc.PeerStub(channel)
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
             await channel.close()
 
     def _channel(self, address: str) -> grpc.aio.Channel:
-        address = self._overrides.get(address, address)
+        address = self.overrides.get(address, address)
         channel = self._channels.get(address)
         if channel is None:
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
