Name settings by their exact line, and generate the page of settings

Ruled out: no installed library keeps the positions of keys (json, jsonc, ujson do not; pyparsing is only there for plots), so keypositions tracks them over the parsed text.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: venv demo test features check format generate check-generated bench clean
+.PHONY: venv demo test features check format generate check-generated settings-page \
+	bench bench-capacity clean
 
 venv: $(VENV)/.stamp
 
@@ -30,13 +31,25 @@
 check: venv
 	$(VENV)/bin/ruff format --check $(SOURCES)
 	$(VENV)/bin/ruff check $(SOURCES)
+	$(PY) -m tools.settings_page --check
 
 format: venv
 	$(VENV)/bin/ruff format $(SOURCES)
 	$(VENV)/bin/ruff check --fix $(SOURCES)
 
+settings-page: venv
+	$(PY) -m tools.settings_page
+
+bench: venv
+	$(PY) -m bench.performance
+	$(PY) -m bench.performance --profile
+
+bench-capacity: venv
+	$(PY) -m bench.capacity
+
 generate: venv
 	$(PY) tools/generate.py $(PROTO_DIR) $(GENERATED_DIR)
+	$(PY) -m tools.settings_page
 
 check-generated: venv
 	$(PY) tools/generate.py --check $(PROTO_DIR) $(GENERATED_DIR)
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -21,6 +21,7 @@
 DEFAULT_ISOLATION_MS = 60_000
 DEFAULT_KEY_LIFE_MS = 600_000
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
+DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
 
 
@@ -88,7 +89,7 @@
         get_address_opt(file.where("seed_addresses", seed), "seed_addresses", seed)
         for seed in message.seed_addresses
     )
-    log_format = message.log_format or "json"
+    log_format = message.log_format or DEFAULT_LOG_FORMAT
     if log_format not in LOG_FORMATS:
         reason = f'"{log_format}" is none of {", ".join(LOG_FORMATS)}'
         raise OptionValueInvalid(file.where("log_format"), "log_format", reason)
--- a/packages/laburnumscale/src/laburnumscale/settingsfile.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfile.py
@@ -10,6 +10,7 @@
 import jsonc
 
 from laburnumscale.errors import FileSyntaxInvalid, FileUnreadable
+from laburnumscale.keypositions import key_positions
 
 __all__ = ["SettingsFile", "read_settings_file"]
 
@@ -28,11 +29,17 @@
     value: dict
 
     def where(self, *keys: str) -> str:
-        """Return ``file:line`` of the setting that is reached by ``keys``."""
+        """Return ``file:line`` of the setting that is reached by ``keys``.
+
+        The last key may also be a text in the value of the one before it.
+        """
+        positions = key_positions(self.text)
         position = 0
-        for key in keys:
-            found = self.text.find(json.dumps(key), position)
+        for count in range(1, len(keys) + 1):
+            found = positions.get(keys[:count], -1)
             if found < 0:
+                found = self.text.find(json.dumps(keys[count - 1]), position)
+                position = max(position, found)
                 break
             position = found
         line = self.text.count("\n", 0, position) + 1
