--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 bench: venv
 	$(PY) -m bench.performance
 	$(PY) -m bench.performance --profile
+	$(PY) -m bench.transport
 
 bench-capacity: venv
 	$(PY) -m bench.capacity
