Count calls refused for overload, and pass on the bytes of kept answers

Calls refused at the limit in flight were in no metric; header values of answers kept for operation keys that are not ASCII were encoded twice, unlike those of other answers.

--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -23,6 +23,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import BodyBroken, BodyTooLarge, RequestInvalid
 from laburnumscale.guard import SMALL_BODY_BYTES
+from laburnumscale.headers import as_text
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
@@ -83,6 +84,7 @@
         self, request: Request, body_limit_bytes: int
     ) -> HTTPResponse | None:
         if self._in_flight >= CALLS_IN_FLIGHT_LIMIT:
+            self._record("", OVERLOADED, time.monotonic())
             return problem(OVERLOADED, _request_id(request))
         self._in_flight += 1
         try:
@@ -203,7 +205,7 @@
     if outcome is not None:
         return outcome, problem(outcome, request_id)
     headers = [
-        (header.name, header.value)
+        (header.name, as_text(header.value))
         for header in reply.head.headers
         if header.name != "x-request-id"
     ]
