--- a/bench/performance.py
+++ b/bench/performance.py
@@ -9,6 +9,7 @@
 import shutil
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 
 import attrs
@@ -33,20 +34,25 @@
     """One way of the calls at one rate; times in microseconds.
 
     :ivar way: ``direct``, ``beside`` (target beside the entry) or ``across``.
-    :ivar cpu_us: processor time for each call, by process.
+    :ivar cpu_us: processor time of all calls, by process.
     """
 
     way: str
     rate: int
     latencies_us: list[int] = attrs.field(factory=list)
     failures: int = 0
-    cpu_us: dict[str, float] = attrs.field(factory=dict)
+    cpu_us: Counter[str] = attrs.field(factory=Counter)
 
     def percentiles_us(self) -> dict[str, float]:
         """Return the latency by percentile."""
         values = numpy.percentile(self.latencies_us, PERCENTILES)
         return {f"p{p}": float(v) for p, v in zip(PERCENTILES, values, strict=True)}
 
+    def cpu_us_per_call(self) -> dict[str, float]:
+        """Return the processor time of one call, by process."""
+        calls = len(self.latencies_us)
+        return {name: value / calls for name, value in self.cpu_us.items()}
+
 
 class Bench:
     """A fleet of two daemons with one target beside each."""
@@ -85,12 +91,10 @@
         command += ["--seed", str(self.seed)]
         done = subprocess.run(command, capture_output=True, text=True, check=True)
         result = json.loads(done.stdout)
-        calls = len(result["latencies_us"])
         phase.latencies_us += result["latencies_us"]
         phase.failures += result["failures"]
         for name, value in self._cpu_us().items():
-            spent = (value - before[name]) / calls
-            phase.cpu_us[name] = phase.cpu_us.get(name, spent) / 2 + spent / 2
+            phase.cpu_us[name] += value - before[name]
 
     def _cpu_us(self) -> dict[str, int]:
         fleet = self.fleet
@@ -133,7 +137,7 @@
         for name, value in phase.percentiles_us().items()
     ]
     own = [f"{value / 1000:8.2f}" for value in phase.percentiles_us().values()]
-    cpu = ", ".join(f"{k} {v / 1000:.2f}" for k, v in phase.cpu_us.items())
+    cpu = ", ".join(f"{k} {v / 1000:.2f}" for k, v in phase.cpu_us_per_call().items())
     counts = f"{len(phase.latencies_us):6} {phase.failures:4}"
     return f"{phase.rate:5} {phase.way:7} {counts} {''.join(own + added)}  cpu: {cpu}"
 
@@ -148,7 +152,7 @@
             "calls": len(phase.latencies_us),
             "failures": phase.failures,
             "latency_us": phase.percentiles_us(),
-            "cpu_us_per_call": phase.cpu_us,
+            "cpu_us_per_call": phase.cpu_us_per_call(),
         }
         for phase in phases
     ]
