--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: venv demo test features check format generate check-generated soak bench bench-settings clean
+.PHONY: venv demo test features check format generate check-generated settings-page \
+	soak bench bench-settings bench-capacity clean
 
 venv: $(VENV)/.stamp
 
@@ -32,13 +33,26 @@
 check: venv
 	$(VENV)/bin/ruff format --check $(SOURCES)
 	$(VENV)/bin/ruff check $(SOURCES)
+	$(PY) -m tools.settings_page --check
 
 format: venv
 	$(VENV)/bin/ruff format $(SOURCES)
 	$(VENV)/bin/ruff check --fix $(SOURCES)
 
+settings-page: venv
+	$(PY) -m tools.settings_page
+
+bench: venv
+	$(PY) -m bench.performance
+	$(PY) -m bench.performance --profile
+	$(PY) -m bench.transport
+
+bench-capacity: venv
+	$(PY) -m bench.capacity
+
 generate: venv
 	$(PY) tools/generate.py $(PROTO_DIR) $(GENERATED_DIR)
+	$(PY) -m tools.settings_page
 
 check-generated: venv
 	$(PY) tools/generate.py --check $(PROTO_DIR) $(GENERATED_DIR)
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -17,7 +17,7 @@
 from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
-from laburnumscale.draining import Drain, close_server
+from laburnumscale.draining import FLUSH_LIMIT_MS, Drain
 from laburnumscale.entry import Entry
 from laburnumscale.errors import PartFailed
 from laburnumscale.gossip import Gossip
@@ -141,7 +141,9 @@
         ]
         await self._until_stopped(feed.wait_tree(Deadline.after_ms(STARTING_MS)))
         callers = await serve_app(
-            entry.app(settings.body_limit_bytes), settings.caller_address
+            entry.app(settings.body_limit_bytes),
+            settings.caller_address,
+            "caller_address",
         )
         servers = [
             await serve_app(
@@ -153,9 +155,12 @@
                     SettingsOperators(feed, publisher, log, members),
                 ).app(),
                 settings.operator_address,
+                "operator_address",
             ),
             await serve_app(
-                announcement_app(settings.daemon, targets), settings.target_address
+                announcement_app(settings.daemon, targets),
+                settings.target_address,
+                "target_address",
             ),
         ]
         members.serving = True
@@ -175,7 +180,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
-            await close_server(server)
+            await server.close(Deadline.after_ms(FLUSH_LIMIT_MS))
         await peer_server.stop(PEER_GRACE_S)
         await gossip.leave()
         await channels.close()
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -9,20 +9,19 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from sanic.server.async_server import AsyncioServer
 
 from laburnumscale.calls import CallRunner
 from laburnumscale.deadlines import Deadline
 from laburnumscale.guard import Guard
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
+from laburnumscale.webserver import Server
 
-__all__ = ["Drain", "close_server"]
+__all__ = ["FLUSH_LIMIT_MS", "Drain"]
 
 PEERS_TOLD = 16
 HIGHEST_NOTICE_MS = 2_000
 NOTICE_SHARE = 0.25
-FLUSH_POLL_S = 0.02
 FLUSH_LIMIT_MS = 2_000
 
 
@@ -40,7 +39,7 @@
     runner: CallRunner
     tell: Callable[[str], Awaitable[None]]
     hand_over: Callable[[Deadline], Awaitable[bool]]
-    callers: AsyncioServer
+    callers: Server
 
     async def run(self, drain_ms: int) -> None:
         """Stop to take work and wait for the calls in flight.
@@ -49,11 +48,12 @@
         """
         deadline = Deadline.after_ms(drain_ms)
         self.members.set_draining()
+        self.callers.end_kept_alive()
         await self._tell_peers()
         # Peers that hear of it later still find the guard at work.
         notice_ms = min(HIGHEST_NOTICE_MS, drain_ms * NOTICE_SHARE)
         await asyncio.sleep(Deadline.after_ms(notice_ms).left_s())
-        self.callers.server.close()
+        self.callers.stop_listening()
         await self.hand_over(deadline)
         self.guard.draining = True
         calls_over = await self.runner.in_flight.wait_empty(deadline)
@@ -64,7 +64,7 @@
                 calls=self.runner.in_flight.count,
                 attempts=self.guard.in_flight.count,
             )
-        await close_server(self.callers)
+        await self.callers.close(Deadline.after_ms(FLUSH_LIMIT_MS))
         self.members.set_left()
         await self._tell_peers()
 
@@ -74,15 +74,3 @@
         await asyncio.gather(
             *(self.tell(peer.peer_address) for peer in told), return_exceptions=True
         )
-
-
-async def close_server(server: AsyncioServer) -> None:
-    """Close a server once its answers are written; idle connections end at once."""
-    server.close()
-    deadline = Deadline.after_ms(FLUSH_LIMIT_MS)
-    while server.connections and not deadline.is_over():
-        for connection in list(server.connections):
-            connection.close_if_idle()
-        await asyncio.sleep(FLUSH_POLL_S)
-    for connection in list(server.connections):
-        connection.abort()
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -7,10 +7,13 @@
 from typing import ClassVar
 
 __all__ = [
+    "AddressInUse",
     "AddressInvalid",
     "AddressNotLoopback",
     "AnswerUnframed",
     "AttemptSentTwice",
+    "BodyBroken",
+    "BodyTooLarge",
     "DaemonNameTaken",
     "DatagramInvalid",
     "EndpointMoved",
@@ -29,7 +32,6 @@
     "RecordInvalid",
     "RequestInvalid",
     "SettingsUnavailable",
-    "UploadCutShort",
 ]
 
 
@@ -124,6 +126,16 @@
     template: ClassVar[str] = '{where}: setting "{option}": "{value}" is not loopback'
 
 
+@dataclass(eq=False)
+class AddressInUse(LaburnumscaleError):
+    """A process cannot listen on an address of its settings."""
+
+    option: str
+    value: str
+    reason: str
+    template: ClassVar[str] = 'setting "{option}": cannot listen on {value}: {reason}'
+
+
 @dataclass(eq=False)
 class DaemonNameTaken(LaburnumscaleError):
     """A later process runs under the name of this daemon."""
@@ -220,6 +232,24 @@
     template: ClassVar[str] = "{where}: {reason}"
 
 
+@dataclass(eq=False)
+class BodyTooLarge(LaburnumscaleError):
+    """A body is larger than its limit."""
+
+    where: str
+    limit_bytes: int
+    template: ClassVar[str] = "{where}: the body is larger than {limit_bytes} bytes"
+
+
+@dataclass(eq=False)
+class BodyBroken(LaburnumscaleError):
+    """The body of a request ended in an error while it was passed on."""
+
+    request_id: str
+    reason: str
+    template: ClassVar[str] = "body of request {request_id}: {reason}"
+
+
 @dataclass(eq=False)
 class SettingsUnavailable(LaburnumscaleError):
     """A daemon has no settings tree yet."""
@@ -236,14 +266,6 @@
     template: ClassVar[str] = "the attempt is {state}, so it is not sent again"
 
 
-@dataclass(eq=False)
-class UploadCutShort(LaburnumscaleError):
-    """A request body ended before its last message."""
-
-    request_id: str
-    template: ClassVar[str] = 'request "{request_id}": the body was cut short'
-
-
 @dataclass(eq=False)
 class AnswerUnframed(LaburnumscaleError):
     """The end of an answer cannot be told from a lost connection."""
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -14,7 +14,7 @@
 
 from laburnumscale.attempts import Attempt, AttemptState, AttemptTable
 from laburnumscale.deadlines import Deadline
-from laburnumscale.errors import AnswerUnframed, AttemptSentTwice, UploadCutShort
+from laburnumscale.errors import AnswerUnframed, AttemptSentTwice, BodyBroken
 from laburnumscale.guardclocks import monotonic_us
 from laburnumscale.health import TargetHealth
 from laburnumscale.inflight import InFlight
@@ -188,7 +188,7 @@
             yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
         except TimeoutError:
             yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
-        except (aiohttp.ClientPayloadError, UploadCutShort):
+        except (aiohttp.ClientPayloadError, BodyBroken):
             yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
         except AnswerUnframed:
             yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED)
--- a/packages/laburnumscale/src/laburnumscale/passing.py
+++ b/packages/laburnumscale/src/laburnumscale/passing.py
@@ -7,7 +7,7 @@
 
 from sanic import HTTPResponse, Request
 
-from laburnumscale.headers import end_to_end
+from laburnumscale.headers import as_text, end_to_end
 from laburnumscale.outcomes import Answered, Outcome, Unknown
 from laburnumscale.replies import failure
 from laburnumscale_schema import peer_pb2
@@ -58,4 +58,4 @@
 
 def _headers(head: peer_pb2.ReplyHead, request_id: str) -> list[tuple[str, str]]:
     kept = end_to_end((header.name, header.value) for header in head.headers)
-    return [*((h.name, h.value) for h in kept), ("x-request-id", request_id)]
+    return [*((h.name, as_text(h.value)) for h in kept), ("x-request-id", request_id)]
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -8,7 +8,7 @@
 import grpc
 
 from laburnumscale.addresses import Address
-from laburnumscale.errors import UploadCutShort
+from laburnumscale.errors import AddressInUse, BodyBroken
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
@@ -18,9 +18,12 @@
 
 __all__ = ["serve_peers"]
 
+MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024
+STREAM_LIMIT = 4096
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_concurrent_streams", STREAM_LIMIT),
+    ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
 )
 
 
@@ -61,7 +64,7 @@
             yield request.body
         if request.end:
             return
-    raise UploadCutShort(first.head.request_id)
+    raise BodyBroken(first.head.request_id, "it ended before its last message")
 
 
 MemberAnswer = Callable[[peer_pb2.MemberTable], peer_pb2.MemberTable]
@@ -135,6 +138,9 @@
     peer_pb2_grpc.add_OperationKeysServicer_to_server(
         _OperationKeysServicer(keyed_calls), server
     )
-    server.add_insecure_port(str(address))
+    try:
+        server.add_insecure_port(str(address))
+    except RuntimeError as error:
+        raise AddressInUse("peer_address", str(address), "in use") from error
     await server.start()
     return server
