--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -40,7 +40,7 @@
 __all__ = ["Daemon"]
 
 EXIT_AT_ONCE = 130
-JOIN_LIMIT_MS = 1_000
+SETTINGS_POLL_S = 0.02
 KEEP_ALIVE_S = 4  # less than the idle limit of common HTTP servers
 PEER_GRACE_S = 0.5
 
@@ -72,7 +72,17 @@
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(log, metrics)
-        targets = LocalTargets(members.set_endpoints)
+        targets = LocalTargets(settings.daemon, members, metrics)
+        channels = PeerChannels(settings.peer_address_overrides)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+        )
+        await gossip.join()
         guard = Guard(
             settings.daemon,
             settings.data_centre,
@@ -83,8 +93,6 @@
             metrics,
             AttemptTable(members.own.incarnation),
         )
-        channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(members, feed, channels, log, metrics)
         settler = Settler(members, guard.attempts, channels, metrics)
         attempter = Attempter(members, guard, channels, settler)
         runner = CallRunner(attempter, Router(members), metrics)
@@ -94,8 +102,14 @@
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
         entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, settler, members, feed, keyed_calls
+            settings.peer_address,
+            guard,
+            settler,
+            gossip.exchange.answer,
+            feed,
+            keyed_calls,
         )
+        await gossip.start(settings.peer_address)
         servers = [
             await serve_app(
                 Operators(members, feed, targets, metrics, settings.isolation_ms).app(),
@@ -110,13 +124,11 @@
             for part in (
                 feed.tail(),
                 targets.watch_leases(),
-                gossip.follow_presence(),
-                gossip.exchange_forever(),
                 guard.forget_gone_entries(members),
                 key_table.forget_expired(),
             )
         ]
-        await self._until_stopped(gossip.join(JOIN_LIMIT_MS))
+        await self._until_stopped(_wait_for_settings(feed))
         callers = await serve_app(
             entry.app(settings.body_limit_bytes), settings.caller_address
         )
@@ -125,7 +137,12 @@
         await self._stopping.wait()
         get_logger().info("daemon draining")
         drain = Drain(
-            members, guard, runner, gossip.exchange, keyed_calls.hand_over, callers
+            members,
+            guard,
+            runner,
+            gossip.exchange.exchange,
+            keyed_calls.hand_over,
+            callers,
         )
         await drain.run(settings.drain_ms)
         for task in tasks:
@@ -133,6 +150,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
             await close_server(server)
+        await gossip.leave()
         await peer_server.stop(PEER_GRACE_S)
         await channels.close()
         get_logger().info("daemon stopped")
@@ -166,3 +184,10 @@
         if self._stopping.is_set():
             os._exit(EXIT_AT_ONCE)
         self._stopping.set()
+
+
+async def _wait_for_settings(feed: SettingsFeed) -> None:
+    while True:
+        if feed.has_tree:
+            return
+        await asyncio.sleep(SETTINGS_POLL_S)
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -38,7 +38,7 @@
     members: Members
     guard: Guard
     runner: CallRunner
-    tell: Callable[[str], Awaitable[None]]
+    tell: Callable[[str], Awaitable[bool]]
     hand_over: Callable[[Deadline], Awaitable[bool]]
     callers: AsyncioServer
 
@@ -65,8 +65,6 @@
                 attempts=self.guard.in_flight.count,
             )
         await close_server(self.callers)
-        self.members.set_left()
-        await self._tell_peers()
 
     async def _tell_peers(self) -> None:
         peers = self.members.peers()
--- a/packages/laburnumscale/src/laburnumscale/operators.py
+++ b/packages/laburnumscale/src/laburnumscale/operators.py
@@ -79,6 +79,8 @@
             return text("no settings yet\n", status=503)
         if not self._members.serving:
             return text("joining\n", status=503)
+        if self._members.name_taken is not None:
+            return text(f"{self._members.name_taken}\n", status=503)
         if self._members.own.draining:
             return text("draining\n", status=503)
         age_ms = (time.monotonic() - self._feed.contact_at_s) * 1000
