--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -92,6 +92,16 @@
         await gossip.join()
         get_logger().info("daemon started", incarnation=members.own.incarnation)
         targets = LocalTargets(settings.daemon, members, metrics)
+        channels = PeerChannels(settings.peer_address_overrides)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+        )
+        await gossip.join()
         guard = Guard(
             settings.daemon,
             settings.data_centre,
@@ -181,8 +191,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
             await server.close(Deadline.after_ms(FLUSH_LIMIT_MS))
-        await peer_server.stop(PEER_GRACE_S)
         await gossip.leave()
+        await peer_server.stop(PEER_GRACE_S)
         await channels.close()
         get_logger().info("daemon stopped")
         if self._failed is not None:
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -37,7 +37,7 @@
     members: Members
     guard: Guard
     runner: CallRunner
-    tell: Callable[[str], Awaitable[None]]
+    tell: Callable[[str], Awaitable[bool]]
     hand_over: Callable[[Deadline], Awaitable[bool]]
     callers: Server
 
@@ -65,8 +65,6 @@
                 attempts=self.guard.in_flight.count,
             )
         await self.callers.close(Deadline.after_ms(FLUSH_LIMIT_MS))
-        self.members.set_left()
-        await self._tell_peers()
 
     async def _tell_peers(self) -> None:
         peers = self.members.peers()
