--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 PACKAGES := laburnumscale-schema laburnumscale laburnumscaled laburnumscalectl
-SOURCES := packages tests bench tools
+SOURCES := packages tests bench tools examples
 PY := $(VENV)/bin/python
 PROTO_DIR := packages/laburnumscale-schema/proto
 GENERATED_DIR := packages/laburnumscale-schema/src
