Let a daemon without settings ask several peers, never just one

The ordinary request to one peer also ran before the daemon had a tree, so that a start from the lowest of several peers passed its new proof.

--- a/packages/laburnumscale/src/laburnumscale/settingsrelay.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsrelay.py
@@ -86,9 +86,11 @@
     async def pull_forever(self) -> None:
         """Ask one peer after another for newer settings."""
         while True:
-            if not self._feed.has_tree and self._feed.log_failed:
-                await self._start_from_peers()
             await self._wait_for_hint()
+            if not self._feed.has_tree:
+                if self._feed.log_failed:
+                    await self._start_from_peers()
+                continue
             address = self._feed.hint or self._pick_address()
             self._feed.hint = ""
             if address:
--- a/tests/features/settings_outage.feature
+++ b/tests/features/settings_outage.feature
@@ -41,6 +41,14 @@
     Then within 10 s all daemons hold the same settings as d1
     And no daemon's revision has gone down
 
+  Scenario: A daemon that starts from peers takes the highest revision of several
+    Given a settings fleet with links around d3 of 3 daemons in makati, pasig
+    When all ways of d3 are cut
+    And operator amihan makes 3 changes at d1
+    And the log fails and stays away
+    And daemon d4 is started in pasig with seeds d1, d3
+    Then the first settings that d4 puts in force have the revision of d1
+
   Scenario: A daemon that hears nothing refuses what must not run twice
     Given a settings fleet with isolation_ms 1500 of 1 daemons in makati
     And targets e1 of slot-desk beside d1
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -307,6 +307,15 @@
         assert value == 1000 + made, (each.name, value, made)
 
 
+@then("the first settings that {daemon} puts in force have the revision of {other}")
+def step_first_in_force(context, daemon, other):
+    url = f"http://{context.fleet.daemons[daemon].operator}/readyz"
+    wait_until(lambda: request("GET", url).status == 200, f"{daemon} is ready")
+    lines = (context.fleet.directory / f"{daemon}.log").read_text().splitlines()
+    [first] = [json.loads(line) for line in lines if "settings in force" in line]
+    assert first["revision"] == context.fleet.daemons[other].status()["revision"]
+
+
 class Sampler(threading.Thread):
     def __init__(self, fleet):
         super().__init__(daemon=True)
