--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PACKAGES := laburnumscale-schema laburnumscale laburnumscaled laburnumscalectl
 SOURCES := packages tests bench tools examples
 PY := $(VENV)/bin/python
+SEEDS ?= 1 2 3 4
+SOAK_S ?= 120
 PROTO_DIR := packages/laburnumscale-schema/proto
 GENERATED_DIR := packages/laburnumscale-schema/src
 
@@ -11,7 +13,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: venv demo test features check format generate check-generated bench bench-settings clean
+.PHONY: venv demo test features check format generate check-generated soak bench bench-settings clean
 
 venv: $(VENV)/.stamp
 
@@ -46,6 +48,14 @@
 
 bench-settings: venv
 	$(PY) bench/settings.py
+soak: venv
+	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) \
+		$(PY) -m behave --no-capture tests/features/outcomes_load.feature \
+		-n "random faults, together and twice" || exit 1; done
 
 clean:
 	rm -rf $(VENV) build
+
+.PHONY: bench-members
+bench-members: venv
+	$(PY) -m bench.members
--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -3,17 +3,22 @@
 The gRPC channels to other daemons.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 import grpc
 
+from laburnumscale.deadlines import Deadline
 from laburnumscale_schema import peer_pb2_grpc
 
 __all__ = ["PeerChannels"]
 
+READY = grpc.ChannelConnectivity.READY
+FAILED = (grpc.ChannelConnectivity.TRANSIENT_FAILURE, grpc.ChannelConnectivity.SHUTDOWN)
 CHANNEL_OPTIONS = (
     ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),  # a call goes out once; only the entry retries
     ("grpc.initial_reconnect_backoff_ms", 50),
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
@@ -39,6 +44,22 @@
         """Return the stub for membership and settings."""
         return peer_pb2_grpc.PeerStub(self._channel(address))
 
+    async def connect(self, address: str, deadline: Deadline) -> bool:
+        """Wait for the connection to a peer.
+
+        :returns: False if it failed or took too long; then nothing was sent.
+        """
+        channel = self._channel(address)
+        try:
+            async with asyncio.timeout(deadline.left_s()):
+                while (state := channel.get_state(try_to_connect=True)) != READY:
+                    if state in FAILED:
+                        return False
+                    await channel.wait_for_state_change(state)
+        except TimeoutError:
+            return False
+        return True
+
     def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
         """Return the stub for calls with operation keys."""
         return peer_pb2_grpc.OperationKeysStub(self._channel(address))
@@ -56,6 +77,12 @@
         async with grpc.aio.insecure_channel(reached, options=options) as channel:
             yield peer_pb2_grpc.PeerStub(channel)
 
+    async def forget(self, address: str) -> None:
+        """Close the channel to an address at which nobody is left."""
+        channel = self._channels.pop(self.overrides.get(address, address), None)
+        if channel is not None:
+            await channel.close()
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 
-from laburnumscale.deadlines import MS_PER_S
+from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
@@ -72,6 +72,7 @@
         if not self.has_tree:
             self.has_tree = True
             get_logger().info("settings in force", revision=self.tree.revision)
+            self.note_changed()
 
     def hear(self, revision: int, address: str) -> None:
         """Note the revision that a peer says it holds."""
@@ -92,6 +93,16 @@
         while self.tree.revision <= revision:
             await self._changed.wait()
 
+    async def wait_tree(self, deadline: Deadline) -> None:
+        """Wait until the tree may be served, or until the deadline."""
+        while not self.has_tree and not deadline.is_over():
+            changed = self._changed
+            try:
+                async with asyncio.timeout(deadline.left_s()):
+                    await changed.wait()
+            except TimeoutError:
+                return
+
     def held(self) -> peer_pb2.SettingsHeld:
         """Return what this daemon holds."""
         return peer_pb2.SettingsHeld(
