--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -187,7 +187,7 @@
             address, _ = self._wanted.popitem()
             return address
         age_s = time.monotonic() - self.exchange.done_at_s
-        least_s = exchange_interval_s(len(self._members.peers()) + 1)
+        least_s = exchange_interval_s(self._members.group_size)
         if len(self._mismatches) < MISMATCHES_BEFORE_EXCHANGE or age_s < least_s:
             return None
         address = self._mismatches[-1]
--- a/packages/laburnumscale/src/laburnumscale/joining.py
+++ b/packages/laburnumscale/src/laburnumscale/joining.py
@@ -104,8 +104,7 @@
         if self._presence is None and not self._members.peers():
             await asyncio.sleep(ALONE_WAIT_MS / 1000)
         elif self._members.peers():
-            group_size = len(self._members.peers()) + 1
-            longest_s = max(LOWEST_POLL_S, group_size * POLL_S_PER_MEMBER)
+            longest_s = max(LOWEST_POLL_S, self._members.group_size * POLL_S_PER_MEMBER)
             await asyncio.sleep(longest_s * random.uniform(0.5, 1.5))
 
     async def _meet(self) -> None:
@@ -131,6 +130,6 @@
         return [each for each in dict.fromkeys(wanted) if each not in known]
 
     def _announce_interval_s(self) -> float:
-        group_size = len(self._members.peers()) + 1
-        interval_s = max(LOWEST_ANNOUNCE_S, group_size * ANNOUNCE_S_PER_MEMBER)
+        fleet_interval_s = self._members.group_size * ANNOUNCE_S_PER_MEMBER
+        interval_s = max(LOWEST_ANNOUNCE_S, fleet_interval_s)
         return interval_s * random.uniform(0.5, 1.5)
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -64,7 +64,7 @@
         self._table: dict[str, peer_pb2.Member] = {own.daemon: own}
         self._digests: dict[str, int] = {own.daemon: digest(own)}
         self._table_digest = self._digests[own.daemon]
-        self._peers: list[peer_pb2.Member] | None = None
+        self._peers: dict[str, peer_pb2.Member] = {}
         self._gone_deadlines: dict[str, Deadline] = {}
         self._key_holders: dict[tuple[str, int], str] = {}
         self._index = EndpointIndex(self.get)
@@ -84,13 +84,12 @@
 
     def peers(self) -> list[peer_pb2.Member]:
         """Return the other daemons that are not known to be gone."""
-        if self._peers is None:
-            self._peers = [
-                member
-                for member in self._table.values()
-                if member.daemon != self.own.daemon and is_listed(member)
-            ]
-        return self._peers
+        return list(self._peers.values())
+
+    @property
+    def group_size(self) -> int:
+        """Return the number of daemons that are not known to be gone, this one too."""
+        return len(self._peers) + 1
 
     def dead(self) -> list[peer_pb2.Member]:
         """Return the daemons that went without a word and may come back."""
@@ -241,10 +240,13 @@
         self._digests[daemon] = digest(after)
         change = self._digests[daemon] - old_digest
         self._table_digest = (self._table_digest + change) % DIGEST_MODULUS
-        self._peers = None
         self._note_key_homes(before, after)
         self._index.update(before, after)
         self._gone_deadlines.pop(daemon, None)
+        if is_listed(after) and daemon != self.own.daemon:
+            self._peers[daemon] = after
+        else:
+            self._peers.pop(daemon, None)
         if not is_listed(after):
             self._gone_deadlines[daemon] = Deadline.after_ms(GONE_KEPT_MS)
 
--- a/packages/laburnumscale/src/laburnumscale/messenger.py
+++ b/packages/laburnumscale/src/laburnumscale/messenger.py
@@ -57,8 +57,8 @@
             datagram.updates.append(_claim(member))
         room_bytes = DATAGRAM_LIMIT_BYTES - datagram.ByteSize()
         room_bytes = min(room_bytes, self._credit())
-        group_size = len(self._members.peers()) + 1
-        datagram.updates.extend(self.queue.take(room_bytes, group_size))
+        updates = self.queue.take(room_bytes, self._members.group_size)
+        datagram.updates.extend(updates)
         self._credit_bytes -= self._socket.send(to.peer_address, datagram)
 
     def can_spread(self) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/suspicions.py
+++ b/packages/laburnumscale/src/laburnumscale/suspicions.py
@@ -57,7 +57,7 @@
         if time.monotonic() - self._health.heard_at_s < SILENCE_S:
             self._extensions = 0
             return False
-        alone = len(self._members.peers()) < 2
+        alone = self._members.group_size <= 2
         if alone or self._extensions >= HIGHEST_EXTENSIONS:
             return False
         self._extensions += 1
@@ -70,6 +70,5 @@
             self._deadlines.pop(news.daemon, None)
         elif news.daemon not in self._deadlines:
             self._metrics.count("members_suspected")
-            group_size = len(self._members.peers()) + 1
-            limit_ms = suspicion_ms(group_size)
+            limit_ms = suspicion_ms(self._members.group_size)
             self._deadlines[news.daemon] = Deadline.after_ms(limit_ms)
