Judge targets by their work and keep the floor in each entry's view

Cause: a target that answered its health check and hung real work kept getting calls until its callers gave up. Each entry leaves the worst out down to the floor in slots and judges only its paths. Ejected targets return by exile, probes, one trial call and a slow start. Routing takes the cheaper of two by the guards' reports; the guard refuses what cannot end in time. Ruled out: finding failures by probes (25 ms of a slot each, and a gray target answers them).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that the docs quote."""
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -73,7 +73,7 @@
             peer_pb2.NOT_RUN_REASON_NO_TARGET, NO_TARGET_RETRY_AFTER_MS
         )
         for _ in range(call.settings.attempt_limit):
-            view = self._router.pick(call.service, call.tried)
+            view = self._router.pick(call.service, call.tried, call.idempotent)
             if view is None or call.deadline.is_over():
                 break
             call.tried.add(view.endpoint)
@@ -89,10 +89,11 @@
     async def _attempt(
         self, call: Call, view: EndpointView
     ) -> tuple[Outcome, HTTPResponse | None]:
-        self._router.started(view)
+        attempt = self._router.started(view)
         replies = self._replies(call, view)
         try:
             first = await anext(replies)
+            attempt.replied(first)
             outcome = failure(first)
             if outcome is not None:
                 return outcome, None
@@ -100,7 +101,7 @@
                 return Answered(first.head.status), _whole(call, first)
             return await self._pass_on(call, first, replies)
         finally:
-            self._router.ended(view)
+            attempt.ended()
             await replies.aclose()
 
     async def _pass_on(
@@ -155,7 +156,7 @@
     def _head(
         self, call: Call, view: EndpointView, deadline: Deadline
     ) -> peer_pb2.CallHead:
-        return peer_pb2.CallHead(
+        head = peer_pb2.CallHead(
             attempt=peer_pb2.AttemptId(
                 entry=self._members.own.daemon,
                 entry_incarnation=self._members.own.incarnation,
@@ -170,6 +171,8 @@
             time_left_ms=deadline.left_ms(),
             idempotent=call.idempotent,
         )
+        self._router.mark(head, view)
+        return head
 
 
 async def _requests(
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -20,8 +20,10 @@
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
 from laburnumscale.operators import Operators
+from laburnumscale.pathhealth import PathHealth
 from laburnumscale.peers import PeerChannels, serve_peers
 from laburnumscale.platformlog import PlatformLog
+from laburnumscale.returning import Returning
 from laburnumscale.routing import Router
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.targets import LocalTargets
@@ -65,13 +67,14 @@
             settings.data_centre,
             targets,
             feed,
-            TargetHealth(metrics),
+            TargetHealth(Returning(session, metrics, targets.tell), metrics),
             session,
             metrics,
         )
         channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(members, feed, channels, log, metrics)
-        runner = CallRunner(members, guard, channels, Router(members))
+        router = Router(members, feed, PathHealth(channels, metrics))
+        runner = CallRunner(members, guard, channels, router)
         entry = Entry(members, feed, runner, metrics)
         peer_server = await serve_peers(settings.peer_address, guard, members, feed)
         servers = [
@@ -79,7 +82,9 @@
                 entry.app(settings.body_limit_bytes), settings.caller_address
             ),
             await serve_app(
-                Operators(members, feed, targets, metrics, settings.isolation_ms).app(),
+                Operators(
+                    members, feed, targets, router, metrics, settings.isolation_ms
+                ).app(),
                 settings.operator_address,
             ),
             await serve_app(
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -68,10 +67,15 @@
             head.service, self._data_centre, head.endpoint
         )
         try:
-            async with hold_slot(target, settings, deadline):
-                async for reply in self._run(target, settings, head, body, deadline):
-                    yield reply
+            with self._health.admitted(target, settings, head):
+                floor_traffic = head.floor_traffic
+                async with hold_slot(target, settings, deadline, floor_traffic):
+                    async for reply in self._run(
+                        target, settings, head, body, deadline
+                    ):
+                        yield reply
         except AttemptRefused as refused:
+            refused.reply.load.CopyFrom(target.load())
             yield refused.reply
 
     async def _run(
@@ -85,8 +89,7 @@
         url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
         headers = CIMultiDict((header.name, header.value) for header in head.headers)
         headers[DEADLINE_HEADER] = str(deadline.left_ms())
-        started_at_s = time.monotonic()
-        failed = True
+        observation = self._health.observe(target, settings, head, deadline)
         try:
             async with (
                 asyncio.timeout(deadline.left_s()),
@@ -100,21 +103,24 @@
                 ) as response,
             ):
                 if response.status in settings.shed:
+                    observation.forget()
                     raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
+                observation.answered(failed=response.status >= SERVER_ERROR)
                 async for reply in self._replies(target, response):
                     yield reply
-                failed = response.status >= SERVER_ERROR
         except aiohttp.ClientConnectorError:
+            observation.broke()
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
         except TimeoutError:
-            yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
+            yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE, target.load())
         except aiohttp.ClientPayloadError:
-            yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
+            observation.broke()
+            yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT, target.load())
         except aiohttp.ClientError:
-            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+            observation.broke()
+            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
         finally:
-            latency_us = int((time.monotonic() - started_at_s) * 1_000_000)
-            self._health.observe(target, failed, latency_us)
+            observation.end()
 
     async def _replies(
         self, target: LocalTarget, response: aiohttp.ClientResponse
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -1,24 +1,229 @@
 """Health.
 
-Judges the targets beside this daemon by the calls that they ran.
+Judges the targets beside this daemon by the calls that they run.
 """
 
+import asyncio
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.evidence import Evidence
+from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
+from laburnumscale.replies import AttemptRefused
+from laburnumscale.returning import Exile, Returning
 from laburnumscale.targets import LocalTarget
+from laburnumscale.tree import EffectiveSettings
+from laburnumscale_schema import peer_pb2
+
+__all__ = ["Observation", "TargetHealth"]
+
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+EVIDENCE = "evidence"
+REFUSED_RETRY_AFTER_MS = 1000
 
-__all__ = ["TargetHealth"]
+
+@attrs.define(eq=False)
+class Record:
+    """What the guard knows of the health of one target."""
+
+    target: LocalTarget
+    evidence: Evidence = attrs.field(factory=Evidence)
+    exile: Exile = attrs.field(factory=Exile)
+    trial_running: bool = False
+    returning: asyncio.Task | None = None
 
 
 class TargetHealth:
-    """The verdicts of one guard on its targets."""
+    """The verdicts of one guard on its targets.
 
-    def __init__(self, metrics: Metrics) -> None:
+    :param returning: brings ejected targets back.
+    """
+
+    def __init__(self, returning: Returning, metrics: Metrics) -> None:
+        self._returning = returning
         self._metrics = metrics
+        self._records: dict[tuple[str, str], Record] = {}
 
-    def observe(self, target: LocalTarget, failed: bool, latency_us: int) -> None:
-        """Take the result of one attempt into account.
+    @contextmanager
+    def admitted(
+        self, target: LocalTarget, settings: EffectiveSettings, head: peer_pb2.CallHead
+    ) -> Iterator[None]:
+        """Admit one attempt until its end.
 
-        :param failed: it timed out, broke off, or answered with a server error.
+        :raises AttemptRefused: the target is ejected and the attempt is no floor
+            traffic, or the target is on trial and its trial call is running.
         """
-        labels = f'service="{target.service}",failed="{str(failed).lower()}"'
+        record = self._record(target)
+        on_trial = self._admit(record, settings, head)
+        if not on_trial:
+            yield
+            return
+        record.trial_running = True
+        try:
+            yield
+        finally:
+            record.trial_running = False
+
+    def observe(
+        self,
+        target: LocalTarget,
+        settings: EffectiveSettings,
+        head: peer_pb2.CallHead,
+        deadline: Deadline,
+    ) -> "Observation":
+        """Observe an attempt that starts now."""
+        record = self._record(target)
+        starts_cold = target.is_cold() and not record.exile.doublings
+        reference_us = 0 if starts_cold else head.reference_latency_us
+        limit_s = _limit_s(settings, reference_us, deadline)
+        return Observation(self, record, settings, limit_s)
+
+    def judge(self, record: Record, settings: EffectiveSettings, bad: bool) -> None:
+        """Take the result of one attempt into account."""
+        target = record.target
+        record.evidence.add(bad)
+        labels = f'service="{target.service}",bad="{str(bad).lower()}"'
         self._metrics.count("attempts", labels)
+        target.latency_us = int(record.evidence.latency_us)
+        if target.ejected:
+            target.severity_percent = max(1, record.evidence.severity_percent())
+        elif target.on_trial:
+            self._judge_trial(record, settings, bad)
+        elif bad and self._convicts(record, settings):
+            self._eject(record, settings)
+
+    def _record(self, target: LocalTarget) -> Record:
+        key = (target.service, target.endpoint)
+        record = self._records.get(key)
+        if record is None or record.target is not target:
+            if record is not None and record.returning is not None:
+                record.returning.cancel()
+            record = Record(target)
+            self._records[key] = record
+        return record
+
+    def _admit(
+        self, record: Record, settings: EffectiveSettings, head: peer_pb2.CallHead
+    ) -> bool:
+        target = record.target
+        if settings.ejection_policy != EVIDENCE or head.floor_traffic:
+            return False
+        if target.ejected or (target.on_trial and record.trial_running):
+            self._metrics.count("refused_ejected", f'service="{target.service}"')
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_EJECTED, REFUSED_RETRY_AFTER_MS
+            )
+        return target.on_trial
+
+    @staticmethod
+    def _convicts(record: Record, settings: EffectiveSettings) -> bool:
+        if settings.ejection_policy != EVIDENCE:
+            return False
+        return record.evidence.is_against(settings.eject_after)
+
+    def _eject(self, record: Record, settings: EffectiveSettings) -> None:
+        target = record.target
+        severity_percent = max(1, record.evidence.severity_percent())
+        target.set_verdict(ejected=True, severity_percent=severity_percent)
+        exile_ms = record.exile.next_ms(settings.exile_ms)
+        self._told(target, "target ejected", exile_ms=exile_ms)
+        self._metrics.count("ejections", f'service="{target.service}"')
+        if record.returning is not None:
+            record.returning.cancel()
+        record.returning = asyncio.create_task(
+            self._returning.bring_back(target, settings, exile_ms)
+        )
+
+    def _judge_trial(
+        self, record: Record, settings: EffectiveSettings, bad: bool
+    ) -> None:
+        if bad:
+            self._eject(record, settings)
+            return
+        record.evidence.start_again(settings.eject_after)
+        record.exile.returned()
+        record.target.set_verdict(slow_start=True)
+        self._told(record.target, "target returned")
+
+    def _told(self, target: LocalTarget, event: str, **details) -> None:
+        self._returning.tell()
+        names = {"service": target.service, "endpoint": target.endpoint}
+        get_logger().info(event, **names, **details)
+
+
+class Observation:
+    """One attempt, judged as soon as it is answered or overdue.
+
+    :param limit_s: time from which the attempt is slow.
+    """
+
+    def __init__(
+        self,
+        health: TargetHealth,
+        record: Record,
+        settings: EffectiveSettings,
+        limit_s: float,
+    ) -> None:
+        self._health = health
+        self._record = record
+        self._settings = settings
+        self._started_at_s = time.monotonic()
+        self._limit_s = limit_s
+        self._judged = False
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._limit_s, self._overdue)
+
+    def answered(self, failed: bool) -> None:
+        """Note the head of the answer.
+
+        :param failed: it is a server error.
+        """
+        elapsed_s = time.monotonic() - self._started_at_s
+        self._record.evidence.add_latency(elapsed_s * US_PER_S)
+        self._judge(failed or elapsed_s > self._limit_s)
+
+    def broke(self) -> None:
+        """Note that the connection failed, or that the answer was cut short."""
+        self._judge(True)
+
+    def forget(self) -> None:
+        """Leave the attempt out, as the target has not run it."""
+        self._judged = True
+
+    def end(self) -> None:
+        """Note the end of the attempt; given up before it was overdue, it says
+        nothing about the target.
+        """
+        self._timer.cancel()
+
+    def _overdue(self) -> None:
+        self._record.evidence.add_latency(self._limit_s * US_PER_S)
+        self._judge(True)
+
+    def _judge(self, bad: bool) -> None:
+        if self._judged:
+            return
+        self._judged = True
+        self._health.judge(self._record, self._settings, bad)
+
+
+def _limit_s(
+    settings: EffectiveSettings, reference_us: int, deadline: Deadline
+) -> float:
+    """Return the time from which an attempt counts as slow.
+
+    Without a reference that is the attempt's own deadline, unless it is much
+    shorter than the service's time limit.
+    """
+    if not (reference_us and settings.slow_factor):
+        shortest_s = settings.time_limit_ms / 1000 / settings.attempt_limit / 2
+        return max(shortest_s, deadline.left_s() * 0.95)
+    slow_us = settings.slow_factor * reference_us
+    excess_us = reference_us + settings.slow_excess_ms * US_PER_MS
+    return max(slow_us, excess_us) / US_PER_S
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -34,6 +34,9 @@
     incarnation: int
     peer_address: str
     data_centre: str
+    verdict_version: int = 0
+    severity_percent: int = 0
+    on_trial: bool = False
 
 
 class Members:
@@ -119,6 +122,9 @@
                     incarnation=member.incarnation,
                     peer_address=member.peer_address,
                     data_centre=member.data_centre,
+                    verdict_version=endpoint.verdict_version,
+                    severity_percent=endpoint.severity_percent,
+                    on_trial=endpoint.on_trial,
                 )
                 index.setdefault(endpoint.service, []).append(view)
         return index
--- a/packages/laburnumscale/src/laburnumscale/operators.py
+++ b/packages/laburnumscale/src/laburnumscale/operators.py
@@ -14,6 +14,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.places import parse_place
+from laburnumscale.routing import Router, selection_dict
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import new_app
@@ -46,12 +47,14 @@
         members: Members,
         feed: SettingsFeed,
         targets: LocalTargets,
+        router: Router,
         metrics: Metrics,
         isolation_ms: int,
     ) -> None:
         self._members = members
         self._feed = feed
         self._targets = targets
+        self._router = router
         self._metrics = metrics
         self._isolation_ms = isolation_ms
 
@@ -62,6 +65,7 @@
         app.add_route(self.readyz, "/readyz")
         app.add_route(self.metrics, "/metrics")
         app.add_route(self.status, "/v1/status")
+        app.add_route(self.selection, "/v1/selection/<service:str>")
         app.add_route(self.settings, "/v1/settings")
         app.add_route(self.publish, "/v1/changes", methods=["POST"])
         app.add_route(
@@ -99,6 +103,10 @@
             }
         )
 
+    async def selection(self, request: Request, service: str) -> HTTPResponse:
+        """Return which endpoints of a service take calls of this entry."""
+        return json(selection_dict(self._router.selection(service)))
+
     async def settings(self, request: Request) -> HTTPResponse:
         """Return the whole tree."""
         return json(_message_dict(self._feed.tree.snapshot()))
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -0,0 +1,95 @@
+"""Routing policies.
+
+The ways to choose an endpoint, looked up by name.
+"""
+
+import random
+from abc import ABC, abstractmethod
+
+from laburnumscale.loadtable import EndpointLoad
+
+__all__ = ["RoutingPolicy", "get_policy_by_name"]
+
+SPILL_UTILISATION = 0.8
+DEFAULT_POLICY = "two-choices"
+
+
+class RoutingPolicy(ABC):
+    """Chooses among the endpoints of a service.
+
+    :cvar name: the name in the settings.
+    """
+
+    name: str
+
+    @abstractmethod
+    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+        """Return one of the endpoints.
+
+        :param loads: at least one endpoint.
+        :param data_centre: where the caller's entry stands.
+        """
+
+
+class TwoChoices(RoutingPolicy):
+    """The cheaper of two random endpoints, those of the own data centre first."""
+
+    name = "two-choices"
+
+    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+        local = [load for load in loads if load.view.data_centre == data_centre]
+        if local:
+            best = self._cheaper(local)
+            if best.utilisation < SPILL_UTILISATION:
+                return best
+        return self._cheaper(loads)
+
+    def _cheaper(self, loads: list[EndpointLoad]) -> EndpointLoad:
+        pair = random.sample(loads, min(2, len(loads)))
+        return min(pair, key=self.cost)
+
+    @staticmethod
+    def cost(load: EndpointLoad) -> float:
+        """Return the time that a further call takes, in microseconds."""
+        if load.path_broken:
+            return float("inf")
+        return (load.in_system + 1) / max(1, load.open_slots) * load.latency_us
+
+
+class RoundRobin(RoutingPolicy):
+    """One endpoint after the other."""
+
+    name = "round-robin"
+
+    def __init__(self) -> None:
+        self._last: dict[str, str] = {}
+
+    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+        service = loads[0].view.service
+        ordered = sorted(loads, key=lambda load: load.view.endpoint)
+        last = self._last.get(service, "")
+        later = [load for load in ordered if load.view.endpoint > last]
+        chosen = (later or ordered)[0]
+        self._last[service] = chosen.view.endpoint
+        return chosen
+
+
+class LeastRequests(RoutingPolicy):
+    """The less loaded of two random endpoints, wherever they stand."""
+
+    name = "least-requests"
+
+    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+        pair = random.sample(loads, min(2, len(loads)))
+        return min(pair, key=lambda load: load.in_system)
+
+
+_POLICIES = {policy.name: policy for policy in (TwoChoices, RoundRobin, LeastRequests)}
+
+
+def get_policy_by_name(name: str) -> RoutingPolicy:
+    """Return a new instance of the policy with this name.
+
+    An unknown name, as a newer daemon may have accepted it, gives the default.
+    """
+    return _POLICIES.get(name, _POLICIES[DEFAULT_POLICY])()
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -23,6 +23,7 @@
     ServicePlace,
     parse_place,
 )
+from laburnumscale.policynames import EJECTION_POLICIES, ROUTING_POLICIES
 from laburnumscale.settingsfile import SettingsFile
 from laburnumscale_schema import settings_pb2
 
@@ -36,6 +37,16 @@
     "queue_limit": (0, 100_000),
     "attempt_limit": (1, 10),
     "retry_budget_percent": (0, 100),
+    "eject_after": (1, 100),
+    "slow_factor": (0, 1000),
+    "slow_excess_ms": (1, 600_000),
+    "exile_ms": (100, 600_000),
+}
+
+#: Names that a setting may have.
+NAMES = {
+    "routing_policy": ROUTING_POLICIES,
+    "ejection_policy": EJECTION_POLICIES,
 }
 
 SECTIONS = ("fleet", "data_centres", "services", "routes")
@@ -109,6 +120,9 @@
 
 
 def _check_range(where: str, name: str, settings: settings_pb2.ServiceSettings) -> None:
+    if name in NAMES and getattr(settings, name) not in NAMES[name]:
+        reason = f"the value is none of {', '.join(NAMES[name])}"
+        raise OptionValueInvalid(where, name, reason)
     if name not in RANGES:
         return
     lowest, highest = RANGES[name]
--- a/packages/laburnumscale/src/laburnumscale/replies.py
+++ b/packages/laburnumscale/src/laburnumscale/replies.py
@@ -27,9 +27,9 @@
     )
 
 
-def unknown(reason: int) -> peer_pb2.CallReply:
+def unknown(reason: int, load: peer_pb2.LoadReport | None = None) -> peer_pb2.CallReply:
     """Return the reply for an attempt that may have run."""
-    return peer_pb2.CallReply(unknown=peer_pb2.UnknownReply(reason=reason))
+    return peer_pb2.CallReply(unknown=peer_pb2.UnknownReply(reason=reason), load=load)
 
 
 def failure(reply: peer_pb2.CallReply) -> NotRun | Unknown | None:
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -0,0 +1,111 @@
+"""Returning.
+
+Brings ejected targets back: exile, probes, a trial with one call, slow start.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import aiohttp
+import attrs
+
+from laburnumscale.metrics import Metrics
+from laburnumscale.targets import LocalTarget
+from laburnumscale.tree import EffectiveSettings
+
+__all__ = ["Exile", "Returning"]
+
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 0.5
+PROBE_SUCCESSES = 2
+TRIAL_WAIT_S = 5.0
+HIGHEST_DOUBLINGS = 3
+FORGIVEN_AFTER_EXILES = 10
+MS_PER_S = 1000
+OK = 200
+
+
+@attrs.define
+class Exile:
+    """How long a target is left out, which doubles with each ejection.
+
+    :ivar doublings: how often the first length is doubled at the next ejection.
+    :ivar returned_at_s: monotonic time of the last return, 0 for none.
+    """
+
+    doublings: int = 0
+    returned_at_s: float = 0.0
+
+    def next_ms(self, first_ms: int) -> int:
+        """Return the length of the exile that starts now.
+
+        A doubling is forgiven for each long time in service.
+        """
+        if self.returned_at_s:
+            healthy_s = time.monotonic() - self.returned_at_s
+            forgiven = int(healthy_s * MS_PER_S / (first_ms * FORGIVEN_AFTER_EXILES))
+            self.doublings = max(0, self.doublings - forgiven)
+        length_ms = first_ms * 2**self.doublings
+        self.doublings = min(HIGHEST_DOUBLINGS, self.doublings + 1)
+        return length_ms
+
+    def returned(self) -> None:
+        """Note that the target is in service again."""
+        self.returned_at_s = time.monotonic()
+
+
+class Returning:
+    """Probes ejected targets and puts them on trial.
+
+    :param tell: called after each change of a verdict.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        metrics: Metrics,
+        tell: Callable[[], None],
+    ) -> None:
+        self.tell = tell
+        self._session = session
+        self._metrics = metrics
+
+    async def bring_back(
+        self, target: LocalTarget, settings: EffectiveSettings, exile_ms: int
+    ) -> None:
+        """Turn waiting calls away, wait for the exile's end, probe, start the trial.
+
+        The trial ends with its first call; without calls it ends after a while.
+        """
+        async with target.slot_freed:
+            target.slot_freed.notify_all()
+        await asyncio.sleep(exile_ms / MS_PER_S)
+        successes = 0
+        while successes < PROBE_SUCCESSES:
+            healthy = await self._probe(target, settings)
+            successes = successes + 1 if healthy else 0
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        target.set_verdict(on_trial=True)
+        self.tell()
+        version = target.verdict_version
+        await asyncio.sleep(TRIAL_WAIT_S)
+        if target.verdict_version == version:
+            target.set_verdict(slow_start=True)
+            self.tell()
+
+    async def _probe(self, target: LocalTarget, settings: EffectiveSettings) -> bool:
+        self._metrics.count("probes", f'service="{target.service}"')
+        url = f"http://{target.address}{settings.probe_path}"
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        target.running += 1
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                await response.read()
+                return response.status == OK
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        finally:
+            target.running -= 1
+            async with target.slot_freed:
+                target.slot_freed.notify()
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -1,53 +1,171 @@
 """Routing.
 
-Picks the endpoint for an attempt.
+Picks the endpoint for an attempt and learns from its reply.
 """
 
+import asyncio
 import random
-from collections import Counter
 
+import attrs
+
+from laburnumscale.consecutiveerrors import ConsecutiveErrors
+from laburnumscale.ejection import AnnouncedSlots, Selection, select
+from laburnumscale.loadtable import EndpointLoad, LoadTable
 from laburnumscale.members import EndpointView, Members
+from laburnumscale.pathhealth import PathHealth
+from laburnumscale.policies import RoutingPolicy, get_policy_by_name
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["Router"]
+__all__ = ["RoutedAttempt", "Router", "selection_dict"]
 
 READY = peer_pb2.TARGET_STATE_READY
+EVIDENCE = "evidence"
+CONSECUTIVE_ERRORS = "consecutive-errors"
+
+
+@attrs.define(eq=False)
+class RoutedAttempt:
+    """One attempt at an endpoint, from its start to its end."""
+
+    router: "Router"
+    view: EndpointView
+    path_timer: asyncio.TimerHandle | None
+
+    def replied(self, reply: peer_pb2.CallReply) -> None:
+        """Learn from the first reply."""
+        self._cancel_timer()
+        self.router.learn(self.view, reply)
+
+    def ended(self) -> None:
+        """Note that the attempt has ended."""
+        self._cancel_timer()
+        self.router.loads.ended(self.view)
+
+    def _cancel_timer(self) -> None:
+        if self.path_timer is not None:
+            self.path_timer.cancel()
 
 
 class Router:
     """Chooses among the endpoints of a service for one entry."""
 
-    def __init__(self, members: Members) -> None:
+    def __init__(self, members: Members, feed: SettingsFeed, paths: PathHealth) -> None:
+        self.loads = LoadTable()
         self._members = members
-        self._outstanding: Counter[tuple[str, str]] = Counter()
+        self._feed = feed
+        self._paths = paths
+        self._announced = AnnouncedSlots(members)
+        self._policies: dict[str, RoutingPolicy] = {}
+        self._consecutive = ConsecutiveErrors()
 
-    def pick(self, service: str, tried: set[str]) -> EndpointView | None:
-        """Return the less loaded of two random endpoints, or None.
+    def pick(
+        self, service: str, tried: set[str], idempotent: bool
+    ) -> EndpointView | None:
+        """Return the endpoint for the next attempt, or None.
 
         :param tried: names of endpoints that this call has tried.
+        :param idempotent: whether the call may serve as a trial.
         """
-        candidates = [
-            view
-            for view in self._members.endpoints(service)
-            if view.state == READY and view.endpoint not in tried
-        ]
-        if not candidates:
+        settings = self._settings(service)
+        selection = self.selection(service)
+        loads = [load for load in selection.in_use if load.view.endpoint not in tried]
+        trial = self._trial(selection) if idempotent and not tried else None
+        if trial is not None:
+            return trial.view
+        if not loads:
             return None
-        first = random.choice(candidates)
-        second = random.choice(candidates)
-        return min(first, second, key=self._load)
+        return self._policy(settings).choose(loads, self._own_data_centre()).view
+
+    def selection(self, service: str) -> Selection:
+        """Return which endpoints of a service take calls of this entry."""
+        settings = self._settings(service)
+        loads = [self._load(view) for view in self._members.endpoints(service)]
+        announced_slots = self._announced.count(service)
+        if settings.ejection_policy == EVIDENCE:
+            return select(loads, announced_slots, settings.floor_percent)
+        loads = [load for load in loads if load.view.state == READY]
+        if settings.ejection_policy == CONSECUTIVE_ERRORS:
+            loads = self._consecutive.in_use(loads)
+        slots = sum(load.view.slots for load in loads)
+        return Selection(loads, [], announced_slots, 0, slots)
 
-    def started(self, view: EndpointView) -> None:
+    def mark(self, head: peer_pb2.CallHead, view: EndpointView) -> None:
+        """Tell the guard what it needs for its verdict and for the floor."""
+        views = self._members.endpoints(view.service)
+        load = self.loads.load(view)
+        head.floor_traffic = load.ejected
+        head.reference_latency_us = self.loads.reference_us(view.service, views)
+
+    def started(self, view: EndpointView) -> RoutedAttempt:
         """Note that an attempt to an endpoint starts."""
-        self._outstanding[view.service, view.endpoint] += 1
-
-    def ended(self, view: EndpointView) -> None:
-        """Note that an attempt to an endpoint has ended."""
-        key = (view.service, view.endpoint)
-        self._outstanding[key] -= 1
-        if self._outstanding[key] <= 0:
-            del self._outstanding[key]
-
-    def _load(self, view: EndpointView) -> float:
-        outstanding = self._outstanding[view.service, view.endpoint]
-        return outstanding / max(1, view.slots)
+        self.loads.started(view)
+        timer = None
+        if view.daemon != self._members.own.daemon:
+            timer = self._paths.watch(view.peer_address)
+        return RoutedAttempt(self, view, timer)
+
+    def learn(self, view: EndpointView, reply: peer_pb2.CallReply) -> None:
+        """Learn from the first reply of an attempt."""
+        self._consecutive.observe(view, reply)
+        if reply.HasField("load"):
+            self.loads.heard(view, reply.load)
+        elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
+            self._paths.suspect(view.peer_address)
+
+    def _trial(self, selection: Selection) -> EndpointLoad | None:
+        """Return an endpoint on trial for its even share of the calls."""
+        idle = [
+            load for load in selection.on_trial if not self.loads.outstanding(load.view)
+        ]
+        share = len(idle) / max(1, len(idle) + len(selection.in_use))
+        return random.choice(idle) if random.random() < share else None
+
+    def _load(self, view: EndpointView) -> EndpointLoad:
+        return self.loads.load(view, self._paths.is_broken(view.peer_address))
+
+    def _policy(self, settings: EffectiveSettings) -> RoutingPolicy:
+        name = settings.routing_policy
+        if name not in self._policies:
+            self._policies[name] = get_policy_by_name(name)
+        return self._policies[name]
+
+    def _settings(self, service: str) -> EffectiveSettings:
+        return self._feed.tree.effective(service, self._own_data_centre())
+
+    def _own_data_centre(self) -> str:
+        return self._members.own.data_centre
+
+
+def _is_path_failure(reply: peer_pb2.CallReply) -> bool:
+    if reply.HasField("not_run"):
+        return reply.not_run.reason == peer_pb2.NOT_RUN_REASON_NOT_CONNECTED
+    if reply.HasField("unknown"):
+        return reply.unknown.reason in (
+            peer_pb2.UNKNOWN_REASON_CONNECTION_LOST,
+            peer_pb2.UNKNOWN_REASON_DEADLINE,
+        )
+    return False
+
+
+def selection_dict(selection: Selection) -> dict:
+    """Return a selection as operators see it."""
+    endpoints = [
+        {
+            "endpoint": load.view.endpoint,
+            "slots": load.view.slots,
+            "ejected": load.ejected,
+            "severity_percent": load.severity_percent,
+            "on_trial": load.on_trial,
+            "path_broken": load.path_broken,
+        }
+        for load in selection.in_use
+    ]
+    return {
+        "announced_slots": selection.announced_slots,
+        "floor_slots": selection.floor_slots,
+        "in_use_slots": selection.in_use_slots,
+        "in_use": endpoints,
+        "on_trial": [load.view.endpoint for load in selection.on_trial],
+    }
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -16,45 +17,76 @@
 __all__ = ["hold_slot"]
 
 OVERLOAD_RETRY_AFTER_MS = 1000
+LEAST_RETRY_AFTER_MS = 100
+US_PER_MS = 1000
+US_PER_S = 1_000_000
 READY = peer_pb2.TARGET_STATE_READY
 
 
 @asynccontextmanager
 async def hold_slot(
-    target: LocalTarget, settings: EffectiveSettings, deadline: Deadline
+    target: LocalTarget,
+    settings: EffectiveSettings,
+    deadline: Deadline,
+    floor_traffic: bool,
 ) -> AsyncIterator[None]:
     """Hold one slot of a target.
 
-    :raises AttemptRefused: the target leaves, its queue is full, or the deadline
-        passes in the queue.
+    :param floor_traffic: the attempt waits also while the target is ejected.
+    :raises AttemptRefused: the target leaves, its queue is full, the attempt cannot
+        end before its deadline, or the target is ejected while it waits.
     """
     if target.state != READY:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
     if target.running >= target.slots:
-        await _wait_for_slot(target, settings, deadline)
+        await _wait_for_slot(target, settings, deadline, floor_traffic)
     target.running += 1
+    started_at_s = time.monotonic()
     try:
         yield
     finally:
+        target.note_held((time.monotonic() - started_at_s) * US_PER_S)
         target.running -= 1
         async with target.slot_freed:
             target.slot_freed.notify()
 
 
 async def _wait_for_slot(
-    target: LocalTarget, settings: EffectiveSettings, deadline: Deadline
+    target: LocalTarget,
+    settings: EffectiveSettings,
+    deadline: Deadline,
+    floor_traffic: bool,
 ) -> None:
-    if target.queued >= settings.queue_limit:
-        raise AttemptRefused(
-            peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
-        )
+    wait_ms = _expected_wait_ms(target)
+    too_late = wait_ms + _call_ms(target) > deadline.left_ms()
+    if too_late or target.queued >= settings.queue_limit:
+        retry_after_ms = max(LEAST_RETRY_AFTER_MS, int(wait_ms))
+        raise AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms)
+
+    def is_turned_away() -> bool:
+        return target.ejected and not floor_traffic
+
+    def may_go_on() -> bool:
+        return target.running < target.slots or is_turned_away()
+
     target.queued += 1
     try:
         async with asyncio.timeout(deadline.left_s()), target.slot_freed:
-            await target.slot_freed.wait_for(lambda: target.running < target.slots)
+            await target.slot_freed.wait_for(may_go_on)
     except TimeoutError:
         raise AttemptRefused(
             peer_pb2.NOT_RUN_REASON_DEADLINE, OVERLOAD_RETRY_AFTER_MS
         ) from None
     finally:
         target.queued -= 1
+    if is_turned_away():
+        raise AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS)
+
+
+def _call_ms(target: LocalTarget) -> float:
+    return target.latency_us / US_PER_MS
+
+
+def _expected_wait_ms(target: LocalTarget) -> float:
+    held_ms = target.held_us / US_PER_MS
+    return (target.queued + 1) / max(1, target.slots) * held_ms
--- a/packages/laburnumscale/src/laburnumscale/tree.py
+++ b/packages/laburnumscale/src/laburnumscale/tree.py
@@ -25,6 +25,10 @@
     :ivar time_limit_ms: longest time that a caller waits.
     :ivar floor_percent: share of the announced slots that stays in use.
     :ivar retry_budget_percent: retries in percent of calls.
+    :ivar eject_after: bad calls in a row that eject a target.
+    :ivar slow_factor: multiple of the service's median from which a call is slow.
+    :ivar slow_excess_ms: least difference to the median from which a call is slow.
+    :ivar exile_ms: time that a target is left out after its first ejection.
     """
 
     time_limit_ms: int = 2000
@@ -35,6 +39,13 @@
     shed: frozenset[int] = frozenset({503})
     attempt_limit: int = 3
     retry_budget_percent: int = 20
+    eject_after: int = 3
+    slow_factor: int = 4
+    slow_excess_ms: int = 150
+    exile_ms: int = 3000
+    probe_path: str = "/healthz"
+    routing_policy: str = "two-choices"
+    ejection_policy: str = "evidence"
 
 
 def _plain_value(settings: settings_pb2.ServiceSettings, name: str):
