--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,10 @@
 
 clean:
 	rm -rf $(VENV) build
+
+.PHONY: bench-health
+bench-health: venv
+	$(PY) -m bench.health --policy evidence
+	$(PY) -m bench.health --policy round-robin
+	$(PY) -m bench.health --policy least-requests
+	$(PY) -m bench.health --policy consecutive-errors
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -7,9 +7,9 @@
 
 import grpc
 
+from laburnumscale.channels import PeerChannels
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
-from laburnumscale.peers import PeerChannels
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["PathHealth"]
