Add the proofs of health and refuse queued calls that cannot end in time

Seen: the scenario of a flapping target fails (0 ejections): after one slow call the endpoint's reported latency stays high and no entry ever sends it a call again, so nothing is learned.

--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -18,6 +18,7 @@
 
 OVERLOAD_RETRY_AFTER_MS = 1000
 LEAST_RETRY_AFTER_MS = 100
+CALL_MARGIN = 1.25
 US_PER_MS = 1000
 US_PER_S = 1_000_000
 READY = peer_pb2.TARGET_STATE_READY
@@ -47,8 +48,7 @@
     finally:
         target.note_held((time.monotonic() - started_at_s) * US_PER_S)
         target.running -= 1
-        async with target.slot_freed:
-            target.slot_freed.notify()
+        await _wake_next(target)
 
 
 async def _wait_for_slot(
@@ -58,8 +58,9 @@
     floor_traffic: bool,
 ) -> None:
     wait_ms = _expected_wait_ms(target)
-    too_late = wait_ms + _call_ms(target) > deadline.left_ms()
-    if too_late or target.queued >= settings.queue_limit:
+    if _is_too_late(target, wait_ms, deadline) or (
+        target.queued >= settings.queue_limit
+    ):
         retry_after_ms = max(LEAST_RETRY_AFTER_MS, int(wait_ms))
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms)
 
@@ -81,10 +82,21 @@
         target.queued -= 1
     if is_turned_away():
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS)
+    if _is_too_late(target, 0, deadline):
+        await _wake_next(target)
+        raise AttemptRefused(
+            peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
+        )
+
+
+async def _wake_next(target: LocalTarget) -> None:
+    async with target.slot_freed:
+        target.slot_freed.notify()
 
 
-def _call_ms(target: LocalTarget) -> float:
-    return target.latency_us / US_PER_MS
+def _is_too_late(target: LocalTarget, wait_ms: float, deadline: Deadline) -> bool:
+    call_ms = CALL_MARGIN * target.latency_us / US_PER_MS
+    return wait_ms + call_ms > deadline.left_ms()
 
 
 def _expected_wait_ms(target: LocalTarget) -> float:
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -96,6 +96,8 @@
 
     def note_held(self, held_us: float) -> None:
         """Note for how long a call held its slot."""
+        if not self.held_us:
+            self.held_us = held_us
         self.held_us += HELD_WEIGHT * (held_us - self.held_us)
 
     def set_verdict(
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -14,6 +14,7 @@
 
 RENEW_INTERVAL_S = 0.3
 LEASE_MS = 1500
+HANG_S = 3600.0
 DOWNLOAD_CHUNK_BYTES = 64 * 1024
 
 
@@ -28,6 +29,8 @@
         self.error_percent = 0
         self.announcing = True
         self.cut_after_bytes = 0
+        self.hang = False
+        self.flap_period_s = 0.0
         self._calls = 0
 
     def app(self) -> web.Application:
@@ -71,7 +74,7 @@
             "started_at_s": asyncio.get_running_loop().time(),
         }
         self.ledger.append(entry)
-        await asyncio.sleep(self.latency_ms / 1000)
+        await asyncio.sleep(self._work_s())
         if self._calls * self.error_percent % 100 < self.error_percent:
             return web.Response(status=500, text="failed")
         return web.json_response(
@@ -83,6 +86,15 @@
             }
         )
 
+    def _work_s(self) -> float:
+        if not self.hang:
+            return self.latency_ms / 1000
+        now_s = asyncio.get_running_loop().time()
+        flaps = self.flap_period_s > 0
+        if flaps and now_s % self.flap_period_s > self.flap_period_s / 2:
+            return self.latency_ms / 1000
+        return HANG_S
+
     async def download(self, request: web.Request) -> web.StreamResponse:
         """Stream a body of the wanted size, perhaps cut short."""
         size = int(request.match_info["size"])
