--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -15,6 +15,7 @@
 __all__ = ["EndpointLoad", "LoadTable"]
 
 REPORT_HALF_LIFE_S = 0.2
+LATENCY_HALF_LIFE_S = 1.0
 REFERENCE_AGE_S = 10.0
 REFERENCE_RENEWAL_S = 0.1
 LEAST_COMPARED = 2
@@ -68,6 +69,7 @@
     def __init__(self) -> None:
         self._heard: dict[Key, _Heard] = {}
         self._outstanding: Counter[Key] = Counter()
+        self._medians: dict[str, int] = {}
         self._references: dict[str, tuple[float, int]] = {}
 
     def started(self, view: EndpointView) -> None:
@@ -108,7 +110,7 @@
             on_trial=newest.on_trial,
             in_system=own + _others(heard),
             open_slots=report.open_slots or view.slots,
-            latency_us=report.latency_us or DEFAULT_LATENCY_US,
+            latency_us=self._aged_latency_us(view.service, heard),
             path_broken=path_broken,
         )
 
@@ -121,11 +123,22 @@
         now_s = time.monotonic()
         found = self._references.get(service)
         if found is None or now_s - found[0] > REFERENCE_RENEWAL_S:
-            found = (now_s, self._median_us(views, now_s))
+            found = (now_s, self._median_us(service, views, now_s))
             self._references[service] = found
         return found[1]
 
-    def _median_us(self, views: list[EndpointView], now_s: float) -> int:
+    def _aged_latency_us(self, service: str, heard: _Heard) -> int:
+        """Return the reported latency, which tends to the median as it ages.
+
+        So an endpoint that was slow once gets calls again that show what it does.
+        """
+        median_us = self._medians.get(service) or DEFAULT_LATENCY_US
+        reported_us = heard.report.latency_us or median_us
+        age_s = time.monotonic() - heard.at_s
+        weight = 0.5 ** (age_s / LATENCY_HALF_LIFE_S)
+        return int(median_us + weight * (reported_us - median_us))
+
+    def _median_us(self, service: str, views: list[EndpointView], now_s: float) -> int:
         loads = [self.load(view) for view in views]
         bad = sum(load.ejected for load in loads)
         latencies = [
@@ -135,9 +148,12 @@
             and heard.report.latency_us
             and now_s - heard.at_s < REFERENCE_AGE_S
         ]
+        if not latencies:
+            return 0
+        self._medians[service] = int(statistics.median_low(latencies))
         if len(latencies) < LEAST_COMPARED or 2 * bad >= len(loads):
             return 0
-        return int(statistics.median_low(latencies))
+        return self._medians[service]
 
 
 def _others(heard: _Heard) -> float:
