--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -27,6 +27,7 @@
 from laburnumscale.returning import Returning
 from laburnumscale.routing import Router
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.stalls import LoopStalls
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
 from laburnumscale_schema import peer_pb2
@@ -63,12 +64,13 @@
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(log, metrics)
         targets = LocalTargets(members.set_endpoints)
+        stalls = LoopStalls()
         guard = Guard(
             settings.daemon,
             settings.data_centre,
             targets,
             feed,
-            TargetHealth(Returning(session, metrics, targets.tell), metrics),
+            TargetHealth(Returning(session, metrics, targets.tell), stalls, metrics),
             session,
             metrics,
         )
@@ -96,6 +98,7 @@
             asyncio.create_task(part)
             for part in (
                 feed.tail(),
+                stalls.watch(),
                 targets.watch_leases(),
                 gossip.follow_presence(),
                 gossip.exchange_forever(),
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -16,12 +16,14 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.returning import Exile, Returning
+from laburnumscale.stalls import LoopStalls
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["Observation", "TargetHealth"]
 
+LEAST_WAIT_S = 0.005
 US_PER_S = 1_000_000
 US_PER_MS = 1000
 EVIDENCE = "evidence"
@@ -43,9 +45,13 @@
     """The verdicts of one guard on its targets.
 
     :param returning: brings ejected targets back.
+    :ivar stalls: time that this process lost, which is no target's fault.
     """
 
-    def __init__(self, returning: Returning, metrics: Metrics) -> None:
+    def __init__(
+        self, returning: Returning, stalls: LoopStalls, metrics: Metrics
+    ) -> None:
+        self.stalls = stalls
         self._returning = returning
         self._metrics = metrics
         self._records: dict[tuple[str, str], Record] = {}
@@ -174,6 +180,7 @@
         self._record = record
         self._settings = settings
         self._started_at_s = time.monotonic()
+        self._stalled_before_s = health.stalls.total_s()
         self._limit_s = limit_s
         self._judged = False
         loop = asyncio.get_running_loop()
@@ -184,7 +191,7 @@
 
         :param failed: it is a server error.
         """
-        elapsed_s = time.monotonic() - self._started_at_s
+        elapsed_s = self._elapsed_s()
         self._record.evidence.add_latency(elapsed_s * US_PER_S)
         self._judge(failed or elapsed_s > self._limit_s)
 
@@ -202,7 +209,16 @@
         """
         self._timer.cancel()
 
+    def _elapsed_s(self) -> float:
+        stalled_s = self._health.stalls.total_s() - self._stalled_before_s
+        return time.monotonic() - self._started_at_s - stalled_s
+
     def _overdue(self) -> None:
+        left_s = self._limit_s - self._elapsed_s()
+        if left_s > LEAST_WAIT_S:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(left_s, self._overdue)
+            return
         self._record.evidence.add_latency(self._limit_s * US_PER_S)
         self._judge(True)
 
