--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -65,6 +65,8 @@
         feed = SettingsFeed(log, metrics)
         targets = LocalTargets(members.set_endpoints)
         stalls = LoopStalls()
+        returning = Returning(session, metrics, targets.tell)
+        health = TargetHealth(returning, stalls, metrics)
         guard = Guard(
             settings.daemon,
             settings.data_centre,
@@ -76,7 +78,7 @@
         )
         channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(members, feed, channels, log, metrics)
-        router = Router(members, feed, PathHealth(channels, metrics))
+        router = Router(members, feed, PathHealth(channels, metrics), health)
         runner = CallRunner(members, guard, channels, router)
         entry = Entry(members, feed, runner, metrics)
         peer_server = await serve_peers(settings.peer_address, guard, members, feed)
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -32,12 +32,16 @@
 
 @attrs.define(eq=False)
 class Record:
-    """What the guard knows of the health of one target."""
+    """What the guard knows of the health of one target.
+
+    :ivar compared: the last verdict rests on the comparison with other targets.
+    """
 
     target: LocalTarget
     evidence: Evidence = attrs.field(factory=Evidence)
     exile: Exile = attrs.field(factory=Exile)
     trial_running: bool = False
+    compared: bool = False
     returning: asyncio.Task | None = None
 
 
@@ -55,6 +59,7 @@
         self._returning = returning
         self._metrics = metrics
         self._records: dict[tuple[str, str], Record] = {}
+        self._doubtful: dict[str, bool] = {}
 
     @contextmanager
     def admitted(
@@ -85,10 +90,29 @@
     ) -> "Observation":
         """Observe an attempt that starts now."""
         record = self._record(target)
+        self._doubtful[head.service] = head.most_look_bad
         starts_cold = target.is_cold() and not record.exile.doublings
         reference_us = 0 if starts_cold else head.reference_latency_us
         limit_s = _limit_s(settings, reference_us, deadline)
-        return Observation(self, record, settings, limit_s)
+        return Observation(self, record, settings, limit_s, reference_us > 0)
+
+    def may_compare(self, service: str) -> bool:
+        """Tell whether the latest caller found most targets of a service well."""
+        return not self._doubtful.get(service, False)
+
+    def void_comparisons(self, service: str) -> None:
+        """Take the targets back that were ejected by comparison with the others.
+
+        Called when most of them look bad, so that the cause lies elsewhere.
+        """
+        for record in self._records.values():
+            target = record.target
+            if target.service == service and target.ejected and record.compared:
+                self._metrics.count("comparisons_voided", f'service="{service}"')
+                record.returning.cancel()
+                record.evidence = Evidence()
+                target.set_verdict()
+                self._told(target, "target returned")
 
     def judge(self, record: Record, settings: EffectiveSettings, bad: bool) -> None:
         """Take the result of one attempt into account."""
@@ -167,6 +191,7 @@
     """One attempt, judged as soon as it is answered or overdue.
 
     :param limit_s: time from which the attempt is slow.
+    :param compared: this time comes from the service's other targets.
     """
 
     def __init__(
@@ -175,7 +200,9 @@
         record: Record,
         settings: EffectiveSettings,
         limit_s: float,
+        compared: bool,
     ) -> None:
+        self._compared = compared
         self._health = health
         self._record = record
         self._settings = settings
@@ -193,7 +220,8 @@
         """
         elapsed_s = self._elapsed_s()
         self._record.evidence.add_latency(elapsed_s * US_PER_S)
-        self._judge(failed or elapsed_s > self._limit_s)
+        slow = elapsed_s > self._limit_s and not failed
+        self._judge(failed or slow, slow)
 
     def broke(self) -> None:
         """Note that the connection failed, or that the answer was cut short."""
@@ -220,12 +248,16 @@
             self._timer = loop.call_later(left_s, self._overdue)
             return
         self._record.evidence.add_latency(self._limit_s * US_PER_S)
-        self._judge(True)
+        self._judge(True, slow=True)
 
-    def _judge(self, bad: bool) -> None:
+    def _judge(self, bad: bool, slow: bool = False) -> None:
         if self._judged:
             return
         self._judged = True
+        service = self._record.target.service
+        if slow and self._compared and not self._health.may_compare(service):
+            return
+        self._record.compared = slow and self._compared
         self._health.judge(self._record, self._settings, bad)
 
 
--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -5,19 +5,22 @@
 
 import statistics
 import time
-from collections import Counter
 
 import attrs
 
 from laburnumscale.members import EndpointView
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["EndpointLoad", "LoadTable"]
+__all__ = ["Comparison", "EndpointLoad", "LoadTable"]
 
 REPORT_HALF_LIFE_S = 0.2
 LATENCY_HALF_LIFE_S = 1.0
+SILENT_FACTOR = 2
+SILENT_EXCESS_US = 50_000
+LEAST_SILENT = 2
+US_PER_S = 1_000_000
 REFERENCE_AGE_S = 10.0
-REFERENCE_RENEWAL_S = 0.1
+COMPARISON_RENEWAL_S = 0.02
 LEAST_COMPARED = 2
 DEFAULT_LATENCY_US = 10_000
 
@@ -31,6 +34,20 @@
     own_outstanding: int
 
 
+@attrs.frozen
+class Comparison:
+    """What the latencies of a service's endpoints are compared with.
+
+    :ivar at_s: monotonic time at which it was made.
+    :ivar median_us: median of their latencies, 0 if too few are known.
+    :ivar most_look_bad: half of them or more are ejected or silent.
+    """
+
+    at_s: float
+    median_us: int
+    most_look_bad: bool
+
+
 @attrs.frozen
 class EndpointLoad:
     """An endpoint as this entry sees it now.
@@ -68,19 +85,19 @@
 
     def __init__(self) -> None:
         self._heard: dict[Key, _Heard] = {}
-        self._outstanding: Counter[Key] = Counter()
+        self._outstanding: dict[Key, list[float]] = {}
         self._medians: dict[str, int] = {}
-        self._references: dict[str, tuple[float, int]] = {}
+        self._comparisons: dict[str, Comparison] = {}
 
     def started(self, view: EndpointView) -> None:
         """Note that an attempt to an endpoint starts."""
-        self._outstanding[_key(view)] += 1
+        self._outstanding.setdefault(_key(view), []).append(time.monotonic())
 
     def ended(self, view: EndpointView) -> None:
         """Note that an attempt to an endpoint has ended."""
         key = _key(view)
-        self._outstanding[key] -= 1
-        if self._outstanding[key] <= 0:
+        self._outstanding[key].pop(0)
+        if not self._outstanding[key]:
             del self._outstanding[key]
 
     def heard(self, view: EndpointView, report: peer_pb2.LoadReport) -> None:
@@ -89,16 +106,16 @@
         known = self._heard.get(key)
         if known and report.verdict_version < known.report.verdict_version:
             return
-        self._heard[key] = _Heard(report, time.monotonic(), self._outstanding[key])
+        self._heard[key] = _Heard(report, time.monotonic(), self.outstanding(view))
 
     def outstanding(self, view: EndpointView) -> int:
         """Return the attempts of this entry that are at an endpoint."""
-        return self._outstanding[_key(view)]
+        return len(self._outstanding.get(_key(view), ()))
 
     def load(self, view: EndpointView, path_broken: bool = False) -> EndpointLoad:
         """Return the endpoint as this entry sees it now."""
         heard = self._heard.get(_key(view))
-        own = self._outstanding[_key(view)]
+        own = self.outstanding(view)
         if heard is None:
             heard = _Heard(peer_pb2.LoadReport(), 0.0, 0)
         report = heard.report
@@ -114,18 +131,15 @@
             path_broken=path_broken,
         )
 
-    def reference_us(self, service: str, views: list[EndpointView]) -> int:
-        """Return the median latency of a service's endpoints.
-
-        :returns: 0 if too few are known, or if most endpoints look bad, so that
-            there is nothing to compare with.
-        """
+    def comparison(self, service: str, views: list[EndpointView]) -> Comparison:
+        """Return what the endpoints of a service are compared with."""
         now_s = time.monotonic()
-        found = self._references.get(service)
-        if found is None or now_s - found[0] > REFERENCE_RENEWAL_S:
-            found = (now_s, self._median_us(service, views, now_s))
-            self._references[service] = found
-        return found[1]
+        found = self._comparisons.get(service)
+        if found is None or now_s - found.at_s > COMPARISON_RENEWAL_S:
+            median_us = self._median_us(service, views, now_s)
+            found = Comparison(now_s, median_us, self._most_look_bad(service, views))
+            self._comparisons[service] = found
+        return found
 
     def _aged_latency_us(self, service: str, heard: _Heard) -> int:
         """Return the reported latency, which tends to the median as it ages.
@@ -139,8 +153,6 @@
         return int(median_us + weight * (reported_us - median_us))
 
     def _median_us(self, service: str, views: list[EndpointView], now_s: float) -> int:
-        loads = [self.load(view) for view in views]
-        bad = sum(load.ejected for load in loads)
         latencies = [
             heard.report.latency_us
             for heard in (self._heard.get(_key(view)) for view in views)
@@ -151,10 +163,25 @@
         if not latencies:
             return 0
         self._medians[service] = int(statistics.median_low(latencies))
-        if len(latencies) < LEAST_COMPARED or 2 * bad >= len(loads):
+        if len(latencies) < LEAST_COMPARED:
             return 0
         return self._medians[service]
 
+    def _most_look_bad(self, service: str, views: list[EndpointView]) -> bool:
+        """Tell whether half of the endpoints in use are ejected or silent."""
+        ejected = sum(self.load(view).ejected for view in views)
+        median_us = self._medians.get(service, DEFAULT_LATENCY_US)
+        silent_us = max(SILENT_FACTOR * median_us, median_us + SILENT_EXCESS_US)
+        started_before_s = time.monotonic() - silent_us / US_PER_S
+        oldest = [
+            times[0]
+            for times in (self._outstanding.get(_key(view)) for view in views)
+            if times
+        ]
+        silent = sum(at_s < started_before_s for at_s in oldest)
+        most_ejected = 2 * ejected >= len(views)
+        return most_ejected or (silent >= LEAST_SILENT and 2 * silent >= len(oldest))
+
 
 def _others(heard: _Heard) -> float:
     """Return the calls of other entries, which weigh less as the report ages."""
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -10,6 +10,7 @@
 
 from laburnumscale.consecutiveerrors import ConsecutiveErrors
 from laburnumscale.ejection import AnnouncedSlots, Selection, select
+from laburnumscale.health import TargetHealth
 from laburnumscale.loadtable import EndpointLoad, LoadTable
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
@@ -51,7 +52,14 @@
 class Router:
     """Chooses among the endpoints of a service for one entry."""
 
-    def __init__(self, members: Members, feed: SettingsFeed, paths: PathHealth) -> None:
+    def __init__(
+        self,
+        members: Members,
+        feed: SettingsFeed,
+        paths: PathHealth,
+        health: TargetHealth,
+    ) -> None:
+        self._health = health
         self.loads = LoadTable()
         self._members = members
         self._feed = feed
@@ -96,7 +104,11 @@
         views = self._members.endpoints(view.service)
         load = self.loads.load(view)
         head.floor_traffic = load.ejected
-        head.reference_latency_us = self.loads.reference_us(view.service, views)
+        comparison = self.loads.comparison(view.service, views)
+        head.reference_latency_us = comparison.median_us
+        head.most_look_bad = comparison.most_look_bad
+        if comparison.most_look_bad:
+            self._health.void_comparisons(view.service)
 
     def started(self, view: EndpointView) -> RoutedAttempt:
         """Note that an attempt to an endpoint starts."""
