--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -34,6 +34,7 @@
 class Record:
     """What the guard knows of the health of one target.
 
+    :ivar answered_at_s: monotonic time of its last answer.
     :ivar compared: the last verdict rests on the comparison with other targets.
     """
 
@@ -41,6 +42,7 @@
     evidence: Evidence = attrs.field(factory=Evidence)
     exile: Exile = attrs.field(factory=Exile)
     trial_running: bool = False
+    answered_at_s: float = 0.0
     compared: bool = False
     returning: asyncio.Task | None = None
 
@@ -218,7 +220,9 @@
 
         :param failed: it is a server error.
         """
+        self._timer.cancel()
         elapsed_s = self._elapsed_s()
+        self._record.answered_at_s = time.monotonic()
         self._record.evidence.add_latency(elapsed_s * US_PER_S)
         slow = elapsed_s > self._limit_s and not failed
         self._judge(failed or slow, slow)
@@ -249,6 +253,14 @@
             return
         self._record.evidence.add_latency(self._limit_s * US_PER_S)
         self._judge(True, slow=True)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._limit_s, self._silent)
+
+    def _silent(self) -> None:
+        """Count the attempt again while the target answers nothing at all."""
+        if self._record.answered_at_s < self._started_at_s:
+            self._judged = False
+            self._overdue()
 
     def _judge(self, bad: bool, slow: bool = False) -> None:
         if self._judged:
