--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -89,10 +89,11 @@
         url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
         headers = CIMultiDict((header.name, header.value) for header in head.headers)
         headers[DEADLINE_HEADER] = str(deadline.left_ms())
-        observation = self._health.observe(target, settings, head, deadline)
+        limit = asyncio.timeout(deadline.left_s())
+        observation = self._health.observe(target, settings, head, deadline, limit)
         try:
             async with (
-                asyncio.timeout(deadline.left_s()),
+                limit,
                 self._session.request(
                     head.method,
                     url,
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -35,6 +35,7 @@
     """What the guard knows of the health of one target.
 
     :ivar answered_at_s: monotonic time of its last answer.
+    :ivar unanswered: its idempotent attempts without an answer.
     :ivar compared: the last verdict rests on the comparison with other targets.
     """
 
@@ -43,6 +44,7 @@
     exile: Exile = attrs.field(factory=Exile)
     trial_running: bool = False
     answered_at_s: float = 0.0
+    unanswered: set["Observation"] = attrs.field(factory=set)
     compared: bool = False
     returning: asyncio.Task | None = None
 
@@ -89,14 +91,24 @@
         settings: EffectiveSettings,
         head: peer_pb2.CallHead,
         deadline: Deadline,
+        limit: asyncio.Timeout,
     ) -> "Observation":
-        """Observe an attempt that starts now."""
+        """Observe an attempt that starts now.
+
+        :param limit: ends the attempt; ended early if it is idempotent and the
+            target is ejected.
+        """
         record = self._record(target)
         self._doubtful[head.service] = head.most_look_bad
         starts_cold = target.is_cold() and not record.exile.doublings
         reference_us = 0 if starts_cold else head.reference_latency_us
         limit_s = _limit_s(settings, reference_us, deadline)
-        return Observation(self, record, settings, limit_s, reference_us > 0)
+        observation = Observation(
+            self, record, settings, limit_s, reference_us > 0, limit
+        )
+        if head.idempotent and settings.ejection_policy == EVIDENCE:
+            record.unanswered.add(observation)
+        return observation
 
     def may_compare(self, service: str) -> bool:
         """Tell whether the latest caller found most targets of a service well."""
@@ -166,6 +178,8 @@
         exile_ms = record.exile.next_ms(settings.exile_ms)
         self._told(target, "target ejected", exile_ms=exile_ms)
         self._metrics.count("ejections", f'service="{target.service}"')
+        for observation in list(record.unanswered):
+            observation.give_up()
         if record.returning is not None:
             record.returning.cancel()
         record.returning = asyncio.create_task(
@@ -194,6 +208,7 @@
 
     :param limit_s: time from which the attempt is slow.
     :param compared: this time comes from the service's other targets.
+    :param limit: ends the attempt.
     """
 
     def __init__(
@@ -203,7 +218,9 @@
         settings: EffectiveSettings,
         limit_s: float,
         compared: bool,
+        limit: asyncio.Timeout,
     ) -> None:
+        self._limit = limit
         self._compared = compared
         self._health = health
         self._record = record
@@ -215,12 +232,18 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._limit_s, self._overdue)
 
+    def give_up(self) -> None:
+        """End the attempt, so that its caller's entry tries another target."""
+        if not self._limit.expired():
+            self._limit.reschedule(asyncio.get_running_loop().time())
+
     def answered(self, failed: bool) -> None:
         """Note the head of the answer.
 
         :param failed: it is a server error.
         """
         self._timer.cancel()
+        self._record.unanswered.discard(self)
         elapsed_s = self._elapsed_s()
         self._record.answered_at_s = time.monotonic()
         self._record.evidence.add_latency(elapsed_s * US_PER_S)
@@ -229,10 +252,12 @@
 
     def broke(self) -> None:
         """Note that the connection failed, or that the answer was cut short."""
+        self._record.unanswered.discard(self)
         self._judge(True)
 
     def forget(self) -> None:
         """Leave the attempt out, as the target has not run it."""
+        self._record.unanswered.discard(self)
         self._judged = True
 
     def end(self) -> None:
@@ -240,6 +265,7 @@
         nothing about the target.
         """
         self._timer.cancel()
+        self._record.unanswered.discard(self)
 
     def _elapsed_s(self) -> float:
         stalled_s = self._health.stalls.total_s() - self._stalled_before_s
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -11,6 +11,8 @@
 __all__ = ["RoutingPolicy", "get_policy_by_name"]
 
 SPILL_UTILISATION = 0.8
+SETUP_DELAY_US = 20_000
+HOLDING_SCALE_US = 50_000
 DEFAULT_POLICY = "two-choices"
 
 
@@ -56,6 +58,27 @@
         return (load.in_system + 1) / max(1, load.open_slots) * load.latency_us
 
 
+class HoldingCost(TwoChoices):
+    """Two choices by a holding cost that grows with the time in the system.
+
+    The cost of a call that stays for T is T plus T squared over a time scale, and a
+    target in its slow start adds a set-up delay.
+    """
+
+    name = "holding-cost"
+
+    @staticmethod
+    def cost(load: EndpointLoad) -> float:
+        """Return the expected holding cost of a further call, in microseconds."""
+        if load.path_broken:
+            return float("inf")
+        waiting = max(0.0, load.in_system + 1 - load.open_slots)
+        stay_us = load.latency_us * (1 + waiting / max(1, load.open_slots))
+        if load.open_slots < load.view.slots:
+            stay_us += SETUP_DELAY_US
+        return stay_us + stay_us**2 / HOLDING_SCALE_US + load.in_system
+
+
 class RoundRobin(RoutingPolicy):
     """One endpoint after the other."""
 
@@ -84,7 +107,10 @@
         return min(pair, key=lambda load: load.in_system)
 
 
-_POLICIES = {policy.name: policy for policy in (TwoChoices, RoundRobin, LeastRequests)}
+_POLICIES = {
+    policy.name: policy
+    for policy in (TwoChoices, HoldingCost, RoundRobin, LeastRequests)
+}
 
 
 def get_policy_by_name(name: str) -> RoutingPolicy:
