--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -0,0 +1,168 @@
+"""Observations.
+
+Watches single attempts at targets and judges each as soon as it is answered or late.
+"""
+
+import asyncio
+import time
+from typing import Protocol
+
+import attrs
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.evidence import Evidence
+from laburnumscale.returning import Exile
+from laburnumscale.stalls import LoopStalls
+from laburnumscale.targets import LocalTarget
+from laburnumscale.tree import EffectiveSettings
+
+__all__ = ["Judge", "Observation", "Record", "slow_limit_s"]
+
+DEADLINE_SHARE = 0.95
+LEAST_WAIT_S = 0.005
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+
+
+@attrs.define(eq=False)
+class Record:
+    """What the guard knows of the health of one target.
+
+    :ivar answered_at_s: monotonic time of its last answer.
+    :ivar unanswered: its idempotent attempts without an answer.
+    :ivar compared: the last verdict rests on the comparison with other targets.
+    """
+
+    target: LocalTarget
+    evidence: Evidence = attrs.field(factory=Evidence)
+    exile: Exile = attrs.field(factory=Exile)
+    trial_running: bool = False
+    answered_at_s: float = 0.0
+    unanswered: set["Observation"] = attrs.field(factory=set)
+    compared: bool = False
+    returning: asyncio.Task | None = None
+
+
+class Judge(Protocol):
+    """What an observation needs of the guard's health."""
+
+    stalls: LoopStalls
+
+    def may_compare(self, service: str) -> bool:
+        """Tell whether targets of a service may be compared with each other."""
+
+    def judge(self, record: Record, settings: EffectiveSettings, bad: bool) -> None:
+        """Take the result of one attempt into account."""
+
+
+class Observation:
+    """One attempt, judged as soon as it is answered or overdue.
+
+    :param limit_s: time from which the attempt is slow.
+    :param compared: this time comes from the service's other targets.
+    :param limit: ends the attempt.
+    """
+
+    def __init__(
+        self,
+        judge: Judge,
+        record: Record,
+        settings: EffectiveSettings,
+        limit_s: float,
+        compared: bool,
+        limit: asyncio.Timeout,
+    ) -> None:
+        self._limit = limit
+        self._compared = compared
+        self._judging = judge
+        self._record = record
+        self._settings = settings
+        self._started_at_s = time.monotonic()
+        self._stalled_before_s = judge.stalls.total_s()
+        self._limit_s = limit_s
+        self._judged = False
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._limit_s, self._overdue)
+
+    def give_up(self) -> None:
+        """End the attempt, so that its caller's entry tries another target."""
+        if not self._limit.expired():
+            self._limit.reschedule(asyncio.get_running_loop().time())
+
+    def answered(self, failed: bool) -> None:
+        """Note the head of the answer.
+
+        :param failed: it is a server error.
+        """
+        self._timer.cancel()
+        self._record.unanswered.discard(self)
+        elapsed_s = self._elapsed_s()
+        self._record.answered_at_s = time.monotonic()
+        self._record.evidence.add_latency(elapsed_s * US_PER_S)
+        slow = elapsed_s > self._limit_s and not failed
+        self._judge(failed or slow, slow)
+
+    def broke(self) -> None:
+        """Note that the connection failed, or that the answer was cut short."""
+        self._record.unanswered.discard(self)
+        self._judge(True)
+
+    def forget(self) -> None:
+        """Leave the attempt out, as the target has not run it."""
+        self._record.unanswered.discard(self)
+        self._judged = True
+
+    def end(self) -> None:
+        """Note the end of the attempt; given up before it was overdue, it says
+        nothing about the target.
+        """
+        self._timer.cancel()
+        self._record.unanswered.discard(self)
+
+    def _elapsed_s(self) -> float:
+        stalled_s = self._judging.stalls.total_s() - self._stalled_before_s
+        return time.monotonic() - self._started_at_s - stalled_s
+
+    def _overdue(self) -> None:
+        left_s = self._limit_s - self._elapsed_s()
+        if left_s > LEAST_WAIT_S:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(left_s, self._overdue)
+            return
+        self._record.evidence.add_latency(self._limit_s * US_PER_S)
+        self._judge(True, slow=True)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._limit_s, self._silent)
+
+    def _silent(self) -> None:
+        """Count the attempt again while the target answers nothing at all."""
+        if self._record.answered_at_s < self._started_at_s:
+            self._judged = False
+            self._overdue()
+
+    def _judge(self, bad: bool, slow: bool = False) -> None:
+        if self._judged:
+            return
+        self._judged = True
+        service = self._record.target.service
+        if slow and self._compared and not self._judging.may_compare(service):
+            return
+        self._record.compared = slow and self._compared
+        self._judging.judge(self._record, self._settings, bad)
+
+
+def slow_limit_s(
+    settings: EffectiveSettings, reference_us: int, deadline: Deadline
+) -> float:
+    """Return the time from which an attempt counts as slow.
+
+    Without a reference that is the attempt's own deadline, unless it is much
+    shorter than the service's time limit.
+    """
+    if not (reference_us and settings.slow_factor):
+        shortest_s = settings.time_limit_ms / MS_PER_S / settings.attempt_limit / 2
+        return max(shortest_s, deadline.left_s() * DEADLINE_SHARE)
+    slow_us = settings.slow_factor * reference_us
+    excess_us = reference_us + settings.slow_excess_ms * US_PER_MS
+    return max(slow_us, excess_us) / US_PER_S
