--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -40,7 +40,7 @@
 
     :ivar at_s: monotonic time at which it was made.
     :ivar median_us: median of their latencies, 0 if too few are known.
-    :ivar most_look_bad: half of them or more are ejected or silent.
+    :ivar most_look_bad: most of them are ejected or silent.
     """
 
     at_s: float
@@ -168,19 +168,28 @@
         return self._medians[service]
 
     def _most_look_bad(self, service: str, views: list[EndpointView]) -> bool:
-        """Tell whether half of the endpoints in use are ejected or silent."""
+        """Tell whether most endpoints are ejected or silent.
+
+        Endpoints are silent if they leave an attempt unanswered for long; they are
+        most if half as many have answered since the oldest such attempt.
+        """
         ejected = sum(self.load(view).ejected for view in views)
+        if 2 * ejected > len(views):
+            return True
+        silent = self._silent_since_s(service, views)
+        if len(silent) < LEAST_SILENT:
+            return False
+        heard = (self._heard.get(_key(view)) for view in views)
+        answered = sum(each is not None and each.at_s > min(silent) for each in heard)
+        return 2 * answered <= len(silent)
+
+    def _silent_since_s(self, service: str, views: list[EndpointView]) -> list[float]:
         median_us = self._medians.get(service, DEFAULT_LATENCY_US)
         silent_us = max(SILENT_FACTOR * median_us, median_us + SILENT_EXCESS_US)
         started_before_s = time.monotonic() - silent_us / US_PER_S
-        oldest = [
-            times[0]
-            for times in (self._outstanding.get(_key(view)) for view in views)
-            if times
-        ]
-        silent = sum(at_s < started_before_s for at_s in oldest)
-        most_ejected = 2 * ejected >= len(views)
-        return most_ejected or (silent >= LEAST_SILENT and 2 * silent >= len(oldest))
+        outstanding = (self._outstanding.get(_key(view)) for view in views)
+        oldest = [times[0] for times in outstanding if times]
+        return [at_s for at_s in oldest if at_s < started_before_s]
 
 
 def _others(heard: _Heard) -> float:
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -76,13 +76,16 @@
     ) -> None:
         """Turn waiting calls away, wait for the exile's end, probe, start the trial.
 
-        The trial ends with its first call; without calls it ends after a while.
+        The trial ends with its first call; without calls it ends after a while. A
+        target whose announcement has lapsed is not probed any more.
         """
         async with target.slot_freed:
             target.slot_freed.notify_all()
         await asyncio.sleep(exile_ms / MS_PER_S)
         successes = 0
         while successes < PROBE_SUCCESSES:
+            if target.lease_deadline.is_over():
+                return
             healthy = await self._probe(target, settings)
             successes = successes + 1 if healthy else 0
             await asyncio.sleep(PROBE_INTERVAL_S)
