--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -11,6 +11,7 @@
 __all__ = ["RoutingPolicy", "get_policy_by_name"]
 
 SPILL_UTILISATION = 0.8
+HIGHEST_LOCAL_COST = 3.0
 SETUP_DELAY_US = 20_000
 HOLDING_SCALE_US = 50_000
 DEFAULT_POLICY = "two-choices"
@@ -34,17 +35,24 @@
 
 
 class TwoChoices(RoutingPolicy):
-    """The cheaper of two random endpoints, those of the own data centre first."""
+    """The cheaper of two random endpoints, those of the own data centre first.
+
+    The own data centre is left before its endpoints are full, or when they cost
+    several times what others do.
+    """
 
     name = "two-choices"
 
     def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+        best = self._cheaper(loads)
         local = [load for load in loads if load.view.data_centre == data_centre]
-        if local:
-            best = self._cheaper(local)
-            if best.utilisation < SPILL_UTILISATION:
-                return best
-        return self._cheaper(loads)
+        if not local:
+            return best
+        nearest = self._cheaper(local)
+        dearest = HIGHEST_LOCAL_COST * self.cost(best)
+        if nearest.utilisation < SPILL_UTILISATION and self.cost(nearest) <= dearest:
+            return nearest
+        return best
 
     def _cheaper(self, loads: list[EndpointLoad]) -> EndpointLoad:
         pair = random.sample(loads, min(2, len(loads)))
