--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -75,7 +75,7 @@
             settings.data_centre,
             targets,
             feed,
-            TargetHealth(Returning(session, metrics, targets.tell), stalls, metrics),
+            health,
             session,
             metrics,
         )
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -9,9 +9,15 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.evidence import Evidence
+from laburnumscale.loadtable import Comparison
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
-from laburnumscale.observations import Observation, Record, slow_limit_s
+from laburnumscale.observations import (
+    Observation,
+    Record,
+    compared_limit_s,
+    slow_limit_s,
+)
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.returning import Returning
 from laburnumscale.stalls import LoopStalls
@@ -22,6 +28,7 @@
 __all__ = ["TargetHealth"]
 
 EVIDENCE = "evidence"
+RISEN = 1.5
 REFUSED_RETRY_AFTER_MS = 1000
 
 
@@ -90,14 +97,20 @@
         """Tell whether the latest caller found most targets of a service well."""
         return not self._doubtful.get(service, False)
 
-    def void_comparisons(self, service: str) -> None:
-        """Take the targets back that were ejected by comparison with the others.
+    def reconsider(
+        self, service: str, settings: EffectiveSettings, comparison: Comparison
+    ) -> None:
+        """Take targets back whose ejection by comparison does not hold any more.
 
-        Called when most of them look bad, so that the cause lies elsewhere.
+        Most targets look bad, or the median has risen far, so the cause lies
+        elsewhere.
         """
+        limit_s = compared_limit_s(settings, comparison.median_us)
         for record in self._records.values():
             target = record.target
-            if target.service == service and target.ejected and record.compared:
+            if target.service != service or not (target.ejected and record.compared):
+                continue
+            if comparison.most_look_bad or limit_s > RISEN * record.limit_s:
                 self._metrics.count("comparisons_voided", f'service="{service}"')
                 record.returning.cancel()
                 record.evidence = Evidence()
--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -16,7 +16,7 @@
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 
-__all__ = ["Judge", "Observation", "Record", "slow_limit_s"]
+__all__ = ["Judge", "Observation", "Record", "compared_limit_s", "slow_limit_s"]
 
 DEADLINE_SHARE = 0.95
 LEAST_WAIT_S = 0.005
@@ -31,7 +31,8 @@
 
     :ivar answered_at_s: monotonic time of its last answer.
     :ivar unanswered: its idempotent attempts without an answer.
-    :ivar compared: the last verdict rests on the comparison with other targets.
+    :ivar compared: its last bad call was slow compared with other targets.
+    :ivar limit_s: time from which that call was slow.
     """
 
     target: LocalTarget
@@ -41,6 +42,7 @@
     answered_at_s: float = 0.0
     unanswered: set["Observation"] = attrs.field(factory=set)
     compared: bool = False
+    limit_s: float = 0.0
     returning: asyncio.Task | None = None
 
 
@@ -148,7 +150,9 @@
         service = self._record.target.service
         if slow and self._compared and not self._judging.may_compare(service):
             return
-        self._record.compared = slow and self._compared
+        if bad:
+            self._record.compared = slow and self._compared
+            self._record.limit_s = self._limit_s
         self._judging.judge(self._record, self._settings, bad)
 
 
@@ -163,6 +167,11 @@
     if not (reference_us and settings.slow_factor):
         shortest_s = settings.time_limit_ms / MS_PER_S / settings.attempt_limit / 2
         return max(shortest_s, deadline.left_s() * DEADLINE_SHARE)
+    return compared_limit_s(settings, reference_us)
+
+
+def compared_limit_s(settings: EffectiveSettings, reference_us: int) -> float:
+    """Return the time from which an attempt is slow compared with the median."""
     slow_us = settings.slow_factor * reference_us
     excess_us = reference_us + settings.slow_excess_ms * US_PER_MS
     return max(slow_us, excess_us) / US_PER_S
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -107,8 +107,8 @@
         comparison = self.loads.comparison(view.service, views)
         head.reference_latency_us = comparison.median_us
         head.most_look_bad = comparison.most_look_bad
-        if comparison.most_look_bad:
-            self._health.void_comparisons(view.service)
+        settings = self._settings(view.service)
+        self._health.reconsider(view.service, settings, comparison)
 
     def started(self, view: EndpointView) -> RoutedAttempt:
         """Note that an attempt to an endpoint starts."""
--- a/tests/features/health.feature
+++ b/tests/features/health.feature
@@ -66,6 +66,15 @@
     When health traffic runs until every target has had 60 calls
     Then no guard has ejected a target
 
+  Scenario: Targets that are all slow at once stay in service
+    Given a fleet of 2 daemons in makati, pasig
+    And health targets e1, e2, e3, e4, e5, e6 of slot-desk spread over the daemons
+    And the health fleet is ready with {"floor_percent": 50, "exile_ms": 60000}
+    When health traffic runs until every target has had 40 calls
+    And all health targets fail with {"latency_ms": 250}
+    And every health target has had 10 calls more
+    Then every daemon has all health targets in service
+
   Scenario: A call that cannot end before its deadline is refused at once
     Given a fleet of 1 daemons in makati
     And a health target e1 of slot-desk with 1 slot and 200 ms of work
--- a/tests/features/steps/health_steps.py
+++ b/tests/features/steps/health_steps.py
@@ -98,6 +98,22 @@
     wait_until(has_work, "work again", limit_s)
 
 
+@when("every health target has had {count:d} calls more")
+def step_more_calls(context, count):
+    wanted = {
+        t.endpoint: len(t.ledger()) + count for t in context.fleet.targets.values()
+    }
+    for target in context.fleet.targets.values():
+        wait_until(lambda t=target: len(t.ledger()) >= wanted[t.endpoint], "calls")
+
+
+@then("every daemon has all health targets in service")
+def step_all_in_service(context):
+    for daemon in context.fleet.daemons:
+        for endpoint in context.homes:
+            step_keeps(context, daemon, endpoint)
+
+
 def ejections(context, endpoint):
     daemon = context.fleet.daemons[context.homes[endpoint]]
     text = request("GET", f"http://{daemon.operator}/metrics").body.decode()
