--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -84,6 +84,7 @@
         self._stalled_before_s = judge.stalls.total_s()
         self._limit_s = limit_s
         self._judged = False
+        self._overdue_at_s = 0.0
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._limit_s, self._overdue)
 
@@ -116,11 +117,17 @@
         self._judged = True
 
     def end(self) -> None:
-        """Note the end of the attempt; given up before it was overdue, it says
-        nothing about the target.
+        """Note the end of the attempt.
+
+        Given up before it was overdue, it says nothing about the target; given up
+        long after that, it counts again.
         """
         self._timer.cancel()
         self._record.unanswered.discard(self)
+        waited_s = self._elapsed_s() - self._overdue_at_s
+        if self._overdue_at_s and waited_s > self._limit_s / 2:
+            self._silent()
+            self._timer.cancel()
 
     def _elapsed_s(self) -> float:
         stalled_s = self._judging.stalls.total_s() - self._stalled_before_s
@@ -132,13 +139,14 @@
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(left_s, self._overdue)
             return
+        self._overdue_at_s = self._elapsed_s()
         self._record.evidence.add_latency(self._limit_s * US_PER_S)
         self._judge(True, slow=True)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._limit_s, self._silent)
 
     def _silent(self) -> None:
-        """Count the attempt again while the target answers nothing at all."""
+        """Count the attempt again if the target has answered nothing at all."""
         if self._record.answered_at_s < self._started_at_s:
             self._judged = False
             self._overdue()
