--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -66,7 +66,7 @@
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
         feed = SettingsFeed(log, metrics)
-        targets = LocalTargets(members.set_endpoints)
+        targets = LocalTargets(settings.daemon, members, metrics)
         stalls = LoopStalls()
         returning = Returning(session, metrics, targets.tell)
         health = TargetHealth(returning, stalls, metrics)
@@ -80,7 +80,15 @@
             metrics,
         )
         channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(members, feed, channels, log, metrics)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+        )
+        await gossip.join()
         router = Router(members, feed, PathHealth(channels, metrics), health)
         runner = CallRunner(members, guard, channels, router)
         key_table = KeyTable(
@@ -89,8 +97,9 @@
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
         entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, members, feed, keyed_calls
+            settings.peer_address, guard, gossip.exchange.answer, feed, keyed_calls
         )
+        await gossip.start(settings.peer_address)
         servers = [
             await serve_app(
                 entry.app(settings.body_limit_bytes), settings.caller_address
@@ -111,8 +120,6 @@
                 feed.tail(),
                 stalls.watch(),
                 targets.watch_leases(),
-                gossip.follow_presence(),
-                gossip.exchange_forever(),
                 key_table.forget_expired(),
             )
         ]
@@ -128,6 +135,7 @@
             server.close()
             await server.wait_closed()
         await peer_server.stop(settings.drain_ms / 1000)
+        await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
 
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -3,14 +3,13 @@
 The gRPC server for the other daemons.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import grpc
 
 from laburnumscale.addresses import Address
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
-from laburnumscale.members import Members
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc, settings_pb2
 
@@ -55,21 +54,18 @@
             break
 
 
+MemberAnswer = Callable[[peer_pb2.MemberTable], peer_pb2.MemberTable]
+
+
 class _PeerServicer(peer_pb2_grpc.PeerServicer):
-    def __init__(self, members: Members, feed: SettingsFeed) -> None:
-        self._members = members
+    def __init__(self, answer_members: MemberAnswer, feed: SettingsFeed) -> None:
+        self._answer_members = answer_members
         self._feed = feed
 
     async def ExchangeMembers(  # noqa: N802
         self, request: peer_pb2.MemberTable, context: grpc.aio.ServicerContext
     ) -> peer_pb2.MemberTable:
-        for member in request.members:
-            self._members.merge(member)
-        return peer_pb2.MemberTable(
-            sender=self._members.own.daemon,
-            settings_revision=self._feed.tree.revision,
-            members=self._members.all(),
-        )
+        return self._answer_members(request)
 
     async def FetchSettings(  # noqa: N802
         self, request: peer_pb2.SettingsRequest, context: grpc.aio.ServicerContext
@@ -99,14 +95,19 @@
 async def serve_peers(
     address: Address,
     guard: Guard,
-    members: Members,
+    answer_members: MemberAnswer,
     feed: SettingsFeed,
     keyed_calls: KeyedCalls,
 ) -> grpc.aio.Server:
-    """Start the gRPC server for the other daemons."""
+    """Start the gRPC server for the other daemons.
+
+    :param answer_members: answers a step of an exchange of membership tables.
+    """
     server = grpc.aio.server(options=SERVER_OPTIONS)
     peer_pb2_grpc.add_GuardServicer_to_server(_GuardServicer(guard), server)
-    peer_pb2_grpc.add_PeerServicer_to_server(_PeerServicer(members, feed), server)
+    peer_pb2_grpc.add_PeerServicer_to_server(
+        _PeerServicer(answer_members, feed), server
+    )
     peer_pb2_grpc.add_OperationKeysServicer_to_server(
         _OperationKeysServicer(keyed_calls), server
     )
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -9,7 +9,7 @@
 import attrs
 
 from laburnumscale.consecutiveerrors import ConsecutiveErrors
-from laburnumscale.ejection import AnnouncedSlots, Selection, select
+from laburnumscale.ejection import Selection, count_announced, select
 from laburnumscale.health import TargetHealth
 from laburnumscale.loadtable import EndpointLoad, LoadTable
 from laburnumscale.members import EndpointView, Members
@@ -64,7 +64,6 @@
         self._members = members
         self._feed = feed
         self._paths = paths
-        self._announced = AnnouncedSlots(members)
         self._policies: dict[str, RoutingPolicy] = {}
         self._consecutive = ConsecutiveErrors()
 
@@ -90,9 +89,9 @@
         """Return which endpoints of a service take calls of this entry."""
         settings = self._settings(service)
         loads = [self._load(view) for view in self._members.endpoints(service)]
-        announced_slots = self._announced.count(service)
         if settings.ejection_policy == EVIDENCE:
-            return select(loads, announced_slots, settings.floor_percent)
+            return select(loads, settings.floor_percent)
+        announced_slots = count_announced(loads)
         loads = [load for load in loads if load.view.state == READY]
         if settings.ejection_policy == CONSECUTIVE_ERRORS:
             loads = self._consecutive.in_use(loads)
