--- a/bench/healthplot.py
+++ b/bench/healthplot.py
@@ -1,10 +1,11 @@
-"""Plots of the health bench.
+"""Plots and tables of the health bench.
 
-Draws what the results of several runs say about one another.
+Shows what the results of several runs say about one another.
 """
 
 import argparse
 import json
+import statistics
 from pathlib import Path
 
 import matplotlib
@@ -16,6 +17,16 @@
 
 FAULTS = ("gray", "slow", "errors", "flap-1s", "flap-3s", "centre-slow")
 WIDTH = 0.8
+COLUMNS = (
+    "fault",
+    "run",
+    "got work for, median / worst (s)",
+    "calls to failing targets",
+    "after 1 s",
+    "failing targets ejected",
+    "wrong ejections",
+    "calls in time",
+)
 
 matplotlib.use("Agg")
 
@@ -52,6 +63,42 @@
     figure.savefig(path, dpi=80)
 
 
+def print_markdown(results: dict[str, dict]) -> None:
+    """Print a table of all services together, one row for each fault and run."""
+    print(
+        "| fault | run | got work for (s) | calls | after 1 s | ejected | wrong | in time |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    faults = dict.fromkeys(
+        row["fault"] for result in results.values() for row in result["episodes"]
+    )
+    for fault in faults:
+        for name, result in results.items():
+            rows = [row for row in result["episodes"] if row["fault"] == fault]
+            if rows:
+                print(_markdown_row(fault, name, rows))
+
+
+def _markdown_row(fault: str, name: str, rows: list[dict]) -> str:
+    quiet = [value for row in rows for value in row["quiet_s"]]
+    got = f"{statistics.median(quiet):.2f} / {max(quiet):.2f}" if quiet else ""
+    victims = sum(row["victims"] for row in rows)
+    ejected = f"{sum(len(row['detected_s']) for row in rows)} of {victims}"
+    calls = sum(row["calls"] for row in rows)
+    in_time = 100 * sum(row["in_time"] for row in rows) / calls
+    cells = (
+        fault,
+        name,
+        got,
+        sum(row["sent"] for row in rows),
+        sum(row["sent_after_1s"] for row in rows),
+        ejected,
+        sum(row["false_ejections"] for row in rows),
+        f"{in_time:.2f}%",
+    )
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
 def main() -> None:
     """Run the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -60,6 +107,7 @@
     options = parser.parse_args()
     results = {path.stem: json.loads(path.read_text()) for path in options.results}
     plot_sent(results, options.output)
+    print_markdown(results)
 
 
 if __name__ == "__main__":
