--- a/bench/healthplot.py
+++ b/bench/healthplot.py
@@ -65,10 +65,8 @@
 
 def print_markdown(results: dict[str, dict]) -> None:
     """Print a table of all services together, one row for each fault and run."""
-    print(
-        "| fault | run | got work for (s) | calls | after 1 s | ejected | wrong | in time |"
-    )
-    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print(f"| {' | '.join(COLUMNS)} |")
+    print("| --- " * len(COLUMNS) + "|")
     faults = dict.fromkeys(
         row["fault"] for result in results.values() for row in result["episodes"]
     )
