--- a/packages/laburnumscale/src/laburnumscale/consecutiveerrors.py
+++ b/packages/laburnumscale/src/laburnumscale/consecutiveerrors.py
@@ -15,7 +15,7 @@
 __all__ = ["ConsecutiveErrors"]
 
 ERRORS_IN_A_ROW = 5
-EXILE_S = 30.0
+EJECTION_S = 30.0
 HIGHEST_EJECTED_SHARE = 0.5
 SERVER_ERROR = 500
 
@@ -23,7 +23,7 @@
 @attrs.define
 class _Count:
     errors: int = 0
-    exile_until_s: float = 0.0
+    ejected_until_s: float = 0.0
 
 
 class ConsecutiveErrors:
@@ -42,7 +42,7 @@
         count.errors += 1
         if count.errors >= ERRORS_IN_A_ROW:
             count.errors = 0
-            count.exile_until_s = time.monotonic() + EXILE_S
+            count.ejected_until_s = time.monotonic() + EJECTION_S
 
     def in_use(self, loads: list[EndpointLoad]) -> list[EndpointLoad]:
         """Return the endpoints that are not left out."""
@@ -53,4 +53,4 @@
 
     def _is_ejected(self, view: EndpointView) -> bool:
         count = self._counts.get((view.service, view.endpoint))
-        return count is not None and time.monotonic() < count.exile_until_s
+        return count is not None and time.monotonic() < count.ejected_until_s
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -83,7 +83,7 @@
         """
         record = self._record(target)
         self._doubtful[head.service] = head.most_look_bad
-        starts_cold = target.is_cold() and not record.exile.doublings
+        starts_cold = target.is_cold() and not record.ejection_time.doublings
         reference_us = 0 if starts_cold else head.reference_latency_us
         limit_s = slow_limit_s(settings, reference_us, deadline)
         observation = Observation(
@@ -128,7 +128,7 @@
             target.severity_percent = max(1, record.evidence.severity_percent())
         elif target.on_trial:
             self._judge_trial(record, settings, bad)
-        elif bad and self._convicts(record, settings):
+        elif bad and self._is_failing(record, settings):
             self._eject(record, settings)
 
     def _record(self, target: LocalTarget) -> Record:
@@ -155,7 +155,7 @@
         return target.on_trial
 
     @staticmethod
-    def _convicts(record: Record, settings: EffectiveSettings) -> bool:
+    def _is_failing(record: Record, settings: EffectiveSettings) -> bool:
         if settings.ejection_policy != EVIDENCE:
             return False
         return record.evidence.is_against(settings.eject_after)
@@ -164,15 +164,15 @@
         target = record.target
         severity_percent = max(1, record.evidence.severity_percent())
         target.set_verdict(ejected=True, severity_percent=severity_percent)
-        exile_ms = record.exile.next_ms(settings.exile_ms)
-        self._told(target, "target ejected", exile_ms=exile_ms)
+        ejection_ms = record.ejection_time.next_ms(settings.ejection_ms)
+        self._told(target, "target ejected", ejection_ms=ejection_ms)
         self._metrics.count("ejections", f'service="{target.service}"')
         for observation in list(record.unanswered):
             observation.give_up()
         if record.returning is not None:
             record.returning.cancel()
         record.returning = asyncio.create_task(
-            self._returning.bring_back(target, settings, exile_ms)
+            self._returning.bring_back(target, settings, ejection_ms)
         )
 
     def _judge_trial(
@@ -182,7 +182,7 @@
             self._eject(record, settings)
             return
         record.evidence.start_again(settings.eject_after)
-        record.exile.returned()
+        record.ejection_time.returned()
         record.target.set_verdict(slow_start=True)
         self._told(record.target, "target returned")
 
--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -11,7 +11,7 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.evidence import Evidence
-from laburnumscale.returning import Exile
+from laburnumscale.returning import EjectionTime
 from laburnumscale.stalls import LoopStalls
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
@@ -37,7 +37,7 @@
 
     target: LocalTarget
     evidence: Evidence = attrs.field(factory=Evidence)
-    exile: Exile = attrs.field(factory=Exile)
+    ejection_time: EjectionTime = attrs.field(factory=EjectionTime)
     trial_running: bool = False
     answered_at_s: float = 0.0
     unanswered: set["Observation"] = attrs.field(factory=set)
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -40,7 +40,7 @@
     "eject_after": (1, 100),
     "slow_factor": (0, 1000),
     "slow_excess_ms": (1, 600_000),
-    "exile_ms": (100, 600_000),
+    "ejection_ms": (100, 600_000),
 }
 
 #: Names that a setting may have.
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -1,6 +1,6 @@
 """Returning.
 
-Brings ejected targets back: exile, probes, a trial with one call, slow start.
+Brings ejected targets back: a time of ejection, probes, a trial with one call, slow start.
 """
 
 import asyncio
@@ -14,20 +14,20 @@
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 
-__all__ = ["Exile", "Returning"]
+__all__ = ["EjectionTime", "Returning"]
 
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.5
 PROBE_SUCCESSES = 2
 TRIAL_WAIT_S = 5.0
 HIGHEST_DOUBLINGS = 3
-FORGIVEN_AFTER_EXILES = 10
+FORGIVEN_AFTER_TIMES = 10
 MS_PER_S = 1000
 OK = 200
 
 
 @attrs.define
-class Exile:
+class EjectionTime:
     """How long a target is left out, which doubles with each ejection.
 
     :ivar doublings: how often the first length is doubled at the next ejection.
@@ -38,13 +38,13 @@
     returned_at_s: float = 0.0
 
     def next_ms(self, first_ms: int) -> int:
-        """Return the length of the exile that starts now.
+        """Return the length of the ejection that starts now.
 
         A doubling is forgiven for each long time in service.
         """
         if self.returned_at_s:
             healthy_s = time.monotonic() - self.returned_at_s
-            forgiven = int(healthy_s * MS_PER_S / (first_ms * FORGIVEN_AFTER_EXILES))
+            forgiven = int(healthy_s * MS_PER_S / (first_ms * FORGIVEN_AFTER_TIMES))
             self.doublings = max(0, self.doublings - forgiven)
         length_ms = first_ms * 2**self.doublings
         self.doublings = min(HIGHEST_DOUBLINGS, self.doublings + 1)
@@ -72,16 +72,16 @@
         self._metrics = metrics
 
     async def bring_back(
-        self, target: LocalTarget, settings: EffectiveSettings, exile_ms: int
+        self, target: LocalTarget, settings: EffectiveSettings, ejection_ms: int
     ) -> None:
-        """Turn waiting calls away, wait for the exile's end, probe, start the trial.
+        """Turn waiting calls away, wait for the end of the time, probe, start the trial.
 
         The trial ends with its first call; without calls it ends after a while. A
         target whose announcement has lapsed is not probed any more.
         """
         async with target.slot_freed:
             target.slot_freed.notify_all()
-        await asyncio.sleep(exile_ms / MS_PER_S)
+        await asyncio.sleep(ejection_ms / MS_PER_S)
         successes = 0
         while successes < PROBE_SUCCESSES:
             if target.lease_deadline.is_over():
--- a/packages/laburnumscale/src/laburnumscale/tree.py
+++ b/packages/laburnumscale/src/laburnumscale/tree.py
@@ -28,7 +28,7 @@
     :ivar eject_after: bad calls in a row that eject a target.
     :ivar slow_factor: multiple of the service's median from which a call is slow.
     :ivar slow_excess_ms: least difference to the median from which a call is slow.
-    :ivar exile_ms: time that a target is left out after its first ejection.
+    :ivar ejection_ms: time that a target is left out after its first ejection.
     """
 
     time_limit_ms: int = 2000
@@ -42,7 +42,7 @@
     eject_after: int = 3
     slow_factor: int = 4
     slow_excess_ms: int = 150
-    exile_ms: int = 3000
+    ejection_ms: int = 3000
     probe_path: str = "/healthz"
     routing_policy: str = "two-choices"
     ejection_policy: str = "evidence"
--- a/tests/features/health.feature
+++ b/tests/features/health.feature
@@ -3,7 +3,7 @@
   Scenario: A target that hangs while its health check answers
     Given a fleet of 3 daemons in makati, pasig
     And health targets e1, e2, e3, e4, e5, e6 of slot-desk spread over the daemons
-    And the health fleet is ready with {"floor_percent": 50, "exile_ms": 60000}
+    And the health fleet is ready with {"floor_percent": 50, "ejection_ms": 60000}
     When health traffic runs until every target has had 10 calls
     And health target e1 fails with {"hang": true}
     Then health target e1 gets no work from 1 s to 4 s after that
@@ -15,7 +15,7 @@
     Given links between daemons d1, d2, d3
     And a fleet of 3 daemons in makati, pasig
     And health targets e1, e2, e3, e4, e5, e6 of slot-desk spread over the daemons
-    And the health fleet is ready with {"floor_percent": 60, "exile_ms": 60000}
+    And the health fleet is ready with {"floor_percent": 60, "ejection_ms": 60000}
     When health traffic runs until every target has had 10 calls
     And all health targets fail with {"error_percent": 100}
     Then every daemon leaves out some targets and keeps the floor of 60 percent
@@ -44,7 +44,7 @@
   Scenario: A target that recovers gets work again
     Given a fleet of 3 daemons in makati, pasig
     And health targets e1, e2, e3, e4 of slot-desk spread over the daemons
-    And the health fleet is ready with {"floor_percent": 50, "exile_ms": 2000}
+    And the health fleet is ready with {"floor_percent": 50, "ejection_ms": 2000}
     When health traffic runs until every target has had 10 calls
     And health target e1 fails with {"hang": true}
     Then every daemon leaves out e1
@@ -54,7 +54,7 @@
   Scenario: A flapping target is not taken in and out at each turn
     Given a fleet of 2 daemons in makati, pasig
     And health targets e1, e2, e3, e4 of slot-desk spread over the daemons
-    And the health fleet is ready with {"floor_percent": 50, "exile_ms": 500}
+    And the health fleet is ready with {"floor_percent": 50, "ejection_ms": 500}
     When health traffic runs until every target has had 10 calls
     And health target e1 fails with {"hang": true, "flap_period_s": 2.0}
     Then the guard of e1 ejects it at most 5 times in 16 s
@@ -69,7 +69,7 @@
   Scenario: Targets that are all slow at once stay in service
     Given a fleet of 2 daemons in makati, pasig
     And health targets e1, e2, e3, e4, e5, e6 of slot-desk spread over the daemons
-    And the health fleet is ready with {"floor_percent": 50, "exile_ms": 60000}
+    And the health fleet is ready with {"floor_percent": 50, "ejection_ms": 60000}
     When health traffic runs until every target has had 40 calls
     And all health targets fail with {"latency_ms": 250}
     And every health target has had 10 calls more
