--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -1,6 +1,6 @@
 """Returning.
 
-Brings ejected targets back: a time of ejection, probes, a trial with one call, slow start.
+Brings ejected targets back: a wait, probes, a trial with one call, slow start.
 """
 
 import asyncio
@@ -74,7 +74,7 @@
     async def bring_back(
         self, target: LocalTarget, settings: EffectiveSettings, ejection_ms: int
     ) -> None:
-        """Turn waiting calls away, wait for the end of the time, probe, start the trial.
+        """Turn queued calls away, wait, probe, and start the trial.
 
         The trial ends with its first call; without calls it ends after a while. A
         target whose announcement has lapsed is not probed any more.
