Forget old load reports, and serve floor traffic of a target on trial

Change: reports older than 10 minutes and records of withdrawn targets are dropped; the entry marks calls to an endpoint on trial that the floor keeps as floor traffic.

--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -137,10 +137,16 @@
         if record is None or record.target is not target:
             if record is not None and record.returning is not None:
                 record.returning.cancel()
+            self._forget_withdrawn()
             record = Record(target)
             self._records[key] = record
         return record
 
+    def _forget_withdrawn(self) -> None:
+        for key, record in list(self._records.items()):
+            if record.target.lease_deadline.is_over() and not record.target.ejected:
+                del self._records[key]
+
     def _admit(
         self, record: Record, settings: EffectiveSettings, head: peer_pb2.CallHead
     ) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -21,6 +21,8 @@
 US_PER_S = 1_000_000
 REFERENCE_AGE_S = 10.0
 COMPARISON_RENEWAL_S = 0.02
+FORGET_INTERVAL_S = 60.0
+FORGOTTEN_AGE_S = 600.0
 LEAST_COMPARED = 2
 DEFAULT_LATENCY_US = 10_000
 
@@ -87,6 +89,7 @@
         self._heard: dict[Key, _Heard] = {}
         self._outstanding: dict[Key, list[float]] = {}
         self._medians: dict[str, int] = {}
+        self._forgot_at_s = 0.0
         self._comparisons: dict[str, Comparison] = {}
 
     def started(self, view: EndpointView) -> None:
@@ -107,6 +110,16 @@
         if known and report.verdict_version < known.report.verdict_version:
             return
         self._heard[key] = _Heard(report, time.monotonic(), self.outstanding(view))
+        self._forget_old()
+
+    def _forget_old(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._forgot_at_s < FORGET_INTERVAL_S:
+            return
+        self._forgot_at_s = now_s
+        oldest_s = now_s - FORGOTTEN_AGE_S
+        for key in [k for k, heard in self._heard.items() if heard.at_s < oldest_s]:
+            del self._heard[key]
 
     def outstanding(self, view: EndpointView) -> int:
         """Return the attempts of this entry that are at an endpoint."""
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -102,7 +102,7 @@
         """Tell the guard what it needs for its verdict and for the floor."""
         views = self._members.endpoints(view.service)
         load = self.loads.load(view)
-        head.floor_traffic = load.ejected
+        head.floor_traffic = load.ejected or self._kept_by_floor(load)
         comparison = self.loads.comparison(view.service, views)
         head.reference_latency_us = comparison.median_us
         head.most_look_bad = comparison.most_look_bad
@@ -119,12 +119,20 @@
 
     def learn(self, view: EndpointView, reply: peer_pb2.CallReply) -> None:
         """Learn from the first reply of an attempt."""
-        self._consecutive.observe(view, reply)
+        if self._settings(view.service).ejection_policy == CONSECUTIVE_ERRORS:
+            self._consecutive.observe(view, reply)
         if reply.HasField("load"):
             self.loads.heard(view, reply.load)
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.suspect(view.peer_address)
 
+    def _kept_by_floor(self, load: EndpointLoad) -> bool:
+        """Tell whether the floor keeps an endpoint on trial in use."""
+        if not load.on_trial:
+            return False
+        in_use = self.selection(load.view.service).in_use
+        return any(kept.view is load.view for kept in in_use)
+
     def _trial(self, selection: Selection) -> EndpointLoad | None:
         """Return an endpoint on trial for its even share of the calls."""
         idle = [
