Go on probing a target whose announcement lapses for a moment

Cause: read anew: a probe that met the moment between the lapse of an announcement and its listing as lapsed ended the return for good, so the target stayed ejected after it had renewed. Change: only a withdrawn or replaced target ends the return, and its record goes with it. No scenario hits this moment (at most 0.2 s) every time, so none was added.

--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -144,7 +144,7 @@
 
     def _forget_withdrawn(self) -> None:
         for key, record in list(self._records.items()):
-            if record.target.lease_deadline.is_over() and not record.target.ejected:
+            if record.target.withdrawn:
                 del self._records[key]
 
     def _admit(
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -77,14 +77,14 @@
         """Turn queued calls away, wait, probe, and start the trial.
 
         The trial ends with its first call; without calls it ends after a while. A
-        target whose announcement has lapsed is not probed any more.
+        target that was withdrawn is not probed any more.
         """
         async with target.slot_freed:
             target.slot_freed.notify_all()
         await asyncio.sleep(ejection_ms / MS_PER_S)
         successes = 0
         while successes < PROBE_SUCCESSES:
-            if target.lease_deadline.is_over():
+            if target.withdrawn:
                 return
             healthy = await self._probe(target, settings)
             successes = successes + 1 if healthy else 0
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -38,6 +38,7 @@
     :ivar lease_deadline: when the announcement lapses.
     :ivar announced_us: when it announced itself here, later than at any other daemon.
     :ivar drained: an operator drains it; its own announcements do not undo that.
+    :ivar withdrawn: it is gone, or announced again at another address.
     :ivar running: calls that hold a slot.
     :ivar queued: calls that wait for a slot.
     :ivar latency_us: average latency of its calls; 0 before the first one.
@@ -55,6 +56,7 @@
     lease_deadline: Deadline
     announced_us: int = 0
     drained: bool = False
+    withdrawn: bool = False
     running: int = 0
     queued: int = 0
     latency_us: int = 0
@@ -182,6 +184,7 @@
         """
         found = self._targets.pop((service, endpoint), None)
         if found is not None:
+            found.withdrawn = True
             self.tell()
         return found is not None
 
@@ -204,6 +207,9 @@
             self._metrics.count("targets_taken_over")
             later_us = elsewhere.announced_us + 1
             announced.announced_us = max(announced.announced_us, later_us)
+        replaced = self._targets.get(key)
+        if replaced is not None:
+            replaced.withdrawn = True
         self._targets[key] = announced
         self.tell()
 
