--- a/bench/healthplot.py
+++ b/bench/healthplot.py
@@ -74,24 +74,27 @@
         for name, result in results.items():
             rows = [row for row in result["episodes"] if row["fault"] == fault]
             if rows:
-                print(_markdown_row(fault, name, rows))
+                print(_markdown_row(fault, name, result, rows))
 
 
-def _markdown_row(fault: str, name: str, rows: list[dict]) -> str:
+def _markdown_row(fault: str, name: str, result: dict, rows: list[dict]) -> str:
+    """Return one row; only guards log ejections, so other policies show none."""
     quiet = [value for row in rows for value in row["quiet_s"]]
     got = f"{statistics.median(quiet):.2f} / {max(quiet):.2f}" if quiet else ""
     victims = sum(row["victims"] for row in rows)
     ejected = f"{sum(len(row['detected_s']) for row in rows)} of {victims}"
     calls = sum(row["calls"] for row in rows)
     in_time = 100 * sum(row["in_time"] for row in rows) / calls
+    logged = result["policy"] == "evidence"
+    wrong = sum(row["false_ejections"] for row in rows)
     cells = (
         fault,
         name,
         got,
         sum(row["sent"] for row in rows),
         sum(row["sent_after_1s"] for row in rows),
-        ejected,
-        sum(row["false_ejections"] for row in rows),
+        ejected if logged else "-",
+        wrong if logged else "-",
         f"{in_time:.2f}%",
     )
     return "| " + " | ".join(str(cell) for cell in cells) + " |"
