--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PYTHON ?= python3
 VENV ?= .venv
 PACKAGES := laburnumscale-schema laburnumscale laburnumscaled laburnumscalectl
-SOURCES := packages tests bench tools
+SOURCES := packages tests bench tools examples
 PY := $(VENV)/bin/python
+SEEDS ?= 1 2 3 4
+SOAK_S ?= 120
 PROTO_DIR := packages/laburnumscale-schema/proto
 GENERATED_DIR := packages/laburnumscale-schema/src
 
@@ -11,7 +13,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: venv demo test features check format generate check-generated bench clean
+.PHONY: venv demo test features check format generate check-generated soak bench bench-settings clean
 
 venv: $(VENV)/.stamp
 
@@ -44,6 +46,13 @@
 features: venv
 	$(PY) tools/run_features.py
 
+bench-settings: venv
+	$(PY) bench/settings.py
+soak: venv
+	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) \
+		$(PY) -m behave --no-capture tests/features/outcomes_load.feature \
+		-n "random faults, together and twice" || exit 1; done
+
 clean:
 	rm -rf $(VENV) build
 
@@ -53,3 +62,7 @@
 	$(PY) -m bench.health --policy round-robin
 	$(PY) -m bench.health --policy least-requests
 	$(PY) -m bench.health --policy consecutive-errors
+
+.PHONY: bench-members
+bench-members: venv
+	$(PY) -m bench.members
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -6,15 +6,20 @@
 import asyncio
 import os
 import signal
+from collections.abc import Coroutine
 
 import aiohttp
 
 from laburnumscale.announcements import announcement_app
+from laburnumscale.attempting import Attempter
+from laburnumscale.attempts import AttemptTable
 from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
+from laburnumscale.draining import Drain, close_server
 from laburnumscale.entry import Entry
+from laburnumscale.errors import PartFailed
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
@@ -29,7 +34,13 @@
 from laburnumscale.platformlog import PlatformLog
 from laburnumscale.returning import Returning
 from laburnumscale.routing import Router
+from laburnumscale.sending import SendOnceRequest
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingslog import SettingsLog
+from laburnumscale.settingsoperators import SettingsOperators
+from laburnumscale.settingspublisher import SettingsPublisher
+from laburnumscale.settingsrelay import SettingsRelay
+from laburnumscale.settling import Settler
 from laburnumscale.stalls import LoopStalls
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
@@ -38,6 +49,9 @@
 __all__ = ["Daemon"]
 
 EXIT_AT_ONCE = 130
+STARTING_MS = 1_000
+KEEP_ALIVE_S = 4  # less than the idle limit of common HTTP servers
+PEER_GRACE_S = 0.5
 
 
 class Daemon:
@@ -46,16 +60,18 @@
     def __init__(self, settings: DaemonSettings) -> None:
         self.settings = settings
         self._stopping = asyncio.Event()
+        self._failed: PartFailed | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave gracefully."""
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
         async with aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
             auto_decompress=False,
+            request_class=SendOnceRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
         ) as session:
             await self._run_parts(session)
@@ -65,7 +81,19 @@
         metrics = Metrics()
         members = Members(self._own_member())
         log = PlatformLog(settings.log_url, session)
-        feed = SettingsFeed(log, metrics)
+        feed = SettingsFeed(metrics, settings.isolation_ms)
+        channels = PeerChannels(settings.peer_address_overrides)
+        gossip = Gossip(
+            members,
+            channels,
+            log,
+            metrics,
+            seeds=settings.seed_addresses,
+            revision=lambda: feed.tree.revision,
+            heard_revision=feed.hear,
+        )
+        await gossip.join()
+        get_logger().info("daemon started", incarnation=members.own.incarnation)
         targets = LocalTargets(settings.daemon, members, metrics)
         stalls = LoopStalls()
         returning = Returning(session, metrics, targets.tell)
@@ -78,35 +106,60 @@
             health,
             session,
             metrics,
+            AttemptTable(members.own.incarnation),
         )
-        channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(
-            members,
-            channels,
-            log,
-            metrics,
-            seeds=settings.seed_addresses,
-            revision=lambda: feed.tree.revision,
+        seeds = tuple(str(address) for address in settings.seed_addresses)
+        relay = SettingsRelay(members, feed, channels, seeds, metrics)
+        settings_log = SettingsLog(
+            feed, log, metrics, settings.snapshot_interval_ms, relay.is_tailer
         )
-        await gossip.join()
+        publisher = SettingsPublisher(
+            settings.daemon, feed, settings_log, relay, log, metrics
+        )
+        settler = Settler(members, guard.attempts, channels, metrics)
+        attempter = Attempter(members, guard, channels, settler)
         router = Router(members, feed, PathHealth(channels, metrics), health)
-        runner = CallRunner(members, guard, channels, router)
+        runner = CallRunner(attempter, router, metrics)
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
         )
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
         entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
         peer_server = await serve_peers(
-            settings.peer_address, guard, gossip.exchange.answer, feed, keyed_calls
+            settings.peer_address,
+            guard,
+            settler,
+            members,
+            gossip.exchange.answer,
+            feed,
+            keyed_calls,
         )
         await gossip.start(settings.peer_address)
+        tasks = [
+            self._start_part(part)
+            for part in (
+                settings_log.run(),
+                relay.pull_forever(),
+                relay.push_forever(),
+                stalls.watch(),
+                targets.watch_leases(),
+                guard.forget_gone_entries(members),
+                key_table.forget_expired(),
+            )
+        ]
+        await self._until_stopped(feed.wait_tree(Deadline.after_ms(STARTING_MS)))
+        callers = await serve_app(
+            entry.app(settings.body_limit_bytes), settings.caller_address
+        )
         servers = [
-            await serve_app(
-                entry.app(settings.body_limit_bytes), settings.caller_address
-            ),
             await serve_app(
                 Operators(
-                    members, feed, targets, router, metrics, settings.isolation_ms
+                    members,
+                    feed,
+                    targets,
+                    router,
+                    metrics,
+                    SettingsOperators(feed, publisher, log, members),
                 ).app(),
                 settings.operator_address,
             ),
@@ -114,30 +167,64 @@
                 announcement_app(settings.daemon, targets), settings.target_address
             ),
         ]
-        tasks = [
-            asyncio.create_task(part)
-            for part in (
-                feed.tail(),
-                stalls.watch(),
-                targets.watch_leases(),
-                key_table.forget_expired(),
-            )
-        ]
-        get_logger().info("daemon started", incarnation=members.own.incarnation)
+        members.serving = True
+        get_logger().info("daemon serves callers", has_settings=feed.has_tree)
         await self._stopping.wait()
         get_logger().info("daemon draining")
-        members.set_draining()
-        await keyed_calls.hand_over(Deadline.after_ms(settings.drain_ms))
+        drain = Drain(
+            members,
+            guard,
+            runner,
+            gossip.exchange.exchange,
+            keyed_calls.hand_over,
+            callers,
+        )
+        await drain.run(settings.drain_ms)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for server in servers:
-            server.close()
-            await server.wait_closed()
-        await peer_server.stop(settings.drain_ms / 1000)
+            await close_server(server)
+        await peer_server.stop(PEER_GRACE_S)
         await gossip.leave()
         await channels.close()
         get_logger().info("daemon stopped")
+        if self._failed is not None:
+            raise self._failed
+
+    async def _until_stopped(self, awaitable: Coroutine) -> None:
+        """Wait for the end of an awaitable, or for a signal that ends the process."""
+        tasks = [
+            asyncio.create_task(awaitable),
+            asyncio.create_task(self._stopping.wait()),
+        ]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+
+    def _start_part(self, part: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(part, name=part.__qualname__)
+        task.add_done_callback(self._part_ended)
+        return task
+
+    def _part_ended(self, task: asyncio.Task) -> None:
+        """End the daemon if a part of it failed: half a daemon misleads callers."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = PartFailed(task.get_name(), repr(task.exception()))
+        get_logger().error("part failed", reason=str(error))
+        self._failed = error
+        self._stopping.set()
+
+    async def _until_stopped(self, awaitable: Coroutine) -> None:
+        """Wait for the end of an awaitable, or for a signal that ends the process."""
+        tasks = [
+            asyncio.create_task(awaitable),
+            asyncio.create_task(self._stopping.wait()),
+        ]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
 
     def _own_member(self) -> peer_pb2.Member:
         return peer_pb2.Member(
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -5,15 +5,22 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, aclosing
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from laburnumscale.attempts import Attempt, AttemptState, AttemptTable
 from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import AnswerUnframed, AttemptSentTwice, UploadCutShort
+from laburnumscale.guardclocks import monotonic_us
 from laburnumscale.health import TargetHealth
+from laburnumscale.inflight import InFlight
+from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.replies import AttemptRefused, not_run, unknown
+from laburnumscale.replies import AttemptRefused, unknown
+from laburnumscale.sending import Sending, check_framed, send_once
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.slots import hold_slot
 from laburnumscale.targets import LocalTarget, LocalTargets
@@ -24,13 +31,19 @@
 
 SMALL_BODY_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
-SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+STALE_RETRY_AFTER_MS = 5000
+FORGET_INTERVAL_S = 10
 SERVER_ERROR = 500
 DEADLINE_HEADER = "X-Request-Timeout-Ms"
 
 
 class Guard:
-    """Runs attempts at the targets beside this daemon."""
+    """Runs attempts at the targets beside this daemon.
+
+    :ivar attempts: what entries sent here, for settling.
+    :ivar in_flight: the attempts that are not over.
+    :ivar draining: every new attempt is refused.
+    """
 
     def __init__(
         self,
@@ -41,8 +54,12 @@
         health: TargetHealth,
         session: aiohttp.ClientSession,
         metrics: Metrics,
+        attempts: AttemptTable,
     ) -> None:
         self.daemon = daemon
+        self.attempts = attempts
+        self.in_flight = InFlight()
+        self.draining = False
         self._data_centre = data_centre
         self._targets = targets
         self._feed = feed
@@ -58,25 +75,100 @@
         :param head: what to run, and the time that is left for it.
         :param body: the request body, whole or as a stream.
         """
-        deadline = Deadline.after_ms(head.time_left_ms)
-        target = self._targets.get(head.service, head.endpoint)
-        if target is None:
-            yield not_run(peer_pb2.NOT_RUN_REASON_TARGET_GONE)
+        try:
+            attempt = self.attempts.admit(head)
+        except AttemptRefused as late:
+            self._metrics.count("attempts_fenced")
+            yield _stamped(late.reply)
             return
+        last = None
+        with self.in_flight.one():
+            try:
+                async with aclosing(self._admitted(attempt, head, body)) as replies:
+                    async for reply in replies:
+                        last = reply
+                        self._keep_early(attempt, head, reply)
+                        yield _stamped(reply)
+            finally:
+                self.attempts.end(attempt, _kept_reply(head, last))
+
+    async def forget_gone_entries(self, members: Members) -> None:
+        """Shrink what is kept for entries that are gone, until cancelled."""
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_S)
+            present = {member.daemon for member in members.peers()}
+            self.attempts.forget_gone(present | {self.daemon})
+
+    async def _admitted(
+        self,
+        attempt: Attempt,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
+    ) -> AsyncIterator[peer_pb2.CallReply]:
+        age_ms = _age_ms(head)
+        deadline = Deadline.after_ms(head.time_left_ms - age_ms)
+        send_deadline = Deadline.after_ms(head.send_left_ms - age_ms)
         settings = self._feed.tree.effective(
             head.service, self._data_centre, head.endpoint
         )
         try:
+            self._check_settings(head, settings)
+            if send_deadline.is_over():
+                raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DEADLINE)
+            target = self._available(head)
+            sending = Sending(attempt, send_deadline, deadline)
             with self._health.admitted(target, settings, head):
-                floor_traffic = head.floor_traffic
-                async with hold_slot(target, settings, deadline, floor_traffic):
-                    async for reply in self._run(
-                        target, settings, head, body, deadline
-                    ):
-                        yield reply
-        except AttemptRefused as refused:
-            refused.reply.load.CopyFrom(target.load())
-            yield refused.reply
+                async with hold_slot(target, settings, sending, head.floor_traffic):
+                    self._available(head)
+                    running = self._run(target, settings, head, body, sending)
+                    async with aclosing(running) as replies:
+                        async for reply in replies:
+                            yield reply
+        except AttemptRefused as refusal:
+            yield self._with_load(head, refusal.reply)
+
+    def _with_load(
+        self, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
+    ) -> peer_pb2.CallReply:
+        """Add the load of the target, so that the entry hears its verdict."""
+        target = self._targets.get(head.service, head.endpoint)
+        if target is not None:
+            reply.load.CopyFrom(target.load())
+        return reply
+
+    def _check_settings(
+        self, head: peer_pb2.CallHead, settings: EffectiveSettings
+    ) -> None:
+        """Check that the settings may still be in force.
+
+        :raises AttemptRefused: they may not, and the call must not run twice.
+        """
+        may_run = head.idempotent or settings.serve_when_stale
+        if not may_run and self._feed.is_stale():
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, STALE_RETRY_AFTER_MS
+            )
+
+    def _keep_early(
+        self, attempt: Attempt, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
+    ) -> None:
+        """Let the attempt be settled before the entry has taken its last reply."""
+        if reply.end or reply.HasField("not_run") or reply.HasField("unknown"):
+            self.attempts.end(attempt, _kept_reply(head, reply))
+
+    def _available(self, head: peer_pb2.CallHead) -> LocalTarget:
+        """Return the target of an attempt.
+
+        :raises AttemptRefused: it is gone or takes no new work.
+        """
+        if self.draining:
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
+        target = self._targets.get(head.service, head.endpoint)
+        if target is None:
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_TARGET_GONE)
+        if target.state == peer_pb2.TARGET_STATE_DRAINING:
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
+        return target
 
     async def _run(
         self,
@@ -84,57 +176,72 @@
         settings: EffectiveSettings,
         head: peer_pb2.CallHead,
         body: bytes | AsyncIterator[bytes],
-        deadline: Deadline,
+        sending: Sending,
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
-        headers = CIMultiDict((header.name, header.value) for header in head.headers)
-        headers[DEADLINE_HEADER] = str(deadline.left_ms())
-        limit = asyncio.timeout(deadline.left_s())
-        observation = self._health.observe(target, settings, head, deadline, limit)
+        limit = asyncio.timeout(sending.deadline.left_s())
+        observation = self._health.observe(
+            target, settings, head, sending.deadline, limit
+        )
         try:
             async with (
                 limit,
-                self._session.request(
-                    head.method,
-                    url,
-                    headers=headers,
-                    data=body or None,
-                    allow_redirects=False,
-                    skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                ) as response,
+                self._request(target, head, body, sending) as response,
             ):
                 if response.status in settings.shed:
                     observation.forget()
                     raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
                 observation.answered(failed=response.status >= SERVER_ERROR)
-                async for reply in self._replies(target, response):
-                    yield reply
+                async with aclosing(self._replies(target, head, response)) as replies:
+                    async for reply in replies:
+                        yield reply
         except aiohttp.ClientConnectorError:
             observation.broke()
-            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
+            if sending.attempt.state is AttemptState.WAITING:
+                raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
+            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
         except TimeoutError:
             yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE, target.load())
         except aiohttp.ClientPayloadError:
             observation.broke()
             yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT, target.load())
-        except aiohttp.ClientError:
+        except UploadCutShort:
+            observation.forget()
+            yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
+        except AnswerUnframed:
+            yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load())
+        except (aiohttp.ClientError, AttemptSentTwice):
             observation.broke()
             yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
         finally:
             observation.end()
 
+    def _request(
+        self,
+        target: LocalTarget,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
+        sending: Sending,
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
+        headers = CIMultiDict((header.name, header.value) for header in head.headers)
+        headers[DEADLINE_HEADER] = str(sending.deadline.left_ms())
+        return send_once(
+            self._session,
+            sending,
+            head.method,
+            url,
+            headers=headers,
+            data=body or None,
+        )
+
     async def _replies(
-        self, target: LocalTarget, response: aiohttp.ClientResponse
+        self,
+        target: LocalTarget,
+        head: peer_pb2.CallHead,
+        response: aiohttp.ClientResponse,
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        reply_head = peer_pb2.ReplyHead(
-            status=response.status,
-            headers=[
-                peer_pb2.Header(
-                    name=name.decode("latin-1"), value=value.decode("latin-1")
-                )
-                for name, value in response.raw_headers
-            ],
-        )
+        check_framed(head.method, response)
+        reply_head = _reply_head(response)
         length = response.content_length
         if length is not None and length <= SMALL_BODY_BYTES:
             whole = await response.read()
@@ -142,7 +249,40 @@
                 head=reply_head, body=whole, end=True, load=target.load()
             )
             return
-        yield peer_pb2.CallReply(head=reply_head)
+        # The head goes with the first bytes: until then, a failure can be retried.
         async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-            yield peer_pb2.CallReply(body=chunk)
-        yield peer_pb2.CallReply(end=True, load=target.load())
+            yield peer_pb2.CallReply(head=reply_head, body=chunk)
+            reply_head = None
+        yield peer_pb2.CallReply(head=reply_head, end=True, load=target.load())
+
+
+def _reply_head(response: aiohttp.ClientResponse) -> peer_pb2.ReplyHead:
+    return peer_pb2.ReplyHead(
+        status=response.status,
+        headers=[
+            peer_pb2.Header(name=name.decode("latin-1"), value=value.decode("latin-1"))
+            for name, value in response.raw_headers
+        ],
+    )
+
+
+def _age_ms(head: peer_pb2.CallHead) -> float:
+    """Return how long a message was on its way at most; 0 if that is unknown."""
+    if not head.guard_time_us:
+        return 0
+    return max(0, monotonic_us() - head.guard_time_us) / 1000
+
+
+def _stamped(reply: peer_pb2.CallReply) -> peer_pb2.CallReply:
+    reply.guard_time_us = monotonic_us()
+    return reply
+
+
+def _kept_reply(
+    head: peer_pb2.CallHead, reply: peer_pb2.CallReply | None
+) -> peer_pb2.CallReply | None:
+    """Return what settles an attempt: its refusal, or a whole answer."""
+    if reply is None or reply.HasField("not_run"):
+        return reply
+    whole = reply.end and reply.HasField("head")
+    return reply if whole and not head.idempotent else None
--- a/packages/laburnumscale/src/laburnumscale/messenger.py
+++ b/packages/laburnumscale/src/laburnumscale/messenger.py
@@ -53,7 +53,8 @@
         datagram.sender_address = own.peer_address
         datagram.settings_revision = self._revision()
         datagram.table_digest = self._members.table_digest
-        datagram.updates.extend(liveness(member) for member in told)
+        for member in told:
+            datagram.updates.append(_claim(member))
         room_bytes = DATAGRAM_LIMIT_BYTES - datagram.ByteSize()
         room_bytes = min(room_bytes, self._credit())
         group_size = len(self._members.peers()) + 1
@@ -61,8 +62,8 @@
         self._credit_bytes -= self._socket.send(to.peer_address, datagram)
 
     def can_spread(self) -> bool:
-        """Tell whether there is news and it is affordable to send it at once."""
-        return bool(len(self.queue)) and self._credit() >= DATAGRAM_LIMIT_BYTES
+        """Tell whether there is fresh news and it is affordable to send it at once."""
+        return self.queue.has_fresh() and self._credit() >= DATAGRAM_LIMIT_BYTES
 
     def _credit(self) -> int:
         now_s = time.monotonic()
@@ -70,3 +71,10 @@
         self._credit_at_s = now_s
         self._credit_bytes = min(HIGHEST_BURST_BYTES, self._credit_bytes + earned_bytes)
         return max(0, int(self._credit_bytes))
+
+
+def _claim(member: peer_pb2.Member) -> peer_pb2.Member:
+    """Return what a member must hear about itself; what it keeps is left out."""
+    claim = liveness(member)
+    claim.ClearField("key_homes")
+    return claim
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -8,8 +8,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from laburnumscale.deadlines import Deadline
 from laburnumscale.replies import AttemptRefused
+from laburnumscale.sending import Sending
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
@@ -28,11 +28,12 @@
 async def hold_slot(
     target: LocalTarget,
     settings: EffectiveSettings,
-    deadline: Deadline,
+    sending: Sending,
     floor_traffic: bool,
 ) -> AsyncIterator[None]:
     """Hold one slot of a target.
 
+    :param sending: until when the request may be written and must be answered.
     :param floor_traffic: the attempt waits also while the target is ejected.
     :raises AttemptRefused: the target leaves, its queue is full, the attempt cannot
         end before its deadline, or the target is ejected while it waits.
@@ -40,7 +41,7 @@
     if target.state != READY:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
     if target.running >= target.slots:
-        await _wait_for_slot(target, settings, deadline, floor_traffic)
+        await _wait_for_slot(target, settings, sending, floor_traffic)
     target.running += 1
     started_at_s = time.monotonic()
     try:
@@ -54,11 +55,11 @@
 async def _wait_for_slot(
     target: LocalTarget,
     settings: EffectiveSettings,
-    deadline: Deadline,
+    sending: Sending,
     floor_traffic: bool,
 ) -> None:
     wait_ms = _expected_wait_ms(target)
-    if _is_too_late(target, wait_ms, deadline) or (
+    if _is_too_late(target, wait_ms, sending) or (
         target.queued >= settings.queue_limit
     ):
         retry_after_ms = max(LEAST_RETRY_AFTER_MS, int(wait_ms))
@@ -72,7 +73,7 @@
 
     target.queued += 1
     try:
-        async with asyncio.timeout(deadline.left_s()), target.slot_freed:
+        async with asyncio.timeout(sending.send_deadline.left_s()), target.slot_freed:
             await target.slot_freed.wait_for(may_go_on)
     except TimeoutError:
         raise AttemptRefused(
@@ -82,7 +83,7 @@
         target.queued -= 1
     if is_turned_away():
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS)
-    if _is_too_late(target, 0, deadline):
+    if _is_too_late(target, 0, sending):
         await _wake_next(target)
         raise AttemptRefused(
             peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
@@ -94,9 +95,9 @@
         target.slot_freed.notify()
 
 
-def _is_too_late(target: LocalTarget, wait_ms: float, deadline: Deadline) -> bool:
+def _is_too_late(target: LocalTarget, wait_ms: float, sending: Sending) -> bool:
     call_ms = CALL_MARGIN * target.latency_us / US_PER_MS
-    return wait_ms + call_ms > deadline.left_ms()
+    return wait_ms + call_ms > sending.deadline.left_ms()
 
 
 def _expected_wait_ms(target: LocalTarget) -> float:
--- a/tests/features/steps/health_steps.py
+++ b/tests/features/steps/health_steps.py
@@ -158,6 +158,7 @@
         method="GET",
         path_and_query="/lookup",
         time_left_ms=2000,
+        send_left_ms=1500,
         idempotent=True,
         floor_traffic=floor_traffic,
     )
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -79,6 +79,7 @@
     endpoint: str
     port: int
     process: subprocess.Popen
+    arguments: list[str] = attrs.field(factory=list)
 
     def ledger(self) -> list[dict]:
         """Return what the target has run."""
@@ -192,6 +193,7 @@
         self.targets: dict[str, TargetProcess] = {}
         self.links: dict[str, Link] = {}
         self.log_port = 0
+        self.log_process: subprocess.Popen | None = None
         self._daemon_ports: dict[str, dict[str, int]] = {}
         self._control_port = 0
         self._block = PortBlock()
@@ -216,7 +218,8 @@
     def start_log(self) -> None:
         """Start the stand-in for the log."""
         self.log_port = self.log_port or self.free_port()
-        self.start("log", "-m", "tests.standins.log", "--port", str(self.log_port))
+        port = str(self.log_port)
+        self.log_process = self.start("log", "-m", "tests.standins.log", "--port", port)
         url = f"http://127.0.0.1:{self.log_port}/streams/settings"
         wait_until(lambda: request("GET", url).status == 200, "the log answers")
 
@@ -299,10 +302,17 @@
             for part in (f"--{name.replace('_', '-')}", str(value))
         ]
         process = self.start(endpoint, "-m", "tests.standins.target", *arguments)
-        target = TargetProcess(service, endpoint, port, process)
+        target = TargetProcess(service, endpoint, port, process, arguments)
         self.targets[endpoint] = target
         return target
 
+    def restart_target(self, endpoint: str) -> TargetProcess:
+        """Start a target again that has ended, with its old options and port."""
+        old = self.targets[endpoint]
+        process = self.start(endpoint, "-m", "tests.standins.target", *old.arguments)
+        self.targets[endpoint] = attrs.evolve(old, process=process)
+        return self.targets[endpoint]
+
     def wait_ready(self) -> None:
         """Wait until all daemons are ready and know all targets as ready."""
         wanted = {(t.service, t.endpoint) for t in self.targets.values()}
