--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,13 @@
 clean:
 	rm -rf $(VENV) build
 
+.PHONY: bench-health
+bench-health: venv
+	$(PY) -m bench.health --policy evidence
+	$(PY) -m bench.health --policy round-robin
+	$(PY) -m bench.health --policy least-requests
+	$(PY) -m bench.health --policy consecutive-errors
+
 .PHONY: bench-members
 bench-members: venv
 	$(PY) -m bench.members
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -141,7 +141,7 @@
 
     async def _try_targets(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         outcome: Outcome = NotRun(peer_pb2.NOT_RUN_REASON_NO_TARGET, RETRY_AFTER_MS)
-        while (view := self._router.pick(call.service, call.tried)) is not None:
+        while (view := self._pick(call)) is not None:
             call.tried.add(view.endpoint)
             outcome, response = await self._attempt(call, view)
             if isinstance(outcome, Answered):
@@ -160,13 +160,17 @@
         self._metrics.count(name, f'service="{call.service}"')
         return allowed
 
+    def _pick(self, call: Call) -> EndpointView | None:
+        return self._router.pick(call.service, call.tried, call.idempotent)
+
     async def _attempt(
         self, call: Call, view: EndpointView
     ) -> tuple[Outcome, HTTPResponse | None]:
-        self._router.started(view)
+        attempt = self._router.started(view)
         try:
             request = self._attempt_request(call, view)
             async with self._attempter.open(view, request) as (first, rest):
+                attempt.replied(first)
                 outcome = failure(first)
                 if outcome is not None:
                     return outcome, None
@@ -176,19 +180,21 @@
                 call.answer_started = True
                 return await pass_on(call.request, call.request_id, first, rest), None
         finally:
-            self._router.ended(view)
+            attempt.ended()
 
     def _attempt_request(self, call: Call, view: EndpointView) -> AttemptRequest:
+        head = peer_pb2.CallHead(
+            request_id=call.request_id,
+            service=call.service,
+            endpoint=view.endpoint,
+            method=call.request.method,
+            path_and_query=call.path_and_query,
+            headers=end_to_end(call.request.headers.items()),
+            idempotent=call.idempotent,
+        )
+        self._router.mark(head, view)
         return AttemptRequest(
-            head=peer_pb2.CallHead(
-                request_id=call.request_id,
-                service=call.service,
-                endpoint=view.endpoint,
-                method=call.request.method,
-                path_and_query=call.path_and_query,
-                headers=end_to_end(call.request.headers.items()),
-                idempotent=call.idempotent,
-            ),
+            head=head,
             body=call.body,
             reply_deadline=call.reply_deadline(),
             deadline=call.deadline,
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -29,8 +29,10 @@
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
 from laburnumscale.operators import Operators
+from laburnumscale.pathhealth import PathHealth
 from laburnumscale.peers import serve_peers
 from laburnumscale.platformlog import PlatformLog
+from laburnumscale.returning import Returning
 from laburnumscale.routing import Router
 from laburnumscale.sending import SendOnceRequest
 from laburnumscale.settingsfeed import SettingsFeed
@@ -39,6 +41,7 @@
 from laburnumscale.settingspublisher import SettingsPublisher
 from laburnumscale.settingsrelay import SettingsRelay
 from laburnumscale.settling import Settler
+from laburnumscale.stalls import LoopStalls
 from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import serve_app
 from laburnumscale_schema import peer_pb2
@@ -92,22 +95,15 @@
         await gossip.join()
         get_logger().info("daemon started", incarnation=members.own.incarnation)
         targets = LocalTargets(settings.daemon, members, metrics)
-        channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(
-            members,
-            channels,
-            log,
-            metrics,
-            seeds=settings.seed_addresses,
-            revision=lambda: feed.tree.revision,
-        )
-        await gossip.join()
+        stalls = LoopStalls()
+        returning = Returning(session, metrics, targets.tell)
+        health = TargetHealth(returning, stalls, metrics)
         guard = Guard(
             settings.daemon,
             settings.data_centre,
             targets,
             feed,
-            TargetHealth(metrics),
+            health,
             session,
             metrics,
             AttemptTable(members.own.incarnation),
@@ -122,7 +118,8 @@
         )
         settler = Settler(members, guard.attempts, channels, metrics)
         attempter = Attempter(members, guard, channels, settler)
-        runner = CallRunner(attempter, Router(members), metrics)
+        router = Router(members, feed, PathHealth(channels, metrics), health)
+        runner = CallRunner(attempter, router, metrics)
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
         )
@@ -144,6 +141,7 @@
                 settings_log.run(),
                 relay.pull_forever(),
                 relay.push_forever(),
+                stalls.watch(),
                 targets.watch_leases(),
                 guard.forget_gone_entries(members),
                 key_table.forget_expired(),
@@ -161,6 +159,7 @@
                     members,
                     feed,
                     targets,
+                    router,
                     metrics,
                     SettingsOperators(feed, publisher, log, members),
                 ).app(),
--- a/packages/laburnumscale/src/laburnumscale/endpointindex.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointindex.py
@@ -21,6 +21,7 @@
     """An endpoint together with the daemon that guards it.
 
     :ivar announced_us: when the target announced itself beside this daemon.
+    :ivar verdict_version: grows with each verdict of the guard.
     :ivar suspect: the daemon is suspected to be dead, and not yet confirmed so.
     """
 
@@ -35,6 +36,9 @@
     data_centre: str
     announced_us: int = 0
     suspect: bool = False
+    verdict_version: int = 0
+    severity_percent: int = 0
+    on_trial: bool = False
 
     @property
     def claim(self) -> tuple[int, int, str]:
@@ -113,4 +117,7 @@
             data_centre=sys.intern(member.data_centre),
             announced_us=endpoint.announced_us,
             suspect=member.state == SUSPECT,
+            verdict_version=endpoint.verdict_version,
+            severity_percent=endpoint.severity_percent,
+            on_trial=endpoint.on_trial,
         )
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, aclosing
 
@@ -117,15 +116,25 @@
             if send_deadline.is_over():
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DEADLINE)
             target = self._available(head)
-            async with hold_slot(target, settings, send_deadline):
-                self._available(head)
-                sending = Sending(attempt, send_deadline, deadline)
-                running = self._run(target, settings, head, body, sending)
-                async with aclosing(running) as replies:
-                    async for reply in replies:
-                        yield reply
+            sending = Sending(attempt, send_deadline, deadline)
+            with self._health.admitted(target, settings, head):
+                async with hold_slot(target, settings, sending, head.floor_traffic):
+                    self._available(head)
+                    running = self._run(target, settings, head, body, sending)
+                    async with aclosing(running) as replies:
+                        async for reply in replies:
+                            yield reply
         except AttemptRefused as refusal:
-            yield refusal.reply
+            yield self._with_load(head, refusal.reply)
+
+    def _with_load(
+        self, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
+    ) -> peer_pb2.CallReply:
+        """Add the load of the target, so that the entry hears its verdict."""
+        target = self._targets.get(head.service, head.endpoint)
+        if target is not None:
+            reply.load.CopyFrom(target.load())
+        return reply
 
     def _check_settings(
         self, head: peer_pb2.CallHead, settings: EffectiveSettings
@@ -169,34 +178,42 @@
         body: bytes | AsyncIterator[bytes],
         sending: Sending,
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        started_at_s = time.monotonic()
-        failed = True
+        limit = asyncio.timeout(sending.deadline.left_s())
+        observation = self._health.observe(
+            target, settings, head, sending.deadline, limit
+        )
         try:
             async with (
-                asyncio.timeout(sending.deadline.left_s()),
+                limit,
                 self._request(target, head, body, sending) as response,
             ):
                 if response.status in settings.shed:
+                    observation.forget()
                     raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
+                observation.answered(failed=response.status >= SERVER_ERROR)
                 async with aclosing(self._replies(target, head, response)) as replies:
                     async for reply in replies:
                         yield reply
-                failed = response.status >= SERVER_ERROR
         except aiohttp.ClientConnectorError:
+            observation.broke()
             if sending.attempt.state is AttemptState.WAITING:
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
-            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
         except TimeoutError:
-            yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
-        except (aiohttp.ClientPayloadError, BodyBroken):
+            yield unknown(peer_pb2.UNKNOWN_REASON_DEADLINE, target.load())
+        except aiohttp.ClientPayloadError:
+            observation.broke()
+            yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT, target.load())
+        except BodyBroken:
+            observation.forget()
             yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
         except AnswerUnframed:
-            yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED)
+            yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load())
         except (aiohttp.ClientError, AttemptSentTwice):
-            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+            observation.broke()
+            yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
         finally:
-            latency_us = int((time.monotonic() - started_at_s) * 1_000_000)
-            self._health.observe(target, failed, latency_us)
+            observation.end()
 
     def _request(
         self,
--- a/packages/laburnumscale/src/laburnumscale/operators.py
+++ b/packages/laburnumscale/src/laburnumscale/operators.py
@@ -8,6 +8,7 @@
 
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.routing import Router, selection_dict
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsoperators import SettingsOperators, message_dict
 from laburnumscale.targets import LocalTargets
@@ -27,12 +28,14 @@
         members: Members,
         feed: SettingsFeed,
         targets: LocalTargets,
+        router: Router,
         metrics: Metrics,
         settings: SettingsOperators,
     ) -> None:
         self._members = members
         self._feed = feed
         self._targets = targets
+        self._router = router
         self._metrics = metrics
         self._settings = settings
 
@@ -43,6 +46,7 @@
         app.add_route(self.readyz, "/readyz")
         app.add_route(self.metrics, "/metrics")
         app.add_route(self.status, "/v1/status")
+        app.add_route(self.selection, "/v1/selection/<service:str>")
         self._settings.add_routes(app)
         app.add_route(
             self.drain, "/v1/drain/<service:str>/<endpoint:str>", methods=["POST"]
@@ -85,6 +89,10 @@
             }
         )
 
+    async def selection(self, request: Request, service: str) -> HTTPResponse:
+        """Return which endpoints of a service take calls of this entry."""
+        return json(selection_dict(self._router.selection(service)))
+
     async def drain(
         self, request: Request, service: str, endpoint: str
     ) -> HTTPResponse:
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import time
 
 import attrs
@@ -20,9 +21,15 @@
 
 LAPSE_CHECK_S = 0.2
 LAPSED_KEPT_MS = 10_000
+SLOW_START_STEP_S = 0.5
+COLD_S = 3.0
+HELD_WEIGHT = 0.1
 LAPSED = peer_pb2.TARGET_STATE_LAPSED
 DRAINING = peer_pb2.TARGET_STATE_DRAINING
 
+#: Numbers the verdicts of this process.
+VERDICT_VERSIONS = itertools.count(1)
+
 
 @attrs.define(eq=False)
 class LocalTarget:
@@ -31,8 +38,14 @@
     :ivar lease_deadline: when the announcement lapses.
     :ivar announced_us: when it announced itself here, later than at any other daemon.
     :ivar drained: an operator drains it; its own announcements do not undo that.
+    :ivar withdrawn: it is gone, or announced again at another address.
     :ivar running: calls that hold a slot.
     :ivar queued: calls that wait for a slot.
+    :ivar latency_us: average latency of its calls; 0 before the first one.
+    :ivar held_us: average time for which a call holds a slot.
+    :ivar verdict_version: grows with each verdict of the guard.
+    :ivar on_trial: it returns from an ejection and takes one call at a time.
+    :ivar slow_start_at_s: monotonic time at which it started or came back.
     """
 
     service: str
@@ -43,8 +56,16 @@
     lease_deadline: Deadline
     announced_us: int = 0
     drained: bool = False
+    withdrawn: bool = False
     running: int = 0
     queued: int = 0
+    latency_us: int = 0
+    held_us: float = 0.0
+    ejected: bool = False
+    severity_percent: int = 0
+    verdict_version: int = attrs.field(factory=VERDICT_VERSIONS.__next__)
+    on_trial: bool = False
+    slow_start_at_s: float = attrs.field(factory=time.monotonic)
     slot_freed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     def message(self) -> peer_pb2.Endpoint:
@@ -55,11 +76,54 @@
             slots=self.slots,
             state=self.state,
             announced_us=self.announced_us,
+            ejected=self.ejected,
+            verdict_version=self.verdict_version,
+            severity_percent=self.severity_percent,
+            on_trial=self.on_trial,
         )
 
     def load(self) -> peer_pb2.LoadReport:
         """Return the load that goes with every reply."""
-        return peer_pb2.LoadReport(running=self.running, queued=self.queued)
+        return peer_pb2.LoadReport(
+            running=self.running,
+            queued=self.queued,
+            ejected=self.ejected,
+            latency_us=self.latency_us,
+            verdict_version=self.verdict_version,
+            severity_percent=self.severity_percent,
+            on_trial=self.on_trial,
+            open_slots=self.open_slots(),
+        )
+
+    def open_slots(self) -> int:
+        """Return the slots that are open in the slow start, all of them after it."""
+        elapsed_s = time.monotonic() - self.slow_start_at_s
+        return min(self.slots, 1 + int(elapsed_s / SLOW_START_STEP_S))
+
+    def is_cold(self) -> bool:
+        """Tell whether the target started a short time ago."""
+        return time.monotonic() - self.slow_start_at_s < COLD_S
+
+    def note_held(self, held_us: float) -> None:
+        """Note for how long a call held its slot."""
+        if not self.held_us:
+            self.held_us = held_us
+        self.held_us += HELD_WEIGHT * (held_us - self.held_us)
+
+    def set_verdict(
+        self,
+        ejected: bool = False,
+        severity_percent: int = 0,
+        on_trial: bool = False,
+        slow_start: bool = False,
+    ) -> None:
+        """Replace the verdict of the guard."""
+        self.ejected = ejected
+        self.severity_percent = severity_percent
+        self.on_trial = on_trial
+        self.verdict_version = next(VERDICT_VERSIONS)
+        if slow_start or on_trial:
+            self.slow_start_at_s = time.monotonic()
 
 
 class LocalTargets:
@@ -100,7 +164,7 @@
                 self._metrics.count("targets_returned")
             target.state = state
             target.slots = announced.slots
-            self._tell()
+            self.tell()
 
     def drain(self, service: str, endpoint: str) -> bool:
         """Let a target finish its calls and get no new ones.
@@ -112,7 +176,7 @@
             return False
         target.drained = True
         target.state = DRAINING
-        self._tell()
+        self.tell()
         return True
 
     def withdraw(self, service: str, endpoint: str) -> bool:
@@ -122,7 +186,8 @@
         """
         found = self._targets.pop((service, endpoint), None)
         if found is not None:
-            self._tell()
+            found.withdrawn = True
+            self.tell()
         return found is not None
 
     async def watch_leases(self) -> None:
@@ -145,8 +210,11 @@
             self._metrics.count("targets_taken_over")
             later_us = elsewhere.announced_us + 1
             announced.announced_us = max(announced.announced_us, later_us)
+        replaced = self._targets.get(key)
+        if replaced is not None:
+            replaced.withdrawn = True
         self._targets[key] = announced
-        self._tell()
+        self.tell()
 
     def _elsewhere(self, service: str, endpoint: str) -> EndpointView | None:
         """Return an endpoint if another daemon has it."""
@@ -163,7 +231,7 @@
         self._metrics.count("targets_lapsed")
         target.state = LAPSED
         target.lease_deadline = Deadline.after_ms(LAPSED_KEPT_MS)
-        self._tell()
+        self.tell()
 
     def _note_contested(self, news: peer_pb2.Member) -> None:
         if news.daemon == self._daemon:
@@ -184,6 +252,7 @@
         self._moved[key] = target.address
         self.withdraw(*key)
 
-    def _tell(self) -> None:
+    def tell(self) -> None:
+        """Hand on the endpoints after a change."""
         messages = [target.message() for target in self._targets.values()]
         self._members.set_endpoints(messages)
--- a/packages/laburnumscale/src/laburnumscale/tree.py
+++ b/packages/laburnumscale/src/laburnumscale/tree.py
@@ -36,6 +36,10 @@
     :ivar time_limit_ms: longest time that a caller waits.
     :ivar floor_percent: share of the announced slots that stays in use.
     :ivar retry_budget_percent: retries in percent of calls.
+    :ivar eject_after: bad calls in a row that eject a target.
+    :ivar slow_factor: multiple of the service's median from which a call is slow.
+    :ivar slow_excess_ms: least difference to the median from which a call is slow.
+    :ivar ejection_ms: time that a target is left out after its first ejection.
     :ivar serve_when_stale: run calls that are not idempotent on a stale daemon.
     """
 
@@ -47,6 +51,13 @@
     shed: frozenset[int] = frozenset({503})
     attempt_limit: int = 3
     retry_budget_percent: int = 20
+    eject_after: int = 3
+    slow_factor: int = 4
+    slow_excess_ms: int = 150
+    ejection_ms: int = 3000
+    probe_path: str = "/healthz"
+    routing_policy: str = "two-choices"
+    ejection_policy: str = "evidence"
     serve_when_stale: bool = False
 
 
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -15,6 +15,7 @@
 
 RENEW_INTERVAL_S = 0.3
 LEASE_MS = 1500
+HANG_S = 3600.0
 DOWNLOAD_CHUNK_BYTES = 64 * 1024
 
 
@@ -33,6 +34,8 @@
         self.error_percent = 0
         self.announcing = True
         self.cut_after_bytes = 0
+        self.hang = False
+        self.flap_period_s = 0.0
         self.drop_calls = 0
         self._calls = 0
 
@@ -82,7 +85,7 @@
             self.drop_calls -= 1
             request.transport.abort()
         try:
-            await asyncio.sleep(self.latency_ms / 1000)
+            await asyncio.sleep(self._work_s())
         except asyncio.CancelledError:
             entry["cancelled"] = True
             raise
@@ -97,6 +100,15 @@
             }
         )
 
+    def _work_s(self) -> float:
+        if not self.hang:
+            return self.latency_ms / 1000
+        now_s = asyncio.get_running_loop().time()
+        flaps = self.flap_period_s > 0
+        if flaps and now_s % self.flap_period_s > self.flap_period_s / 2:
+            return self.latency_ms / 1000
+        return HANG_S
+
     def note(self, entry: dict) -> None:
         """Put an entry into the ledger, and into its file if it has one."""
         self.ledger.append(entry)
