Remove a method that stood twice, and use the membership's own test

Cause: joining the parts left Daemon._until_stopped in two identical copies, and keyedcalls spelled out the states for which views.is_listed stands. Behaviour is unchanged.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -221,16 +221,6 @@
         self._failed = error
         self._stopping.set()
 
-    async def _until_stopped(self, awaitable: Coroutine) -> None:
-        """Wait for the end of an awaitable, or for a signal that ends the process."""
-        tasks = [
-            asyncio.create_task(awaitable),
-            asyncio.create_task(self._stopping.wait()),
-        ]
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        for task in tasks:
-            task.cancel()
-
     def _own_member(self) -> peer_pb2.Member:
         return peer_pb2.Member(
             daemon=self.settings.daemon,
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -20,11 +20,11 @@
 from laburnumscale.recordedexchange import RecordedExchange
 from laburnumscale.replies import not_run, unknown
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.views import is_listed
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["KeyedCalls"]
 
-REACHABLE = (peer_pb2.MEMBER_STATE_ALIVE, peer_pb2.MEMBER_STATE_SUSPECT)
 RETRY_INTERVAL_S = 0.05
 #: How long a key's home may be missing from the membership before it counts as gone.
 HOME_GRACE_MS = 1_500
@@ -133,7 +133,7 @@
         home = self._members.get(key.daemon)
         if home is None or home.incarnation != key.incarnation:
             return None
-        return home if home.state in REACHABLE else None
+        return home if is_listed(home) else None
 
     def _successors(self) -> list[peer_pb2.Member]:
         peers = [peer for peer in self._members.peers() if not peer.draining]
