--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 PACKAGES := laburnumscale-schema laburnumscale laburnumscaled laburnumscalectl
-SOURCES := packages tests bench tools examples
+SOURCES := packages platform tests bench tools examples
 PY := $(VENV)/bin/python
 SEEDS ?= 1 2 3 4
 SOAK_S ?= 120
@@ -10,7 +10,7 @@
 
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/platform:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: venv demo test features check format generate check-generated settings-page \
--- a/packages/laburnumscale/src/laburnumscale/announcements.py
+++ b/packages/laburnumscale/src/laburnumscale/announcements.py
@@ -57,6 +57,8 @@
         slots=slots,
         state=message.state or READY,
         lease_deadline=Deadline.after_ms(lease_ms),
+        started_at_unix_ms=message.started_at_unix_ms,
+        sequence=message.sequence,
     )
 
 
--- a/packages/laburnumscale/src/laburnumscale/callerrequests.py
+++ b/packages/laburnumscale/src/laburnumscale/callerrequests.py
@@ -12,7 +12,6 @@
 __all__ = ["check_request", "is_number", "request_target", "timeout_ms"]
 
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
-TIMEOUT_HEADER = "x-request-timeout-ms"
 LONGEST_NUMBER = 18
 #: Request line and header fields as RFC 9112 has them, without folded lines,
 #: spaces before colons and control characters.
@@ -88,15 +87,16 @@
     return host[1].lower(), target
 
 
-def timeout_ms(request: Request, longest_ms: int) -> int:
+def timeout_ms(request: Request, longest_ms: int, header: str) -> int:
     """Return the time that the caller gives the call, in milliseconds.
 
     :param longest_ms: the service's own limit.
+    :param header: name of the header field in which the caller says it.
     :raises RequestInvalid: the caller's header is not a positive number.
     """
-    wanted_ms = request.headers.get(TIMEOUT_HEADER)
+    wanted_ms = request.headers.get(header)
     if wanted_ms is None:
         return longest_ms
     if not is_number(wanted_ms) or int(wanted_ms) == 0:
-        raise RequestInvalid(TIMEOUT_HEADER, "the value is not a positive number")
+        raise RequestInvalid(header, "the value is not a positive number")
     return min(int(wanted_ms), longest_ms)
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -3,18 +3,27 @@
 Tries targets for the call of a caller and states the outcome.
 """
 
+import time
 from collections.abc import AsyncIterator
 
 import attrs
 from sanic import HTTPResponse, Request
 
 from laburnumscale.attempting import Attempter, AttemptRequest
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.headernames import HeaderNames
 from laburnumscale.headers import end_to_end
 from laburnumscale.inflight import InFlight
 from laburnumscale.members import EndpointView
 from laburnumscale.metrics import Metrics
-from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown
+from laburnumscale.outcomes import (
+    Answered,
+    NotRun,
+    Outcome,
+    Unknown,
+    outcome_name,
+    reason_name,
+)
 from laburnumscale.passing import pass_on, whole_response
 from laburnumscale.problems import problem
 from laburnumscale.replies import RETRY_AFTER_MS, failure
@@ -23,7 +32,7 @@
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["Call", "CallRunner"]
+__all__ = ["AttemptNote", "Call", "CallRunner"]
 
 REPLY_SHARE = 0.6
 FREE_ATTEMPTS = 8
@@ -37,19 +46,33 @@
         peer_pb2.NOT_RUN_REASON_FENCED,
         peer_pb2.NOT_RUN_REASON_STALE_SETTINGS,
         peer_pb2.NOT_RUN_REASON_STARTING,
+        peer_pb2.NOT_RUN_REASON_MISDIRECTED,
+        peer_pb2.NOT_RUN_REASON_OVERLOADED,
     }
 )
 
 
+@attrs.frozen
+class AttemptNote:
+    """How one attempt ended, for the log."""
+
+    endpoint: str
+    daemon: str
+    result: str
+    elapsed_ms: int
+
+
 @attrs.define(eq=False)
 class Call:
     """One call of a caller and its attempts so far.
 
+    :ivar priority: rank of the call when slots are short; 0 goes first.
     :ivar tried: names of the endpoints that were tried.
     :ivar paid_attempts: attempts that count towards the limit.
     :ivar free_attempts: attempts refused for one of ``FREE_REASONS``.
     :ivar lost: the last attempt that may have run.
     :ivar answer_started: the caller has got the first part of an answer.
+    :ivar notes: the attempts so far, for the log.
     """
 
     request: Request
@@ -60,11 +83,13 @@
     idempotent: bool
     deadline: Deadline
     body: bytes | AsyncIterator[bytes]
+    priority: int = 0
     tried: set[str] = attrs.field(factory=set)
     paid_attempts: int = 0
     free_attempts: int = 0
     lost: Unknown | None = None
     answer_started: bool = False
+    notes: list[AttemptNote] = attrs.field(factory=list)
 
     @property
     def replayable(self) -> bool:
@@ -114,15 +139,27 @@
 class CallRunner:
     """Makes the attempts of calls.
 
+    :param names: the header fields that callers and targets know.
+    :param caller_service: service on whose behalf the callers of this daemon call.
     :ivar in_flight: the calls that are not over.
     """
 
-    def __init__(self, attempter: Attempter, router: Router, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        attempter: Attempter,
+        router: Router,
+        metrics: Metrics,
+        budget: RetryBudget,
+        names: HeaderNames,
+        caller_service: str = "",
+    ) -> None:
         self.in_flight = InFlight()
         self._attempter = attempter
         self._router = router
         self._metrics = metrics
-        self._budget = RetryBudget()
+        self._budget = budget
+        self._names = names
+        self._caller_service = caller_service
 
     async def run(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         """Try targets until the call has its outcome.
@@ -137,13 +174,19 @@
             return outcome, response
         # An attempt that may have run outweighs the refusals of the others.
         outcome = call.lost or outcome
-        return outcome, problem(outcome, call.request_id)
+        return outcome, problem(outcome, call.request_id, names=self._names)
 
     async def _try_targets(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         outcome: Outcome = NotRun(peer_pb2.NOT_RUN_REASON_NO_TARGET, RETRY_AFTER_MS)
         while (view := self._pick(call)) is not None:
             call.tried.add(view.endpoint)
+            started_at_s = time.monotonic()
             outcome, response = await self._attempt(call, view)
+            elapsed_ms = round((time.monotonic() - started_at_s) * MS_PER_S)
+            result = f"{outcome_name(outcome)} {reason_name(outcome)}"
+            call.notes.append(
+                AttemptNote(view.endpoint, view.daemon, result, elapsed_ms)
+            )
             if isinstance(outcome, Answered):
                 return outcome, response
             call.note(outcome)
@@ -175,10 +218,13 @@
                 if outcome is not None:
                     return outcome, None
                 if first.end:
-                    response = whole_response(first, call.request_id)
+                    response = whole_response(first, call.request_id, self._names)
                     return Answered(first.head.status), response
                 call.answer_started = True
-                return await pass_on(call.request, call.request_id, first, rest), None
+                passed = pass_on(
+                    call.request, call.request_id, first, rest, self._names
+                )
+                return await passed, None
         finally:
             attempt.ended()
 
@@ -189,8 +235,9 @@
             endpoint=view.endpoint,
             method=call.request.method,
             path_and_query=call.path_and_query,
-            headers=end_to_end(call.request.headers.items()),
+            headers=self._headers(call.request),
             idempotent=call.idempotent,
+            priority=call.priority,
         )
         self._router.mark(head, view)
         return AttemptRequest(
@@ -200,3 +247,16 @@
             deadline=call.deadline,
             settled=call.runs_once,
         )
+
+    def _headers(self, request: Request) -> list[peer_pb2.Header]:
+        """Return the fields that go to the target; daemons set some themselves."""
+        own = self._names.set_by_daemons()
+        headers = [
+            header
+            for header in end_to_end(request.headers.items())
+            if header.name not in own
+        ]
+        if self._names.caller_service:
+            name = self._names.caller_service
+            headers.append(peer_pb2.Header(name=name, value=self._caller_service))
+        return headers
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 
-from laburnumscale.announcements import announcement_app
 from laburnumscale.attempting import Attempter
 from laburnumscale.attempts import AttemptTable
 from laburnumscale.calls import CallRunner
@@ -31,12 +30,12 @@
 from laburnumscale.operators import Operators
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale.peers import serve_peers
-from laburnumscale.platformlog import PlatformLog
+from laburnumscale.platforms import get_platform_by_name
+from laburnumscale.retrybudget import RetryBudget
 from laburnumscale.returning import Returning
 from laburnumscale.routing import Router
 from laburnumscale.sending import SendOnceRequest
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale.settingslog import SettingsLog
 from laburnumscale.settingsoperators import SettingsOperators
 from laburnumscale.settingspublisher import SettingsPublisher
 from laburnumscale.settingsrelay import SettingsRelay
@@ -78,9 +77,11 @@
 
     async def _run_parts(self, session: aiohttp.ClientSession) -> None:
         settings = self.settings
+        platform = get_platform_by_name(settings.platform, settings)
+        names = platform.header_names
         metrics = Metrics()
         members = Members(self._own_member())
-        log = PlatformLog(settings.log_url, session)
+        log = platform.log(session)
         feed = SettingsFeed(metrics, settings.isolation_ms)
         channels = PeerChannels(settings.peer_address_overrides)
         gossip = Gossip(
@@ -99,32 +100,42 @@
         returning = Returning(session, metrics, targets.tell)
         health = TargetHealth(returning, stalls, metrics)
         guard = Guard(
-            settings.daemon,
-            settings.data_centre,
+            members.own,
             targets,
             feed,
             health,
             session,
             metrics,
             AttemptTable(members.own.incarnation),
+            names,
         )
         seeds = tuple(str(address) for address in settings.seed_addresses)
         relay = SettingsRelay(members, feed, channels, seeds, metrics)
-        settings_log = SettingsLog(
-            feed, log, metrics, settings.snapshot_interval_ms, relay.is_tailer
-        )
+        source = platform.settings_source(feed, log, metrics, relay.is_tailer)
         publisher = SettingsPublisher(
-            settings.daemon, feed, settings_log, relay, log, metrics
+            settings.daemon, feed, source, relay, log, metrics
         )
         settler = Settler(members, guard.attempts, channels, metrics)
         attempter = Attempter(members, guard, channels, settler)
         router = Router(members, feed, PathHealth(channels, metrics), health)
-        runner = CallRunner(attempter, router, metrics)
+        budget = RetryBudget(settings.retry_slack_attempts, lambda: members.group_size)
+        runner = CallRunner(
+            attempter, router, metrics, budget, names, settings.caller_service
+        )
         key_table = KeyTable(
             settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
         )
         keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
-        entry = Entry(members, feed, runner, keyed_calls, key_table, metrics)
+        entry = Entry(
+            members,
+            feed,
+            runner,
+            keyed_calls,
+            key_table,
+            metrics,
+            names,
+            settings.routes_only,
+        )
         peer_server = await serve_peers(
             settings.peer_address,
             guard,
@@ -138,7 +149,7 @@
         tasks = [
             self._start_part(part)
             for part in (
-                settings_log.run(),
+                source.run(),
                 relay.pull_forever(),
                 relay.push_forever(),
                 stalls.watch(),
@@ -153,24 +164,31 @@
             settings.caller_address,
             "caller_address",
         )
+        operators = Operators(
+            members,
+            feed,
+            targets,
+            router,
+            metrics,
+            SettingsOperators(feed, publisher, log, members),
+        )
         servers = [
-            await serve_app(
-                Operators(
-                    members,
-                    feed,
-                    targets,
-                    router,
-                    metrics,
-                    SettingsOperators(feed, publisher, log, members),
-                ).app(),
-                settings.operator_address,
-                "operator_address",
-            ),
-            await serve_app(
-                announcement_app(settings.daemon, targets),
-                settings.target_address,
-                "target_address",
-            ),
+            await serve_app(app, address, option)
+            for app, address, option in (
+                (operators.app(), settings.operator_address, "operator_address"),
+                (
+                    platform.target_app(targets),
+                    settings.target_address,
+                    "target_address",
+                ),
+                (
+                    operators.readiness_app(platform.readiness_path),
+                    settings.readiness_address,
+                    "readiness_address",
+                ),
+                (operators.metrics_app(), settings.metrics_address, "metrics_address"),
+            )
+            if address is not None
         ]
         members.serving = True
         get_logger().info("daemon serves callers", has_settings=feed.has_tree)
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -22,6 +22,8 @@
 DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000
 DEFAULT_KEY_LIFE_MS = 600_000
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
+DEFAULT_RETRY_WINDOW_MS = 10_000
+DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1_000
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
 
@@ -35,6 +37,17 @@
         the daemon is not ready.
     :ivar snapshot_interval_ms: longest time between two snapshots in the log.
     :ivar key_life_ms: how long an operation key can be used after it was minted.
+    :ivar platform: package that adapts the daemon to its platform, or empty.
+    :ivar caller_service: service on whose behalf the callers of this daemon call.
+    :ivar readiness_address: where the platform asks for readiness besides operators.
+    :ivar metrics_address: where metrics are served besides the operators' address.
+    :ivar routes_only: requests that no route matches are refused.
+    :ivar retry_slack_attempts: retries of the fleet in a window beyond its budget.
+    :ivar retry_window_ms: window over which the fleet's retries are counted.
+    :ivar floor_percent: share of the slots that ejection leaves in use, where the
+        platform's documents do not say.
+    :ivar retry_budget_percent: retries in percent of calls, likewise.
+    :ivar announcement_interval_ms: expected time between announcements of a target.
     """
 
     daemon: str
@@ -52,6 +65,16 @@
     peer_address_overrides: dict[str, str]
     snapshot_interval_ms: int
     key_life_ms: int
+    platform: str = ""
+    caller_service: str = ""
+    readiness_address: Address | None = None
+    metrics_address: Address | None = None
+    routes_only: bool = False
+    retry_slack_attempts: int = 0
+    retry_window_ms: int = DEFAULT_RETRY_WINDOW_MS
+    floor_percent: int = 0
+    retry_budget_percent: int = 0
+    announcement_interval_ms: int = DEFAULT_ANNOUNCEMENT_INTERVAL_MS
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -88,6 +111,9 @@
     def address(name: str) -> Address:
         return get_address_opt(file.where(name), name, text(name))
 
+    def optional_address(name: str) -> Address | None:
+        return address(name) if getattr(message, name) else None
+
     seeds = tuple(
         get_address_opt(file.where("seed_addresses", seed), "seed_addresses", seed)
         for seed in message.seed_addresses
@@ -102,9 +128,7 @@
         caller_address=address("caller_address"),
         operator_address=address("operator_address"),
         peer_address=address("peer_address"),
-        target_address=get_loopback_address_opt(
-            file.where("target_address"), "target_address", text("target_address")
-        ),
+        target_address=_target_address(file, message, text("target_address")),
         log_url=text("log_url").rstrip("/"),
         seed_addresses=seeds,
         log_format=log_format,
@@ -116,9 +140,29 @@
             message.snapshot_interval_ms or DEFAULT_SNAPSHOT_INTERVAL_MS
         ),
         key_life_ms=message.key_life_ms or DEFAULT_KEY_LIFE_MS,
+        platform=message.platform,
+        caller_service=message.caller_service,
+        readiness_address=optional_address("readiness_address"),
+        metrics_address=optional_address("metrics_address"),
+        routes_only=message.routes_only,
+        retry_slack_attempts=message.retry_slack_attempts,
+        retry_window_ms=message.retry_window_ms or DEFAULT_RETRY_WINDOW_MS,
+        floor_percent=message.floor_percent,
+        retry_budget_percent=message.retry_budget_percent,
+        announcement_interval_ms=(
+            message.announcement_interval_ms or DEFAULT_ANNOUNCEMENT_INTERVAL_MS
+        ),
     )
 
 
+def _target_address(
+    file: SettingsFile, message: daemon_pb2.DaemonSettings, value: str
+) -> Address:
+    """Return the address for targets: on loopback, unless a platform guards it."""
+    check = get_address_opt if message.platform else get_loopback_address_opt
+    return check(file.where("target_address"), "target_address", value)
+
+
 def _overrides(
     file: SettingsFile, message: daemon_pb2.DaemonSettings
 ) -> dict[str, str]:
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+import random
 import re
 import time
 import uuid
 from collections.abc import AsyncIterator
 
+import attrs
 from sanic import HTTPResponse, Request
 from sanic.exceptions import SanicException
 from sanic.response import json
@@ -20,20 +22,23 @@
     timeout_ms,
 )
 from laburnumscale.calls import Call, CallRunner
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.decisions import DecisionLog
 from laburnumscale.errors import BodyBroken, BodyTooLarge, RequestInvalid
 from laburnumscale.guard import SMALL_BODY_BYTES, STALE_RETRY_AFTER_MS
-from laburnumscale.headers import as_text
+from laburnumscale.headernames import HeaderNames
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun, Outcome, outcome_name
+from laburnumscale.passing import whole_response
 from laburnumscale.problems import problem
 from laburnumscale.replies import failure
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.tree import EffectiveSettings
 from laburnumscale.webserver import App, new_app
-from laburnumscale_schema import peer_pb2
+from laburnumscale_schema import peer_pb2, settings_pb2
 
 __all__ = ["Entry"]
 
@@ -50,7 +55,11 @@
 
 
 class Entry:
-    """The HTTP side of a daemon for callers."""
+    """The HTTP side of a daemon for callers.
+
+    :param names: the header fields that callers know.
+    :param routes_only: requests that no route matches are refused.
+    """
 
     def __init__(
         self,
@@ -60,7 +69,12 @@
         keyed_calls: KeyedCalls,
         key_table: KeyTable,
         metrics: Metrics,
+        names: HeaderNames,
+        routes_only: bool,
     ) -> None:
+        self._decisions = DecisionLog(metrics, lambda: feed.tree.revision)
+        self._names = names
+        self._routes_only = routes_only
         self._members = members
         self._feed = feed
         self._runner = runner
@@ -87,7 +101,7 @@
     ) -> HTTPResponse | None:
         if self._in_flight >= CALLS_IN_FLIGHT_LIMIT:
             self._record("", OVERLOADED, time.monotonic())
-            return problem(OVERLOADED, _request_id(request))
+            return self._problem(OVERLOADED, self._request_id(request))
         self._in_flight += 1
         try:
             check_request(request, body_limit_bytes)
@@ -103,8 +117,9 @@
         self, request: Request, error: Exception, status: int = 0
     ) -> HTTPResponse:
         self._metrics.count("requests_refused")
+        self._decisions.refused(self._request_id(request), BAD_REQUEST, str(error))
         request.stream.keep_alive = False
-        return problem(BAD_REQUEST, _request_id(request), str(error), status)
+        return self._problem(BAD_REQUEST, self._request_id(request), str(error), status)
 
     async def handle(self, request: Request) -> HTTPResponse | None:
         """Answer one call."""
@@ -113,10 +128,11 @@
 
     async def _answer(self, request: Request) -> HTTPResponse | None:
         started_at_s = time.monotonic()
-        request_id = _request_id(request)
+        request_id = self._request_id(request)
         prepared = await self._prepare(request, request_id)
         if isinstance(prepared, NotRun):
-            response = problem(prepared, request_id)
+            response = self._problem(prepared, request_id)
+            self._decisions.refused(request_id, prepared, request.path)
             self._record("", prepared, started_at_s)
             return response
         key = request.headers.get(KEY_HEADER)
@@ -124,7 +140,9 @@
             outcome, response = await self._runner.run(prepared)
         else:
             reply = await self._keyed_calls.lead(prepared, key)
-            outcome, response = _keyed_response(reply, request_id)
+            outcome, response = self._keyed_response(reply, request_id)
+        elapsed_ms = (time.monotonic() - started_at_s) * MS_PER_S
+        self._decisions.ended(prepared, outcome, elapsed_ms)
         self._record(prepared.service, outcome, started_at_s)
         return response
 
@@ -139,21 +157,20 @@
     async def _prepare(self, request: Request, request_id: str) -> Call | NotRun:
         if not self._feed.has_tree:
             return NotRun(peer_pb2.NOT_RUN_REASON_STARTING, STARTING_RETRY_AFTER_MS)
-        host, raw = request_target(request)
-        path, _, _ = raw.partition("?")
-        route = self._feed.tree.route(host, path)
-        if route is not None:
-            service, path_and_query = route.service, raw
-        else:
-            service, _, rest = raw.removeprefix("/").partition("/")
-            path_and_query = "/" + rest
-        if service not in self._feed.tree.services():
-            return NotRun(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
-        settings = self._feed.tree.effective(service, self._members.own.data_centre)
+        routed = self._route(request)
+        if isinstance(routed, NotRun):
+            return routed
+        service, path_and_query, route = routed
+        settings = self._settings(service, route)
         idempotent = request.method in settings.idempotent
+        if route is not None and route.HasField("idempotent"):
+            idempotent = route.idempotent
         if not (idempotent or settings.serve_when_stale) and self._feed.is_stale():
             return NotRun(STALE_SETTINGS, STALE_RETRY_AFTER_MS)
-        deadline = Deadline.after_ms(timeout_ms(request, settings.time_limit_ms))
+        limit_ms = timeout_ms(
+            request, settings.time_limit_ms, self._names.caller_time_limit
+        )
+        deadline = Deadline.after_ms(limit_ms)
         return Call(
             request=request,
             request_id=request_id,
@@ -163,8 +180,44 @@
             idempotent=idempotent,
             deadline=deadline,
             body=await self._body(request, request_id, deadline),
+            priority=route.priority if route is not None else 0,
         )
 
+    def _route(
+        self, request: Request
+    ) -> NotRun | tuple[str, str, settings_pb2.Route | None]:
+        """Return the service, the path there, and the route of a request."""
+        host, raw = request_target(request)
+        path, _, _ = raw.partition("?")
+        route = self._feed.tree.route(host, path)
+        if route is not None:
+            return _backend(route), raw, route
+        if self._routes_only:
+            return NotRun(peer_pb2.NOT_RUN_REASON_NO_ROUTE)
+        service, _, rest = raw.removeprefix("/").partition("/")
+        if service not in self._feed.tree.services():
+            return NotRun(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
+        return service, "/" + rest, None
+
+    def _settings(
+        self, service: str, route: settings_pb2.Route | None
+    ) -> EffectiveSettings:
+        """Return the settings of a service, narrowed by those of a route."""
+        settings = self._feed.tree.effective(service, self._members.own.data_centre)
+        if route is None:
+            return settings
+        narrowed = {
+            name: getattr(route, name)
+            for name in ("time_limit_ms", "attempt_limit")
+            if route.HasField(name)
+        }
+        return attrs.evolve(settings, **narrowed) if narrowed else settings
+
+    def _problem(
+        self, outcome: NotRun, request_id: str, detail: str = "", status: int = 0
+    ) -> HTTPResponse:
+        return problem(outcome, request_id, detail, status, self._names)
+
     async def _body(
         self, request: Request, request_id: str, deadline: Deadline
     ) -> bytes | AsyncIterator[bytes]:
@@ -175,6 +228,19 @@
             return await _small_body(request, deadline)
         return _stream(request, request_id)
 
+    def _request_id(self, request: Request) -> str:
+        given = request.headers.get(self._names.request_id, "")
+        return given if REQUEST_ID.fullmatch(given) else uuid.uuid4().hex
+
+    def _keyed_response(
+        self, reply: peer_pb2.CallReply, request_id: str
+    ) -> tuple[Outcome, HTTPResponse]:
+        outcome = failure(reply)
+        if outcome is not None:
+            return outcome, self._problem(outcome, request_id)
+        response = whole_response(reply, request_id, self._names)
+        return Answered(reply.head.status), response
+
     def _record(self, service: str, outcome: Outcome, started_at_s: float) -> None:
         labels = f'service="{service}",outcome="{outcome_name(outcome)}"'
         self._metrics.count("calls", labels)
@@ -182,11 +248,6 @@
         self._metrics.record_us("call_latency", elapsed_us, f'service="{service}"')
 
 
-def _request_id(request: Request) -> str:
-    given = request.headers.get("x-request-id", "")
-    return given if REQUEST_ID.fullmatch(given) else uuid.uuid4().hex
-
-
 async def _small_body(request: Request, deadline: Deadline) -> bytes:
     try:
         async with asyncio.timeout(deadline.left_s()):
@@ -209,19 +270,13 @@
         yield chunk
 
 
-def _keyed_response(
-    reply: peer_pb2.CallReply, request_id: str
-) -> tuple[Outcome, HTTPResponse]:
-    outcome = failure(reply)
-    if outcome is not None:
-        return outcome, problem(outcome, request_id)
-    headers = [
-        (header.name, as_text(header.value))
-        for header in reply.head.headers
-        if header.name != "x-request-id"
-    ]
-    headers.append(("x-request-id", request_id))
-    response = HTTPResponse(
-        reply.body, status=reply.head.status, headers=headers, content_type=None
-    )
-    return Answered(reply.head.status), response
+def _backend(route: settings_pb2.Route) -> str:
+    """Return the service for one call: the route's only one, or one by weight.
+
+    Each call is drawn by itself, so a part that is short of room refuses its own
+    calls and the shares of the other parts do not change.
+    """
+    if not route.backends:
+        return route.service
+    weights = [backend.weight for backend in route.backends]
+    return random.choices(route.backends, weights)[0].service
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -10,6 +10,7 @@
     "AddressInUse",
     "AddressInvalid",
     "AddressNotLoopback",
+    "AnswerMismatched",
     "AnswerUnframed",
     "AttemptSentTwice",
     "BodyBroken",
@@ -29,8 +30,10 @@
     "OptionValueInvalid",
     "PartFailed",
     "PlaceInvalid",
+    "PlatformUnknown",
     "RecordInvalid",
     "RequestInvalid",
+    "SettingsReadOnly",
     "SettingsUnavailable",
 ]
 
@@ -272,3 +275,35 @@
 
     url: str
     template: ClassVar[str] = "{url}: the answer has neither a length nor chunks"
+
+
+@dataclass(eq=False)
+class PlatformUnknown(LaburnumscaleError):
+    """The package of a platform cannot be imported."""
+
+    platform: str
+    reason: str
+    template: ClassVar[str] = 'platform "{platform}": {reason}'
+
+
+@dataclass(eq=False)
+class SettingsReadOnly(LaburnumscaleError):
+    """Operators write the settings to the platform, not through daemons."""
+
+    daemon: str
+    template: ClassVar[str] = (
+        'daemon "{daemon}" takes its settings from the platform\'s documents; '
+        "write them there"
+    )
+
+
+@dataclass(eq=False)
+class AnswerMismatched(LaburnumscaleError):
+    """An answer belongs to another request than the one that was sent."""
+
+    url: str
+    request_id: str
+    answered_id: str
+    template: ClassVar[str] = (
+        '{url}: the answer to request "{request_id}" is for "{answered_id}"'
+    )
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -13,12 +13,20 @@
 
 from laburnumscale.attempts import Attempt, AttemptState, AttemptTable
 from laburnumscale.deadlines import Deadline
-from laburnumscale.errors import AnswerUnframed, AttemptSentTwice, BodyBroken
-from laburnumscale.guardclocks import monotonic_us
+from laburnumscale.errors import (
+    AnswerMismatched,
+    AnswerUnframed,
+    AttemptSentTwice,
+    BodyBroken,
+)
+from laburnumscale.guardclocks import clock_us
+from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
 from laburnumscale.inflight import InFlight
+from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.observations import Observation
 from laburnumscale.replies import AttemptRefused, unknown
 from laburnumscale.sending import Sending, check_framed, send_once
 from laburnumscale.settingsfeed import SettingsFeed
@@ -34,7 +42,7 @@
 STALE_RETRY_AFTER_MS = 5000
 FORGET_INTERVAL_S = 10
 SERVER_ERROR = 500
-DEADLINE_HEADER = "X-Request-Timeout-Ms"
+MISDIRECTED = 421
 
 
 class Guard:
@@ -47,20 +55,21 @@
 
     def __init__(
         self,
-        daemon: str,
-        data_centre: str,
+        own: peer_pb2.Member,
         targets: LocalTargets,
         feed: SettingsFeed,
         health: TargetHealth,
         session: aiohttp.ClientSession,
         metrics: Metrics,
         attempts: AttemptTable,
+        names: HeaderNames,
     ) -> None:
-        self.daemon = daemon
+        self._names = names
+        self.daemon = own.daemon
         self.attempts = attempts
         self.in_flight = InFlight()
         self.draining = False
-        self._data_centre = data_centre
+        self._data_centre = own.data_centre
         self._targets = targets
         self._feed = feed
         self._health = health
@@ -187,11 +196,11 @@
                 limit,
                 self._request(target, head, body, sending) as response,
             ):
-                if response.status in settings.shed:
-                    observation.forget()
-                    raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
+                self._check_answer(target, settings, head, response, observation)
                 observation.answered(failed=response.status >= SERVER_ERROR)
-                async with aclosing(self._replies(target, head, response)) as replies:
+                async with aclosing(
+                    self._replies(target, settings, head, response)
+                ) as replies:
                     async for reply in replies:
                         yield reply
         except aiohttp.ClientConnectorError:
@@ -207,6 +216,11 @@
         except BodyBroken:
             observation.forget()
             yield unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
+        except AnswerMismatched as error:
+            observation.broke()
+            self._metrics.count("answers_mismatched", f'service="{target.service}"')
+            get_logger().warning("answer mismatched", reason=str(error))
+            yield unknown(peer_pb2.UNKNOWN_REASON_MISMATCHED, target.load())
         except AnswerUnframed:
             yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load())
         except (aiohttp.ClientError, AttemptSentTwice):
@@ -215,6 +229,33 @@
         finally:
             observation.end()
 
+    def _check_answer(
+        self,
+        target: LocalTarget,
+        settings: EffectiveSettings,
+        head: peer_pb2.CallHead,
+        response: aiohttp.ClientResponse,
+        observation: Observation,
+    ) -> None:
+        """Check that the head of an answer is the target's answer to this attempt.
+
+        :raises AttemptRefused: the target says that it did not run the attempt.
+        :raises AnswerMismatched: the answer belongs to another request.
+        """
+        names = self._names
+        if names.echoes_request_id:
+            echoed = response.headers.get(names.request_id, "")
+            if echoed != head.request_id:
+                raise AnswerMismatched(str(response.url), head.request_id, echoed)
+        if names.expected_endpoint and response.status == MISDIRECTED:
+            observation.forget()
+            self._targets.withdraw(target.service, target.endpoint)
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_MISDIRECTED)
+        not_run = names.not_run and names.not_run in response.headers
+        if not_run or response.status in settings.shed:
+            observation.forget()
+            raise AttemptRefused(peer_pb2.NOT_RUN_REASON_SHED)
+
     def _request(
         self,
         target: LocalTarget,
@@ -224,7 +265,9 @@
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         url = URL(f"http://{target.address}{head.path_and_query}", encoded=True)
         headers = CIMultiDict((header.name, header.value) for header in head.headers)
-        headers[DEADLINE_HEADER] = str(sending.deadline.left_ms())
+        headers[self._names.target_time_left] = str(sending.deadline.left_ms())
+        if self._names.expected_endpoint:
+            headers[self._names.expected_endpoint] = head.endpoint
         return send_once(
             self._session,
             sending,
@@ -237,10 +280,12 @@
     async def _replies(
         self,
         target: LocalTarget,
+        settings: EffectiveSettings,
         head: peer_pb2.CallHead,
         response: aiohttp.ClientResponse,
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        check_framed(head.method, response)
+        if not settings.close_ends_answer:
+            check_framed(head.method, response)
         reply_head = _reply_head(response)
         length = response.content_length
         if length is not None and length <= SMALL_BODY_BYTES:
@@ -270,11 +315,11 @@
     """Return how long a message was on its way at most; 0 if that is unknown."""
     if not head.guard_time_us:
         return 0
-    return max(0, monotonic_us() - head.guard_time_us) / 1000
+    return max(0, clock_us() - head.guard_time_us) / 1000
 
 
 def _stamped(reply: peer_pb2.CallReply) -> peer_pb2.CallReply:
-    reply.guard_time_us = monotonic_us()
+    reply.guard_time_us = clock_us()
     return reply
 
 
--- a/packages/laburnumscale/src/laburnumscale/guardclocks.py
+++ b/packages/laburnumscale/src/laburnumscale/guardclocks.py
@@ -1,25 +1,25 @@
 """Guard clocks.
 
-Estimates the monotonic clocks of guards, so that a guard can tell the age of a message.
+Estimates the clocks of guards, so that a guard can tell the age of a message.
 """
 
-import time
 from collections import OrderedDict
 
 import attrs
 
+from laburnumscale.deadlines import now_s
 from laburnumscale.members import EndpointView
 
-__all__ = ["GuardClocks", "monotonic_us"]
+__all__ = ["GuardClocks", "clock_us"]
 
 HIGHEST_DRIFT_PPM = 500
 HIGHEST_GUARDS = 4096
 US_PER_S = 1_000_000
 
 
-def monotonic_us() -> int:
-    """Return the monotonic clock of this process in microseconds."""
-    return time.monotonic_ns() // 1000
+def clock_us() -> int:
+    """Return the clock of this host in microseconds; it goes on while suspended."""
+    return int(now_s() * US_PER_S)
 
 
 @attrs.define
@@ -50,7 +50,7 @@
         """Take the clock in a reply of the guard of an endpoint into account."""
         if not guard_time_us:
             return
-        now_us = monotonic_us()
+        now_us = clock_us()
         ahead_us = now_us - guard_time_us
         known = self._estimates.get(view.daemon)
         if known is not None and known.incarnation == view.incarnation:
@@ -67,6 +67,6 @@
         known = self._estimates.get(view.daemon)
         if known is None or known.incarnation != view.incarnation:
             return 0
-        now_us = monotonic_us()
+        now_us = clock_us()
         drift_us = (now_us - known.heard_at_us) * HIGHEST_DRIFT_PPM // US_PER_S
         return max(1, now_us - known.ahead_us - drift_us)
--- a/packages/laburnumscale/src/laburnumscale/logs.py
+++ b/packages/laburnumscale/src/laburnumscale/logs.py
@@ -1,6 +1,6 @@
 """Logs.
 
-Structured log lines, for changes of state only.
+Structured log lines, for decisions and changes of state.
 """
 
 import logging
@@ -8,6 +8,8 @@
 
 import structlog
 
+from laburnumscale.logoutput import LogOutput
+
 __all__ = ["configure_logs", "get_logger"]
 
 
@@ -43,7 +45,7 @@
 
 
 def configure_logs(log_format: str, daemon: str) -> None:
-    """Set up the log lines of this process, on standard error.
+    """Set up the log lines of this process, on standard output.
 
     :param log_format: ``json`` or ``console``.
     :param daemon: name that every line carries.
@@ -61,7 +63,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(LogOutput(sys.stdout)),
     )
     structlog.contextvars.bind_contextvars(daemon=daemon)
     logging.basicConfig(level=logging.WARNING, handlers=[LibraryLogHandler()])
--- a/packages/laburnumscale/src/laburnumscale/operators.py
+++ b/packages/laburnumscale/src/laburnumscale/operators.py
@@ -53,6 +53,18 @@
         )
         return app
 
+    def readiness_app(self, path: str) -> Sanic:
+        """Return the HTTP application that only tells readiness."""
+        app = new_app(f"{self._members.own.daemon}-readiness")
+        app.add_route(self.readyz, path)
+        return app
+
+    def metrics_app(self) -> Sanic:
+        """Return the HTTP application that only shows the metrics."""
+        app = new_app(f"{self._members.own.daemon}-metrics")
+        app.add_route(self.metrics, "/metrics")
+        return app
+
     async def livez(self, request: Request) -> HTTPResponse:
         """Tell that the process answers."""
         return text("ok\n")
--- a/packages/laburnumscale/src/laburnumscale/passing.py
+++ b/packages/laburnumscale/src/laburnumscale/passing.py
@@ -7,6 +7,7 @@
 
 from sanic import HTTPResponse, Request
 
+from laburnumscale.headernames import HeaderNames
 from laburnumscale.headers import as_text, end_to_end
 from laburnumscale.outcomes import Answered, Outcome, Unknown
 from laburnumscale.replies import failure
@@ -15,12 +16,14 @@
 __all__ = ["pass_on", "whole_response"]
 
 
-def whole_response(reply: peer_pb2.CallReply, request_id: str) -> HTTPResponse:
+def whole_response(
+    reply: peer_pb2.CallReply, request_id: str, names: HeaderNames
+) -> HTTPResponse:
     """Return the response for an answer that came in one message."""
     return HTTPResponse(
         reply.body,
         status=reply.head.status,
-        headers=_headers(reply.head, request_id),
+        headers=_headers(reply.head, request_id, names),
         content_type=None,
     )
 
@@ -30,6 +33,7 @@
     request_id: str,
     first: peer_pb2.CallReply,
     rest: AsyncIterator[peer_pb2.CallReply],
+    names: HeaderNames,
 ) -> Outcome:
     """Stream an answer to the caller; abort the connection if it is cut short.
 
@@ -37,7 +41,7 @@
     """
     response = await request.respond(
         status=first.head.status,
-        headers=_headers(first.head, request_id),
+        headers=_headers(first.head, request_id, names),
         content_type=None,
     )
     if first.body:
@@ -56,6 +60,10 @@
     return Unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
 
 
-def _headers(head: peer_pb2.ReplyHead, request_id: str) -> list[tuple[str, str]]:
+def _headers(
+    head: peer_pb2.ReplyHead, request_id: str, names: HeaderNames
+) -> list[tuple[str, str]]:
     kept = end_to_end((header.name, header.value) for header in head.headers)
-    return [*((h.name, as_text(h.value)) for h in kept), ("x-request-id", request_id)]
+    own = names.request_id.lower()
+    pairs = [(h.name, as_text(h.value)) for h in kept if h.name != own]
+    return [*pairs, (names.request_id, request_id)]
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -12,18 +12,24 @@
 
 from laburnumscale.errors import LogReplyInvalid, LogUnavailable, LogUnreachable
 
-__all__ = ["Batch", "PlatformLog", "Record", "sleep_until_retry"]
+__all__ = ["Batch", "Log", "PlatformLog", "Record", "sleep_until_retry"]
 
 APPEND_TIMEOUT_S = 2.0
 READ_MARGIN_S = 2.0
+RECENT_RECORDS = 64
+BEYOND_THE_END = 1 << 62
 
 
 @attrs.frozen
 class Record:
-    """One record of a stream."""
+    """One record of a stream.
+
+    :ivar key: what the record is about; empty in streams without keys.
+    """
 
     offset: int
     payload: bytes
+    key: str = ""
 
 
 @attrs.frozen
@@ -39,20 +45,47 @@
     next_offset: int
 
 
-class PlatformLog:
-    """Appends to and reads from the streams of one log service."""
-
-    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
-        self.url = url
-        self._session = session
+class Log:
+    """Base of the clients of logs."""
 
-    async def append(self, stream: str, payload: bytes) -> int:
+    async def append(self, stream: str, payload: bytes, key: str = "") -> int:
         """Append a record.
 
+        :param key: what the record is about.
         :returns: its offset.
-        :raises LogUnreachable: no connection; the record was not appended.
+        :raises LogUnreachable: nothing was sent; the record was not appended.
         :raises LogUnavailable: no answer came; the record may have been appended.
         """
+        raise NotImplementedError
+
+    async def read(self, stream: str, offset: int, wait_ms: int = 0) -> Batch:
+        """Read records from ``offset`` on.
+
+        The batch is empty, with a later ``oldest_offset``, if the log does not keep
+        the record at ``offset`` any more.
+
+        :param wait_ms: how long the log may wait for a first record.
+        :raises LogUnavailable: no answer came.
+        """
+        raise NotImplementedError
+
+    async def newest(self, stream: str) -> Batch:
+        """Read the newest record of each key, or as many recent ones.
+
+        :raises LogUnavailable: no answer came.
+        """
+        raise NotImplementedError
+
+
+class PlatformLog(Log):
+    """Appends to and reads from the streams of one log service; it has no keys."""
+
+    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
+        self.url = url
+        self._session = session
+
+    async def append(self, stream: str, payload: bytes, key: str = "") -> int:
+        """Append a record; its key is not kept."""
         timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
         url = f"{self.url}/streams/{stream}"
         try:
@@ -68,11 +101,7 @@
             raise LogReplyInvalid(url, repr(error)) from error
 
     async def read(self, stream: str, offset: int, wait_ms: int = 0) -> Batch:
-        """Read records from ``offset`` on.
-
-        :param wait_ms: how long the log may wait for a first record.
-        :raises LogUnavailable: no answer came.
-        """
+        """Read records from ``offset`` on."""
         timeout = aiohttp.ClientTimeout(total=wait_ms / 1000 + READ_MARGIN_S)
         url = f"{self.url}/streams/{stream}"
         query = {"from": str(offset), "wait_ms": str(wait_ms)}
@@ -86,6 +115,11 @@
         except (KeyError, TypeError, ValueError, binascii.Error) as error:
             raise LogReplyInvalid(url, repr(error)) from error
 
+    async def newest(self, stream: str) -> Batch:
+        """Read the most recent records."""
+        end = await self.read(stream, BEYOND_THE_END)
+        return await self.read(stream, max(0, end.next_offset - RECENT_RECORDS))
+
     async def _json(self, response: aiohttp.ClientResponse) -> dict:
         if response.status != 200:
             raise LogUnavailable(str(response.url), f"status {response.status}")
--- a/packages/laburnumscale/src/laburnumscale/presence.py
+++ b/packages/laburnumscale/src/laburnumscale/presence.py
@@ -9,7 +9,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import PlatformLog, Record
+from laburnumscale.platformlog import Log, Record
 from laburnumscale.views import liveness
 from laburnumscale_schema import peer_pb2
 
@@ -17,7 +17,6 @@
 
 STREAM = "presence"
 RECENT_RECORDS = 64
-BEYOND_THE_END = 1 << 62
 
 
 class Presence:
@@ -27,7 +26,7 @@
     is alive.
     """
 
-    def __init__(self, log: PlatformLog, members: Members, metrics: Metrics) -> None:
+    def __init__(self, log: Log, members: Members, metrics: Metrics) -> None:
         self._log = log
         self._members = members
         self._metrics = metrics
@@ -40,7 +39,7 @@
         :raises LogUnavailable: no answer came; a second record does no harm.
         """
         payload = liveness(self._members.own).SerializeToString()
-        await self._log.append(STREAM, payload)
+        await self._log.append(STREAM, payload, self._members.own.daemon)
         self._metrics.count("presence_records")
 
     async def read(self, wait_ms: int = 0) -> None:
@@ -48,13 +47,16 @@
 
         :raises LaburnumscaleError: the log gave no answer that can be used.
         """
-        if self._offset is None:
-            end = await self._log.read(STREAM, BEYOND_THE_END)
-            self._offset = max(0, end.next_offset - RECENT_RECORDS)
         self._metrics.count("presence_reads")
-        batch = await self._log.read(STREAM, self._offset, wait_ms)
+        if self._offset is None:
+            batch = await self._log.newest(STREAM)
+        else:
+            batch = await self._log.read(STREAM, self._offset, wait_ms)
+            if batch.oldest_offset > self._offset:
+                batch = await self._log.newest(STREAM)
+        self._offset = batch.next_offset
         for record in batch.records:
-            self._offset = record.offset + 1
+            self._offset = max(self._offset, record.offset + 1)
             self._take(record)
 
     def contacts(self) -> list[peer_pb2.Member]:
--- a/packages/laburnumscale/src/laburnumscale/problems.py
+++ b/packages/laburnumscale/src/laburnumscale/problems.py
@@ -10,17 +10,21 @@
 from sanic import HTTPResponse
 from sanic.response import json
 
+from laburnumscale.headernames import HeaderNames
 from laburnumscale.outcomes import NotRun, Outcome, Unknown, outcome_name, reason_name
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["problem", "refused_request"]
 
 CONTENT_TYPE = "application/problem+json"
+DEFAULT_NAMES = HeaderNames()
+MS_PER_S = 1000
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 504
 STATUS_INTERNAL = 500
 STATUS_BY_REASON = {
     peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE: 404,
+    peer_pb2.NOT_RUN_REASON_NO_ROUTE: 404,
     peer_pb2.NOT_RUN_REASON_BAD_REQUEST: 400,
     peer_pb2.NOT_RUN_REASON_KEY_NOT_MINTED: 422,
     peer_pb2.NOT_RUN_REASON_KEY_REUSED: 422,
@@ -58,12 +62,17 @@
 
 
 def problem(
-    outcome: NotRun | Unknown, request_id: str, detail: str = "", status: int = 0
+    outcome: NotRun | Unknown,
+    request_id: str,
+    detail: str = "",
+    status: int = 0,
+    names: HeaderNames = DEFAULT_NAMES,
 ) -> HTTPResponse:
     """Return the response for a call that has no answer.
 
     :param detail: what was wrong with the request.
     :param status: HTTP status in place of the outcome's own.
+    :param names: the header fields that callers know.
     """
     document = {
         "type": "about:blank",
@@ -72,16 +81,22 @@
         "reason": reason_name(outcome),
         "request_id": request_id,
     }
-    headers = {"X-Request-Id": request_id}
+    headers = {names.request_id: request_id}
     if detail:
         document["detail"] = detail
     retry_after_ms = getattr(outcome, "retry_after_ms", 0)
     if retry_after_ms:
         document["retry_after_ms"] = retry_after_ms
-        headers["Retry-After"] = str(math.ceil(retry_after_ms / 1000))
+        headers["Retry-After"] = _retry_after(retry_after_ms, names)
     return json(
         document,
         status=status or status_of(outcome),
         headers=headers,
         content_type=CONTENT_TYPE,
     )
+
+
+def _retry_after(retry_after_ms: int, names: HeaderNames) -> str:
+    if names.fractional_retry_after:
+        return f"{retry_after_ms / MS_PER_S:.3f}"
+    return str(math.ceil(retry_after_ms / MS_PER_S))
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -41,6 +41,7 @@
     "slow_factor": (0, 1000),
     "slow_excess_ms": (1, 600_000),
     "ejection_ms": (100, 600_000),
+    "connection_limit": (0, 1_000_000),
 }
 
 #: Names that a setting may have.
--- a/packages/laburnumscale/src/laburnumscale/retrybudget.py
+++ b/packages/laburnumscale/src/laburnumscale/retrybudget.py
@@ -3,6 +3,8 @@
 Bounds the retries of each service to a share of its calls.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 __all__ = ["RetryBudget"]
@@ -14,17 +16,27 @@
 
 @attrs.define
 class _Bucket:
-    tokens: float = FIRST_TOKENS
+    tokens: float
 
 
 class RetryBudget:
     """One bucket of tokens for each service of an entry.
 
     Each call adds the configured percentage of a token, each retry takes one. A
-    service starts with a few, so that rare calls can be retried too.
+    service starts with a few, so that rare calls can be retried too. Where the fleet
+    as a whole has a slack, each entry starts with its part of it and never has more,
+    so that all entries together stay within slack and percentage in any window.
+
+    :param fleet_slack: retries that the fleet may make beyond the percentage; 0 if
+        only the percentage counts.
+    :param group_size: returns the number of daemons in the fleet.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, fleet_slack: int = 0, group_size: Callable[[], int] = lambda: 1
+    ) -> None:
+        self._fleet_slack = fleet_slack
+        self._group_size = group_size
         self._buckets: dict[str, _Bucket] = {}
 
     def add_call(self, service: str, budget_percent: int) -> None:
@@ -32,19 +44,32 @@
 
         :param budget_percent: retries in percent of calls; 0 allows none.
         """
-        bucket = self._buckets.setdefault(service, _Bucket())
+        bucket = self._bucket(service)
         if budget_percent == 0:
             bucket.tokens = 0.0
             return
-        bucket.tokens = min(HIGHEST_TOKENS, bucket.tokens + budget_percent / PERCENT)
+        bucket.tokens += budget_percent / PERCENT
 
     def take_retry(self, service: str) -> bool:
         """Take a token for a retry.
 
         :returns: whether the retry is allowed.
         """
-        bucket = self._buckets.setdefault(service, _Bucket())
+        bucket = self._bucket(service)
         if bucket.tokens < 1:
             return False
         bucket.tokens -= 1
         return True
+
+    def _bucket(self, service: str) -> _Bucket:
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = _Bucket(min(FIRST_TOKENS, self._highest_tokens()))
+            self._buckets[service] = bucket
+        bucket.tokens = min(bucket.tokens, self._highest_tokens())
+        return bucket
+
+    def _highest_tokens(self) -> float:
+        if not self._fleet_slack:
+            return HIGHEST_TOKENS
+        return max(1.0, self._fleet_slack / self._group_size())
--- a/packages/laburnumscale/src/laburnumscale/settingschecks.py
+++ b/packages/laburnumscale/src/laburnumscale/settingschecks.py
@@ -123,8 +123,19 @@
 def _check_route(where: str, place: Place, route: settings_pb2.Route) -> None:
     if (route.host, route.path_prefix) != (place.host, place.path_prefix):
         raise RequestInvalid(where, "the route is not that of its place")
-    if not SERVICE.fullmatch(route.service):
-        raise RequestInvalid(where, f'"{route.service}" names no service')
+    backends = [backend.service for backend in route.backends]
+    if bool(backends) == bool(route.service):
+        raise RequestInvalid(where, "it needs either a service or backends")
+    for service in backends or [route.service]:
+        if not SERVICE.fullmatch(service):
+            raise RequestInvalid(where, f'"{service}" names no service')
+    if backends and not any(backend.weight for backend in route.backends):
+        raise RequestInvalid(where, "no backend has a weight")
+    for name in ("time_limit_ms", "attempt_limit"):
+        lowest, highest = RANGES[name]
+        value = getattr(route, name)
+        if route.HasField(name) and not lowest <= value <= highest:
+            raise OptionOutOfRange(where, name, value, lowest, highest)
 
 
 def _check_settings(where: str, settings: settings_pb2.ServiceSettings) -> None:
--- a/packages/laburnumscale/src/laburnumscale/settingshistory.py
+++ b/packages/laburnumscale/src/laburnumscale/settingshistory.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from laburnumscale.errors import LaburnumscaleError
-from laburnumscale.platformlog import PlatformLog, Record
+from laburnumscale.platformlog import Log, Record
 from laburnumscale.settingschecks import parse_record
 from laburnumscale.settingsfeed import STREAM
 from laburnumscale.tree import SettingsTree
@@ -17,7 +17,7 @@
 
 
 async def read_history(
-    log: PlatformLog, tree: SettingsTree, place: str = "", limit: int = 0
+    log: Log, tree: SettingsTree, place: str = "", limit: int = 0
 ) -> settings_pb2.History:
     """Return every change of the log's kept records, winners and losers.
 
@@ -57,7 +57,7 @@
         self._has_states = False
         self._noted: set[str] = set()
 
-    async def read(self, log: PlatformLog) -> None:
+    async def read(self, log: Log) -> None:
         offset = 0
         while True:
             batch = await log.read(STREAM, offset)
--- a/packages/laburnumscale/src/laburnumscale/settingslog.py
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -12,9 +12,10 @@
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import Batch, PlatformLog, sleep_until_retry
+from laburnumscale.platformlog import Batch, Log, sleep_until_retry
 from laburnumscale.settingschecks import parse_record
 from laburnumscale.settingsfeed import STREAM, SettingsFeed
+from laburnumscale.settingssource import SettingsSource
 from laburnumscale_schema import settings_pb2
 
 __all__ = ["SettingsLog"]
@@ -27,7 +28,7 @@
 SNAPSHOT_JITTER = 0.2
 
 
-class SettingsLog:
+class SettingsLog(SettingsSource):
     """The task that reads the stream while this daemon is to read it.
 
     :param is_tailer: tells whether this daemon is one of those that read all the
@@ -38,7 +39,7 @@
     def __init__(
         self,
         feed: SettingsFeed,
-        log: PlatformLog,
+        log: Log,
         metrics: Metrics,
         snapshot_interval_ms: int,
         is_tailer: Callable[[], bool] = lambda: True,
--- a/packages/laburnumscale/src/laburnumscale/settingsoperators.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsoperators.py
@@ -11,7 +11,7 @@
 from laburnumscale.errors import LaburnumscaleError, SettingsUnavailable
 from laburnumscale.explaining import explain
 from laburnumscale.members import Members
-from laburnumscale.platformlog import PlatformLog
+from laburnumscale.platformlog import Log
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingshistory import read_history
 from laburnumscale.settingspublisher import SettingsPublisher
@@ -39,7 +39,7 @@
         self,
         feed: SettingsFeed,
         publisher: SettingsPublisher,
-        log: PlatformLog,
+        log: Log,
         members: Members,
     ) -> None:
         self._feed = feed
--- a/packages/laburnumscale/src/laburnumscale/settingspublisher.py
+++ b/packages/laburnumscale/src/laburnumscale/settingspublisher.py
@@ -9,14 +9,15 @@
 from laburnumscale.errors import (
     LaburnumscaleError,
     LogUnreachable,
+    SettingsReadOnly,
     SettingsUnavailable,
 )
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import PlatformLog, sleep_until_retry
+from laburnumscale.platformlog import Log, sleep_until_retry
 from laburnumscale.settingschecks import check_change
 from laburnumscale.settingsfeed import STREAM, SettingsFeed
-from laburnumscale.settingslog import SettingsLog
 from laburnumscale.settingsrelay import SettingsRelay
+from laburnumscale.settingssource import SettingsSource
 from laburnumscale_schema import settings_pb2
 
 __all__ = ["SettingsPublisher"]
@@ -32,9 +33,9 @@
         self,
         daemon: str,
         feed: SettingsFeed,
-        settings_log: SettingsLog,
+        settings_log: SettingsSource,
         relay: SettingsRelay,
-        log: PlatformLog,
+        log: Log,
         metrics: Metrics,
     ) -> None:
         self._daemon = daemon
@@ -50,9 +51,12 @@
         :returns: accepted, refused, or undetermined if the log or too many daemons
             do not answer in time.
         :raises SettingsUnavailable: this daemon has no settings yet.
+        :raises SettingsReadOnly: operators write to the platform instead.
         :raises LaburnumscaleError: the change is invalid.
         """
         check_change(change)
+        if not self._settings_log.takes_changes:
+            raise SettingsReadOnly(self._daemon)
         if not self._feed.has_tree:
             raise SettingsUnavailable(self._daemon)
         deadline = Deadline.after_ms(PUBLISH_LIMIT_MS)
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -37,6 +37,8 @@
 
     :ivar lease_deadline: when the announcement lapses.
     :ivar announced_us: when it announced itself here, later than at any other daemon.
+    :ivar started_at_unix_ms: start of its process; 0 if it does not say.
+    :ivar sequence: number of its latest announcement; 0 if it does not say.
     :ivar drained: an operator drains it; its own announcements do not undo that.
     :ivar withdrawn: it is gone, or announced again at another address.
     :ivar running: calls that hold a slot.
@@ -55,6 +57,8 @@
     state: int
     lease_deadline: Deadline
     announced_us: int = 0
+    started_at_unix_ms: int = 0
+    sequence: int = 0
     drained: bool = False
     withdrawn: bool = False
     running: int = 0
@@ -154,9 +158,14 @@
         """
         key = (announced.service, announced.endpoint)
         target = self._targets.get(key)
-        if target is None or target.address != announced.address:
+        if target is None or _is_another_process(target, announced):
+            self._replace_namesakes(announced)
             self._add(announced)
             return
+        if _is_late(target, announced):
+            self._metrics.count("announcements_late")
+            return
+        target.sequence = announced.sequence
         target.lease_deadline = announced.lease_deadline
         state = DRAINING if target.drained else announced.state
         if (target.state, target.slots) != (state, announced.slots):
@@ -190,6 +199,16 @@
             self.tell()
         return found is not None
 
+    def withdraw_endpoint(self, endpoint: str) -> bool:
+        """Remove a target whose service is not named.
+
+        :returns: whether the target was announced.
+        """
+        keys = [key for key in self._targets if key[1] == endpoint]
+        for key in keys:
+            self.withdraw(*key)
+        return bool(keys)
+
     async def watch_leases(self) -> None:
         """Mark targets that lapse and give up those that moved, until cancelled."""
         while True:
@@ -216,6 +235,24 @@
         self._targets[key] = announced
         self.tell()
 
+    def _replace_namesakes(self, announced: LocalTarget) -> None:
+        """Withdraw targets whose address the announced one has now."""
+        for target in list(self._targets.values()):
+            if target.address != announced.address:
+                continue
+            if (target.service, target.endpoint) == (
+                announced.service,
+                announced.endpoint,
+            ):
+                continue
+            get_logger().info(
+                "address taken over",
+                service=target.service,
+                endpoint=target.endpoint,
+                by=announced.endpoint,
+            )
+            self.withdraw(target.service, target.endpoint)
+
     def _elsewhere(self, service: str, endpoint: str) -> EndpointView | None:
         """Return an endpoint if another daemon has it."""
         view = self._members.endpoint(service, endpoint)
@@ -256,3 +293,17 @@
         """Hand on the endpoints after a change."""
         messages = [target.message() for target in self._targets.values()]
         self._members.set_endpoints(messages)
+
+
+def _is_another_process(known: LocalTarget, announced: LocalTarget) -> bool:
+    """Tell whether an announcement comes from a later process of the target."""
+    if known.address != announced.address:
+        return announced.started_at_unix_ms >= known.started_at_unix_ms
+    return announced.started_at_unix_ms > known.started_at_unix_ms
+
+
+def _is_late(known: LocalTarget, announced: LocalTarget) -> bool:
+    """Tell whether a later announcement was heard before this one."""
+    if announced.started_at_unix_ms != known.started_at_unix_ms:
+        return announced.started_at_unix_ms < known.started_at_unix_ms
+    return 0 < announced.sequence <= known.sequence
--- a/packages/laburnumscale/src/laburnumscale/tree.py
+++ b/packages/laburnumscale/src/laburnumscale/tree.py
@@ -40,6 +40,9 @@
     :ivar slow_factor: multiple of the service's median from which a call is slow.
     :ivar slow_excess_ms: least difference to the median from which a call is slow.
     :ivar ejection_ms: time that a target is left out after its first ejection.
+    :ivar connection_limit: connections that a target accepts from all callers; 0 for
+        any number.
+    :ivar close_ends_answer: an answer without a length ends with its connection.
     :ivar serve_when_stale: run calls that are not idempotent on a stale daemon.
     """
 
@@ -58,6 +61,8 @@
     probe_path: str = "/healthz"
     routing_policy: str = "two-choices"
     ejection_policy: str = "evidence"
+    connection_limit: int = 0
+    close_ends_answer: bool = False
     serve_when_stale: bool = False
 
 
