Eject on broken connections at once, prefer targets in good standing, end daemons in time

Change: a broken connection counts as three bad calls, one on a reused connection as one; what the floor keeps in use takes calls when the others are full; failed answers to idempotent calls are tried once more within the budget; a process that has left stays left; SIGHUP reloads; the drain ends before the platform's grace.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -10,6 +10,7 @@
 from sanic import HTTPResponse, Request
 
 from laburnumscale.attempting import Attempter, AttemptRequest
+from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.headers import end_to_end
@@ -36,6 +37,8 @@
 
 REPLY_SHARE = 0.6
 FREE_ATTEMPTS = 8
+SERVER_ERROR = 500
+LEAST_RETRY_MS = 50  # two hops and the connections, and some work at the target
 #: Refusals that cost the target nothing, so that a retry needs no budget.
 FREE_REASONS = frozenset(
     {
@@ -120,6 +123,17 @@
         else:
             self.paid_attempts += 1
 
+    def may_retry_answer(self) -> bool:
+        """Tell whether a failure that the target answered may be tried elsewhere.
+
+        The time that is left must do for an attempt as long as the one that failed;
+        the failure is delivered if no other answer comes.
+        """
+        if not (self.idempotent and self.replayable):
+            return False
+        attempts_left = self.settings.attempt_limit - self.paid_attempts - 1
+        return attempts_left > 0 and self.deadline.left_ms() > LEAST_RETRY_MS
+
     def may_retry(self, outcome: Outcome) -> bool:
         """Tell whether another attempt is safe and within the limits."""
         if self.answer_started or not self.replayable or self.deadline.is_over():
@@ -161,6 +175,10 @@
         self._names = names
         self._caller_service = caller_service
 
+    def apply(self, settings: DaemonSettings) -> None:
+        """Take what may change in the settings of a running daemon."""
+        self._caller_service = settings.caller_service
+
     async def run(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         """Try targets until the call has its outcome.
 
@@ -178,6 +196,7 @@
 
     async def _try_targets(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         outcome: Outcome = NotRun(peer_pb2.NOT_RUN_REASON_NO_TARGET, RETRY_AFTER_MS)
+        answer: tuple[Outcome, HTTPResponse | None] | None = None
         while (view := self._pick(call)) is not None:
             call.tried.add(view.endpoint)
             started_at_s = time.monotonic()
@@ -188,11 +207,14 @@
                 AttemptNote(view.endpoint, view.daemon, result, elapsed_ms)
             )
             if isinstance(outcome, Answered):
-                return outcome, response
+                failed = response is not None and outcome.status >= SERVER_ERROR
+                if not (failed and call.may_retry_answer()):
+                    return outcome, response
+                answer = outcome, response
             call.note(outcome)
             if not call.may_retry(outcome) or not self._pay(call, outcome):
                 break
-        return outcome, None
+        return answer or (outcome, None)
 
     def _pay(self, call: Call, outcome: Outcome) -> bool:
         """Tell whether the budget allows a retry after an outcome."""
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -10,39 +10,32 @@
 
 import aiohttp
 
-from laburnumscale.attempting import Attempter
-from laburnumscale.attempts import AttemptTable
-from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
+from laburnumscale.daemonparts import (
+    Core,
+    EntryRole,
+    GuardRole,
+    SettingsRole,
+    build_entry_role,
+    build_gossip,
+    build_guard_role,
+    build_operators,
+    build_settings_role,
+)
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
 from laburnumscale.draining import FLUSH_LIMIT_MS, Drain
-from laburnumscale.entry import Entry
 from laburnumscale.errors import PartFailed
-from laburnumscale.gossip import Gossip
-from laburnumscale.guard import Guard
-from laburnumscale.health import TargetHealth
-from laburnumscale.keyedcalls import KeyedCalls
-from laburnumscale.keytable import KeyTable
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
 from laburnumscale.operators import Operators
-from laburnumscale.pathhealth import PathHealth
 from laburnumscale.peers import serve_peers
 from laburnumscale.platforms import get_platform_by_name
-from laburnumscale.retrybudget import RetryBudget
-from laburnumscale.returning import Returning
-from laburnumscale.routing import Router
-from laburnumscale.sending import SendOnceRequest
+from laburnumscale.reloading import Reloading
+from laburnumscale.sending import SendOnceRequest, TargetConnector
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale.settingsoperators import SettingsOperators
-from laburnumscale.settingspublisher import SettingsPublisher
-from laburnumscale.settingsrelay import SettingsRelay
-from laburnumscale.settling import Settler
-from laburnumscale.stalls import LoopStalls
-from laburnumscale.targets import LocalTargets
-from laburnumscale.webserver import serve_app
+from laburnumscale.webserver import Server, serve_app
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["Daemon"]
@@ -54,10 +47,14 @@
 
 
 class Daemon:
-    """One daemon with its four roles."""
+    """One daemon with its four roles.
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    :param settings_path: file that is read again when it has changed; empty for none.
+    """
+
+    def __init__(self, settings: DaemonSettings, settings_path: str = "") -> None:
         self.settings = settings
+        self._reloading = Reloading(settings, settings_path)
         self._stopping = asyncio.Event()
         self._failed: PartFailed | None = None
 
@@ -65,7 +62,7 @@
         """Serve until SIGTERM or SIGINT, then leave gracefully."""
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
+        connector = TargetConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
         async with aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
@@ -76,145 +73,119 @@
             await self._run_parts(session)
 
     async def _run_parts(self, session: aiohttp.ClientSession) -> None:
-        settings = self.settings
-        platform = get_platform_by_name(settings.platform, settings)
-        names = platform.header_names
-        metrics = Metrics()
-        members = Members(self._own_member())
-        log = platform.log(session)
-        feed = SettingsFeed(metrics, settings.isolation_ms)
-        channels = PeerChannels(settings.peer_address_overrides)
-        gossip = Gossip(
-            members,
-            channels,
-            log,
-            metrics,
-            seeds=settings.seed_addresses,
-            revision=lambda: feed.tree.revision,
-            heard_revision=feed.hear,
-        )
+        core = self._core(session)
+        gossip = build_gossip(core)
         await gossip.join()
-        get_logger().info("daemon started", incarnation=members.own.incarnation)
-        targets = LocalTargets(settings.daemon, members, metrics)
-        stalls = LoopStalls()
-        returning = Returning(session, metrics, targets.tell)
-        health = TargetHealth(returning, stalls, metrics)
-        guard = Guard(
-            members.own,
-            targets,
-            feed,
-            health,
-            session,
-            metrics,
-            AttemptTable(members.own.incarnation),
-            names,
-        )
-        seeds = tuple(str(address) for address in settings.seed_addresses)
-        relay = SettingsRelay(members, feed, channels, seeds, metrics)
-        source = platform.settings_source(feed, log, metrics, relay.is_tailer)
-        publisher = SettingsPublisher(
-            settings.daemon, feed, source, relay, log, metrics
-        )
-        settler = Settler(members, guard.attempts, channels, metrics)
-        attempter = Attempter(members, guard, channels, settler)
-        router = Router(members, feed, PathHealth(channels, metrics), health)
-        budget = RetryBudget(settings.retry_slack_attempts, lambda: members.group_size)
-        runner = CallRunner(
-            attempter, router, metrics, budget, names, settings.caller_service
-        )
-        key_table = KeyTable(
-            settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
-        )
-        keyed_calls = KeyedCalls(members, feed, runner, channels, key_table, metrics)
-        entry = Entry(
-            members,
-            feed,
-            runner,
-            keyed_calls,
-            key_table,
-            metrics,
-            names,
-            settings.routes_only,
-        )
+        get_logger().info("daemon started", incarnation=core.members.own.incarnation)
+        guard_role = build_guard_role(core)
+        settings_role = build_settings_role(core)
+        entry_role = build_entry_role(core, guard_role)
         peer_server = await serve_peers(
-            settings.peer_address,
-            guard,
-            settler,
-            members,
+            core.settings.peer_address,
+            guard_role.guard,
+            entry_role.settler,
+            core.members,
             gossip.exchange.answer,
-            feed,
-            keyed_calls,
+            core.feed,
+            entry_role.keyed_calls,
         )
-        await gossip.start(settings.peer_address)
-        tasks = [
-            self._start_part(part)
-            for part in (
-                source.run(),
-                relay.pull_forever(),
-                relay.push_forever(),
-                stalls.watch(),
-                targets.watch_leases(),
-                guard.forget_gone_entries(members),
-                key_table.forget_expired(),
-            )
-        ]
-        await self._until_stopped(feed.wait_tree(Deadline.after_ms(STARTING_MS)))
+        await gossip.start(core.settings.peer_address)
+        self._reloading.on_change(entry_role.runner.apply)
+        tasks = self._start_parts(core, guard_role, settings_role, entry_role)
+        await self._until_stopped(core.feed.wait_tree(Deadline.after_ms(STARTING_MS)))
         callers = await serve_app(
-            entry.app(settings.body_limit_bytes),
-            settings.caller_address,
+            entry_role.entry.app(core.settings.body_limit_bytes),
+            core.settings.caller_address,
             "caller_address",
         )
-        operators = Operators(
-            members,
-            feed,
-            targets,
-            router,
-            metrics,
-            SettingsOperators(feed, publisher, log, members),
-        )
-        servers = [
-            await serve_app(app, address, option)
-            for app, address, option in (
-                (operators.app(), settings.operator_address, "operator_address"),
-                (
-                    platform.target_app(targets),
-                    settings.target_address,
-                    "target_address",
-                ),
-                (
-                    operators.readiness_app(platform.readiness_path),
-                    settings.readiness_address,
-                    "readiness_address",
-                ),
-                (operators.metrics_app(), settings.metrics_address, "metrics_address"),
-            )
-            if address is not None
-        ]
-        members.serving = True
-        get_logger().info("daemon serves callers", has_settings=feed.has_tree)
+        operators = build_operators(core, guard_role, settings_role, entry_role)
+        servers = await self._serve(core, guard_role, operators)
+        core.members.serving = True
+        get_logger().info("daemon serves callers", has_settings=core.feed.has_tree)
         await self._stopping.wait()
         get_logger().info("daemon draining")
         drain = Drain(
-            members,
-            guard,
-            runner,
+            core.members,
+            guard_role.guard,
+            entry_role.runner,
             gossip.exchange.exchange,
-            keyed_calls.hand_over,
+            entry_role.keyed_calls.hand_over,
             callers,
         )
-        await drain.run(settings.drain_ms)
+        await drain.run(core.settings.drain_ms)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in servers:
-            await server.close(Deadline.after_ms(FLUSH_LIMIT_MS))
         await gossip.leave()
-        await peer_server.stop(PEER_GRACE_S)
-        await channels.close()
+        await asyncio.gather(
+            *(server.close(Deadline.after_ms(FLUSH_LIMIT_MS)) for server in servers),
+            peer_server.stop(PEER_GRACE_S),
+        )
+        await core.channels.close()
         get_logger().info("daemon stopped")
         if self._failed is not None:
             raise self._failed
 
+    def _core(self, session: aiohttp.ClientSession) -> Core:
+        settings = self.settings
+        platform = get_platform_by_name(settings.platform, settings)
+        metrics = Metrics()
+        return Core(
+            settings=settings,
+            platform=platform,
+            session=session,
+            metrics=metrics,
+            members=Members(self._own_member()),
+            log=platform.log(session),
+            feed=SettingsFeed(metrics, settings.isolation_ms),
+            channels=PeerChannels(settings.peer_address_overrides),
+        )
+
+    def _start_parts(
+        self,
+        core: Core,
+        guard_role: GuardRole,
+        settings_role: SettingsRole,
+        entry_role: EntryRole,
+    ) -> list[asyncio.Task]:
+        """Start what runs all the time."""
+        parts = (
+            self._reloading.watch(),
+            settings_role.source.run(),
+            settings_role.relay.pull_forever(),
+            settings_role.relay.push_forever(),
+            guard_role.stalls.watch(),
+            guard_role.targets.watch_leases(),
+            guard_role.guard.forget_gone_entries(core.members),
+            entry_role.key_table.forget_expired(),
+        )
+        return [self._start_part(part) for part in parts]
+
+    async def _serve(
+        self, core: Core, guard_role: GuardRole, operators: Operators
+    ) -> list[Server]:
+        """Start the servers that are not for callers."""
+        settings, platform = core.settings, core.platform
+        apps = (
+            (operators.app(), settings.operator_address, "operator_address"),
+            (
+                platform.target_app(guard_role.targets),
+                settings.target_address,
+                "target_address",
+            ),
+            (
+                operators.readiness_app(platform.readiness_path),
+                settings.readiness_address,
+                "readiness_address",
+            ),
+            (operators.metrics_app(), settings.metrics_address, "metrics_address"),
+        )
+        return [
+            await serve_app(app, address, option)
+            for app, address, option in apps
+            if address is not None
+        ]
+
     async def _until_stopped(self, awaitable: Coroutine) -> None:
         """Wait for the end of an awaitable, or for a signal that ends the process."""
         tasks = [
@@ -253,6 +224,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reloading.reload)
 
     def _stop(self) -> None:
         if self._stopping.is_set():
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -20,9 +20,13 @@
 __all__ = ["FLUSH_LIMIT_MS", "Drain"]
 
 PEERS_TOLD = 16
-HIGHEST_NOTICE_MS = 2_000
-NOTICE_SHARE = 0.25
-FLUSH_LIMIT_MS = 2_000
+#: A balancer that asks each second and leaves a daemon out after two misses needs
+#: nearly three to notice; until then callers still open connections.
+HIGHEST_NOTICE_MS = 3_000
+NOTICE_SHARE = 0.5
+FLUSH_LIMIT_MS = 200  # the answers are written; only the kernel's buffers are left
+#: The process must be gone when the platform would end it.
+EXIT_MARGIN_MS = 500
 
 
 @attrs.frozen(eq=False)
@@ -46,13 +50,13 @@
 
         :param drain_ms: how long this may take.
         """
-        deadline = Deadline.after_ms(drain_ms)
+        deadline = Deadline.after_ms(max(0, drain_ms - EXIT_MARGIN_MS))
         self.members.set_draining()
         self.callers.end_kept_alive()
-        await self._tell_peers()
         # Peers that hear of it later still find the guard at work.
-        notice_ms = min(HIGHEST_NOTICE_MS, drain_ms * NOTICE_SHARE)
-        await asyncio.sleep(Deadline.after_ms(notice_ms).left_s())
+        notice = Deadline.after_ms(min(HIGHEST_NOTICE_MS, drain_ms * NOTICE_SHARE))
+        await self._tell_peers()
+        await asyncio.sleep(notice.left_s())
         await self.callers.stop_listening()
         await self.hand_over(deadline)
         self.guard.draining = True
--- a/packages/laburnumscale/src/laburnumscale/ejection.py
+++ b/packages/laburnumscale/src/laburnumscale/ejection.py
@@ -38,7 +38,8 @@
     :param loads: all endpoints of the service, also those that have lapsed and are
         not confirmed gone.
     """
-    ready = [load for load in loads if load.view.state == READY]
+    reachable = [load for load in loads if load.view.state == READY]
+    ready = [load for load in reachable if not load.view.daemon_draining]
     announced_slots = count_announced(loads)
     floor_slots = math.ceil(announced_slots * floor_percent / PERCENT)
     in_use = [load for load in ready if not load.left_out]
@@ -48,13 +49,20 @@
             break
         in_use.append(load)
         slots += load.view.slots
+    if not in_use:
+        # A daemon that drains still serves for a while; that is better than nothing.
+        in_use = [load for load in reachable if load.view.daemon_draining]
     on_trial = [load for load in ready if load.on_trial and not load.path_broken]
     return Selection(in_use, on_trial, announced_slots, floor_slots, slots)
 
 
 def count_announced(loads: list[EndpointLoad]) -> int:
     """Return the slots of all endpoints that are not leaving."""
-    return sum(load.view.slots for load in loads if load.view.state != DRAINING)
+    return sum(
+        load.view.slots
+        for load in loads
+        if load.view.state != DRAINING and not load.view.daemon_draining
+    )
 
 
 def _badness(load: EndpointLoad) -> tuple[bool, bool, int, str]:
--- a/packages/laburnumscale/src/laburnumscale/endpointindex.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointindex.py
@@ -13,8 +13,6 @@
 
 __all__ = ["EndpointIndex", "EndpointView"]
 
-DRAINING = peer_pb2.TARGET_STATE_DRAINING
-
 
 @attrs.frozen
 class EndpointView:
@@ -22,6 +20,7 @@
 
     :ivar announced_us: when the target announced itself beside this daemon.
     :ivar verdict_version: grows with each verdict of the guard.
+    :ivar daemon_draining: the daemon is about to leave.
     :ivar suspect: the daemon is suspected to be dead, and not yet confirmed so.
     """
 
@@ -39,6 +38,7 @@
     verdict_version: int = 0
     severity_percent: int = 0
     on_trial: bool = False
+    daemon_draining: bool = False
 
     @property
     def claim(self) -> tuple[int, int, str]:
@@ -109,7 +109,7 @@
             service=sys.intern(endpoint.service),
             endpoint=endpoint.endpoint,
             slots=endpoint.slots,
-            state=DRAINING if member.draining else endpoint.state,
+            state=endpoint.state,
             ejected=endpoint.ejected,
             daemon=sys.intern(member.daemon),
             incarnation=member.incarnation,
@@ -120,4 +120,5 @@
             verdict_version=endpoint.verdict_version,
             severity_percent=endpoint.severity_percent,
             on_trial=endpoint.on_trial,
+            daemon_draining=member.draining,
         )
--- a/packages/laburnumscale/src/laburnumscale/evidence.py
+++ b/packages/laburnumscale/src/laburnumscale/evidence.py
@@ -34,9 +34,12 @@
     bad_share: float = 0.0
     latency_us: float = 0.0
 
-    def add(self, bad: bool) -> None:
-        """Take one call into account."""
-        self.score = max(0.0, self.score + (BAD_STEP if bad else GOOD_STEP))
+    def add(self, bad: bool, weight: int = 1) -> None:
+        """Take one call into account.
+
+        :param weight: the calls for which a bad one counts.
+        """
+        self.score = max(0.0, self.score + (BAD_STEP * weight if bad else GOOD_STEP))
         self.bad_share += LATEST_WEIGHT * (float(bad) - self.bad_share)
 
     def add_latency(self, latency_us: float) -> None:
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -224,7 +224,7 @@
         except AnswerUnframed:
             yield unknown(peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load())
         except (aiohttp.ClientError, AttemptSentTwice):
-            observation.broke()
+            observation.broke(sending.reused)
             yield unknown(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
         finally:
             observation.end()
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -117,10 +117,15 @@
                 target.set_verdict()
                 self._told(target, "target returned")
 
-    def judge(self, record: Record, settings: EffectiveSettings, bad: bool) -> None:
-        """Take the result of one attempt into account."""
+    def judge(
+        self, record: Record, settings: EffectiveSettings, bad: bool, weight: int = 1
+    ) -> None:
+        """Take the result of one attempt into account.
+
+        :param weight: the calls for which a bad one counts.
+        """
         target = record.target
-        record.evidence.add(bad)
+        record.evidence.add(bad, weight)
         labels = f'service="{target.service}",bad="{str(bad).lower()}"'
         self._metrics.count("attempts", labels)
         target.latency_us = int(record.evidence.latency_us)
--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -54,8 +54,13 @@
     def may_compare(self, service: str) -> bool:
         """Tell whether targets of a service may be compared with each other."""
 
-    def judge(self, record: Record, settings: EffectiveSettings, bad: bool) -> None:
-        """Take the result of one attempt into account."""
+    def judge(
+        self, record: Record, settings: EffectiveSettings, bad: bool, weight: int = 1
+    ) -> None:
+        """Take the result of one attempt into account.
+
+        :param weight: the calls for which a bad one counts.
+        """
 
 
 class Observation:
@@ -106,10 +111,14 @@
         slow = elapsed_s > self._limit_s and not failed
         self._judge(failed or slow, slow)
 
-    def broke(self) -> None:
-        """Note that the connection failed, or that the answer was cut short."""
+    def broke(self, reused: bool = False) -> None:
+        """Note that the connection failed, or that the answer was cut short.
+
+        :param reused: the connection had carried other attempts, so the target may
+            just have closed it as idle.
+        """
         self._record.unanswered.discard(self)
-        self._judge(True)
+        self._judge(True, weight=1 if reused else self._settings.break_weight)
 
     def forget(self) -> None:
         """Leave the attempt out, as the target has not run it."""
@@ -151,7 +160,7 @@
             self._judged = False
             self._overdue()
 
-    def _judge(self, bad: bool, slow: bool = False) -> None:
+    def _judge(self, bad: bool, slow: bool = False, weight: int = 1) -> None:
         if self._judged:
             return
         self._judged = True
@@ -161,7 +170,7 @@
         if bad:
             self._record.compared = slow and self._compared
             self._record.limit_s = self._limit_s
-        self._judging.judge(self._record, self._settings, bad)
+        self._judging.judge(self._record, self._settings, bad, weight)
 
 
 def slow_limit_s(
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -83,6 +83,7 @@
             return trial.view
         if not loads:
             return None
+        loads = _with_room(loads)
         return self._policy(settings).choose(loads, self._own_data_centre()).view
 
     def selection(self, service: str) -> Selection:
@@ -92,7 +93,11 @@
         if settings.ejection_policy == EVIDENCE:
             return select(loads, settings.floor_percent)
         announced_slots = count_announced(loads)
-        loads = [load for load in loads if load.view.state == READY]
+        loads = [
+            load
+            for load in loads
+            if load.view.state == READY and not load.view.daemon_draining
+        ]
         if settings.ejection_policy == CONSECUTIVE_ERRORS:
             loads = self._consecutive.in_use(loads)
         slots = sum(load.view.slots for load in loads)
@@ -157,6 +162,18 @@
         return self._members.own.data_centre
 
 
+def _with_room(loads: list[EndpointLoad]) -> list[EndpointLoad]:
+    """Return the endpoints in good standing while one of them has a free slot.
+
+    What the floor keeps in use is capacity for when the others are full, so that a
+    call does not go to a failing target without need.
+    """
+    standing = [load for load in loads if not load.left_out]
+    if any(load.utilisation < 1 for load in standing):
+        return standing
+    return loads
+
+
 def _is_path_failure(reply: peer_pb2.CallReply) -> bool:
     if reply.HasField("not_run"):
         return reply.not_run.reason == peer_pb2.NOT_RUN_REASON_NOT_CONNECTED
--- a/packages/laburnumscale/src/laburnumscale/sending.py
+++ b/packages/laburnumscale/src/laburnumscale/sending.py
@@ -3,11 +3,14 @@
 Sends the request of an attempt to a target, once and before its deadline.
 """
 
+import asyncio
 from contextlib import AbstractAsyncContextManager
 from contextvars import ContextVar
+from functools import partial
 
 import aiohttp
 import attrs
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
 
@@ -15,23 +18,32 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import AnswerUnframed
 
-__all__ = ["SendOnceRequest", "Sending", "check_framed", "send_once"]
+__all__ = [
+    "SendOnceRequest",
+    "Sending",
+    "TargetConnector",
+    "check_framed",
+    "send_once",
+]
 
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 BODILESS_STATUSES = (204, 304)
+REUSED_MARK = "laburnumscale_reused"
 
 
-@attrs.frozen
+@attrs.define
 class Sending:
     """What is checked at the moment at which a request is written.
 
     :ivar send_deadline: until when the request may be written.
     :ivar deadline: until when the answer must be there.
+    :ivar reused: the connection had carried other attempts before.
     """
 
     attempt: Attempt
     send_deadline: Deadline
     deadline: Deadline
+    reused: bool = False
 
 
 _current: ContextVar[Sending | None] = ContextVar("sending", default=None)
@@ -53,10 +65,40 @@
         """
         sending = _current.get()
         if sending is not None:
+            sending.reused = _is_reused(conn)
             sending.attempt.mark_sent(sending.send_deadline)
         return await super().send(conn)
 
 
+def _is_reused(conn: Connection) -> bool:
+    """Tell whether a connection was sent on before, and mark it as sent on."""
+    reused = getattr(conn.protocol, REUSED_MARK, False)
+    setattr(conn.protocol, REUSED_MARK, True)
+    return reused
+
+
+class TargetConnection(ResponseHandler):
+    """A connection to a target on which a reset never looks like the end of an answer.
+
+    The library takes both for the end of an answer that has no length.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the answer that is not complete, if the connection was reset."""
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            error = aiohttp.ClientPayloadError(f"the connection was reset: {exc!r}")
+            self._payload.set_exception(error)
+        super().connection_lost(exc)
+
+
+class TargetConnector(aiohttp.TCPConnector):
+    """Opens connections to targets."""
+
+    def __init__(self, **options) -> None:
+        super().__init__(**options)
+        self._factory = partial(TargetConnection, loop=asyncio.get_running_loop())
+
+
 def send_once(
     session: aiohttp.ClientSession, sending: Sending, method: str, url: URL, **options
 ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
--- a/packages/laburnumscale/src/laburnumscale/stalls.py
+++ b/packages/laburnumscale/src/laburnumscale/stalls.py
@@ -8,7 +8,11 @@
 
 __all__ = ["LoopStalls"]
 
-TICK_INTERVAL_S = 0.02
+#: Each tick wakes the process; a stall matters from the least time by which an
+#: attempt counts as slow, which is longer.
+TICK_INTERVAL_S = 0.1
+#: Timers fire this late on a busy host without a stall.
+TOLERANCE_S = 0.02
 
 
 class LoopStalls:
@@ -31,4 +35,6 @@
         return self._total_s + self._late_s()
 
     def _late_s(self) -> float:
-        return max(0.0, time.monotonic() - self._ticked_at_s - 2 * TICK_INTERVAL_S)
+        return max(
+            0.0, time.monotonic() - self._ticked_at_s - TICK_INTERVAL_S - TOLERANCE_S
+        )
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 import time
+from collections import OrderedDict
 
 import attrs
 
@@ -24,6 +25,7 @@
 SLOW_START_STEP_S = 0.5
 COLD_S = 3.0
 HELD_WEIGHT = 0.1
+HIGHEST_LEFT = 64  # a host has few targets at a time; late words are seconds late
 LAPSED = peer_pb2.TARGET_STATE_LAPSED
 DRAINING = peer_pb2.TARGET_STATE_DRAINING
 
@@ -144,6 +146,7 @@
         self._metrics = metrics
         self._targets: dict[tuple[str, str], LocalTarget] = {}
         self._moved: dict[tuple[str, str], Address] = {}
+        self._left: OrderedDict[str, int] = OrderedDict()
         self._contested: set[tuple[str, str]] = set()
         members.on_change(self._note_contested)
 
@@ -156,6 +159,9 @@
 
         :raises EndpointMoved: it was announced later beside another daemon.
         """
+        if self._has_left(announced):
+            self._metrics.count("announcements_late")
+            return
         key = (announced.service, announced.endpoint)
         target = self._targets.get(key)
         if target is None or _is_another_process(target, announced):
@@ -167,7 +173,9 @@
             return
         target.sequence = announced.sequence
         target.lease_deadline = announced.lease_deadline
-        state = DRAINING if target.drained else announced.state
+        # A process that leaves does not come back; only its next one does.
+        leaves = target.drained or target.state == DRAINING
+        state = DRAINING if leaves else announced.state
         if (target.state, target.slots) != (state, announced.slots):
             if target.state == LAPSED:
                 self._metrics.count("targets_returned")
@@ -200,15 +208,27 @@
         return found is not None
 
     def withdraw_endpoint(self, endpoint: str) -> bool:
-        """Remove a target whose service is not named.
+        """Remove a target that says that it leaves, without naming its service.
+
+        It may serve and announce itself a little longer; that is passed over.
 
         :returns: whether the target was announced.
         """
         keys = [key for key in self._targets if key[1] == endpoint]
+        started = [self._targets[key].started_at_unix_ms for key in keys]
+        self._left[endpoint] = max(started, default=0)
+        if len(self._left) > HIGHEST_LEFT:
+            self._left.popitem(last=False)
         for key in keys:
             self.withdraw(*key)
+        get_logger().info("target left", endpoint=endpoint, known=bool(keys))
         return bool(keys)
 
+    def _has_left(self, announced: LocalTarget) -> bool:
+        """Tell whether an announcement comes from a process that has left."""
+        left_at = self._left.get(announced.endpoint)
+        return left_at is not None and announced.started_at_unix_ms <= left_at
+
     async def watch_leases(self) -> None:
         """Mark targets that lapse and give up those that moved, until cancelled."""
         while True:
--- a/packages/laburnumscale/src/laburnumscale/tree.py
+++ b/packages/laburnumscale/src/laburnumscale/tree.py
@@ -37,6 +37,7 @@
     :ivar floor_percent: share of the announced slots that stays in use.
     :ivar retry_budget_percent: retries in percent of calls.
     :ivar eject_after: bad calls in a row that eject a target.
+    :ivar break_weight: bad calls for which one counts whose connection breaks.
     :ivar slow_factor: multiple of the service's median from which a call is slow.
     :ivar slow_excess_ms: least difference to the median from which a call is slow.
     :ivar ejection_ms: time that a target is left out after its first ejection.
@@ -55,6 +56,7 @@
     attempt_limit: int = 3
     retry_budget_percent: int = 20
     eject_after: int = 3
+    break_weight: int = 3
     slow_factor: int = 4
     slow_excess_ms: int = 150
     ejection_ms: int = 3000
--- a/packages/laburnumscaled/src/laburnumscaled/cli.py
+++ b/packages/laburnumscaled/src/laburnumscaled/cli.py
@@ -10,7 +10,7 @@
 
 from laburnumscale.daemon import Daemon
 from laburnumscale.daemonsettings import DaemonSettings, read_daemon_settings
-from laburnumscale.errors import AddressInUse, LaburnumscaleError
+from laburnumscale.errors import AddressInUse, LaburnumscaleError, PlatformUnknown
 from laburnumscale.logs import configure_logs
 
 __all__ = ["main"]
@@ -34,8 +34,8 @@
     return parser
 
 
-async def _run(settings: DaemonSettings) -> None:
-    await Daemon(settings).run()
+async def _run(settings: DaemonSettings, path: str) -> None:
+    await Daemon(settings, path).run()
 
 
 def main() -> None:
@@ -50,7 +50,7 @@
         return
     configure_logs(settings.log_format, settings.daemon)
     try:
-        uvloop.run(_run(settings))
-    except AddressInUse as error:
+        uvloop.run(_run(settings, options.settings))
+    except (AddressInUse, PlatformUnknown) as error:
         print(f"laburnumscaled: {options.settings}: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -351,6 +351,9 @@
 
 @then("no daemon's revision has gone down")
 def step_no_fall(context):
+    # A daemon that has just started may not have had its turn yet.
+    names = set(context.fleet.daemons)
+    wait_until(lambda: set(context.sampler.samples) >= names, "a sample of each daemon")
     context.sampler.done.set()
     context.sampler.join()
     assert set(context.sampler.samples) == set(context.fleet.daemons)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -223,6 +223,18 @@
         url = f"http://127.0.0.1:{self.log_port}/streams/settings"
         wait_until(lambda: request("GET", url).status == 200, "the log answers")
 
+    def start_store(self) -> None:
+        """Start the stand-in for the platform's store in place of the log."""
+        self.log_port = self.log_port or self.free_port()
+        port = str(self.log_port)
+        self.start("store", "-m", "tests.standins.store", "--port", port)
+        url = f"http://127.0.0.1:{self.log_port}/counts"
+        wait_until(lambda: request("GET", url).status == 200, "the store answers")
+
+    def store(self, path: str, body: bytes = b"") -> Reply:
+        """Send a request to the store's test interface."""
+        return request("POST", f"http://127.0.0.1:{self.log_port}/{path}", body)
+
     def log_faults(self, **faults) -> None:
         """Set failures of the log."""
         url = f"http://127.0.0.1:{self.log_port}/faults"
@@ -285,9 +297,17 @@
         return daemon
 
     def start_target(
-        self, service: str, endpoint: str, daemon: str, **options
+        self,
+        service: str,
+        endpoint: str,
+        daemon: str,
+        kind: str = "target",
+        **options,
     ) -> TargetProcess:
-        """Start a target beside a daemon."""
+        """Start a target beside a daemon.
+
+        :param kind: module of the stand-in.
+        """
         port = self.free_port()
         values = {
             "port": port,
@@ -301,7 +321,7 @@
             for name, value in values.items()
             for part in (f"--{name.replace('_', '-')}", str(value))
         ]
-        process = self.start(endpoint, "-m", "tests.standins.target", *arguments)
+        process = self.start(endpoint, "-m", f"tests.standins.{kind}", *arguments)
         target = TargetProcess(service, endpoint, port, process, arguments)
         self.targets[endpoint] = target
         return target
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -6,12 +6,14 @@
 import argparse
 import asyncio
 import base64
+import socket
+import struct
 from collections import Counter, defaultdict
 
 import attrs
 from aiohttp import web
 
-__all__ = ["LogStandIn"]
+__all__ = ["LogStandIn", "Stream", "abort", "reset_on_close"]
 
 
 @attrs.define(eq=False)
@@ -70,13 +72,13 @@
         if self.hold_appends > 0:
             self.hold_appends -= 1
             self.held[name].append(payload)
-            _abort(request)
+            abort(request)
             raise web.HTTPServiceUnavailable
         offset = await self._take(stream, payload)
         self._count_append()
         if self.lose_replies > 0:
             self.lose_replies -= 1
-            _abort(request)
+            abort(request)
         return web.json_response({"offset": offset})
 
     async def _take(self, stream: Stream, payload: bytes) -> int:
@@ -145,16 +147,25 @@
         if self.delay_ms:
             await asyncio.sleep(self.delay_ms / 1000)
         if self.down:
-            _abort(request)
+            abort(request)
             raise web.HTTPServiceUnavailable
 
 
-def _abort(request: web.Request) -> None:
+def abort(request: web.Request) -> None:
     """Break the connection of a request, unless the client did."""
     if request.transport is not None:
+        reset_on_close(request.transport)
         request.transport.abort()
 
 
+def reset_on_close(transport: asyncio.Transport) -> None:
+    """Let the end of a connection be a reset, which has no orderly close."""
+    linger = struct.pack("ii", 1, 0)
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def main() -> None:
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
