Keep the fleet's retries within its slack over restarts and splits

Change: half of the slack is handed out, a group is never taken for smaller than it was, and a part of the percentage is left for the calls of repeated runs.

--- a/packages/laburnumscale/src/laburnumscale/retrybudget.py
+++ b/packages/laburnumscale/src/laburnumscale/retrybudget.py
@@ -12,6 +12,15 @@
 HIGHEST_TOKENS = 100.0
 FIRST_TOKENS = 10.0
 PERCENT = 100
+#: An entry that starts anew in a window begins with its part of the slack again, so
+#: half of the slack is kept for such entries.
+SLACK_SHARE = 0.5
+#: A part cannot be told from the whole fleet by an entry that is cut off; the slack
+#: of a smaller fleet is not used up.
+LEAST_GROUP = 20
+#: Calls that targets make are repeated with the run that makes them, without a
+#: decision of an entry; a part of the percentage is left for these.
+PERCENTAGE_SHARE = 0.7
 
 
 @attrs.define
@@ -37,6 +46,7 @@
     ) -> None:
         self._fleet_slack = fleet_slack
         self._group_size = group_size
+        self._highest_group = LEAST_GROUP
         self._buckets: dict[str, _Bucket] = {}
 
     def add_call(self, service: str, budget_percent: int) -> None:
@@ -48,7 +58,7 @@
         if budget_percent == 0:
             bucket.tokens = 0.0
             return
-        bucket.tokens += budget_percent / PERCENT
+        bucket.tokens += budget_percent / PERCENT * self._percentage_share()
 
     def take_retry(self, service: str) -> bool:
         """Take a token for a retry.
@@ -64,7 +74,7 @@
     def _bucket(self, service: str) -> _Bucket:
         bucket = self._buckets.get(service)
         if bucket is None:
-            bucket = _Bucket(min(FIRST_TOKENS, self._highest_tokens()))
+            bucket = _Bucket(self._first_tokens())
             self._buckets[service] = bucket
         bucket.tokens = min(bucket.tokens, self._highest_tokens())
         return bucket
@@ -72,4 +82,14 @@
     def _highest_tokens(self) -> float:
         if not self._fleet_slack:
             return HIGHEST_TOKENS
-        return max(1.0, self._fleet_slack / self._group_size())
+        self._highest_group = max(self._highest_group, self._group_size())
+        return max(1.0, self._slack_part())
+
+    def _first_tokens(self) -> float:
+        return self._slack_part() if self._fleet_slack else FIRST_TOKENS
+
+    def _slack_part(self) -> float:
+        return self._fleet_slack * SLACK_SHARE / self._highest_group
+
+    def _percentage_share(self) -> float:
+        return PERCENTAGE_SHARE if self._fleet_slack else 1.0
