Ask three endpoints for a free slot, then wait by rank; keep holds from failing targets

Change: a guard without a free slot refuses at once; after three refusals the call waits at the best one, by rank, as long as it can meet its objective. A call that may run once waits for an endpoint in good standing rather than go to an ejected one. The own data centre keeps its calls while it has slots; load is no reason to leave.

--- a/packages/laburnumscale/src/laburnumscale/attempting.py
+++ b/packages/laburnumscale/src/laburnumscale/attempting.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
 
 import attrs
@@ -17,6 +17,7 @@
 from laburnumscale.guardclocks import GuardClocks
 from laburnumscale.logs import get_logger
 from laburnumscale.members import EndpointView, Members
+from laburnumscale.pathhealth import PathHealth
 from laburnumscale.replies import refused, unknown
 from laburnumscale.sequences import AttemptSequences
 from laburnumscale.settling import HOP_MARGIN_MS, Settler
@@ -26,6 +27,7 @@
 
 CONNECT_SHARE = 0.25
 SEND_SHARE = 0.5
+PATH_CHECK_INTERVAL_MS = 100  # a broken path is found within about half a second
 SETTLE_INTERVAL_MS = 100
 QUESTION_LIMIT_MS = 300
 QUEUED_REPLIES = 2
@@ -42,6 +44,8 @@
     :ivar reply_deadline: when the entry stops waiting for the first reply.
     :ivar deadline: when the whole answer must be there.
     :ivar settled: a lost attempt is settled, because the call must not run twice.
+    :ivar may_give_up: asked at the reply deadline; tells whether another attempt is
+        better than to wait on, and reserves it.
     """
 
     head: peer_pb2.CallHead
@@ -49,6 +53,7 @@
     reply_deadline: Deadline
     deadline: Deadline
     settled: bool
+    may_give_up: Callable[[], bool]
 
 
 class AttemptReplies:
@@ -101,8 +106,14 @@
     """Makes attempts on behalf of one entry."""
 
     def __init__(
-        self, members: Members, guard: Guard, channels: PeerChannels, settler: Settler
+        self,
+        members: Members,
+        guard: Guard,
+        channels: PeerChannels,
+        settler: Settler,
+        paths: PathHealth,
     ) -> None:
+        self._paths = paths
         self._members = members
         self._guard = guard
         self._channels = channels
@@ -126,6 +137,8 @@
                 first = await replies.first(request.reply_deadline)
                 if first is None and request.settled:
                     first = await self._settle(view, request, number, replies)
+                elif first is None:
+                    first = await self._wait_on(view, request, replies)
                 yield first or _lost(replies), replies.rest()
             finally:
                 await replies.close()
@@ -139,10 +152,28 @@
         head.low_water_sequence = self._sequences.low_water(view.daemon)
         head.time_left_ms = max(0, request.deadline.left_ms() - HOP_MARGIN_MS)
         # A request that is sent late would be cut off at the target, to no avail.
-        head.send_left_ms = int(request.reply_deadline.left_ms() * SEND_SHARE)
+        head.send_left_ms = int(request.deadline.left_ms() * SEND_SHARE)
         head.guard_time_us = self._clocks.time_us(view)
         return head
 
+    async def _wait_on(
+        self, view: EndpointView, request: AttemptRequest, replies: AttemptReplies
+    ) -> peer_pb2.CallReply | None:
+        """Wait for the first reply as long as the path to the guard is whole.
+
+        A target that is at work is not given up unless another one can be tried; its
+        guard ends the attempt if the target proves bad.
+        """
+        if request.may_give_up():
+            return None
+        first = None
+        while first is None and not (replies.lost or request.deadline.is_over()):
+            if self._paths.is_broken(view.peer_address):
+                break
+            pause = Deadline.after_ms(PATH_CHECK_INTERVAL_MS)
+            first = await replies.first(_sooner(pause, request.deadline))
+        return first
+
     async def _settle(
         self,
         view: EndpointView,
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -37,6 +37,9 @@
 
 REPLY_SHARE = 0.6
 FREE_ATTEMPTS = 8
+#: Endpoints that are asked for a free slot before the call waits for one: with two
+#: thirds of the slots busy, fewer than one call in a hundred finds none in three.
+BUSY_ATTEMPTS = 3
 SERVER_ERROR = 500
 LEAST_RETRY_MS = 50  # two hops and the connections, and some work at the target
 #: Refusals that cost the target nothing, so that a retry needs no budget.
@@ -70,7 +73,11 @@
     """One call of a caller and its attempts so far.
 
     :ivar priority: rank of the call when slots are short; 0 goes first.
+    :ivar objective: until when an answer is worth most to the caller.
     :ivar tried: names of the endpoints that were tried.
+    :ivar busy: the ones among them that had no free slot.
+    :ivar retry_reserved: the budget has paid for the next attempt already.
+    :ivar waits: the next attempt waits for a slot.
     :ivar paid_attempts: attempts that count towards the limit.
     :ivar free_attempts: attempts refused for one of ``FREE_REASONS``.
     :ivar lost: the last attempt that may have run.
@@ -87,12 +94,16 @@
     deadline: Deadline
     body: bytes | AsyncIterator[bytes]
     priority: int = 0
+    objective: Deadline | None = None
     tried: set[str] = attrs.field(factory=set)
     paid_attempts: int = 0
     free_attempts: int = 0
     lost: Unknown | None = None
     answer_started: bool = False
     notes: list[AttemptNote] = attrs.field(factory=list)
+    retry_reserved: bool = False
+    busy: set[str] = attrs.field(factory=set)
+    waits: bool = False
 
     @property
     def replayable(self) -> bool:
@@ -114,8 +125,23 @@
         attempts_left = self.settings.attempt_limit - self.paid_attempts
         return Deadline.after_ms(self.deadline.left_ms() / max(1, attempts_left))
 
-    def note(self, outcome: Outcome) -> None:
-        """Note how an attempt ended."""
+    def wait_from_now_on(self) -> bool:
+        """Let the next attempts wait for slots, also at endpoints that had none free.
+
+        :returns: whether that is new.
+        """
+        if self.waits or not self.busy:
+            return False
+        self.waits = True
+        self.tried -= self.busy
+        return True
+
+    def note(self, outcome: Outcome, endpoint: str) -> None:
+        """Note how an attempt at an endpoint ended."""
+        if _is_overloaded(outcome) and not self.waits:
+            self.busy.add(endpoint)
+            if len(self.busy) >= BUSY_ATTEMPTS:
+                self.wait_from_now_on()
         if isinstance(outcome, Unknown):
             self.lost = outcome
         if is_free(outcome):
@@ -150,12 +176,18 @@
     return isinstance(outcome, NotRun) and outcome.reason in FREE_REASONS
 
 
+def _is_overloaded(outcome: Outcome) -> bool:
+    overloaded = peer_pb2.NOT_RUN_REASON_OVERLOADED
+    return isinstance(outcome, NotRun) and outcome.reason == overloaded
+
+
 class CallRunner:
     """Makes the attempts of calls.
 
     :param names: the header fields that callers and targets know.
     :param caller_service: service on whose behalf the callers of this daemon call.
     :ivar in_flight: the calls that are not over.
+    :ivar draining: the daemon is about to leave.
     """
 
     def __init__(
@@ -168,6 +200,7 @@
         caller_service: str = "",
     ) -> None:
         self.in_flight = InFlight()
+        self.draining = False
         self._attempter = attempter
         self._router = router
         self._metrics = metrics
@@ -197,7 +230,7 @@
     async def _try_targets(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         outcome: Outcome = NotRun(peer_pb2.NOT_RUN_REASON_NO_TARGET, RETRY_AFTER_MS)
         answer: tuple[Outcome, HTTPResponse | None] | None = None
-        while (view := self._pick(call)) is not None:
+        while (view := self._pick_or_wait(call)) is not None:
             call.tried.add(view.endpoint)
             started_at_s = time.monotonic()
             outcome, response = await self._attempt(call, view)
@@ -211,7 +244,7 @@
                 if not (failed and call.may_retry_answer()):
                     return outcome, response
                 answer = outcome, response
-            call.note(outcome)
+            call.note(outcome, view.endpoint)
             if not call.may_retry(outcome) or not self._pay(call, outcome):
                 break
         return answer or (outcome, None)
@@ -220,11 +253,33 @@
         """Tell whether the budget allows a retry after an outcome."""
         if is_free(outcome):
             return True
+        if call.retry_reserved:
+            call.retry_reserved = False
+            return True
         allowed = self._budget.take_retry(call.service)
         name = "retries" if allowed else "retries_over_budget"
         self._metrics.count(name, f'service="{call.service}"')
         return allowed
 
+    def _reserve_retry(self, call: Call) -> bool:
+        """Tell whether an attempt that takes long may be given up for another one.
+
+        A daemon that drains keeps to the attempts that it has begun.
+        """
+        last = call.paid_attempts + 1 >= call.settings.attempt_limit
+        if last or call.runs_once or self.draining:
+            return False
+        call.retry_reserved = self._pick(call) is not None and self._budget.take_retry(
+            call.service
+        )
+        return call.retry_reserved
+
+    def _pick_or_wait(self, call: Call) -> EndpointView | None:
+        view = self._pick(call)
+        if view is None and call.wait_from_now_on():
+            view = self._pick(call)
+        return view
+
     def _pick(self, call: Call) -> EndpointView | None:
         return self._router.pick(call.service, call.tried, call.idempotent)
 
@@ -260,6 +315,8 @@
             headers=self._headers(call.request),
             idempotent=call.idempotent,
             priority=call.priority,
+            no_wait=not call.waits,
+            objective_left_ms=call.objective.left_ms() if call.objective else 0,
         )
         self._router.mark(head, view)
         return AttemptRequest(
@@ -268,6 +325,7 @@
             reply_deadline=call.reply_deadline(),
             deadline=call.deadline,
             settled=call.runs_once,
+            may_give_up=lambda: self._reserve_retry(call),
         )
 
     def _headers(self, request: Request) -> list[peer_pb2.Header]:
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -145,8 +145,8 @@
     settings, members, metrics = core.settings, core.members, core.metrics
     guard, names = guard_role.guard, core.platform.header_names
     settler = Settler(members, guard.attempts, core.channels, metrics)
-    attempter = Attempter(members, guard, core.channels, settler)
     paths = PathHealth(core.channels, metrics)
+    attempter = Attempter(members, guard, core.channels, settler, paths)
     router = Router(members, core.feed, paths, guard_role.health)
     budget = RetryBudget(settings.retry_slack_attempts, lambda: members.group_size)
     runner = CallRunner(
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -52,6 +52,7 @@
         """
         deadline = Deadline.after_ms(max(0, drain_ms - EXIT_MARGIN_MS))
         self.members.set_draining()
+        self.runner.draining = True
         self.callers.end_kept_alive()
         # Peers that hear of it later still find the guard at work.
         notice = Deadline.after_ms(min(HIGHEST_NOTICE_MS, drain_ms * NOTICE_SHARE))
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -181,6 +181,7 @@
             deadline=deadline,
             body=await self._body(request, request_id, deadline),
             priority=route.priority if route is not None else 0,
+            objective=_objective(route),
         )
 
     def _route(
@@ -270,6 +271,12 @@
         yield chunk
 
 
+def _objective(route: settings_pb2.Route | None) -> Deadline | None:
+    if route is None or not route.HasField("latency_objective_ms"):
+        return None
+    return Deadline.after_ms(route.latency_objective_ms)
+
+
 def _backend(route: settings_pb2.Route) -> str:
     """Return the service for one call: the route's only one, or one by weight.
 
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -127,7 +127,7 @@
             target = self._available(head)
             sending = Sending(attempt, send_deadline, deadline)
             with self._health.admitted(target, settings, head):
-                async with hold_slot(target, settings, sending, head.floor_traffic):
+                async with hold_slot(target, settings, sending, head):
                     self._available(head)
                     running = self._run(target, settings, head, body, sending)
                     async with aclosing(running) as replies:
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -11,7 +11,7 @@
 __all__ = ["RoutingPolicy", "get_policy_by_name"]
 
 SPILL_UTILISATION = 0.8
-HIGHEST_LOCAL_COST = 3.0
+HIGHEST_LOCAL_FACTOR = 3.0  # less is the noise of short averages
 SETUP_DELAY_US = 20_000
 HOLDING_SCALE_US = 50_000
 DEFAULT_POLICY = "two-choices"
@@ -37,22 +37,24 @@
 class TwoChoices(RoutingPolicy):
     """The cheaper of two random endpoints, those of the own data centre first.
 
-    The own data centre is left before its endpoints are full, or when they cost
-    several times what others do.
+    The own data centre is left before its endpoints are full, or when they take
+    several times as long as others do. Load alone is no reason while slots are free:
+    bytes between data centres are dear.
     """
 
     name = "two-choices"
 
     def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
         best = self._cheaper(loads)
-        local = [load for load in loads if load.view.data_centre == data_centre]
-        if not local:
-            return best
-        nearest = self._cheaper(local)
-        dearest = HIGHEST_LOCAL_COST * self.cost(best)
-        if nearest.utilisation < SPILL_UTILISATION and self.cost(nearest) <= dearest:
-            return nearest
-        return best
+        slowest_us = HIGHEST_LOCAL_FACTOR * best.latency_us
+        local = [
+            load
+            for load in loads
+            if load.view.data_centre == data_centre
+            and load.utilisation < SPILL_UTILISATION
+            and load.latency_us <= slowest_us
+        ]
+        return self._cheaper(local) if local else best
 
     def _cheaper(self, loads: list[EndpointLoad]) -> EndpointLoad:
         pair = random.sample(loads, min(2, len(loads)))
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -11,8 +11,11 @@
 import attrs
 
 from laburnumscale.metrics import Metrics
+from laburnumscale.replies import AttemptRefused
+from laburnumscale.slots import release_slot
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
+from laburnumscale_schema import peer_pb2
 
 __all__ = ["EjectionTime", "Returning"]
 
@@ -79,8 +82,9 @@
         The trial ends with its first call; without calls it ends after a while. A
         target that was withdrawn is not probed any more.
         """
-        async with target.slot_freed:
-            target.slot_freed.notify_all()
+        target.queue.turn_all_away(
+            AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, ejection_ms)
+        )
         await asyncio.sleep(ejection_ms / MS_PER_S)
         successes = 0
         while successes < PROBE_SUCCESSES:
@@ -109,6 +113,4 @@
         except (aiohttp.ClientError, TimeoutError):
             return False
         finally:
-            target.running -= 1
-            async with target.slot_freed:
-                target.slot_freed.notify()
+            release_slot(target)
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -81,9 +81,9 @@
         trial = self._trial(selection) if idempotent and not tried else None
         if trial is not None:
             return trial.view
+        loads = _eligible(loads, selection, idempotent)
         if not loads:
             return None
-        loads = _with_room(loads)
         return self._policy(settings).choose(loads, self._own_data_centre()).view
 
     def selection(self, service: str) -> Selection:
@@ -162,15 +162,21 @@
         return self._members.own.data_centre
 
 
-def _with_room(loads: list[EndpointLoad]) -> list[EndpointLoad]:
-    """Return the endpoints in good standing while one of them has a free slot.
+def _eligible(
+    loads: list[EndpointLoad], selection: Selection, idempotent: bool
+) -> list[EndpointLoad]:
+    """Return the endpoints among ``loads`` that a call may go to.
 
-    What the floor keeps in use is capacity for when the others are full, so that a
-    call does not go to a failing target without need.
+    What the floor keeps in use is capacity for when the others are full. A call that
+    may run only once rather waits for one of the others, if there is one: a failing
+    target would leave its outcome unknown, and another attempt could not make up
+    for that.
     """
     standing = [load for load in loads if not load.left_out]
-    if any(load.utilisation < 1 for load in standing):
+    if standing:
         return standing
+    if not idempotent and any(not load.left_out for load in selection.in_use):
+        return []
     return loads
 
 
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -8,13 +8,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from laburnumscale.deadlines import Deadline
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.sending import Sending
 from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["hold_slot"]
+__all__ = ["hold_slot", "release_slot"]
 
 OVERLOAD_RETRY_AFTER_MS = 1000
 LEAST_RETRY_AFTER_MS = 100
@@ -29,77 +30,110 @@
     target: LocalTarget,
     settings: EffectiveSettings,
     sending: Sending,
-    floor_traffic: bool,
+    head: peer_pb2.CallHead,
 ) -> AsyncIterator[None]:
     """Hold one slot of a target.
 
     :param sending: until when the request may be written and must be answered.
-    :param floor_traffic: the attempt waits also while the target is ejected.
+    :param head: the attempt with its rank; one of the floor's waits also while the
+        target is ejected.
     :raises AttemptRefused: the target leaves, its queue is full, the attempt cannot
-        end before its deadline, or the target is ejected while it waits.
+        end in time, it does not wait, or the target is ejected while it waits.
     """
     if target.state != READY:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
-    if target.running >= target.slots:
-        await _wait_for_slot(target, settings, sending, floor_traffic)
-    target.running += 1
+    if target.running < target.slots:
+        target.running += 1
+    else:
+        await _wait_for_slot(target, settings, sending, head)
     started_at_s = time.monotonic()
     try:
+        _check_still_useful(target, sending, head)
         yield
-    finally:
         target.note_held((time.monotonic() - started_at_s) * US_PER_S)
+    finally:
+        release_slot(target)
+
+
+def release_slot(target: LocalTarget) -> None:
+    """Give a slot to the next call that waits, or free it."""
+    if target.running > target.slots or not target.queue.grant_next():
         target.running -= 1
-        await _wake_next(target)
 
 
 async def _wait_for_slot(
     target: LocalTarget,
     settings: EffectiveSettings,
     sending: Sending,
-    floor_traffic: bool,
+    head: peer_pb2.CallHead,
 ) -> None:
-    wait_ms = _expected_wait_ms(target)
-    if _is_too_late(target, wait_ms, sending) or (
-        target.queued >= settings.queue_limit
+    """Wait until a slot is handed over."""
+    wait_ms = _expected_wait_ms(target, head.priority)
+    refusal = AttemptRefused(
+        peer_pb2.NOT_RUN_REASON_OVERLOADED, max(LEAST_RETRY_AFTER_MS, int(wait_ms))
+    )
+    limit = _useful_until(sending, head)
+    if head.no_wait or _is_too_late(target, wait_ms, limit):
+        raise refusal
+    if len(target.queue) >= settings.queue_limit and not target.queue.turn_away_below(
+        head.priority, refusal
     ):
-        retry_after_ms = max(LEAST_RETRY_AFTER_MS, int(wait_ms))
-        raise AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms)
+        raise refusal
+    waiter = target.queue.join(head.priority)
+    try:
+        async with asyncio.timeout(_longest_wait_s(target, sending, limit)):
+            await waiter.granted
+    except BaseException as error:
+        target.queue.leave(waiter)
+        if _is_granted(waiter.granted):
+            release_slot(target)
+        if isinstance(error, TimeoutError):
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_DEADLINE, OVERLOAD_RETRY_AFTER_MS
+            ) from None
+        raise
 
-    def is_turned_away() -> bool:
-        return target.ejected and not floor_traffic
 
-    def may_go_on() -> bool:
-        return target.running < target.slots or is_turned_away()
+def _longest_wait_s(target: LocalTarget, sending: Sending, limit: Deadline) -> float:
+    """Return how long to wait if calls of higher rank keep on going first."""
+    call_s = target.latency_us / US_PER_S
+    return min(sending.send_deadline.left_s(), max(0.0, limit.left_s() - call_s))
 
-    target.queued += 1
-    try:
-        async with asyncio.timeout(sending.send_deadline.left_s()), target.slot_freed:
-            await target.slot_freed.wait_for(may_go_on)
-    except TimeoutError:
-        raise AttemptRefused(
-            peer_pb2.NOT_RUN_REASON_DEADLINE, OVERLOAD_RETRY_AFTER_MS
-        ) from None
-    finally:
-        target.queued -= 1
-    if is_turned_away():
+
+def _is_granted(granted: asyncio.Future) -> bool:
+    """Tell whether a slot was handed to a call that has stopped waiting."""
+    return granted.done() and not granted.cancelled() and granted.exception() is None
+
+
+def _check_still_useful(
+    target: LocalTarget, sending: Sending, head: peer_pb2.CallHead
+) -> None:
+    if target.ejected and not head.floor_traffic:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS)
-    if _is_too_late(target, 0, sending):
-        await _wake_next(target)
+    if _is_too_late(target, 0, sending.deadline):
         raise AttemptRefused(
             peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
         )
 
 
-async def _wake_next(target: LocalTarget) -> None:
-    async with target.slot_freed:
-        target.slot_freed.notify()
+def _useful_until(sending: Sending, head: peer_pb2.CallHead) -> Deadline:
+    """Return until when an attempt that has to wait must be answered.
+
+    Slots that are short go to calls that can still be answered in the time that
+    their callers hope for: a longer queue would serve as many, and all of them late.
+    """
+    if not head.objective_left_ms:
+        return sending.deadline
+    objective = Deadline.after_ms(head.objective_left_ms)
+    return min(objective, sending.deadline, key=lambda deadline: deadline.at_s)
 
 
-def _is_too_late(target: LocalTarget, wait_ms: float, sending: Sending) -> bool:
+def _is_too_late(target: LocalTarget, wait_ms: float, limit: Deadline) -> bool:
     call_ms = CALL_MARGIN * target.latency_us / US_PER_MS
-    return wait_ms + call_ms > sending.deadline.left_ms()
+    return wait_ms + call_ms > limit.left_ms()
 
 
-def _expected_wait_ms(target: LocalTarget) -> float:
+def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
     held_ms = target.held_us / US_PER_MS
-    return (target.queued + 1) / max(1, target.slots) * held_ms
+    ahead = target.queue.count_ahead(priority)
+    return (ahead + 1) / max(1, target.slots) * held_ms
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -16,6 +16,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.slotqueue import SlotQueue
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["LocalTarget", "LocalTargets"]
@@ -44,7 +45,7 @@
     :ivar drained: an operator drains it; its own announcements do not undo that.
     :ivar withdrawn: it is gone, or announced again at another address.
     :ivar running: calls that hold a slot.
-    :ivar queued: calls that wait for a slot.
+    :ivar queue: calls that wait for a slot.
     :ivar latency_us: average latency of its calls; 0 before the first one.
     :ivar held_us: average time for which a call holds a slot.
     :ivar verdict_version: grows with each verdict of the guard.
@@ -64,7 +65,6 @@
     drained: bool = False
     withdrawn: bool = False
     running: int = 0
-    queued: int = 0
     latency_us: int = 0
     held_us: float = 0.0
     ejected: bool = False
@@ -72,7 +72,7 @@
     verdict_version: int = attrs.field(factory=VERDICT_VERSIONS.__next__)
     on_trial: bool = False
     slow_start_at_s: float = attrs.field(factory=time.monotonic)
-    slot_freed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
+    queue: SlotQueue = attrs.field(factory=SlotQueue)
 
     def message(self) -> peer_pb2.Endpoint:
         """Return the endpoint as other daemons see it."""
@@ -92,7 +92,7 @@
         """Return the load that goes with every reply."""
         return peer_pb2.LoadReport(
             running=self.running,
-            queued=self.queued,
+            queued=len(self.queue),
             ejected=self.ejected,
             latency_us=self.latency_us,
             verdict_version=self.verdict_version,
