--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -29,6 +29,7 @@
 
 EVIDENCE = "evidence"
 RISEN = 1.5
+US_PER_MS = 1000
 REFUSED_RETRY_AFTER_MS = 1000
 
 
@@ -173,10 +174,20 @@
 
     def _eject(self, record: Record, settings: EffectiveSettings) -> None:
         target = record.target
+        was_on_trial = target.on_trial
         severity_percent = max(1, record.evidence.severity_percent())
         target.set_verdict(ejected=True, severity_percent=severity_percent)
         ejection_ms = record.ejection_time.next_ms(settings.ejection_ms)
-        self._told(target, "target ejected", ejection_ms=ejection_ms)
+        self._told(
+            target,
+            "target ejected",
+            ejection_ms=ejection_ms,
+            severity_percent=severity_percent,
+            slow=record.compared,
+            on_trial=was_on_trial,
+            running=target.running,
+            latency_ms=target.latency_us // US_PER_MS,
+        )
         self._metrics.count("ejections", f'service="{target.service}"')
         for observation in list(record.unanswered):
             observation.give_up()
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -21,8 +21,8 @@
 
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.5
-PROBE_SUCCESSES = 2
-TRIAL_WAIT_S = 5.0
+PROBE_SUCCESSES = 1  # probes lie about gray failures; the trial call decides
+TRIAL_WAIT_S = 2.0  # a service with calls has a trial call within a second
 HIGHEST_DOUBLINGS = 3
 FORGIVEN_AFTER_TIMES = 10
 MS_PER_S = 1000
@@ -92,7 +92,8 @@
                 return
             healthy = await self._probe(target, settings)
             successes = successes + 1 if healthy else 0
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            if successes < PROBE_SUCCESSES:
+                await asyncio.sleep(PROBE_INTERVAL_S)
         target.set_verdict(on_trial=True)
         self.tell()
         version = target.verdict_version
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -23,7 +23,7 @@
 
 LAPSE_CHECK_S = 0.2
 LAPSED_KEPT_MS = 10_000
-SLOW_START_STEP_S = 0.5
+SLOW_START_STEP_S = 0.2  # half a call of the workloads at hand for each slot
 COLD_S = 3.0
 HELD_WEIGHT = 0.1
 HIGHEST_LEFT = 64  # a host has few targets at a time; late words are seconds late
--- a/packages/laburnumscale/src/laburnumscale/tree.py
+++ b/packages/laburnumscale/src/laburnumscale/tree.py
@@ -59,7 +59,7 @@
     break_weight: int = 3
     slow_factor: int = 4
     slow_excess_ms: int = 150
-    ejection_ms: int = 1000
+    ejection_ms: int = 500
     probe_path: str = "/healthz"
     routing_policy: str = "two-choices"
     ejection_policy: str = "evidence"
