Do not double the ejection time for trials that fail

Cause: a failure of seconds made two or three trials fail, each doubled the time, and the doublings lasted into the next failure. Change: a failed trial repeats the same length six times before it doubles; it counts as trials_failed and not as an ejection, since the target had not come back.

--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -177,7 +177,12 @@
         was_on_trial = target.on_trial
         severity_percent = max(1, record.evidence.severity_percent())
         target.set_verdict(ejected=True, severity_percent=severity_percent)
-        ejection_ms = record.ejection_time.next_ms(settings.ejection_ms)
+        if was_on_trial:
+            ejection_ms = record.ejection_time.after_trial_ms()
+            self._metrics.count("trials_failed", f'service="{target.service}"')
+        else:
+            ejection_ms = record.ejection_time.next_ms(settings.ejection_ms)
+            self._metrics.count("ejections", f'service="{target.service}"')
         self._told(
             target,
             "target ejected",
@@ -188,7 +193,6 @@
             running=target.running,
             latency_ms=target.latency_us // US_PER_MS,
         )
-        self._metrics.count("ejections", f'service="{target.service}"')
         for observation in list(record.unanswered):
             observation.give_up()
         if record.returning is not None:
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -24,6 +24,7 @@
 PROBE_SUCCESSES = 1  # probes lie about gray failures; the trial call decides
 TRIAL_WAIT_S = 2.0  # a service with calls has a trial call within a second
 HIGHEST_DOUBLINGS = 3
+QUICK_TRIALS = 6  # at the least ejection time they span a failure of seconds
 FORGIVEN_AFTER_TIMES = 10
 MS_PER_S = 1000
 OK = 200
@@ -33,12 +34,19 @@
 class EjectionTime:
     """How long a target is left out, which doubles with each ejection.
 
+    A trial that fails does not lengthen the ejection for a while: failures that last
+    for seconds are frequent, and slots that are left out after their end are missing.
+
     :ivar doublings: how often the first length is doubled at the next ejection.
     :ivar returned_at_s: monotonic time of the last return, 0 for none.
+    :ivar length_ms: length of the latest ejection.
+    :ivar failed_trials: trials of the latest ejection that failed.
     """
 
     doublings: int = 0
     returned_at_s: float = 0.0
+    length_ms: int = 0
+    failed_trials: int = 0
 
     def next_ms(self, first_ms: int) -> int:
         """Return the length of the ejection that starts now.
@@ -49,9 +57,16 @@
             healthy_s = time.monotonic() - self.returned_at_s
             forgiven = int(healthy_s * MS_PER_S / (first_ms * FORGIVEN_AFTER_TIMES))
             self.doublings = max(0, self.doublings - forgiven)
-        length_ms = first_ms * 2**self.doublings
+        self.failed_trials = 0
+        self.length_ms = first_ms * 2**self.doublings
         self.doublings = min(HIGHEST_DOUBLINGS, self.doublings + 1)
-        return length_ms
+        return self.length_ms
+
+    def after_trial_ms(self) -> int:
+        """Return how long the target is left out after a trial that failed."""
+        self.failed_trials += 1
+        doublings = min(HIGHEST_DOUBLINGS, self.failed_trials // QUICK_TRIALS)
+        return self.length_ms * 2**doublings
 
     def returned(self) -> None:
         """Note that the target is in service again."""
