Let a target's work go on when it is ejected, and forgive short failures sooner

Change: guards do not end attempts; the entry gives an attempt up at its share of the time, if another one is reserved in the budget and the daemon does not drain. A doubling of the ejection time is forgiven after four times the first length in service.

--- a/packages/laburnumscale/src/laburnumscale/attempting.py
+++ b/packages/laburnumscale/src/laburnumscale/attempting.py
@@ -161,8 +161,7 @@
     ) -> peer_pb2.CallReply | None:
         """Wait for the first reply as long as the path to the guard is whole.
 
-        A target that is at work is not given up unless another one can be tried; its
-        guard ends the attempt if the target proves bad.
+        A target that is at work is not given up unless another one can be tried.
         """
         if request.may_give_up():
             return None
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -188,9 +188,7 @@
         sending: Sending,
     ) -> AsyncIterator[peer_pb2.CallReply]:
         limit = asyncio.timeout(sending.deadline.left_s())
-        observation = self._health.observe(
-            target, settings, head, sending.deadline, limit
-        )
+        observation = self._health.observe(target, settings, head, sending.deadline)
         try:
             async with (
                 limit,
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -75,24 +75,14 @@
         settings: EffectiveSettings,
         head: peer_pb2.CallHead,
         deadline: Deadline,
-        limit: asyncio.Timeout,
     ) -> Observation:
-        """Observe an attempt that starts now.
-
-        :param limit: ends the attempt; ended early if it is idempotent and the
-            target is ejected.
-        """
+        """Observe an attempt that starts now."""
         record = self._record(target)
         self._doubtful[head.service] = head.most_look_bad
         starts_cold = target.is_cold() and not record.ejection_time.doublings
         reference_us = 0 if starts_cold else head.reference_latency_us
         limit_s = slow_limit_s(settings, reference_us, deadline)
-        observation = Observation(
-            self, record, settings, limit_s, reference_us > 0, limit
-        )
-        if head.idempotent and settings.ejection_policy == EVIDENCE:
-            record.unanswered.add(observation)
-        return observation
+        return Observation(self, record, settings, limit_s, reference_us > 0)
 
     def may_compare(self, service: str) -> bool:
         """Tell whether the latest caller found most targets of a service well."""
@@ -193,8 +183,6 @@
             running=target.running,
             latency_ms=target.latency_us // US_PER_MS,
         )
-        for observation in list(record.unanswered):
-            observation.give_up()
         if record.returning is not None:
             record.returning.cancel()
         record.returning = asyncio.create_task(
--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -30,7 +30,6 @@
     """What the guard knows of the health of one target.
 
     :ivar answered_at_s: monotonic time of its last answer.
-    :ivar unanswered: its idempotent attempts without an answer.
     :ivar compared: its last bad call was slow compared with other targets.
     :ivar limit_s: time from which that call was slow.
     """
@@ -40,7 +39,6 @@
     ejection_time: EjectionTime = attrs.field(factory=EjectionTime)
     trial_running: bool = False
     answered_at_s: float = 0.0
-    unanswered: set["Observation"] = attrs.field(factory=set)
     compared: bool = False
     limit_s: float = 0.0
     returning: asyncio.Task | None = None
@@ -68,7 +66,6 @@
 
     :param limit_s: time from which the attempt is slow.
     :param compared: this time comes from the service's other targets.
-    :param limit: ends the attempt.
     """
 
     def __init__(
@@ -78,9 +75,7 @@
         settings: EffectiveSettings,
         limit_s: float,
         compared: bool,
-        limit: asyncio.Timeout,
     ) -> None:
-        self._limit = limit
         self._compared = compared
         self._judging = judge
         self._record = record
@@ -93,18 +88,12 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._limit_s, self._overdue)
 
-    def give_up(self) -> None:
-        """End the attempt, so that its caller's entry tries another target."""
-        if not self._limit.expired():
-            self._limit.reschedule(asyncio.get_running_loop().time())
-
     def answered(self, failed: bool) -> None:
         """Note the head of the answer.
 
         :param failed: it is a server error.
         """
         self._timer.cancel()
-        self._record.unanswered.discard(self)
         elapsed_s = self._elapsed_s()
         self._record.answered_at_s = time.monotonic()
         self._record.evidence.add_latency(elapsed_s * US_PER_S)
@@ -117,12 +106,10 @@
         :param reused: the connection had carried other attempts, so the target may
             just have closed it as idle.
         """
-        self._record.unanswered.discard(self)
         self._judge(True, weight=1 if reused else self._settings.break_weight)
 
     def forget(self) -> None:
         """Leave the attempt out, as the target has not run it."""
-        self._record.unanswered.discard(self)
         self._judged = True
 
     def end(self) -> None:
@@ -132,7 +119,6 @@
         long after that, it counts again.
         """
         self._timer.cancel()
-        self._record.unanswered.discard(self)
         waited_s = self._elapsed_s() - self._overdue_at_s
         if self._overdue_at_s and waited_s > self._limit_s / 2:
             self._silent()
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -25,7 +25,7 @@
 TRIAL_WAIT_S = 2.0  # a service with calls has a trial call within a second
 HIGHEST_DOUBLINGS = 3
 QUICK_TRIALS = 6  # at the least ejection time they span a failure of seconds
-FORGIVEN_AFTER_TIMES = 10
+FORGIVEN_AFTER_TIMES = 4  # a target that flaps is in service for less than that
 MS_PER_S = 1000
 OK = 200
 
