--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -40,7 +40,7 @@
 from laburnumscale.webserver import App, new_app
 from laburnumscale_schema import peer_pb2, settings_pb2
 
-__all__ = ["Entry"]
+__all__ = ["Entry", "choose_backend"]
 
 STARTING_RETRY_AFTER_MS = 1000
 STALE_SETTINGS = peer_pb2.NOT_RUN_REASON_STALE_SETTINGS
@@ -192,7 +192,7 @@
         path, _, _ = raw.partition("?")
         route = self._feed.tree.route(host, path)
         if route is not None:
-            return _backend(route), raw, route
+            return choose_backend(route), raw, route
         if self._routes_only:
             return NotRun(peer_pb2.NOT_RUN_REASON_NO_ROUTE)
         service, _, rest = raw.removeprefix("/").partition("/")
@@ -277,7 +277,7 @@
     return Deadline.after_ms(route.latency_objective_ms)
 
 
-def _backend(route: settings_pb2.Route) -> str:
+def choose_backend(route: settings_pb2.Route) -> str:
     """Return the service for one call: the route's only one, or one by weight.
 
     Each call is drawn by itself, so a part that is short of room refuses its own
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -19,7 +19,7 @@
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["RoutedAttempt", "Router", "selection_dict"]
+__all__ = ["RoutedAttempt", "Router", "eligible", "selection_dict"]
 
 READY = peer_pb2.TARGET_STATE_READY
 EVIDENCE = "evidence"
@@ -81,7 +81,7 @@
         trial = self._trial(selection) if idempotent and not tried else None
         if trial is not None:
             return trial.view
-        loads = _eligible(loads, selection, idempotent)
+        loads = eligible(loads, selection, idempotent)
         if not loads:
             return None
         return self._policy(settings).choose(loads, self._own_data_centre()).view
@@ -162,7 +162,7 @@
         return self._members.own.data_centre
 
 
-def _eligible(
+def eligible(
     loads: list[EndpointLoad], selection: Selection, idempotent: bool
 ) -> list[EndpointLoad]:
     """Return the endpoints among ``loads`` that a call may go to.
--- /dev/null
+++ b/tests/features/decisions.feature
@@ -0,0 +1,96 @@
+Feature: Decisions under load, without a network
+
+  Scenario Outline: The fleet's retries stay within slack and percentage
+    Given <entries> entries that share a slack of 56 retries and 20 percent
+    When each entry has <calls> calls and retries whenever it may
+    Then all entries together retry at most <highest> times
+
+    Examples:
+      | entries | calls | highest |
+      | 25      | 0     | 56      |
+      | 25      | 100   | 556     |
+      | 100     | 20    | 456     |
+
+  Scenario: Entries that start anew in a window do not exceed the slack
+    Given 25 entries that share a slack of 56 retries and 20 percent
+    When each entry has 0 calls and retries whenever it may
+    And all entries start anew
+    And each entry has 0 calls and retries whenever it may
+    Then all entries together retry at most 56 times
+
+  Scenario: An entry that is cut off does not take the slack of the fleet
+    Given 1 entries that share a slack of 56 retries and 20 percent
+    When each entry has 0 calls and retries whenever it may
+    Then all entries together retry at most 2 times
+
+  Scenario: The most urgent call gets the next slot
+    Given calls wait for a slot with ranks 2, 1, 2, 1
+    When 4 slots are granted
+    Then they went to the calls 2, 4, 1, 3
+
+  Scenario: A full queue turns the least urgent call away for a more urgent one
+    Given calls wait for a slot with ranks 1, 2, 2
+    When a call of rank 1 needs a place in the queue
+    Then call 3 is turned away
+    When a call of rank 2 needs a place in the queue
+    Then nobody is turned away
+
+  Scenario: Trials that fail do not lengthen a short ejection
+    Given a target that is ejected for 500 ms at first
+    Then its next 5 failed trials leave it out for 500 ms each
+    And its next failed trial leaves it out for 1000 ms
+    When it fails again right after its return
+    Then it is left out for 1000 ms
+
+  Scenario: A doubling is forgiven after some time in service
+    Given a target that is ejected for 500 ms at first
+    When it fails again after 3 s in service
+    Then it is left out for 500 ms
+
+  Scenario Outline: Which endpoints a call may go to
+    Given endpoints in use: <endpoints>
+    When a call that <kind> has tried <tried>
+    Then it may go to <eligible>
+
+    Examples:
+      | endpoints              | kind            | tried  | eligible |
+      | good e1, ejected e2    | may run once    | none   | e1       |
+      | good e1, ejected e2    | may run once    | e1     | none     |
+      | good e1, ejected e2    | may be repeated | e1     | e2       |
+      | ejected e1, ejected e2 | may run once    | none   | e1, e2   |
+
+  Scenario: Parts of a route get their weights' shares
+    Given a route with the parts slot-desk of weight 90 and proof-vault of weight 10
+    When 4000 calls are led by it
+    Then between 8 and 12 percent of them go to proof-vault
+
+  Scenario: A log whose reader does not read drops lines and never waits
+    Given a log output into a pipe that nobody reads
+    When 2000 lines are written within 2 s
+    Then lines were dropped
+    When the pipe is read and one more line is written
+    Then the number of dropped lines is in the log
+
+  Scenario: A restarted target is told from its late announcements
+    Given a target e1 announced with start 1000 and sequence 7
+    When it is announced with start 1000, sequence 6 and state draining
+    Then the target is ready
+    When it is announced with start 2000, sequence 1 and state draining
+    Then the target is draining
+    When it is announced with start 2000, sequence 2 and state ready
+    Then the target is draining
+    When it is announced with start 3000, sequence 1 and state ready
+    Then the target is ready
+
+  Scenario: A target that has left does not come back by a late announcement
+    Given a target e1 announced with start 1000 and sequence 7
+    When it says that it leaves
+    And it is announced with start 1000, sequence 8 and state ready
+    Then the target is not known
+    When it is announced with start 2000, sequence 1 and state ready
+    Then the target is ready
+
+  Scenario: Another target at the address replaces the one before
+    Given a target e1 announced with start 1000 and sequence 7
+    When target e2 is announced at the same address
+    Then the target is not known
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -92,3 +92,13 @@
     When platform daemon d2 gets SIGTERM
     Then d2 is not ready within 1 s
     And a client that sends GET /proof/a to d2 at once gets 200
+
+  Scenario: A settings file that has changed is read again without a signal
+    When the file of d2 names the caller's service slot-desk
+    And d2 is sent POST /hold/a until it is not from proof-vault
+    Then endpoint e1 has run it on behalf of slot-desk within 1500 ms
+
+  Scenario: SIGHUP reads the settings again and ends nothing
+    When platform daemon d2 gets SIGHUP
+    And a client sends GET /proof/a to d2
+    Then the client answer is 200
