Let a target without a start time come back after draining

Ruled out: load, the target was announced again. Since a target that drains did so for good. Change: only where the start is told, since only then the next process can be told from a late announcement. The callers of a failed scenario kept behave from ending; their thread ends with the process now. Seen to fail first: the new scenario of decisions.feature, without the change.

--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -173,8 +173,7 @@
             return
         target.sequence = announced.sequence
         target.lease_deadline = announced.lease_deadline
-        # A process that leaves does not come back; only its next one does.
-        leaves = target.drained or target.state == DRAINING
+        leaves = target.drained or _leaves_for_good(target)
         state = DRAINING if leaves else announced.state
         if (target.state, target.slots) != (state, announced.slots):
             if target.state == LAPSED:
@@ -327,3 +326,11 @@
     if announced.started_at_unix_ms != known.started_at_unix_ms:
         return announced.started_at_unix_ms < known.started_at_unix_ms
     return 0 < announced.sequence <= known.sequence
+
+
+def _leaves_for_good(known: LocalTarget) -> bool:
+    """Tell whether a target leaves, and its next process can be told from it.
+
+    A process that leaves does not come back; only its next one does.
+    """
+    return known.state == DRAINING and known.started_at_unix_ms > 0
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -94,3 +94,9 @@
     Given a target e1 announced with start 1000 and sequence 7
     When target e2 is announced at the same address
     Then the target is not known
+
+  Scenario: A target that does not tell its start comes back after draining
+    Given a target e1 announced with start 0 and sequence 0
+    When it is announced with start 0, sequence 0 and state draining
+    And it is announced with start 0, sequence 0 and state ready
+    Then the target is ready
--- a/tests/standins/callers.py
+++ b/tests/standins/callers.py
@@ -59,7 +59,10 @@
         self._random = random.Random(self.plan.seed)
         self._stop = threading.Event()
         self._numbers = iter(range(10**9))
-        self._thread = threading.Thread(target=lambda: asyncio.run(self._run()))
+        # A scenario that fails does not stop its callers; they must not keep behave.
+        self._thread = threading.Thread(
+            target=lambda: asyncio.run(self._run()), daemon=True
+        )
 
     def start(self) -> None:
         """Start to send."""
