--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -15,10 +15,12 @@
 __all__ = ["PeerChannels"]
 
 READY = grpc.ChannelConnectivity.READY
+RETIRED_KEPT_S = 10.0  # longer than calls of the present services take
 FAILED = (grpc.ChannelConnectivity.TRANSIENT_FAILURE, grpc.ChannelConnectivity.SHUTDOWN)
 CHANNEL_OPTIONS = (
     ("grpc.enable_http_proxy", 0),
     ("grpc.enable_retries", 0),  # a call goes out once; only the entry retries
+    ("grpc.use_local_subchannel_pool", 1),  # a renewed channel connects anew
     ("grpc.initial_reconnect_backoff_ms", 50),
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
@@ -35,6 +37,7 @@
     def __init__(self, overrides: Mapping[str, str]) -> None:
         self.overrides = overrides
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._retired: set[asyncio.Task] = set()
 
     def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
         """Return the stub for calls to the targets beside a daemon."""
@@ -73,10 +76,23 @@
         if reached in self._channels:
             yield self.peer(address)
             return
-        options = (*CHANNEL_OPTIONS, ("grpc.use_local_subchannel_pool", 1))
-        async with grpc.aio.insecure_channel(reached, options=options) as channel:
+        async with grpc.aio.insecure_channel(
+            reached, options=CHANNEL_OPTIONS
+        ) as channel:
             yield peer_pb2_grpc.PeerStub(channel)
 
+    def renew(self, address: str) -> None:
+        """Let the next calls to an address open a connection of their own.
+
+        A connection can go silent for good while new ones work. Calls that are under
+        way keep the old one for a while, as its answers may still come.
+        """
+        channel = self._channels.pop(self.overrides.get(address, address), None)
+        if channel is not None:
+            task = asyncio.create_task(channel.close(RETIRED_KEPT_S))
+            self._retired.add(task)
+            task.add_done_callback(self._retired.discard)
+
     async def forget(self, address: str) -> None:
         """Close the channel to an address at which nobody is left."""
         channel = self._channels.pop(self.overrides.get(address, address), None)
@@ -85,6 +101,8 @@
 
     async def close(self) -> None:
         """Close all channels."""
+        for task in self._retired:
+            task.cancel()
         for channel in self._channels.values():
             await channel.close()
 
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -169,7 +169,7 @@
         apps = (
             (operators.app(), settings.operator_address, "operator_address"),
             (
-                platform.target_app(guard_role.targets),
+                platform.target_app(guard_role.targets, core.feed),
                 settings.target_address,
                 "target_address",
             ),
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -55,6 +55,7 @@
         try:
             while not await self._reaches(peer_address):
                 self._set_broken(peer_address)
+                self._channels.renew(peer_address)
                 await asyncio.sleep(CHECK_INTERVAL_S)
             self._set_whole(peer_address)
         finally:
--- a/packages/laburnumscale/src/laburnumscale/platforms.py
+++ b/packages/laburnumscale/src/laburnumscale/platforms.py
@@ -56,8 +56,11 @@
             feed, log, metrics, self.settings.snapshot_interval_ms, is_tailer
         )
 
-    def target_app(self, targets: LocalTargets) -> Sanic:
-        """Return the HTTP application for the targets of this host."""
+    def target_app(self, targets: LocalTargets, feed: SettingsFeed) -> Sanic:
+        """Return the HTTP application for the targets of this host.
+
+        :param feed: tells which services are configured.
+        """
         return announcement_app(self.settings.daemon, targets)
 
 
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -19,7 +19,9 @@
 
 __all__ = ["DocumentKind", "SettingsDocuments"]
 
-READ_WAIT_MS = 20_000  # one call in this time shows that the log is still there
+#: A connection to the log that has gone silent is noticed after this time and the
+#: margin of a read; changes must be in force within seconds.
+READ_WAIT_MS = 2_500
 IDLE_S = 0.25  # a role changes with the membership, which takes seconds
 PEER_SILENCE_S = 4.0  # two of the intervals in which peers are asked for settings
 LONGEST_RETRY_S = 0.5  # a change must be in force within seconds after an outage
--- a/packages/laburnumscale/src/laburnumscale/targets.py
+++ b/packages/laburnumscale/src/laburnumscale/targets.py
@@ -159,7 +159,7 @@
 
         :raises EndpointMoved: it was announced later beside another daemon.
         """
-        if self._has_left(announced):
+        if self._has_left(announced) or self._is_outlived(announced):
             self._metrics.count("announcements_late")
             return
         key = (announced.service, announced.endpoint)
@@ -254,16 +254,26 @@
         self._targets[key] = announced
         self.tell()
 
+    def _others_at_address(self, announced: LocalTarget) -> list[LocalTarget]:
+        """Return the other targets that have announced this address."""
+        key = (announced.service, announced.endpoint)
+        return [
+            target
+            for other, target in self._targets.items()
+            if other != key and target.address == announced.address
+        ]
+
+    def _is_outlived(self, announced: LocalTarget) -> bool:
+        """Tell whether a process that started later has the address."""
+        started = announced.started_at_unix_ms
+        others = self._others_at_address(announced)
+        return started > 0 and any(
+            target.started_at_unix_ms > started for target in others
+        )
+
     def _replace_namesakes(self, announced: LocalTarget) -> None:
         """Withdraw targets whose address the announced one has now."""
-        for target in list(self._targets.values()):
-            if target.address != announced.address:
-                continue
-            if (target.service, target.endpoint) == (
-                announced.service,
-                announced.endpoint,
-            ):
-                continue
+        for target in self._others_at_address(announced):
             get_logger().info(
                 "address taken over",
                 service=target.service,
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -90,9 +90,14 @@
     When it is announced with start 2000, sequence 1 and state ready
     Then the target is ready
 
+  Scenario: A late announcement of a process that is gone does not replace its successor
+    Given a target e1 announced with start 1000 and sequence 7
+    When target e2 is announced at the same address with start 900
+    Then the target is ready
+
   Scenario: Another target at the address replaces the one before
     Given a target e1 announced with start 1000 and sequence 7
-    When target e2 is announced at the same address
+    When target e2 is announced at the same address with start 5000
     Then the target is not known
 
   Scenario: A target that does not tell its start comes back after draining
--- a/tests/features/health.feature
+++ b/tests/features/health.feature
@@ -41,6 +41,16 @@
     When the ways between d1 and d2 are healed
     Then daemon d1 takes e2 in again
 
+  Scenario: Connections between daemons that go silent are replaced
+    Given links between daemons d1, d2
+    And a fleet of 2 daemons in makati
+    And health targets e1, e2 of slot-desk spread over the daemons
+    And the health fleet is ready with {"floor_percent": 50}
+    When health traffic runs until every target has had 10 calls
+    And the connections from d1 to d2 go silent
+    Then daemon d1 leaves out e2
+    And daemon d1 takes e2 in again
+
   Scenario: A target that recovers gets work again
     Given a fleet of 3 daemons in makati, pasig
     And health targets e1, e2, e3, e4 of slot-desk spread over the daemons
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -256,9 +256,9 @@
     context.local_targets.withdraw_endpoint("e1")
 
 
-@when("target e2 is announced at the same address")
-def step_replaced(context):
-    context.local_targets.announce(announced("e2", 5000, 1, "ready"))
+@when("target e2 is announced at the same address with start {start:d}")
+def step_replaced(context, start):
+    context.local_targets.announce(announced("e2", start, 1, "ready"))
 
 
 @then("the target is not known")
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -157,6 +157,12 @@
     context.fleet.links[f"{source}>{destination}"].faults(forward={"cut": True})
 
 
+@when("the connections from {source} to {destination} go silent")
+def step_silence(context, source, destination):
+    link = context.fleet.links[f"{source}>{destination}"]
+    link.faults(forward={"silence": True}, backward={"silence": True})
+
+
 @when("the way back from {destination} to {source} is cut")
 def step_cut_back(context, source, destination):
     context.fleet.links[f"{source}>{destination}"].faults(backward={"cut": True})
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -18,6 +18,8 @@
     b' "status": {"state": "ready", "sequence": 1}}',
     b'{"address": "127.0.0.1:1", "info": {"service": "slot-desk", "slots": 5},'
     b' "status": {"state": "asleep", "sequence": 1}}',
+    b'{"address": "127.0.0.1:1", "info": {"service": "no-desk", "slots": 5},'
+    b' "status": {"state": "ready", "sequence": 1}}',
     b'{"address": 7, "info": {"service": "slot-desk", "slots": 5},'
     b' "status": {"state": "ready", "sequence": 1}}',
 )
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -21,6 +21,8 @@
 
     :ivar cut: nothing passes; TCP data is held and goes on after the cut, as after
         retransmission, datagrams are lost.
+    :ivar silence: setting it silences the TCP connections that are open then, for
+        good and without a reset; new ones work.
     :ivar reset_after_bytes: reset a TCP connection that has passed so many bytes;
         happens once, 0 for never.
     :ivar double: send each datagram twice.
@@ -28,6 +30,8 @@
     """
 
     cut: bool = False
+    silence: bool = False
+    silenced: int = 0
     delay_ms: float = 0
     reset_after_bytes: int = 0
     double: bool = False
@@ -39,6 +43,9 @@
         """Set the named faults and wake what waits for the end of a cut."""
         for name, value in faults.items():
             setattr(self, name, value)
+        if self.silence:
+            self.silence = False
+            self.silenced += 1
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -91,8 +98,11 @@
         direction: Direction,
         writers: tuple[asyncio.StreamWriter, ...],
     ) -> None:
+        silenced_before = direction.silenced
         try:
             while chunk := await reader.read(CHUNK_BYTES):
+                if direction.silenced > silenced_before:
+                    continue
                 if direction.delay_ms:
                     await asyncio.sleep(direction.delay_ms / 1000)
                 await direction.wait_open()
