--- a/packages/laburnumscale/src/laburnumscale/announcements.py
+++ b/packages/laburnumscale/src/laburnumscale/announcements.py
@@ -16,8 +16,9 @@
     OptionOutOfRange,
     RequestInvalid,
 )
+from laburnumscale.localtarget import LocalTarget
 from laburnumscale.places import EndpointPlace, parse_place
-from laburnumscale.targets import LocalTarget, LocalTargets
+from laburnumscale.targets import LocalTargets
 from laburnumscale.webserver import new_app
 from laburnumscale_schema import peer_pb2, target_pb2
 
--- a/packages/laburnumscale/src/laburnumscale/decisions.py
+++ b/packages/laburnumscale/src/laburnumscale/decisions.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from laburnumscale.calls import AttemptNote, Call
+from laburnumscale.callstate import AttemptNote, Call
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, Outcome, outcome_name, reason_name
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -21,7 +21,8 @@
     request_target,
     timeout_ms,
 )
-from laburnumscale.calls import Call, CallRunner
+from laburnumscale.calls import CallRunner
+from laburnumscale.callstate import Call
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.decisions import DecisionLog
 from laburnumscale.errors import BodyBroken, BodyTooLarge, RequestInvalid
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -23,6 +23,7 @@
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
 from laburnumscale.inflight import InFlight
+from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
@@ -31,7 +32,7 @@
 from laburnumscale.sending import Sending, check_framed, send_once
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.slots import hold_slot
-from laburnumscale.targets import LocalTarget, LocalTargets
+from laburnumscale.targets import LocalTargets
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -10,6 +10,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.evidence import Evidence
 from laburnumscale.loadtable import Comparison
+from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.observations import (
@@ -21,7 +22,6 @@
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.returning import Returning
 from laburnumscale.stalls import LoopStalls
-from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -9,7 +9,8 @@
 import grpc
 import xxhash
 
-from laburnumscale.calls import Call, CallRunner
+from laburnumscale.calls import CallRunner
+from laburnumscale.callstate import Call
 from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
 from laburnumscale.headers import end_to_end
--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -11,9 +11,9 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.evidence import Evidence
+from laburnumscale.localtarget import LocalTarget
 from laburnumscale.returning import EjectionTime
 from laburnumscale.stalls import LoopStalls
-from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 
 __all__ = ["Judge", "Observation", "Record", "compared_limit_s", "slow_limit_s"]
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -9,9 +9,9 @@
 from contextlib import asynccontextmanager
 
 from laburnumscale.deadlines import Deadline
+from laburnumscale.localtarget import LocalTarget
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.sending import Sending
-from laburnumscale.targets import LocalTarget
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -11,6 +11,7 @@
 from laburnumscale.endpointindex import EndpointView
 from laburnumscale.entry import choose_backend
 from laburnumscale.loadtable import EndpointLoad
+from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logoutput import LogOutput
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
@@ -19,7 +20,7 @@
 from laburnumscale.returning import EjectionTime
 from laburnumscale.routing import eligible
 from laburnumscale.slotqueue import SlotQueue
-from laburnumscale.targets import LocalTarget, LocalTargets
+from laburnumscale.targets import LocalTargets
 from laburnumscale_schema import peer_pb2, settings_pb2
 
 READY = peer_pb2.TARGET_STATE_READY
