--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -170,7 +170,7 @@
             idempotent=call.idempotent,
             priority=call.priority,
             no_wait=not call.waits,
-            objective_left_ms=call.objective.left_ms() if call.objective else 0,
+            objective_left_ms=call.objective_left_ms(),
         )
         self._router.mark(head, view)
         return AttemptRequest(
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -94,6 +94,15 @@
         """Tell whether the call may run no more than once."""
         return not (self.idempotent and self.replayable)
 
+    def objective_left_ms(self) -> int:
+        """Return the time left of the objective as guards are told; 0 for none.
+
+        Once it is over, 1 remains: the call takes a free slot, but waits for none.
+        """
+        if self.objective is None:
+            return 0
+        return max(1, self.objective.left_ms())
+
     def reply_deadline(self) -> Deadline:
         """Return the end of the wait for the first reply to the next attempt.
 
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -35,6 +35,15 @@
     When a call of rank 2 needs a place in the queue
     Then nobody is turned away
 
+  Scenario Outline: A call waits for a slot only until its objective
+    Given a call whose objective is <objective>
+    Then guards are told that <left> ms of it are left
+
+    Examples:
+      | objective   | left |
+      | not known   | 0    |
+      | over        | 1    |
+
   Scenario: Trials that fail do not lengthen a short ejection
     Given a target that is ejected for 500 ms at first
     Then its next 5 failed trials leave it out for 500 ms each
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
+from laburnumscale.callstate import Call
 from laburnumscale.deadlines import Deadline
 from laburnumscale.ejection import select
 from laburnumscale.endpointindex import EndpointView
@@ -21,6 +22,7 @@
 from laburnumscale.routing import eligible
 from laburnumscale.slotqueue import SlotQueue
 from laburnumscale.targets import LocalTargets
+from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2, settings_pb2
 
 READY = peer_pb2.TARGET_STATE_READY
@@ -101,6 +103,26 @@
     assert not context.displaced
 
 
+@given("a call whose objective is {objective}")
+def step_objective(context, objective):
+    context.call = Call(
+        request=None,
+        request_id="a",
+        service="slot-desk",
+        path_and_query="/",
+        settings=EffectiveSettings(),
+        idempotent=True,
+        deadline=Deadline.after_ms(1000),
+        body=b"",
+        objective=Deadline.after_ms(-1) if objective == "over" else None,
+    )
+
+
+@then("guards are told that {left_ms:d} ms of it are left")
+def step_objective_left(context, left_ms):
+    assert context.call.objective_left_ms() == left_ms
+
+
 @given("a target that is ejected for {length_ms:d} ms at first")
 def step_ejected(context, length_ms):
     context.ejection_time = EjectionTime()
