Read presence on from the last record that came

Cause (found on reading the diff): since a read of the presence stream that the log ended early skipped the records that it left out. The platform's adapter reported the end of the read as the end of the log, which hid it there. Change: Batch.read_on_offset for what follows a read; next_offset is the log's end again. A reserved retry is counted. Seen to fail first: decisions.feature, presence is read on.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -126,6 +126,8 @@
         call.retry_reserved = self._pick(call) is not None and self._budget.take_retry(
             call.service
         )
+        if call.retry_reserved:
+            self._metrics.count("retries", f'service="{call.service}"')
         return call.retry_reserved
 
     def _pick_or_wait(self, call: Call) -> EndpointView | None:
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -44,6 +44,11 @@
     oldest_offset: int
     next_offset: int
 
+    @property
+    def read_on_offset(self) -> int:
+        """Return the offset after a read that may have ended before the last record."""
+        return self.records[-1].offset + 1 if self.records else self.next_offset
+
 
 class Log:
     """Base of the clients of logs."""
@@ -72,6 +77,8 @@
     async def newest(self, stream: str) -> Batch:
         """Read the newest record of each key, or as many recent ones.
 
+        Reading goes on at the batch's ``next_offset``.
+
         :raises LogUnavailable: no answer came.
         """
         raise NotImplementedError
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -91,17 +91,23 @@
         """Read the newest document, or wait for the one after it."""
         self._metrics.count("log_reads", f'stream="{self._kind.stream}"')
         if self._offset is None:
-            batch = await self._log.newest(self._kind.stream)
+            batch = await self._newest()
         else:
             batch = await self._log.read(self._kind.stream, self._offset, wait_ms)
             if batch.oldest_offset > self._offset:
-                batch = await self._log.newest(self._kind.stream)
-        self._offset = batch.next_offset
+                batch = await self._newest()
+            else:
+                self._offset = batch.read_on_offset
         for record in batch.records:
             self._take(record)
         self._regained()
         return batch
 
+    async def _newest(self) -> Batch:
+        batch = await self._log.newest(self._kind.stream)
+        self._offset = batch.next_offset
+        return batch
+
     def _reads_on(self) -> bool:
         silence_s = time.monotonic() - self._feed.peer_contact_at_s
         return (
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -73,6 +73,11 @@
     When 4000 calls are led by it
     Then between 8 and 12 percent of them go to proof-vault
 
+  Scenario: Presence is read on from the last record of a read that ended early
+    Given a log that returns one record a read and holds presence of d2, d3, d4
+    When presence is read 4 times
+    Then the contacts are d2, d3, d4
+
   Scenario: A log whose reader does not read drops lines and never waits
     Given a log output into a pipe that nobody reads
     When 2000 lines are written within 2 s
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -16,6 +16,8 @@
 from laburnumscale.logoutput import LogOutput
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.platformlog import Batch, Log, Record
+from laburnumscale.presence import Presence
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.retrybudget import RetryBudget
 from laburnumscale.returning import EjectionTime
@@ -216,6 +218,46 @@
     assert low <= share <= high, share
 
 
+class OneRecordLog(Log):
+    """Holds presence records and returns one of them a read."""
+
+    def __init__(self, names):
+        self.payloads = [
+            peer_pb2.Member(daemon=name, peer_address="127.0.0.1:1").SerializeToString()
+            for name in names
+        ]
+
+    async def read(self, stream, offset, wait_ms=0):
+        found = self.payloads[offset : offset + 1]
+        records = tuple(Record(offset, payload) for payload in found)
+        return Batch(records, 0, len(self.payloads))
+
+    async def newest(self, stream):
+        return Batch((), 0, 0)
+
+
+@given("a log that returns one record a read and holds presence of {names}")
+def step_small_reads(context, names):
+    own = peer_pb2.Member(daemon="d1", incarnation=1, peer_address="127.0.0.1:1")
+    log = OneRecordLog(names.split(", "))
+    context.presence = Presence(log, Members(own), Metrics())
+
+
+@when("presence is read {count:d} times")
+def step_presence(context, count):
+    async def read():
+        for _ in range(count):
+            await context.presence.read()
+
+    asyncio.run(read())
+
+
+@then("the contacts are {names}")
+def step_contacts(context, names):
+    found = sorted(member.daemon for member in context.presence.contacts())
+    assert found == names.split(", "), found
+
+
 @given("a log output into a pipe that nobody reads")
 def step_pipe(context):
     context.pipe_end, write_end = os.pipe()
