Do not take the time in a queue from the time for the reply

The call had lost its place, or its slot had just begun to work for nobody. Ruled out: the number of guards that are asked first; the refusals took 10 to 30 ms and were the same before and after. Change: the time until an attempt may be sent is a field of the attempt, and the reply to one that waits is due a share of the rest after that.

--- a/packages/laburnumscale/src/laburnumscale/attempting.py
+++ b/packages/laburnumscale/src/laburnumscale/attempting.py
@@ -26,7 +26,6 @@
 __all__ = ["AttemptReplies", "AttemptRequest", "Attempter"]
 
 CONNECT_SHARE = 0.25
-SEND_SHARE = 0.5
 PATH_CHECK_INTERVAL_MS = 100  # a broken path is found within about half a second
 SETTLE_INTERVAL_MS = 100
 QUESTION_LIMIT_MS = 300
@@ -41,6 +40,7 @@
 
     :ivar head: without the attempt's number and times.
     :ivar body: whole, or a stream that can be sent once.
+    :ivar send_deadline: until when the guard may send it to the target.
     :ivar reply_deadline: when the entry stops waiting for the first reply.
     :ivar deadline: when the whole answer must be there.
     :ivar settled: a lost attempt is settled, because the call must not run twice.
@@ -50,6 +50,7 @@
 
     head: peer_pb2.CallHead
     body: bytes | AsyncIterator[bytes]
+    send_deadline: Deadline
     reply_deadline: Deadline
     deadline: Deadline
     settled: bool
@@ -151,8 +152,7 @@
         head.attempt.CopyFrom(number)
         head.low_water_sequence = self._sequences.low_water(view.daemon)
         head.time_left_ms = max(0, request.deadline.left_ms() - HOP_MARGIN_MS)
-        # A request that is sent late would be cut off at the target, to no avail.
-        head.send_left_ms = int(request.deadline.left_ms() * SEND_SHARE)
+        head.send_left_ms = request.send_deadline.left_ms()
         head.guard_time_us = self._clocks.time_us(view)
         return head
 
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -178,6 +178,7 @@
         return AttemptRequest(
             head=head,
             body=call.body,
+            send_deadline=call.send_deadline(),
             reply_deadline=call.reply_deadline(),
             deadline=call.deadline,
             settled=call.runs_once,
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -16,6 +16,9 @@
 __all__ = ["AttemptNote", "Call", "is_free"]
 
 REPLY_SHARE = 0.6
+#: Until when an attempt may be sent: one that is sent later would be cut off at its
+#: target, to no avail.
+SEND_SHARE = 0.5
 FREE_ATTEMPTS = 8
 #: Endpoints that are asked for a free slot before the call waits for one: with two
 #: thirds of the slots busy, fewer than one call in a hundred finds none in three.
@@ -103,15 +106,24 @@
             return 0
         return max(1, self.objective.left_ms())
 
+    def send_deadline(self) -> Deadline:
+        """Return until when the next attempt may be sent to its target."""
+        return Deadline.after_ms(self.deadline.left_ms() * SEND_SHARE)
+
     def reply_deadline(self) -> Deadline:
         """Return the end of the wait for the first reply to the next attempt.
 
-        It leaves time to settle the attempt, or for the attempts that are left.
+        It leaves time to settle the attempt, or for the attempts that are left. The
+        time in a queue does not count: a call that is given up there has lost its
+        place, and one that has just got its slot has wasted it.
         """
+        left_ms = self.deadline.left_ms()
         if self.runs_once:
-            return Deadline.after_ms(self.deadline.left_ms() * REPLY_SHARE)
+            return Deadline.after_ms(left_ms * REPLY_SHARE)
+        queue_ms = left_ms * SEND_SHARE if self.waits else 0
         attempts_left = self.settings.attempt_limit - self.paid_attempts
-        return Deadline.after_ms(self.deadline.left_ms() / max(1, attempts_left))
+        reply_ms = (left_ms - queue_ms) / max(1, attempts_left)
+        return Deadline.after_ms(queue_ms + reply_ms)
 
     def wait_from_now_on(self) -> bool:
         """Let the next attempts wait for slots, also at endpoints that had none free.
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -44,6 +44,16 @@
       | not known   | 0    |
       | over        | 1    |
 
+  Scenario Outline: The time in a queue is not taken from the time for the reply
+    Given a call with 2000 ms left that <waits> for a slot and may try 2 targets
+    Then its next attempt may be sent within 1000 ms
+    And its reply may take <reply> ms
+
+    Examples:
+      | waits         | reply |
+      | does not wait | 1000  |
+      | waits         | 1500  |
+
   Scenario: Trials that fail do not lengthen a short ejection
     Given a target that is ejected for 500 ms at first
     Then its next 5 failed trials leave it out for 500 ms each
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 
+import attrs
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
@@ -107,16 +108,21 @@
 
 @given("a call whose objective is {objective}")
 def step_objective(context, objective):
-    context.call = Call(
+    over = Deadline.after_ms(-1)
+    context.call = _call(1000, objective=over if objective == "over" else None)
+
+
+def _call(left_ms, objective=None, attempt_limit=2):
+    return Call(
         request=None,
         request_id="a",
         service="slot-desk",
         path_and_query="/",
-        settings=EffectiveSettings(),
+        settings=attrs.evolve(EffectiveSettings(), attempt_limit=attempt_limit),
         idempotent=True,
-        deadline=Deadline.after_ms(1000),
+        deadline=Deadline.after_ms(left_ms),
         body=b"",
-        objective=Deadline.after_ms(-1) if objective == "over" else None,
+        objective=objective,
     )
 
 
@@ -125,6 +131,29 @@
     assert context.call.objective_left_ms() == left_ms
 
 
+@given(
+    "a call with {left_ms:d} ms left that {waits} for a slot and may try {limit:d} "
+    "targets"
+)
+def step_waiting_call(context, left_ms, waits, limit):
+    context.call = _call(left_ms, attempt_limit=limit)
+    context.call.waits = waits == "waits"
+
+
+@then("its next attempt may be sent within {time_ms:d} ms")
+def step_send_deadline(context, time_ms):
+    assert_about(context.call.send_deadline().left_ms(), time_ms)
+
+
+@then("its reply may take {time_ms:d} ms")
+def step_reply_deadline(context, time_ms):
+    assert_about(context.call.reply_deadline().left_ms(), time_ms)
+
+
+def assert_about(found_ms, time_ms):
+    assert time_ms - 100 <= found_ms <= time_ms, found_ms
+
+
 @given("a target that is ejected for {length_ms:d} ms at first")
 def step_ejected(context, length_ms):
     context.ejection_time = EjectionTime()
