Use trials, retries, queues and near targets with more care under overload

Change: a call is a trial only if it has reserved a retry, which it gives back when it is not needed, and only in its own data centre; one doubling; the expected wait counts later calls of higher rank; two guards are asked for a free slot and two queues; a queue in another data centre must be a quarter shorter; entries save up 0.8 of the slack. Verdicts say their cause, trials and returns without a trial have their lines.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -75,6 +75,7 @@
             percent = call.settings.retry_budget_percent
             self._budget.add_call(call.service, percent)
             outcome, response = await self._try_targets(call)
+            self._give_back(call)
         if isinstance(outcome, Answered) or call.answer_started:
             return outcome, response
         # An attempt that may have run outweighs the refusals of the others.
@@ -107,10 +108,8 @@
         """Tell whether the budget allows a retry after an outcome."""
         if is_free(outcome):
             return True
-        if call.retry_reserved:
-            call.retry_reserved = False
-            return True
-        allowed = self._budget.take_retry(call.service)
+        allowed = call.retry_reserved or self._budget.take_retry(call.service)
+        call.retry_reserved = False
         name = "retries" if allowed else "retries_over_budget"
         self._metrics.count(name, f'service="{call.service}"')
         return allowed
@@ -120,16 +119,25 @@
 
         A daemon that drains keeps to the attempts that it has begun.
         """
+        if self.draining or self._router.pick(call.service, call.tried, True) is None:
+            return False
+        return self._reserve(call)
+
+    def _reserve(self, call: Call) -> bool:
+        """Tell whether the call may be tried once more, and reserve the retry."""
         last = call.paid_attempts + 1 >= call.settings.attempt_limit
-        if last or call.runs_once or self.draining:
+        if last or call.runs_once:
             return False
-        call.retry_reserved = self._pick(call) is not None and self._budget.take_retry(
-            call.service
-        )
-        if call.retry_reserved:
-            self._metrics.count("retries", f'service="{call.service}"')
+        if not call.retry_reserved:
+            call.retry_reserved = self._budget.take_retry(call.service)
         return call.retry_reserved
 
+    def _give_back(self, call: Call) -> None:
+        """Give back a retry that was reserved and not needed."""
+        if call.retry_reserved:
+            call.retry_reserved = False
+            self._budget.give_back(call.service)
+
     def _pick_or_wait(self, call: Call) -> EndpointView | None:
         view = self._pick(call)
         if view is None and call.wait_from_now_on():
@@ -137,7 +145,12 @@
         return view
 
     def _pick(self, call: Call) -> EndpointView | None:
-        return self._router.pick(call.service, call.tried, call.idempotent)
+        return self._router.pick(
+            call.service,
+            call.tried,
+            call.idempotent,
+            reserve_trial=lambda: self._reserve(call),
+        )
 
     async def _attempt(
         self, call: Call, view: EndpointView
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -21,8 +21,11 @@
 SEND_SHARE = 0.5
 FREE_ATTEMPTS = 8
 #: Endpoints that are asked for a free slot before the call waits for one: with two
-#: thirds of the slots busy, fewer than one call in a hundred finds none in three.
-BUSY_ATTEMPTS = 3
+#: thirds of the slots busy, fewer than one call in fifty finds none in two.
+BUSY_ATTEMPTS = 2
+#: Queues that are too long before the call is refused. The entry chooses the shortest
+#: that it knows of, so a third one is hardly shorter.
+QUEUE_ATTEMPTS = 2
 LEAST_RETRY_MS = 50  # two hops and the connections, and some work at the target
 #: Refusals that cost the target nothing, so that a retry needs no budget.
 FREE_REASONS = frozenset(
@@ -60,6 +63,7 @@
     :ivar busy: the ones among them that had no free slot.
     :ivar retry_reserved: the budget has paid for the next attempt already.
     :ivar waits: the next attempt waits for a slot.
+    :ivar full_queues: attempts that would have waited for too long.
     :ivar paid_attempts: attempts that count towards the limit.
     :ivar free_attempts: attempts refused for one of ``FREE_REASONS``.
     :ivar lost: the last attempt that may have run.
@@ -86,6 +90,7 @@
     retry_reserved: bool = False
     busy: set[str] = attrs.field(factory=set)
     waits: bool = False
+    full_queues: int = 0
 
     @property
     def replayable(self) -> bool:
@@ -138,10 +143,8 @@
 
     def note(self, outcome: Outcome, endpoint: str) -> None:
         """Note how an attempt at an endpoint ended."""
-        if _is_overloaded(outcome) and not self.waits:
-            self.busy.add(endpoint)
-            if len(self.busy) >= BUSY_ATTEMPTS:
-                self.wait_from_now_on()
+        if _is_overloaded(outcome):
+            self._note_overloaded(endpoint)
         if isinstance(outcome, Unknown):
             self.lost = outcome
         if is_free(outcome):
@@ -149,6 +152,14 @@
         else:
             self.paid_attempts += 1
 
+    def _note_overloaded(self, endpoint: str) -> None:
+        if self.waits:
+            self.full_queues += 1
+            return
+        self.busy.add(endpoint)
+        if len(self.busy) >= BUSY_ATTEMPTS:
+            self.wait_from_now_on()
+
     def may_retry_answer(self) -> bool:
         """Tell whether a failure that the target answered may be tried elsewhere.
 
@@ -168,6 +179,8 @@
             return False
         if self.free_attempts >= FREE_ATTEMPTS:
             return False
+        if self.full_queues >= QUEUE_ATTEMPTS:
+            return False
         return self.paid_attempts < self.settings.attempt_limit
 
 
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -106,16 +106,18 @@
                 record.returning.cancel()
                 record.evidence = Evidence()
                 target.set_verdict()
-                self._told(target, "target returned")
+                self._told(target, "target returned", reason="comparison voided")
 
     def judge(
-        self, record: Record, settings: EffectiveSettings, bad: bool, weight: int = 1
+        self, record: Record, settings: EffectiveSettings, cause: str, weight: int = 1
     ) -> None:
         """Take the result of one attempt into account.
 
+        :param cause: why the call was bad; empty for a good one.
         :param weight: the calls for which a bad one counts.
         """
         target = record.target
+        bad = bool(cause)
         record.evidence.add(bad, weight)
         labels = f'service="{target.service}",bad="{str(bad).lower()}"'
         self._metrics.count("attempts", labels)
@@ -123,9 +125,9 @@
         if target.ejected:
             target.severity_percent = max(1, record.evidence.severity_percent())
         elif target.on_trial:
-            self._judge_trial(record, settings, bad)
+            self._judge_trial(record, settings, cause)
         elif bad and self._is_failing(record, settings):
-            self._eject(record, settings)
+            self._eject(record, settings, cause)
 
     def _record(self, target: LocalTarget) -> Record:
         key = (target.service, target.endpoint)
@@ -162,7 +164,7 @@
             return False
         return record.evidence.is_against(settings.eject_after)
 
-    def _eject(self, record: Record, settings: EffectiveSettings) -> None:
+    def _eject(self, record: Record, settings: EffectiveSettings, cause: str) -> None:
         target = record.target
         was_on_trial = target.on_trial
         severity_percent = max(1, record.evidence.severity_percent())
@@ -178,7 +180,8 @@
             "target ejected",
             ejection_ms=ejection_ms,
             severity_percent=severity_percent,
-            slow=record.compared,
+            cause=cause,
+            compared=record.compared,
             on_trial=was_on_trial,
             running=target.running,
             latency_ms=target.latency_us // US_PER_MS,
@@ -190,15 +193,15 @@
         )
 
     def _judge_trial(
-        self, record: Record, settings: EffectiveSettings, bad: bool
+        self, record: Record, settings: EffectiveSettings, cause: str
     ) -> None:
-        if bad:
-            self._eject(record, settings)
+        if cause:
+            self._eject(record, settings, cause)
             return
         record.evidence.start_again(settings.eject_after)
         record.ejection_time.returned()
         record.target.set_verdict(slow_start=True)
-        self._told(record.target, "target returned")
+        self._told(record.target, "target returned", reason="trial call served")
 
     def _told(self, target: LocalTarget, event: str, **details) -> None:
         self._returning.tell()
--- a/packages/laburnumscale/src/laburnumscale/observations.py
+++ b/packages/laburnumscale/src/laburnumscale/observations.py
@@ -53,10 +53,11 @@
         """Tell whether targets of a service may be compared with each other."""
 
     def judge(
-        self, record: Record, settings: EffectiveSettings, bad: bool, weight: int = 1
+        self, record: Record, settings: EffectiveSettings, cause: str, weight: int = 1
     ) -> None:
         """Take the result of one attempt into account.
 
+        :param cause: why the call was bad; empty for a good one.
         :param weight: the calls for which a bad one counts.
         """
 
@@ -98,7 +99,8 @@
         self._record.answered_at_s = time.monotonic()
         self._record.evidence.add_latency(elapsed_s * US_PER_S)
         slow = elapsed_s > self._limit_s and not failed
-        self._judge(failed or slow, slow)
+        cause = "server error" if failed else "slow" if slow else ""
+        self._judge(cause, slow)
 
     def broke(self, reused: bool = False) -> None:
         """Note that the connection failed, or that the answer was cut short.
@@ -106,7 +108,8 @@
         :param reused: the connection had carried other attempts, so the target may
             just have closed it as idle.
         """
-        self._judge(True, weight=1 if reused else self._settings.break_weight)
+        weight = 1 if reused else self._settings.break_weight
+        self._judge("broken connection", weight=weight)
 
     def forget(self) -> None:
         """Leave the attempt out, as the target has not run it."""
@@ -136,7 +139,7 @@
             return
         self._overdue_at_s = self._elapsed_s()
         self._record.evidence.add_latency(self._limit_s * US_PER_S)
-        self._judge(True, slow=True)
+        self._judge("overdue", slow=True)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._limit_s, self._silent)
 
@@ -146,17 +149,17 @@
             self._judged = False
             self._overdue()
 
-    def _judge(self, bad: bool, slow: bool = False, weight: int = 1) -> None:
+    def _judge(self, cause: str, slow: bool = False, weight: int = 1) -> None:
         if self._judged:
             return
         self._judged = True
         service = self._record.target.service
         if slow and self._compared and not self._judging.may_compare(service):
             return
-        if bad:
+        if cause:
             self._record.compared = slow and self._compared
             self._record.limit_s = self._limit_s
-        self._judging.judge(self._record, self._settings, bad, weight)
+        self._judging.judge(self._record, self._settings, cause, weight)
 
 
 def slow_limit_s(
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -10,7 +10,9 @@
 
 __all__ = ["RoutingPolicy", "get_policy_by_name"]
 
-SPILL_UTILISATION = 0.8
+SPILL_UTILISATION = 1.0  # below that a slot is free
+#: With all slots taken, a queue in another data centre must be shorter by this factor.
+REMOTE_COST_FACTOR = 1.25
 HIGHEST_LOCAL_FACTOR = 3.0  # less is the noise of short averages
 SETUP_DELAY_US = 20_000
 HOLDING_SCALE_US = 50_000
@@ -37,9 +39,9 @@
 class TwoChoices(RoutingPolicy):
     """The cheaper of two random endpoints, those of the own data centre first.
 
-    The own data centre is left before its endpoints are full, or when they take
-    several times as long as others do. Load alone is no reason while slots are free:
-    bytes between data centres are dear.
+    The own data centre is left when its endpoints are full, or when they take several
+    times as long as others do. Load alone is no reason while slots are free: bytes
+    between data centres are dear.
     """
 
     name = "two-choices"
@@ -50,11 +52,16 @@
         local = [
             load
             for load in loads
-            if load.view.data_centre == data_centre
-            and load.utilisation < SPILL_UTILISATION
-            and load.latency_us <= slowest_us
+            if load.view.data_centre == data_centre and load.latency_us <= slowest_us
         ]
-        return self._cheaper(local) if local else best
+        free = [load for load in local if load.utilisation < SPILL_UTILISATION]
+        if free:
+            return self._cheaper(free)
+        if not local:
+            return best
+        near = self._cheaper(local)
+        highest_cost = REMOTE_COST_FACTOR * self.cost(best)
+        return near if self.cost(near) <= highest_cost else best
 
     def _cheaper(self, loads: list[EndpointLoad]) -> EndpointLoad:
         pair = random.sample(loads, min(2, len(loads)))
--- a/packages/laburnumscale/src/laburnumscale/retrybudget.py
+++ b/packages/laburnumscale/src/laburnumscale/retrybudget.py
@@ -12,9 +12,11 @@
 HIGHEST_TOKENS = 100.0
 FIRST_TOKENS = 10.0
 PERCENT = 100
-#: An entry that starts anew in a window begins with its part of the slack again, so
-#: half of the slack is kept for such entries.
-SLACK_SHARE = 0.5
+#: Part of the slack that entries may save up from the percentage of earlier calls.
+SLACK_SHARE = 0.8
+#: An entry that starts anew in a window begins with a part of the slack again, so it
+#: gets less than what it may save up.
+FIRST_SHARE = 0.5
 #: A part cannot be told from the whole fleet by an entry that is cut off; the slack
 #: of a smaller fleet is not used up.
 LEAST_GROUP = 20
@@ -71,6 +73,10 @@
         bucket.tokens -= 1
         return True
 
+    def give_back(self, service: str) -> None:
+        """Return the token of a retry that was not made."""
+        self._bucket(service).tokens += 1
+
     def _bucket(self, service: str) -> _Bucket:
         bucket = self._buckets.get(service)
         if bucket is None:
@@ -83,13 +89,13 @@
         if not self._fleet_slack:
             return HIGHEST_TOKENS
         self._highest_group = max(self._highest_group, self._group_size())
-        return max(1.0, self._slack_part())
+        return max(1.0, self._slack_part(SLACK_SHARE))
 
     def _first_tokens(self) -> float:
-        return self._slack_part() if self._fleet_slack else FIRST_TOKENS
+        return self._slack_part(FIRST_SHARE) if self._fleet_slack else FIRST_TOKENS
 
-    def _slack_part(self) -> float:
-        return self._fleet_slack * SLACK_SHARE / self._highest_group
+    def _slack_part(self, share: float) -> float:
+        return self._fleet_slack * share / self._highest_group
 
     def _percentage_share(self) -> float:
         return PERCENTAGE_SHARE if self._fleet_slack else 1.0
--- a/packages/laburnumscale/src/laburnumscale/returning.py
+++ b/packages/laburnumscale/src/laburnumscale/returning.py
@@ -11,6 +11,7 @@
 import attrs
 
 from laburnumscale.localtarget import LocalTarget
+from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.replies import AttemptRefused
 from laburnumscale.slots import release_slot
@@ -23,7 +24,9 @@
 PROBE_TIMEOUT_S = 0.5
 PROBE_SUCCESSES = 1  # probes lie about gray failures; the trial call decides
 TRIAL_WAIT_S = 2.0  # a service with calls has a trial call within a second
-HIGHEST_DOUBLINGS = 3
+#: A trial that succeeds at a target that still fails some calls is no second failure;
+#: a second of its slots is worth more than the one call that shows the failure again.
+HIGHEST_DOUBLINGS = 1
 QUICK_TRIALS = 6  # at the least ejection time they span a failure of seconds
 FORGIVEN_AFTER_TIMES = 4  # a target that flaps is in service for less than that
 MS_PER_S = 1000
@@ -110,14 +113,26 @@
             if successes < PROBE_SUCCESSES:
                 await asyncio.sleep(PROBE_INTERVAL_S)
         target.set_verdict(on_trial=True)
+        _log("target on trial", target)
         self.tell()
         version = target.verdict_version
         await asyncio.sleep(TRIAL_WAIT_S)
         if target.verdict_version == version:
             target.set_verdict(slow_start=True)
+            _log("target returned", target, reason="no trial call came")
             self.tell()
 
     async def _probe(self, target: LocalTarget, settings: EffectiveSettings) -> bool:
+        """Tell whether a target says that it is healthy."""
+        reason = await self._probe_failure(target, settings)
+        if reason:
+            _log("target probe failed", target, reason=reason)
+        return not reason
+
+    async def _probe_failure(
+        self, target: LocalTarget, settings: EffectiveSettings
+    ) -> str:
+        """Return what is wrong with the answer to a probe; nothing if it is good."""
         self._metrics.count("probes", f'service="{target.service}"')
         url = f"http://{target.address}{settings.probe_path}"
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
@@ -125,8 +140,13 @@
         try:
             async with self._session.get(url, timeout=timeout) as response:
                 await response.read()
-                return response.status == OK
-        except (aiohttp.ClientError, TimeoutError):
-            return False
+                return "" if response.status == OK else f"status {response.status}"
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return repr(error)
         finally:
             release_slot(target)
+
+
+def _log(event: str, target: LocalTarget, **details) -> None:
+    names = {"service": target.service, "endpoint": target.endpoint}
+    get_logger().info(event, **names, **details)
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -68,18 +69,24 @@
         self._consecutive = ConsecutiveErrors()
 
     def pick(
-        self, service: str, tried: set[str], idempotent: bool
+        self,
+        service: str,
+        tried: set[str],
+        idempotent: bool,
+        reserve_trial: Callable[[], bool] = lambda: False,
     ) -> EndpointView | None:
         """Return the endpoint for the next attempt, or None.
 
         :param tried: names of endpoints that this call has tried.
-        :param idempotent: whether the call may serve as a trial.
+        :param idempotent: whether the call may run more than once.
+        :param reserve_trial: asked before the call becomes the trial of an endpoint;
+            tells whether it can be tried elsewhere after a failure, and reserves that.
         """
         settings = self._settings(service)
         selection = self.selection(service)
         loads = [load for load in selection.in_use if load.view.endpoint not in tried]
         trial = self._trial(selection) if idempotent and not tried else None
-        if trial is not None:
+        if trial is not None and reserve_trial():
             return trial.view
         loads = eligible(loads, selection, idempotent)
         if not loads:
@@ -139,11 +146,19 @@
         return any(kept.view is load.view for kept in in_use)
 
     def _trial(self, selection: Selection) -> EndpointLoad | None:
-        """Return an endpoint on trial for its even share of the calls."""
+        """Return an endpoint on trial for its even share of the calls.
+
+        Entries try the endpoints of their own data centre: an answer of any size may
+        come back, and bytes between data centres are dear.
+        """
+        own = self._own_data_centre()
         idle = [
-            load for load in selection.on_trial if not self.loads.outstanding(load.view)
+            load
+            for load in selection.on_trial
+            if load.view.data_centre == own and not self.loads.outstanding(load.view)
         ]
-        share = len(idle) / max(1, len(idle) + len(selection.in_use))
+        in_use = [load for load in selection.in_use if load.view.data_centre == own]
+        share = len(idle) / max(1, len(idle) + len(in_use))
         return random.choice(idle) if random.random() < share else None
 
     def _load(self, view: EndpointView) -> EndpointLoad:
--- a/packages/laburnumscale/src/laburnumscale/slotqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/slotqueue.py
@@ -6,11 +6,17 @@
 import asyncio
 import heapq
 import itertools
+from collections import deque
 
 import attrs
 
 __all__ = ["SlotQueue", "Waiter"]
 
+#: Some seconds of a busy target with a handful of slots.
+REMEMBERED_GRANTS = 20
+#: Some grants go to every rank that still waits.
+HIGHEST_SHARE = 0.9
+
 
 @attrs.define(order=True)
 class Waiter:
@@ -32,6 +38,7 @@
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
         self._numbers = itertools.count()
+        self._granted_ranks: deque[int] = deque(maxlen=REMEMBERED_GRANTS)
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -53,6 +60,17 @@
         """Return how many calls go before one of this rank that arrives now."""
         return sum(waiter.priority <= priority for waiter in self._waiters)
 
+    def expected_turns(self, priority: int) -> float:
+        """Return how many slots must become free for a call that arrives now.
+
+        Calls of higher rank that arrive while it waits go first too; their share is
+        that of the latest grants.
+        """
+        granted = self._granted_ranks
+        first = sum(rank < priority for rank in granted)
+        share = min(HIGHEST_SHARE, first / max(1, len(granted)))
+        return (self.count_ahead(priority) + 1) / (1 - share)
+
     def grant_next(self) -> bool:
         """Give a slot to the most urgent call.
 
@@ -62,6 +80,7 @@
             waiter = heapq.heappop(self._waiters)
             if not waiter.granted.done():
                 waiter.granted.set_result(None)
+                self._granted_ranks.append(waiter.priority)
                 return True
         return False
 
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -135,5 +135,5 @@
 
 def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
     held_ms = target.held_us / US_PER_MS
-    ahead = target.queue.count_ahead(priority)
-    return (ahead + 1) / max(1, target.slots) * held_ms
+    turns = target.queue.expected_turns(priority)
+    return turns / max(1, target.slots) * held_ms
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -18,6 +18,14 @@
     And each entry has 0 calls and retries whenever it may
     Then all entries together retry at most 56 times
 
+  Scenario: Entries that have saved up retries and start anew stay within the slack
+    Given 25 entries that share a slack of 56 retries and 20 percent
+    When each entry saves up the retries of 100 calls
+    And each entry has 0 calls and retries whenever it may
+    And all entries start anew
+    And each entry has 12 calls and retries whenever it may
+    Then all entries together retry at most 116 times
+
   Scenario: An entry that is cut off does not take the slack of the fleet
     Given 1 entries that share a slack of 56 retries and 20 percent
     When each entry has 0 calls and retries whenever it may
@@ -28,6 +36,12 @@
     When 4 slots are granted
     Then they went to the calls 2, 4, 1, 3
 
+  Scenario: A call of low rank expects the calls that will go before it
+    Given calls wait for a slot with ranks 1, 1, 1, 2
+    When 4 slots are granted
+    Then a call of rank 1 expects the next slot to be its own
+    And a call of rank 2 expects 4 slots until its own
+
   Scenario: A full queue turns the least urgent call away for a more urgent one
     Given calls wait for a slot with ranks 1, 2, 2
     When a call of rank 1 needs a place in the queue
@@ -61,11 +75,48 @@
     When it fails again right after its return
     Then it is left out for 1000 ms
 
+  Scenario: A lucky trial does not lengthen the ejection again and again
+    Given a target that is ejected for 500 ms at first
+    When it fails again right after its return
+    And it fails again right after its return
+    And it fails again right after its return
+    Then it is left out for 1000 ms
+
+  Scenario Outline: A call is the trial of a target only if it could be tried elsewhere
+    Given targets with a target on trial and an entry with <tokens> retries left
+    When 50 calls with <attempts> attempts each are placed and answered
+    Then the target on trial gets <trials> of them
+    And the entry has <tokens> retries left
+
+    Examples:
+      | tokens | attempts | trials |
+      | 0      | 3        | none   |
+      | 1      | 1        | none   |
+      | 1      | 3        | some   |
+
   Scenario: A doubling is forgiven after some time in service
     Given a target that is ejected for 500 ms at first
     When it fails again after 3 s in service
     Then it is left out for 500 ms
 
+  Scenario Outline: The own data centre is left for a queue that is much shorter
+    Given an endpoint in makati with <local> calls and one in pasig with <remote> calls
+    When 100 calls of makati choose between them
+    Then <near> of them stay in makati
+
+    Examples:
+      | local | remote | near |
+      | 4     | 0      | all  |
+      | 5     | 4      | all  |
+      | 9     | 4      | none |
+
+  Scenario: A call that finds two queues too long is refused
+    Given a call with 2000 ms left that does not wait for a slot and may try 2 targets
+    When targets e1, e2 are full for it
+    Then it waits for a slot from now on
+    When targets e1, e2 are full for it
+    Then it is not tried again
+
   Scenario Outline: Which endpoints a call may go to
     Given endpoints in use: <endpoints>
     When a call that <kind> has tried <tried>
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -7,22 +7,26 @@
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
+from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
 from laburnumscale.deadlines import Deadline
 from laburnumscale.ejection import select
 from laburnumscale.endpointindex import EndpointView
 from laburnumscale.entry import choose_backend
+from laburnumscale.headernames import HeaderNames
 from laburnumscale.loadtable import EndpointLoad
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logoutput import LogOutput
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.outcomes import Answered, NotRun
 from laburnumscale.platformlog import Batch, Log, Record
+from laburnumscale.policies import get_policy_by_name
 from laburnumscale.presence import Presence
 from laburnumscale.replies import AttemptRefused
-from laburnumscale.retrybudget import RetryBudget
+from laburnumscale.retrybudget import LEAST_GROUP, RetryBudget
 from laburnumscale.returning import EjectionTime
-from laburnumscale.routing import eligible
+from laburnumscale.routing import Router, eligible
 from laburnumscale.slotqueue import SlotQueue
 from laburnumscale.targets import LocalTargets
 from laburnumscale.tree import EffectiveSettings
@@ -53,6 +57,13 @@
                 context.retries += 1
 
 
+@when("each entry saves up the retries of {calls:d} calls")
+def step_save(context, calls):
+    for budget in context.budgets:
+        for _ in range(calls):
+            budget.add_call("slot-desk", PERCENT)
+
+
 @when("all entries start anew")
 def step_anew(context):
     context.budgets = context.new_budgets()
@@ -87,6 +98,16 @@
     assert context.order == [int(each) for each in numbers.split(", ")], context.order
 
 
+@then("a call of rank {rank:d} expects the next slot to be its own")
+def step_next_turn(context, rank):
+    assert context.queue.expected_turns(rank) == 1
+
+
+@then("a call of rank {rank:d} expects {turns:d} slots until its own")
+def step_turns(context, rank, turns):
+    assert context.queue.expected_turns(rank) == turns
+
+
 @when("a call of rank {rank:d} needs a place in the queue")
 def step_displace(context, rank):
     refusal = AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED)
@@ -226,6 +247,109 @@
     assert context.eligible == wanted, context.eligible
 
 
+@given(
+    "an endpoint in makati with {local:d} calls and one in pasig with {remote:d} calls"
+)
+def step_two_endpoints(context, local, remote):
+    near = attrs.evolve(endpoint_load("good e1"), in_system=local)
+    far = attrs.evolve(endpoint_load("good e2"), in_system=remote)
+    far = attrs.evolve(far, view=attrs.evolve(far.view, data_centre="pasig"))
+    context.loads = [near, far]
+
+
+@when("{count:d} calls of makati choose between them")
+def step_choose(context, count):
+    policy = get_policy_by_name("two-choices")
+    chosen = [policy.choose(context.loads, "makati") for _ in range(count)]
+    context.stayed = sum(load.view.data_centre == "makati" for load in chosen)
+    context.count = count
+
+
+@then("{share} of them stay in makati")
+def step_stayed(context, share):
+    assert context.stayed == {"all": context.count, "none": 0}[share], context.stayed
+
+
+@when("targets {endpoints} are full for it")
+def step_full(context, endpoints):
+    context.overloaded = NotRun(peer_pb2.NOT_RUN_REASON_OVERLOADED)
+    for endpoint in endpoints.split(", "):
+        context.call.note(context.overloaded, endpoint)
+
+
+@then("it waits for a slot from now on")
+def step_waits(context):
+    assert context.call.waits
+    assert context.call.may_retry(context.overloaded)
+
+
+@then("it is not tried again")
+def step_not_again(context):
+    assert not context.call.may_retry(context.overloaded)
+
+
+class _Everyone:
+    """Stands for the parts of a router that know targets, paths and settings."""
+
+    own = peer_pb2.Member(daemon="d9", data_centre="makati")
+    tree = property(lambda self: self)
+
+    def endpoints(self, service):
+        good = EndpointView(service, "e1", 5, READY, False, "d1", 1, "", "makati")
+        trial = attrs.evolve(good, endpoint="e2", on_trial=True, verdict_version=1)
+        return [good, trial]
+
+    def effective(self, service, data_centre):
+        return EffectiveSettings()
+
+    def is_broken(self, address):
+        return False
+
+
+class _FixedBudget(RetryBudget):
+    """A budget that calls do not add to."""
+
+    def add_call(self, service, budget_percent):
+        self._bucket(service)
+
+
+@given("targets with a target on trial and an entry with {tokens:d} retries left")
+def step_trial(context, tokens):
+    everyone = _Everyone()
+    router = Router(everyone, everyone, everyone, health=None)
+    slack = 2 * tokens * LEAST_GROUP or 1
+    context.budget = _FixedBudget(fleet_slack=slack)
+    names = HeaderNames()
+    context.runner = CallRunner(None, router, Metrics(), context.budget, names)
+
+
+@when("{count:d} calls with {attempts:d} attempts each are placed and answered")
+def step_placed(context, count, attempts):
+    context.placed = Counter()
+
+    async def answer(call, view):
+        context.placed[view.endpoint] += 1
+        return Answered(200), None
+
+    context.runner._attempt = answer
+    for _ in range(count):
+        call = _call(1000, attempt_limit=attempts)
+        asyncio.run(context.runner.run(call))
+
+
+@then("the target on trial gets {trials} of them")
+def step_trials_placed(context, trials):
+    assert (context.placed["e2"] > 0) == (trials == "some"), context.placed
+
+
+@then("the entry has {tokens:d} retries left")
+def step_tokens(context, tokens):
+    retries = 0
+    while context.budget.take_retry("slot-desk"):
+        retries += 1
+    assert retries == tokens, retries
+
+
 @given(
     "a route with the parts {first} of weight {first_weight:d} and {second} of "
     "weight {second_weight:d}"
