Tell the story of a request from the logs of daemons

Cause: the way from a request's id to its cause went by hand through the logs of several daemons, and nothing said what was missing there. Change: laburnumscalectl trace reads any number of logs, also with other programs' lines among them, and tells attempts, what was known of their targets, the outcome and what the logs do not tell. Attempts are fields in the log line, not text; the line on dropped lines has daemon and time; one class bounds lines for both writers. Test: trace.feature, five scenarios.

--- a/packages/laburnumscale/src/laburnumscale/decisions.py
+++ b/packages/laburnumscale/src/laburnumscale/decisions.py
@@ -3,14 +3,13 @@
 One log line for each call: what was decided, from which inputs, and how it ended.
 """
 
-import time
 from collections.abc import Callable
 
 import attrs
 
-from laburnumscale.callstate import AttemptNote, Call
+from laburnumscale.callstate import Call
+from laburnumscale.linerate import LineRate
 from laburnumscale.logs import get_logger
-from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, Outcome, outcome_name, reason_name
 
 __all__ = ["DecisionLog"]
@@ -30,10 +29,10 @@
     :param revision: returns the revision of the settings in force.
     """
 
-    metrics: Metrics
     revision: Callable[[], int]
-    _left: float = ANSWERED_LINES_PER_S
-    _filled_at_s: float = attrs.field(factory=time.monotonic)
+    _answered_rate: LineRate = attrs.field(
+        factory=lambda: LineRate(ANSWERED_LINES_PER_S, ANSWERED_LINES_PER_S)
+    )
     _skipped: int = 0
 
     def refused(self, request_id: str, outcome: Outcome, detail: str) -> None:
@@ -49,7 +48,7 @@
     def ended(self, call: Call, outcome: Outcome, elapsed_ms: float) -> None:
         """Log the end of a call."""
         well = isinstance(outcome, Answered) and outcome.status < SERVER_ERROR
-        if well and not self._may_write():
+        if well and not self._answered_rate.take():
             self._skipped += 1
             return
         stands_for = 1
@@ -66,21 +65,7 @@
             status=getattr(outcome, "status", None),
             elapsed_ms=round(elapsed_ms),
             left_ms=call.deadline.left_ms(),
-            attempts=[_attempt_text(note) for note in call.notes],
+            attempts=[attrs.asdict(note) for note in call.notes],
             revision=self.revision(),
             stands_for=stands_for,
         )
-
-    def _may_write(self) -> bool:
-        now_s = time.monotonic()
-        filled = self._left + (now_s - self._filled_at_s) * ANSWERED_LINES_PER_S
-        self._left = min(ANSWERED_LINES_PER_S, filled)
-        self._filled_at_s = now_s
-        if self._left < 1:
-            return False
-        self._left -= 1
-        return True
-
-
-def _attempt_text(note: AttemptNote) -> str:
-    return f"{note.endpoint} at {note.daemon}: {note.result} after {note.elapsed_ms} ms"
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -73,7 +73,7 @@
         names: HeaderNames,
         routes_only: bool,
     ) -> None:
-        self._decisions = DecisionLog(metrics, lambda: feed.tree.revision)
+        self._decisions = DecisionLog(lambda: feed.tree.revision)
         self._names = names
         self._routes_only = routes_only
         self._members = members
--- a/packages/laburnumscale/src/laburnumscale/logoutput.py
+++ b/packages/laburnumscale/src/laburnumscale/logoutput.py
@@ -5,9 +5,11 @@
 
 import json
 import select
-import time
+from datetime import UTC, datetime
 from typing import TextIO
 
+from laburnumscale.linerate import LineRate
+
 __all__ = ["LogOutput"]
 
 #: A pipe that is writable takes this many bytes at once without blocking (PIPE_BUF).
@@ -23,29 +25,29 @@
 
     The number of dropped lines is written once lines pass again.
 
+    :param daemon: name that this line carries.
     :ivar dropped: lines dropped since the last one that was written.
     """
 
-    def __init__(self, stream: TextIO) -> None:
+    def __init__(self, stream: TextIO, daemon: str = "") -> None:
         self.dropped = 0
+        self._daemon = daemon
         self._stream = stream
         self._poll = select.poll()
         self._poll.register(stream.fileno(), select.POLLOUT)
-        self._lines_left = float(HIGHEST_BURST_LINES)
-        self._filled_at_s = time.monotonic()
+        self._rate = LineRate(LINES_PER_S, HIGHEST_BURST_LINES)
 
     def write(self, text: str) -> None:
         """Write one line, or drop it if the reader or the bound does not take it."""
         line = text.rstrip("\n")
         if not line:
             return
-        if not (self._has_room() and self._poll.poll(0)):
+        if not (self._rate.has_room() and self._poll.poll(0)):
             self.dropped += 1
             return
-        self._lines_left -= 1
+        self._rate.take()
         if self.dropped:
-            note = {"event": "log lines dropped", "count": self.dropped}
-            line = f"{json.dumps(note)}\n{line}"
+            line = f"{self._dropped_line()}\n{line}"
             self.dropped = 0
         shortened = line.encode()[: LONGEST_LINE_BYTES - 1].decode(errors="ignore")
         self._stream.write(shortened + "\n")
@@ -54,9 +56,11 @@
     def flush(self) -> None:
         """Do nothing: each line is written at once."""
 
-    def _has_room(self) -> bool:
-        now_s = time.monotonic()
-        filled = self._lines_left + (now_s - self._filled_at_s) * LINES_PER_S
-        self._lines_left = min(HIGHEST_BURST_LINES, filled)
-        self._filled_at_s = now_s
-        return self._lines_left >= 1
+    def _dropped_line(self) -> str:
+        note = {
+            "event": "log lines dropped",
+            "count": self.dropped,
+            "daemon": self._daemon,
+            "timestamp": datetime.now(UTC).isoformat(),
+        }
+        return json.dumps(note)
--- a/packages/laburnumscale/src/laburnumscale/logs.py
+++ b/packages/laburnumscale/src/laburnumscale/logs.py
@@ -63,7 +63,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(LogOutput(sys.stdout)),
+        logger_factory=structlog.PrintLoggerFactory(LogOutput(sys.stdout, daemon)),
     )
     structlog.contextvars.bind_contextvars(daemon=daemon)
     logging.basicConfig(level=logging.WARNING, handlers=[LibraryLogHandler()])
--- a/packages/laburnumscalectl/src/laburnumscalectl/cli.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/cli.py
@@ -4,12 +4,16 @@
 """
 
 import argparse
+import fileinput
 import getpass
+import json
 import sys
 
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscalectl.changes import publish, remove, settle
 from laburnumscalectl.client import DaemonUnreachable, OperatorClient
+from laburnumscalectl.logfiles import read_lines
+from laburnumscalectl.tracing import trace_request
 from laburnumscalectl.views import explain, history, show, status
 
 __all__ = ["main"]
@@ -27,6 +31,7 @@
   laburnumscalectl --daemon 127.0.0.1:7002 settle 5b1f0c9e
   laburnumscalectl --daemon 127.0.0.1:7002 status
   laburnumscalectl --daemon 127.0.0.1:7002 drain slot-desk e3
+  laburnumscalectl trace 9c41d07be2a35f68 d1.log d2.log d3.log
 
 exit codes:
   0 done   1 refused   2 invalid input   3 undetermined   4 no answer
@@ -52,6 +57,21 @@
     return 0
 
 
+def trace(options: argparse.Namespace, client: OperatorClient) -> int:
+    """Tell from the logs of daemons what became of a request."""
+    with fileinput.input(options.file, openhook=_open_log) as texts:
+        found = trace_request(options.request_id, read_lines(texts))
+    if options.json:
+        print(json.dumps(found.as_dict(), indent=2))
+    else:
+        print("\n".join(found.as_text()))
+    return 0
+
+
+def _open_log(name: str, mode: str):
+    return open(name, mode, errors="replace")
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="laburnumscalectl",
@@ -59,7 +79,7 @@
         epilog=EXAMPLES,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument("--daemon", required=True, help="IP:PORT for operators")
+    parser.add_argument("--daemon", default="", help="IP:PORT for operators")
     parser.add_argument("--json", action="store_true", help="print JSON")
     commands = parser.add_subparsers(dest="command", required=True)
     _add_changes(commands)
@@ -67,6 +87,10 @@
     command = _add(commands, "drain", drain, "drain a target of the daemon's host")
     command.add_argument("service")
     command.add_argument("endpoint")
+    command = _add(commands, "trace", trace, "tell what became of a request")
+    command.set_defaults(asks_daemon=False)
+    command.add_argument("request_id", help="as in the caller's request or its answer")
+    command.add_argument("file", nargs="*", help="logs of daemons; standard input")
     return parser
 
 
@@ -81,7 +105,7 @@
     command.add_argument(
         "--json", action="store_true", default=argparse.SUPPRESS, help="print JSON"
     )
-    command.set_defaults(run=run)
+    command.set_defaults(run=run, asks_daemon=True)
     return command
 
 
@@ -139,12 +163,15 @@
 
 def main() -> None:
     """Run the command line."""
-    options = _parser().parse_args()
+    parser = _parser()
+    options = parser.parse_args()
+    if options.asks_daemon and not options.daemon:
+        parser.error("--daemon is required by this command")
     try:
         sys.exit(options.run(options, OperatorClient(options.daemon)))
     except DaemonUnreachable as error:
         print(f"laburnumscalectl: {error}", file=sys.stderr)
         sys.exit(EXIT_UNREACHABLE)
-    except LaburnumscaleError as error:
+    except (LaburnumscaleError, OSError) as error:
         print(f"laburnumscalectl: {error}", file=sys.stderr)
         sys.exit(EXIT_INVALID)
--- /dev/null
+++ b/tests/features/trace.feature
@@ -0,0 +1,54 @@
+Feature: What became of a request, told from the logs
+
+  Background:
+    Given logs of d1
+      """
+      {"event": "settings in force", "daemon": "d1", "revision": 7, "timestamp": "2026-12-03T10:00:00Z"}
+      some other program's line {with braces}
+      12.3400 host-1 {"request_id": "a1", "service": "slot-desk", "idempotent": true, "outcome": "answered", "reason": "none", "status": 200, "elapsed_ms": 342, "left_ms": 1567, "attempts": [{"endpoint": "e1", "daemon": "d1", "result": "unknown connection_lost", "elapsed_ms": 2}, {"endpoint": "e2", "daemon": "d2", "result": "answered none", "elapsed_ms": 340}], "revision": 7, "stands_for": 3, "event": "call ended", "daemon": "d1", "level": "info", "timestamp": "2026-12-03T10:00:09.342Z"}
+      {"request_id": "a2", "reason": "no_route", "detail": "/x/", "revision": 7, "event": "request refused", "daemon": "d1", "timestamp": "2026-12-03T10:00:10Z"}
+      {"event": "call ended", "daemon": "d1", "timest
+      """
+    And logs of d2
+      """
+      {"service": "slot-desk", "endpoint": "e2", "event": "target ejected", "cause": "slow", "daemon": "d2", "timestamp": "2026-12-03T10:00:07Z"}
+      {"service": "slot-desk", "endpoint": "e2", "reason": "trial call served", "event": "target returned", "daemon": "d2", "timestamp": "2026-12-03T10:00:08Z"}
+      {"service": "slot-desk", "endpoint": "e2", "event": "target ejected", "cause": "slow", "daemon": "d2", "timestamp": "2026-12-03T10:00:12Z"}
+      {"event": "log lines dropped", "count": 4, "daemon": "d2", "timestamp": "2026-12-03T10:00:13Z"}
+      """
+
+  Scenario: The attempts of a call and what was known of its targets
+    When request a1 is traced in the logs of d1, d2
+    Then the trace says in this order
+      """
+      d1: settings in force (revision=7)
+      d2: target returned (service=slot-desk, endpoint=e2, reason=trial call served)
+      d1 took it for slot-desk (may be repeated, settings revision 7)
+      e1 at d1: unknown connection_lost after 2 ms
+      e2 at d2: answered none after 340 ms
+      ended: answered none with status 200, 1567 ms left
+      the line stands for 3 answered calls
+      not told: d2 dropped 4 log lines
+      """
+
+  Scenario: What a log that was not given would have told is named
+    When request a1 is traced in the logs of d1
+    Then the trace says in this order
+      """
+      not told: no log of d2 was given, which guards a target
+      """
+
+  Scenario: A request that was refused at the door
+    When request a2 is traced in the logs of d1
+    Then the trace says in this order
+      """
+      d1: request refused (reason=no_route, detail=/x/, revision=7)
+      """
+
+  Scenario: A request that no log names
+    When request a3 is traced in the logs of d1, d2
+    Then the trace fails with 2 and says "none of 7 log lines names it"
+
+  Scenario: A trace for scripts
+    When request a2 is traced in the logs of d1 for scripts
+    Then the trace is JSON whose lines are those of request a2
