--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -60,6 +60,7 @@
         self._metrics = metrics
         self._budget = budget
         self._names = names
+        self._set_by_daemons = names.set_by_daemons()
         self._caller_service = caller_service
 
     def apply(self, settings: DaemonSettings) -> None:
@@ -200,11 +201,10 @@
 
     def _headers(self, request: Request) -> list[peer_pb2.Header]:
         """Return the fields that go to the target; daemons set some themselves."""
-        own = self._names.set_by_daemons()
         headers = [
             header
             for header in end_to_end(request.headers.items())
-            if header.name not in own
+            if header.name not in self._set_by_daemons
         ]
         if self._names.caller_service:
             name = self._names.caller_service
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -163,8 +163,7 @@
     def may_retry_answer(self) -> bool:
         """Tell whether a failure that the target answered may be tried elsewhere.
 
-        The time that is left must do for an attempt as long as the one that failed;
-        the failure is delivered if no other answer comes.
+        The failure is delivered if no other answer comes.
         """
         if not (self.idempotent and self.replayable):
             return False
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -22,7 +22,6 @@
 DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000
 DEFAULT_KEY_LIFE_MS = 600_000
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
-DEFAULT_RETRY_WINDOW_MS = 10_000
 DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1_000
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
@@ -43,7 +42,6 @@
     :ivar metrics_address: where metrics are served besides the operators' address.
     :ivar routes_only: requests that no route matches are refused.
     :ivar retry_slack_attempts: retries of the fleet in a window beyond its budget.
-    :ivar retry_window_ms: window over which the fleet's retries are counted.
     :ivar floor_percent: share of the slots that ejection leaves in use, where the
         platform's documents do not say.
     :ivar retry_budget_percent: retries in percent of calls, likewise.
@@ -71,7 +69,6 @@
     metrics_address: Address | None = None
     routes_only: bool = False
     retry_slack_attempts: int = 0
-    retry_window_ms: int = DEFAULT_RETRY_WINDOW_MS
     floor_percent: int = 0
     retry_budget_percent: int = 0
     announcement_interval_ms: int = DEFAULT_ANNOUNCEMENT_INTERVAL_MS
@@ -146,7 +143,6 @@
         metrics_address=optional_address("metrics_address"),
         routes_only=message.routes_only,
         retry_slack_attempts=message.retry_slack_attempts,
-        retry_window_ms=message.retry_window_ms or DEFAULT_RETRY_WINDOW_MS,
         floor_percent=message.floor_percent,
         retry_budget_percent=message.retry_budget_percent,
         announcement_interval_ms=(
--- a/packages/laburnumscale/src/laburnumscale/entry.py
+++ b/packages/laburnumscale/src/laburnumscale/entry.py
@@ -15,6 +15,7 @@
 from sanic.exceptions import SanicException
 from sanic.response import json
 
+from laburnumscale.answers import SMALL_BODY_BYTES
 from laburnumscale.callerrequests import (
     check_request,
     is_number,
@@ -26,7 +27,7 @@
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.decisions import DecisionLog
 from laburnumscale.errors import BodyBroken, BodyTooLarge, RequestInvalid
-from laburnumscale.guard import SMALL_BODY_BYTES, STALE_RETRY_AFTER_MS
+from laburnumscale.guard import STALE_RETRY_AFTER_MS
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -11,6 +11,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from laburnumscale.answers import answer_replies
 from laburnumscale.attempts import Attempt, AttemptState, AttemptTable
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import (
@@ -29,7 +30,7 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.observations import Observation
 from laburnumscale.replies import AttemptRefused, unknown
-from laburnumscale.sending import Sending, check_framed, send_once
+from laburnumscale.sending import Sending, send_once
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.slots import hold_slot
 from laburnumscale.targets import LocalTargets
@@ -38,8 +39,6 @@
 
 __all__ = ["Guard"]
 
-SMALL_BODY_BYTES = 64 * 1024
-CHUNK_BYTES = 64 * 1024
 STALE_RETRY_AFTER_MS = 5000
 FORGET_INTERVAL_S = 10
 SERVER_ERROR = 500
@@ -198,7 +197,7 @@
                 self._check_answer(target, settings, head, response, observation)
                 observation.answered(failed=response.status >= SERVER_ERROR)
                 async with aclosing(
-                    self._replies(target, settings, head, response)
+                    answer_replies(target, settings, head.method, response)
                 ) as replies:
                     async for reply in replies:
                         yield reply
@@ -276,39 +275,6 @@
             data=body or None,
         )
 
-    async def _replies(
-        self,
-        target: LocalTarget,
-        settings: EffectiveSettings,
-        head: peer_pb2.CallHead,
-        response: aiohttp.ClientResponse,
-    ) -> AsyncIterator[peer_pb2.CallReply]:
-        if not settings.close_ends_answer:
-            check_framed(head.method, response)
-        reply_head = _reply_head(response)
-        length = response.content_length
-        if length is not None and length <= SMALL_BODY_BYTES:
-            whole = await response.read()
-            yield peer_pb2.CallReply(
-                head=reply_head, body=whole, end=True, load=target.load()
-            )
-            return
-        # The head goes with the first bytes: until then, a failure can be retried.
-        async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-            yield peer_pb2.CallReply(head=reply_head, body=chunk)
-            reply_head = None
-        yield peer_pb2.CallReply(head=reply_head, end=True, load=target.load())
-
-
-def _reply_head(response: aiohttp.ClientResponse) -> peer_pb2.ReplyHead:
-    return peer_pb2.ReplyHead(
-        status=response.status,
-        headers=[
-            peer_pb2.Header(name=name.decode("latin-1"), value=value.decode("latin-1"))
-            for name, value in response.raw_headers
-        ],
-    )
-
 
 def _age_ms(head: peer_pb2.CallHead) -> float:
     """Return how long a message was on its way at most; 0 if that is unknown."""
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -12,7 +12,14 @@
 
 from laburnumscale.errors import LogReplyInvalid, LogUnavailable, LogUnreachable
 
-__all__ = ["Batch", "Log", "PlatformLog", "Record", "sleep_until_retry"]
+__all__ = [
+    "Batch",
+    "Log",
+    "LogReader",
+    "PlatformLog",
+    "Record",
+    "sleep_until_retry",
+]
 
 APPEND_TIMEOUT_S = 2.0
 READ_MARGIN_S = 2.0
@@ -84,6 +91,36 @@
         raise NotImplementedError
 
 
+class LogReader:
+    """Reads one stream: its newest records first, then what follows them."""
+
+    def __init__(self, log: Log, stream: str) -> None:
+        self._log = log
+        self._stream = stream
+        self._offset: int | None = None
+
+    def start_again(self) -> None:
+        """Begin with the newest records at the next reading."""
+        self._offset = None
+
+    async def read(self, wait_ms: int = 0) -> Batch:
+        """Return the newest records, or those since the last reading.
+
+        If the log does not keep all of these any more, the newest are read again.
+
+        :param wait_ms: how long the log may wait for a first record.
+        :raises LaburnumscaleError: the log gave no answer that can be used.
+        """
+        if self._offset is not None:
+            batch = await self._log.read(self._stream, self._offset, wait_ms)
+            if batch.oldest_offset <= self._offset:
+                self._offset = batch.read_on_offset
+                return batch
+        batch = await self._log.newest(self._stream)
+        self._offset = batch.next_offset
+        return batch
+
+
 class PlatformLog(Log):
     """Appends to and reads from the streams of one log service; it has no keys."""
 
--- a/packages/laburnumscale/src/laburnumscale/presence.py
+++ b/packages/laburnumscale/src/laburnumscale/presence.py
@@ -9,7 +9,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import Batch, Log, Record
+from laburnumscale.platformlog import Log, LogReader, Record
 from laburnumscale.views import liveness
 from laburnumscale_schema import peer_pb2
 
@@ -30,7 +30,7 @@
         self._log = log
         self._members = members
         self._metrics = metrics
-        self._offset: int | None = None
+        self._reader = LogReader(log, STREAM)
         self._contacts: dict[str, peer_pb2.Member] = {}
 
     async def announce(self) -> None:
@@ -48,22 +48,10 @@
         :raises LaburnumscaleError: the log gave no answer that can be used.
         """
         self._metrics.count("presence_reads")
-        if self._offset is None:
-            batch = await self._newest()
-        else:
-            batch = await self._log.read(STREAM, self._offset, wait_ms)
-            if batch.oldest_offset > self._offset:
-                batch = await self._newest()
-            else:
-                self._offset = batch.read_on_offset
+        batch = await self._reader.read(wait_ms)
         for record in batch.records:
             self._take(record)
 
-    async def _newest(self) -> Batch:
-        batch = await self._log.newest(STREAM)
-        self._offset = batch.next_offset
-        return batch
-
     def contacts(self) -> list[peer_pb2.Member]:
         """Return daemons with records that are not in the table, newest first."""
         contacts = [
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -12,7 +12,13 @@
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import Batch, Log, Record, sleep_until_retry
+from laburnumscale.platformlog import (
+    Batch,
+    Log,
+    LogReader,
+    Record,
+    sleep_until_retry,
+)
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingssource import SettingsSource
 from laburnumscale_schema import settings_pb2
@@ -64,18 +70,17 @@
         is_tailer: Callable[[], bool],
     ) -> None:
         self._feed = feed
-        self._log = log
+        self._reader = LogReader(log, kind.stream)
         self._metrics = metrics
         self._kind = kind
         self._is_tailer = is_tailer
-        self._offset: int | None = None
 
     async def run(self) -> None:
         """Read documents whenever this daemon is to read them, until cancelled."""
         attempt = 0
         while True:
             if not self._reads_on():
-                self._offset = None
+                self._reader.start_again()
                 await asyncio.sleep(IDLE_S)
                 continue
             try:
@@ -90,24 +95,12 @@
     async def read(self, wait_ms: int) -> Batch:
         """Read the newest document, or wait for the one after it."""
         self._metrics.count("log_reads", f'stream="{self._kind.stream}"')
-        if self._offset is None:
-            batch = await self._newest()
-        else:
-            batch = await self._log.read(self._kind.stream, self._offset, wait_ms)
-            if batch.oldest_offset > self._offset:
-                batch = await self._newest()
-            else:
-                self._offset = batch.read_on_offset
+        batch = await self._reader.read(wait_ms)
         for record in batch.records:
             self._take(record)
         self._regained()
         return batch
 
-    async def _newest(self) -> Batch:
-        batch = await self._log.newest(self._kind.stream)
-        self._offset = batch.next_offset
-        return batch
-
     def _reads_on(self) -> bool:
         silence_s = time.monotonic() - self._feed.peer_contact_at_s
         return (
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -42,7 +42,7 @@
     """
     if target.state != READY:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
-    if target.running < target.slots:
+    if target.running < _slots(target, settings):
         target.running += 1
     else:
         await _wait_for_slot(target, settings, sending, head)
@@ -55,6 +55,11 @@
         release_slot(target)
 
 
+def _slots(target: LocalTarget, settings: EffectiveSettings) -> int:
+    """Return how many calls a target takes at a time; each needs a connection."""
+    return min(target.slots, settings.connection_limit or target.slots)
+
+
 def release_slot(target: LocalTarget) -> None:
     """Give a slot to the next call that waits, or free it."""
     if target.running > target.slots or not target.queue.grant_next():
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -42,6 +42,11 @@
     Then a call of rank 1 expects the next slot to be its own
     And a call of rank 2 expects 4 slots until its own
 
+  Scenario: A target gets no more calls at a time than it accepts connections
+    Given a target with 5 slots that accepts 2 connections
+    When 3 calls that do not wait ask it for a slot
+    Then 2 of them have a slot
+
   Scenario: A full queue turns the least urgent call away for a more urgent one
     Given calls wait for a slot with ranks 1, 2, 2
     When a call of rank 1 needs a place in the queue
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -2,11 +2,13 @@
 import os
 import time
 from collections import Counter
+from contextlib import AsyncExitStack, suppress
 
 import attrs
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
+from laburnumscale.attempts import Attempt
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
 from laburnumscale.deadlines import Deadline
@@ -27,7 +29,9 @@
 from laburnumscale.retrybudget import LEAST_GROUP, RetryBudget
 from laburnumscale.returning import EjectionTime
 from laburnumscale.routing import Router, eligible
+from laburnumscale.sending import Sending
 from laburnumscale.slotqueue import SlotQueue
+from laburnumscale.slots import hold_slot
 from laburnumscale.targets import LocalTargets
 from laburnumscale.tree import EffectiveSettings
 from laburnumscale_schema import peer_pb2, settings_pb2
@@ -108,6 +112,37 @@
     assert context.queue.expected_turns(rank) == turns
 
 
+@given("a target with {slots:d} slots that accepts {connections:d} connections")
+def step_connections(context, slots, connections):
+    address = Address("127.0.0.1", 1)
+    lease = Deadline.after_ms(1000)
+    context.target = LocalTarget("slot-desk", "e1", address, slots, READY, lease)
+    settings = EffectiveSettings()
+    context.settings = attrs.evolve(settings, connection_limit=connections)
+
+
+@when("{count:d} calls that do not wait ask it for a slot")
+def step_ask(context, count):
+    head = peer_pb2.CallHead(no_wait=True)
+    deadline = Deadline.after_ms(1000)
+    sending = Sending(Attempt(), deadline, deadline)
+
+    async def ask():
+        async with AsyncExitStack() as slots:
+            with suppress(AttemptRefused):
+                for _ in range(count):
+                    slot = hold_slot(context.target, context.settings, sending, head)
+                    await slots.enter_async_context(slot)
+            context.running = context.target.running
+
+    asyncio.run(ask())
+
+
+@then("{count:d} of them have a slot")
+def step_have_slot(context, count):
+    assert context.running == count, context.running
+
+
 @when("a call of rank {rank:d} needs a place in the queue")
 def step_displace(context, rank):
     refusal = AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED)
