--- a/packages/laburnumscalectl/src/laburnumscalectl/cli.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/cli.py
@@ -59,7 +59,7 @@
 
 def trace(options: argparse.Namespace, client: OperatorClient) -> int:
     """Tell from the logs of daemons what became of a request."""
-    with fileinput.input(options.file, openhook=_open_log) as texts:
+    with fileinput.input(options.file, encoding="utf-8", errors="replace") as texts:
         found = trace_request(options.request_id, read_lines(texts))
     if options.json:
         print(json.dumps(found.as_dict(), indent=2))
@@ -68,10 +68,6 @@
     return 0
 
 
-def _open_log(name: str, mode: str):
-    return open(name, mode, errors="replace")
-
-
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="laburnumscalectl",
--- a/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
@@ -59,16 +59,18 @@
         }
 
     def as_text(self) -> Iterator[str]:
-        """Yield the lines of the story."""
+        """Yield the lines of the story, in the order of their times."""
         start_s = min(_started_at_s(line) for line in self.lines)
+        moments = [(line.at_s, _plain_text(line)) for line in self.context]
+        for line in self.lines:
+            moments.extend(_moments(line))
         yield f"request {self.request_id}"
-        for line in self.context:
-            yield f"  {_seconds(line.at_s - start_s)}  {_context_text(line)}"
+        for at_s, text in sorted(moments, key=lambda moment: moment[0]):
+            yield f"  {at_s - start_s:+9.3f} s  {text}"
         for line in self.lines:
-            if line.event == CALL_ENDED:
-                yield from _call_text(line, start_s)
-            else:
-                yield f"  {_seconds(line.at_s - start_s)}  {_plain_text(line)}"
+            if line.fields.get("stands_for", 1) > 1:
+                count = line.fields["stands_for"]
+                yield f"  the line stands for {count} answered calls"
         for text in self.missing:
             yield f"  not told: {text}"
 
@@ -129,31 +131,32 @@
     return line.at_s - line.fields.get("elapsed_ms", 0) / MS_PER_S
 
 
-def _call_text(line: LogLine, start_s: float) -> Iterator[str]:
+def _moments(line: LogLine) -> Iterator[tuple[float, str]]:
+    """Yield the times and texts of what a line on the request tells."""
+    if line.event != CALL_ENDED:
+        yield line.at_s, _plain_text(line)
+        return
     fields = line.fields
     repeat = "may be repeated" if fields["idempotent"] else "may run once"
-    at_s = _started_at_s(line) - start_s
+    at_s = _started_at_s(line)
     yield (
-        f"  {_seconds(at_s)}  {line.daemon} took it for {fields['service']} ({repeat},"
-        f" settings revision {fields['revision']})"
+        at_s,
+        f"{line.daemon} took it for {fields['service']} ({repeat}, settings revision"
+        f" {fields['revision']})",
     )
     for attempt in fields["attempts"]:
         at_s += attempt["elapsed_ms"] / MS_PER_S
         yield (
-            f"  {_seconds(at_s)}  {attempt['endpoint']} at {attempt['daemon']}:"
-            f" {attempt['result']} after {attempt['elapsed_ms']} ms"
+            at_s,
+            f"{attempt['endpoint']} at {attempt['daemon']}: {attempt['result']} after"
+            f" {attempt['elapsed_ms']} ms",
         )
     status = f" with status {fields['status']}" if fields.get("status") else ""
     yield (
-        f"  {_seconds(line.at_s - start_s)}  ended: {fields['outcome']}"
-        f" {fields['reason']}{status}, {fields['left_ms']} ms left"
+        line.at_s,
+        f"ended: {fields['outcome']} {fields['reason']}{status},"
+        f" {fields['left_ms']} ms left",
     )
-    if fields.get("stands_for", 1) > 1:
-        yield f"  the line stands for {fields['stands_for']} answered calls"
-
-
-def _context_text(line: LogLine) -> str:
-    return f"before: {_plain_text(line)}"
 
 
 def _plain_text(line: LogLine) -> str:
@@ -162,7 +165,3 @@
         f"{name}={value}" for name, value in line.fields.items() if name not in left_out
     )
     return f"{line.daemon}: {line.event} ({details})"
-
-
-def _seconds(at_s: float) -> str:
-    return f"{at_s:+9.3f} s"
