Write a page of all metrics from the sources

Cause: on-call engineers have logs and metrics, and only five of 68 metrics were described. Change: docs/METRICS.md is made from the sources and one description each; make check fails for a metric without one, and for a stale page.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: venv demo test features check format generate check-generated settings-page \
+	metrics-page \
 	soak bench bench-settings bench-capacity clean
 
 venv: $(VENV)/.stamp
@@ -34,6 +35,7 @@
 	$(VENV)/bin/ruff format --check $(SOURCES)
 	$(VENV)/bin/ruff check $(SOURCES)
 	$(PY) -m tools.settings_page --check
+	$(PY) -m tools.metrics_page --check
 
 format: venv
 	$(VENV)/bin/ruff format $(SOURCES)
@@ -42,6 +44,9 @@
 settings-page: venv
 	$(PY) -m tools.settings_page
 
+metrics-page: venv
+	$(PY) -m tools.metrics_page
+
 bench: venv
 	$(PY) -m bench.performance
 	$(PY) -m bench.performance --profile
