End the processes of the tests with their runner

Cause: a run of the features that was ended left daemons and stand-ins behind, which held ports in later runs.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -6,9 +6,12 @@
 import argparse
 import json
 import os
+import signal
 import subprocess
 import sys
+import threading
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 
 import attrs
@@ -18,6 +21,45 @@
 RESULTS = ROOT / "build" / "behave"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 WORKERS = 4
+EXIT_ENDED = 128 + signal.SIGTERM
+
+
+class Runs:
+    """The behave processes that are running."""
+
+    def __init__(self) -> None:
+        self._processes: set[subprocess.Popen] = set()
+        self._lock = threading.Lock()
+        self._ended = False
+
+    def run(self, command: list[str]) -> tuple[int, str]:
+        """Run a command to its end, unless all are ended.
+
+        :returns: its exit code and its output.
+        """
+        with self._lock:
+            if self._ended:
+                return EXIT_ENDED, ""
+            process = subprocess.Popen(
+                command,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                cwd=ROOT,
+                process_group=0,
+            )
+            self._processes.add(process)
+        output, _ = process.communicate()
+        with self._lock:
+            self._processes.discard(process)
+        return process.returncode, output
+
+    def end_all(self) -> None:
+        """End what runs, with the processes of its scenarios, and start no more."""
+        with self._lock:
+            self._ended = True
+            for process in self._processes:
+                os.killpg(process.pid, signal.SIGKILL)
 
 
 @attrs.frozen
@@ -46,18 +88,19 @@
     }
 
 
-def run_feature(path: Path) -> list[Result]:
-    """Run one feature file and return the results of its scenarios."""
-    report = RESULTS / f"{path.stem}.json"
+def run_feature(path: Path, reports: Path, runs: Runs) -> list[Result]:
+    """Run one feature file and return the results of its scenarios.
+
+    :param reports: directory for behave's report.
+    """
+    report = reports / f"{path.stem}.json"
     report.unlink(missing_ok=True)
     command = [sys.executable, "-m", "behave", "--no-color", "--no-timings"]
     command += ["-f", "json", "-o", str(report), "-f", "plain", str(path)]
-    done = subprocess.run(
-        command, capture_output=True, text=True, cwd=ROOT, check=False
-    )
+    exit_code, output = runs.run(command)
     results = _results(path, report)
-    if done.returncode != 0:
-        print(done.stdout, done.stderr, sep="\n", flush=True)
+    if exit_code != 0:
+        print(output, flush=True)
         if all(result.status == "passed" for result in results):
             results.append(Result(path.name, "(behave itself)", "failed"))
     return results
@@ -83,13 +126,24 @@
     parser.add_argument(
         "--workers", type=int, default=int(os.environ.get("WORKERS", WORKERS))
     )
+    parser.add_argument("--reports", type=Path, default=RESULTS, metavar="DIRECTORY")
     options = parser.parse_args()
-    RESULTS.mkdir(parents=True, exist_ok=True)
+    options.reports.mkdir(parents=True, exist_ok=True)
     paths = sorted(FEATURES.glob("*.feature"))
     if options.features:
         paths = [path for path in paths if path.name in options.features]
+    runs = Runs()
+
+    def end(*_) -> None:
+        # In a thread of its own, as the signal may come while the lock is held.
+        threading.Thread(target=runs.end_all).start()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, end)
     with ThreadPoolExecutor(options.workers) as pool:
-        results = [result for part in pool.map(run_feature, paths) for result in part]
+        run = partial(run_feature, reports=options.reports, runs=runs)
+        parts = pool.map(run, paths)
+        results = [result for part in parts for result in part]
     red = known_red()
     for result in results:
         note = " (known red)" if result.key in red else ""
