Let the stand-ins of log and store share streams and failures

Cause: both held the same records, waits and test interface; two steps of the features were the same. Change: tests.standins.streams has them once.

--- a/tests/features/outcomes_load.feature
+++ b/tests/features/outcomes_load.feature
@@ -53,7 +53,7 @@
     And the outcomes retries are within 20 percent of the calls
 
   Scenario: Outcomes: random faults, together and twice
-    Given outcomes links between daemons d1, d2, d3
+    Given links between daemons d1, d2, d3
     And a fleet of 3 daemons in makati, pasig
     And outcomes targets with ledger files e1, e2, e3 beside d1, d2, d3
     And the fleet is ready with the settings of bantayog
--- a/tests/features/steps/outcomes_load_steps.py
+++ b/tests/features/steps/outcomes_load_steps.py
@@ -248,15 +248,6 @@
     return sum(map(int, found))
 
 
-@given("outcomes links between daemons {names}")
-def step_links(context, names):
-    daemons = names.split(", ")
-    for source in daemons:
-        for destination in daemons:
-            if source != destination:
-                context.fleet.link_daemons(source, destination)
-
-
 @given("outcomes targets with ledger files {endpoints} beside {daemons}")
 def step_ledger_targets(context, endpoints, daemons):
     pairs = zip(endpoints.split(", "), daemons.split(", "), strict=True)
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -11,7 +11,7 @@
 import aiohttp
 from aiohttp import web
 
-from tests.standins.log import abort
+from tests.standins.streams import abort
 
 __all__ = ["EndpointStandIn"]
 
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -6,31 +6,16 @@
 import argparse
 import asyncio
 import base64
-import socket
-import struct
-from collections import Counter, defaultdict
+from collections import defaultdict
 
-import attrs
 from aiohttp import web
 
-__all__ = ["LogStandIn", "Stream", "abort", "reset_on_close"]
+from tests.standins.streams import FaultyApp, Stream, abort
 
+__all__ = ["LogStandIn"]
 
-@attrs.define(eq=False)
-class Stream:
-    """Records of one stream; ``oldest`` is the offset of the first kept one."""
 
-    records: list[bytes] = attrs.field(factory=list)
-    oldest: int = 0
-    appended: asyncio.Condition = attrs.field(factory=asyncio.Condition)
-
-    @property
-    def next(self) -> int:
-        """Return the offset of the next record."""
-        return self.oldest + len(self.records)
-
-
-class LogStandIn:
+class LogStandIn(FaultyApp):
     """The HTTP application of the stand-in.
 
     ``/faults`` takes ``down``, ``delay_ms``, ``lose_replies`` (appends whose reply
@@ -41,6 +26,7 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.streams: dict[str, Stream] = defaultdict(Stream)
         self.down = False
         self.delay_ms = 0
@@ -49,16 +35,14 @@
         self.hold_appends = 0
         self.read_limit = 0
         self.held: dict[str, list[bytes]] = defaultdict(list)
-        self.counts: Counter[str] = Counter()
 
     def app(self) -> web.Application:
         """Return the application."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
+        self.add_routes(app)
         app.router.add_post("/streams/{stream}", self.append)
         app.router.add_get("/streams/{stream}", self.read)
-        app.router.add_post("/faults", self.faults)
         app.router.add_post("/release/{stream}", self.release)
-        app.router.add_get("/counts", self.count)
         app.router.add_post("/retention/{stream}/{offset}", self.drop)
         return app
 
@@ -74,44 +58,26 @@
             self.held[name].append(payload)
             abort(request)
             raise web.HTTPServiceUnavailable
-        offset = await self._take(stream, payload)
+        offset = await stream.append([payload])
         self._count_append()
         if self.lose_replies > 0:
             self.lose_replies -= 1
             abort(request)
         return web.json_response({"offset": offset})
 
-    async def _take(self, stream: Stream, payload: bytes) -> int:
-        offset = stream.next
-        stream.records.append(payload)
-        async with stream.appended:
-            stream.appended.notify_all()
-        return offset
-
     async def release(self, request: web.Request) -> web.Response:
         """Let the held appends of a stream take effect."""
         name = request.match_info["stream"]
-        for payload in self.held.pop(name, []):
-            await self._take(self.streams[name], payload)
+        await self.streams[name].append(self.held.pop(name, []))
         return web.json_response({})
 
-    async def count(self, request: web.Request) -> web.Response:
-        """Return how many requests came."""
-        return web.json_response(self.counts)
-
     async def read(self, request: web.Request) -> web.Response:
         """Return records from an offset on, waiting for a first one."""
         self.counts[f"read {request.match_info['stream']}"] += 1
         await self._suffer(request)
         stream = self.streams[request.match_info["stream"]]
         offset = max(int(request.query.get("from", "0")), stream.oldest)
-        wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        if offset >= stream.next and wait_s:
-            try:
-                async with asyncio.timeout(wait_s), stream.appended:
-                    await stream.appended.wait_for(lambda: stream.next > offset)
-            except TimeoutError:
-                pass
+        await stream.wait(offset, int(request.query.get("wait_ms", "0")) / 1000)
         await self._suffer(request)
         records = [
             {"offset": stream.oldest + index, "payload": base64.b64encode(p).decode()}
@@ -124,18 +90,10 @@
             {"records": records, "oldest": stream.oldest, "next": stream.next}
         )
 
-    async def faults(self, request: web.Request) -> web.Response:
-        """Set the failures."""
-        for name, value in (await request.json()).items():
-            setattr(self, name, value)
-        return web.json_response({})
-
     async def drop(self, request: web.Request) -> web.Response:
         """Drop the records before an offset."""
         stream = self.streams[request.match_info["stream"]]
-        offset = int(request.match_info["offset"])
-        del stream.records[: max(0, offset - stream.oldest)]
-        stream.oldest = max(stream.oldest, offset)
+        stream.drop_before(int(request.match_info["offset"]))
         return web.json_response({})
 
     def _count_append(self) -> None:
@@ -151,21 +109,6 @@
             raise web.HTTPServiceUnavailable
 
 
-def abort(request: web.Request) -> None:
-    """Break the connection of a request, unless the client did."""
-    if request.transport is not None:
-        reset_on_close(request.transport)
-        request.transport.abort()
-
-
-def reset_on_close(transport: asyncio.Transport) -> None:
-    """Let the end of a connection be a reset, which has no orderly close."""
-    linger = struct.pack("ii", 1, 0)
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 def main() -> None:
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -4,14 +4,13 @@
 """
 
 import argparse
-import asyncio
 import base64
 import struct
-from collections import Counter, defaultdict
+from collections import defaultdict
 
 from aiohttp import web
 
-from tests.standins.log import Stream, abort
+from tests.standins.streams import FaultyApp, Stream, abort
 
 __all__ = ["StoreStandIn", "split_records"]
 
@@ -30,7 +29,7 @@
     return records
 
 
-class StoreStandIn:
+class StoreStandIn(FaultyApp):
     """The HTTP application of the stand-in.
 
     ``/faults`` takes ``down``, ``status`` (answered in place of anything else),
@@ -40,31 +39,29 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.topics: dict[str, Stream] = defaultdict(Stream)
         self.down = False
         self.status = 0
         self.lose_replies = 0
         self.garbage = False
-        self.counts: Counter[str] = Counter()
 
     def app(self) -> web.Application:
         """Return the application."""
         app = web.Application(client_max_size=4 * 1024 * 1024)
+        self.add_routes(app)
         app.router.add_post("/-/log-append", self.append)
         app.router.add_get("/-/log-read", self.read)
         app.router.add_get("/-/log-newest", self.newest)
-        app.router.add_post("/faults", self.faults)
         app.router.add_post("/trim/{topic}/{offset}", self.trim)
         app.router.add_post("/put/{topic}/{key}", self.put)
-        app.router.add_get("/counts", self.count)
         return app
 
     async def append(self, request: web.Request) -> web.Response:
         """Append the records of the body."""
         await self._suffer(request, "append")
         stream = self.topics[request.query["topic"]]
-        offset = stream.next
-        await self._take(stream, split_records(await request.read()))
+        offset = await stream.append(split_records(await request.read()))
         if self.lose_replies > 0:
             self.lose_replies -= 1
             abort(request)
@@ -77,13 +74,7 @@
         offset = int(request.query["from"])
         if offset < stream.oldest:
             return web.json_response({"first": stream.oldest}, status=410)
-        wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        if offset >= stream.next and wait_s:
-            try:
-                async with asyncio.timeout(wait_s), stream.appended:
-                    await stream.appended.wait_for(lambda: stream.next > offset)
-            except TimeoutError:
-                pass
+        await stream.wait(offset, int(request.query.get("wait_ms", "0")) / 1000)
         await self._suffer(request, "answer")
         records = stream.records[max(0, offset - stream.oldest) :]
         head = struct.pack(">QQ", stream.next, stream.oldest)
@@ -112,32 +103,15 @@
         """Append the body under a key."""
         key = request.match_info["key"].encode()
         record = bytes([len(key)]) + key + await request.read()
-        await self._take(self.topics[request.match_info["topic"]], [record])
+        await self.topics[request.match_info["topic"]].append([record])
         return web.json_response({})
 
     async def trim(self, request: web.Request) -> web.Response:
         """Drop the records before an offset."""
         stream = self.topics[request.match_info["topic"]]
-        offset = int(request.match_info["offset"])
-        del stream.records[: max(0, offset - stream.oldest)]
-        stream.oldest = max(stream.oldest, offset)
+        stream.drop_before(int(request.match_info["offset"]))
         return web.json_response({})
 
-    async def faults(self, request: web.Request) -> web.Response:
-        """Set the failures."""
-        for name, value in (await request.json()).items():
-            setattr(self, name, value)
-        return web.json_response({})
-
-    async def count(self, request: web.Request) -> web.Response:
-        """Return how many calls came, by kind."""
-        return web.json_response(self.counts)
-
-    async def _take(self, stream: Stream, records: list[bytes]) -> None:
-        stream.records.extend(records)
-        async with stream.appended:
-            stream.appended.notify_all()
-
     async def _suffer(self, request: web.Request, kind: str) -> None:
         self.counts[kind] += 1
         if self.down:
