Share what tools, stand-ins and the trace had twice

Cause, from reading the whole change again: two tools wrote or checked their page with the same command line; six stand-ins served their application in the same way, and two took the same options; callers and view watchers started and ended threads alike; freezing a daemon was two pairs of steps; the trace asked whether a daemon that wrote a line had written one, and the name of the line on calls stood in two readers. Change: tools.pages, tests.standins.serving and tests.standins.loops, one pair of steps, one CALL_ENDED; the dead check is gone. Behaviour, checks and assertions are the same; the daemon is not touched.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -14,11 +14,10 @@
 import matplotlib
 import matplotlib.pyplot as plt
 
-from laburnumscalectl.logfiles import LogLine, read_lines
+from laburnumscalectl.logfiles import CALL_ENDED, LogLine, read_lines
 
 __all__ = ["Losses", "main"]
 
-CALL_ENDED = "call ended"
 DAEMON_STARTED = "daemon started"
 SERVER_ERROR = 500
 IN_SERVICE = "in service"
--- a/packages/laburnumscalectl/src/laburnumscalectl/logfiles.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/logfiles.py
@@ -9,7 +9,10 @@
 
 import attrs
 
-__all__ = ["LogLine", "read_lines"]
+__all__ = ["CALL_ENDED", "LogLine", "read_lines"]
+
+#: The line that a daemon writes when a call of its callers is over.
+CALL_ENDED = "call ended"
 
 
 @attrs.frozen
--- a/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
@@ -3,6 +3,7 @@
 Tells the story of one request from the log lines of daemons.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import ClassVar
@@ -10,11 +11,10 @@
 import attrs
 
 from laburnumscale.errors import LaburnumscaleError
-from laburnumscalectl.logfiles import LogLine
+from laburnumscalectl.logfiles import CALL_ENDED, LogLine
 
 __all__ = ["RequestUnknown", "Trace", "trace_request"]
 
-CALL_ENDED = "call ended"
 REQUEST_REFUSED = "request refused"
 LINES_DROPPED = "log lines dropped"
 MS_PER_S = 1000
@@ -110,11 +110,10 @@
     guards = {attempt["daemon"] for attempt in _attempts(found)}
     for daemon in sorted(guards - heard):
         texts.append(f"no log of {daemon} was given, which guards a target")
-    dropped: dict[str, int] = {}
+    dropped: Counter[str] = Counter()
     for line in ordered:
-        if line.event == LINES_DROPPED and line.daemon in heard:
-            count = int(line.fields.get("count", 0))
-            dropped[line.daemon] = dropped.get(line.daemon, 0) + count
+        if line.event == LINES_DROPPED:
+            dropped[line.daemon] += int(line.fields.get("count", 0))
     for daemon, count in sorted(dropped.items()):
         texts.append(f"{daemon} dropped {count} log lines")
     if not any(line.event in (CALL_ENDED, REQUEST_REFUSED) for line in found):
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -40,11 +40,11 @@
 
   Scenario: A change is in the log but only one daemon holds it
     Given a settings fleet of 2 daemons in makati, pasig
-    When daemon d2 is suspended by the settings test
+    When member d2 is frozen
     And operator amihan sets time_limit_ms of slot-desk to 700 at d1
     Then the operator is told undetermined with exit code 3
     And the operator reads "held only by d1"
-    When daemon d2 is resumed by the settings test
+    When member d2 goes on
     And the operator settles the change at d1
     Then the operator is told accepted with exit code 0
 
--- a/tests/features/settings_outage.feature
+++ b/tests/features/settings_outage.feature
@@ -15,19 +15,19 @@
   Scenario: Suspended daemons catch up with the log up
     Given a settings fleet of 4 daemons in makati, pasig
     And the revisions of all daemons are sampled
-    When daemon d4 is suspended by the settings test
+    When member d4 is frozen
     And operator amihan makes 5 changes at d1
-    And daemon d4 is resumed by the settings test
+    And member d4 goes on
     Then within 10 s all daemons hold the same settings as d1
     And no daemon's revision has gone down
 
   Scenario: A suspended and a replaced daemon catch up with the log away
     Given a settings fleet of 4 daemons in makati, pasig
     And the revisions of all daemons are sampled
-    When daemon d4 is suspended by the settings test
+    When member d4 is frozen
     And operator amihan makes 5 changes at d1
     And the log fails and stays away
-    And daemon d4 is resumed by the settings test
+    And member d4 goes on
     And daemon d3 is replaced by one with seeds d1, d2
     Then within 10 s all daemons hold the same settings as d1
     And no daemon's revision has gone down
--- a/tests/features/settings_records.feature
+++ b/tests/features/settings_records.feature
@@ -4,11 +4,11 @@
     Given a settings fleet with snapshot_interval_ms 1000 of 3 daemons in makati, pasig
     And operator amihan makes 6 changes at d1
     When the settings stream holds 2 snapshots of the present tree
-    And daemon d3 is suspended by the settings test
+    And member d3 is frozen
     And operator amihan makes 2 changes at d1
     And the settings stream holds 2 snapshots of the present tree
     And retention drops all records before the last snapshot
-    And daemon d3 is resumed by the settings test
+    And member d3 goes on
     Then within 10 s all daemons hold the same settings as d1
     When the settings stream holds 1 snapshots of the present tree
     And all daemons are ended and d4 is started alone in pasig
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -139,16 +139,6 @@
     context.fleet.log_faults(read_limit=count)
 
 
-@when("daemon {daemon} is suspended by the settings test")
-def step_suspend(context, daemon):
-    context.fleet.daemons[daemon].process.send_signal(signal.SIGSTOP)
-
-
-@when("daemon {daemon} is resumed by the settings test")
-def step_resume(context, daemon):
-    context.fleet.daemons[daemon].process.send_signal(signal.SIGCONT)
-
-
 def seed_addresses(context, seeds):
     ports = [context.fleet.daemon_ports(seed)["peer"] for seed in seeds.split(", ")]
     return [f"127.0.0.1:{port}" for port in ports]
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from tests.standins.serving import serve, target_parser
 from tests.standins.streams import abort
 
 __all__ = ["EndpointStandIn"]
@@ -159,21 +160,9 @@
 
 def main() -> None:
     """Run the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--daemon", required=True, help="IP:PORT for heartbeats")
-    parser.add_argument("--service", required=True)
-    parser.add_argument("--endpoint", required=True)
-    parser.add_argument("--slots", type=int, default=5)
-    parser.add_argument("--latency-ms", type=float, default=1.0)
-    options = parser.parse_args()
-    web.run_app(
-        EndpointStandIn(options).app(),
-        host="127.0.0.1",
-        port=options.port,
-        print=lambda _: None,
-        handler_cancellation=True,
-    )
+    options = target_parser(__doc__).parse_args()
+    app = EndpointStandIn(options).app()
+    serve(app, options.port, handler_cancellation=True)
 
 
 if __name__ == "__main__":
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -4,12 +4,13 @@
 doubles, reorders, cuts or resets them in one direction or both.
 """
 
-import argparse
 import asyncio
 
 import attrs
 from aiohttp import web
 
+from tests.standins.serving import port_parser, serve
+
 __all__ = ["FaultyLink"]
 
 CHUNK_BYTES = 16 * 1024
@@ -197,13 +198,9 @@
 
 
 def main() -> None:
-    """Run the links of one test."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True, help="for the control")
-    options = parser.parse_args()
-    web.run_app(
-        LinkControl().app(), host="127.0.0.1", port=options.port, print=lambda _: None
-    )
+    """Run the stand-in."""
+    options = port_parser(__doc__).parse_args()
+    serve(LinkControl().app(), options.port)
 
 
 if __name__ == "__main__":
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -3,13 +3,13 @@
 Streams of records in memory over HTTP, with the failures of the real service.
 """
 
-import argparse
 import asyncio
 import base64
 from collections import defaultdict
 
 from aiohttp import web
 
+from tests.standins.serving import port_parser, serve
 from tests.standins.streams import FaultyApp, Stream, abort
 
 __all__ = ["LogStandIn"]
@@ -111,12 +111,8 @@
 
 def main() -> None:
     """Run the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
-    options = parser.parse_args()
-    web.run_app(
-        LogStandIn().app(), host="127.0.0.1", port=options.port, print=lambda _: None
-    )
+    options = port_parser(__doc__).parse_args()
+    serve(LogStandIn().app(), options.port)
 
 
 if __name__ == "__main__":
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -3,13 +3,13 @@
 Topics of keyed records over HTTP, by the platform's protocol, with its failures.
 """
 
-import argparse
 import base64
 import struct
 from collections import defaultdict
 
 from aiohttp import web
 
+from tests.standins.serving import port_parser, serve
 from tests.standins.streams import FaultyApp, Stream, abort
 
 __all__ = ["StoreStandIn", "split_records"]
@@ -135,12 +135,8 @@
 
 def main() -> None:
     """Run the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
-    options = parser.parse_args()
-    web.run_app(
-        StoreStandIn().app(), host="127.0.0.1", port=options.port, print=lambda _: None
-    )
+    options = port_parser(__doc__).parse_args()
+    serve(StoreStandIn().app(), options.port)
 
 
 if __name__ == "__main__":
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -11,6 +11,8 @@
 import aiohttp
 from aiohttp import web
 
+from tests.standins.serving import serve, target_parser
+
 __all__ = ["TargetStandIn"]
 
 RENEW_INTERVAL_S = 0.3
@@ -168,23 +170,12 @@
 
 def main() -> None:
     """Run the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = target_parser(__doc__)
     parser.add_argument("--announced-port", type=int, default=0)
-    parser.add_argument("--daemon", required=True, help="IP:PORT for targets")
-    parser.add_argument("--service", required=True)
-    parser.add_argument("--endpoint", required=True)
-    parser.add_argument("--slots", type=int, default=5)
-    parser.add_argument("--latency-ms", type=float, default=1.0)
     parser.add_argument("--ledger-file", default="", help="survives the process")
     options = parser.parse_args()
-    web.run_app(
-        TargetStandIn(options).app(),
-        host="127.0.0.1",
-        port=options.port,
-        print=lambda _: None,
-        handler_cancellation=True,
-    )
+    app = TargetStandIn(options).app()
+    serve(app, options.port, handler_cancellation=True)
 
 
 if __name__ == "__main__":
--- a/tests/standins/targetgroup.py
+++ b/tests/standins/targetgroup.py
@@ -3,7 +3,6 @@
 Runs many targets in one process, each on a port of its own, with timed failures.
 """
 
-import argparse
 import asyncio
 import random
 import time
@@ -12,6 +11,8 @@
 import attrs
 from aiohttp import web
 
+from tests.standins.serving import port_parser, serve
+
 __all__ = ["GroupedTarget", "TargetGroup"]
 
 RENEW_INTERVAL_S = 0.5
@@ -183,14 +184,10 @@
 
 def main() -> None:
     """Run the group."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True, help="for the control")
+    parser = port_parser(__doc__)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    group = TargetGroup(options.seed)
-    web.run_app(
-        group.control(), host="127.0.0.1", port=options.port, print=lambda _: None
-    )
+    serve(TargetGroup(options.seed).control(), options.port)
 
 
 if __name__ == "__main__":
--- a/tests/standins/views.py
+++ b/tests/standins/views.py
@@ -4,10 +4,10 @@
 """
 
 import json
-import threading
 import time
 
 from tests.standins.fleet import DaemonProcess, Fleet, request
+from tests.standins.loops import Loops
 
 __all__ = ["ViewWatcher", "listed", "member_states"]
 
@@ -36,7 +36,7 @@
     return {name for name, (state, _) in view.items() if state in ("ALIVE", "SUSPECT")}
 
 
-class ViewWatcher:
+class ViewWatcher(Loops):
     """Notes who was ever dropped from which view since ``start``.
 
     :ivar dropped: names that were missing at least once, by observer.
@@ -46,25 +46,13 @@
         self.dropped: dict[str, set[str]] = {name: set() for name in names}
         self._fleet = fleet
         self._names = names
-        self._stopping = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._watch, args=(name,), daemon=True)
-            for name in sorted(names)
-        ]
-        for thread in self._threads:
-            thread.start()
+        super().__init__(sorted(names))
 
-    def stop(self) -> None:
-        """End the sampling."""
-        self._stopping.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _watch(self, observer: str) -> None:
+    def _run(self, name: str) -> None:
         while not self._stopping.is_set():
             started_at_s = time.monotonic()
-            view = member_states(self._fleet.daemons[observer])
+            view = member_states(self._fleet.daemons[name])
             if view:
-                self.dropped[observer] |= self._names - listed(view)
+                self.dropped[name] |= self._names - listed(view)
             left_s = started_at_s + SAMPLE_INTERVAL_S - time.monotonic()
             self._stopping.wait(max(0.0, left_s))
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -3,7 +3,6 @@
 Writes docs/METRICS.md from the sources and the descriptions here, or checks it.
 """
 
-import argparse
 import ast
 import sys
 from collections.abc import Iterator
@@ -11,7 +10,8 @@
 
 import attrs
 
-ROOT = Path(__file__).parent.parent
+from tools.pages import ROOT, write_or_check
+
 SOURCES = ROOT / "packages" / "laburnumscale" / "src" / "laburnumscale"
 PAGE = ROOT / "docs" / "METRICS.md"
 KINDS = {"count": "counter", "record_us": "histogram"}
@@ -157,40 +157,33 @@
     return (value,)
 
 
-def page(uses: list[Use]) -> str:
-    """Return the text of the page."""
-    rows = {}
-    for use in uses:
-        for name in use.names:
-            row = rows.setdefault(name, (use.kind, set()))
-            row[1].add(f"`{use.module}`")
-    lines = [
-        f"| `{name}` | {kind} | {', '.join(sorted(modules))} | {DESCRIPTIONS[name]} |"
-        for name, (kind, modules) in sorted(rows.items())
-    ]
-    return INTRODUCTION + "\n".join(lines) + "\n"
-
-
 def find_undescribed(uses: list[Use]) -> set[str]:
     """Return the metrics without a description, and descriptions without a metric."""
     names = {name for use in uses for name in use.names}
     return names ^ set(DESCRIPTIONS)
 
 
-def main() -> None:
-    """Write or check the page."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true", help="write nothing")
-    options = parser.parse_args()
+def page() -> str:
+    """Return the text of the page; exits if a metric has no description."""
     uses = list(find_uses())
     undescribed = find_undescribed(uses)
     if undescribed:
         sys.exit(f"metrics_page: not described, or not there: {sorted(undescribed)}")
-    text = page(uses)
-    if not options.check:
-        PAGE.write_text(text)
-    elif not PAGE.exists() or PAGE.read_text() != text:
-        sys.exit("metrics_page: docs/METRICS.md is stale; run make metrics-page")
+    rows: dict[str, tuple[str, set[str]]] = {}
+    for use in uses:
+        for name in use.names:
+            _, modules = rows.setdefault(name, (use.kind, set()))
+            modules.add(f"`{use.module}`")
+    lines = [
+        f"| `{name}` | {kind} | {', '.join(sorted(modules))} | {DESCRIPTIONS[name]} |"
+        for name, (kind, modules) in sorted(rows.items())
+    ]
+    return INTRODUCTION + "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Run the command line."""
+    write_or_check(__doc__, PAGE, page, "metrics-page")
 
 
 if __name__ == "__main__":
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -3,7 +3,6 @@
 Writes docs/SETTINGS.md from the schema, the ranges and the defaults, or checks it.
 """
 
-import argparse
 import sys
 import tempfile
 from pathlib import Path
@@ -15,8 +14,8 @@
 from laburnumscale import daemonsettings
 from laburnumscale.publishing import RANGES
 from laburnumscale.tree import EffectiveSettings
+from tools.pages import ROOT, write_or_check
 
-ROOT = Path(__file__).parent.parent
 PROTO_DIR = ROOT / "packages" / "laburnumscale-schema" / "proto"
 PAGE = ROOT / "docs" / "SETTINGS.md"
 MESSAGE_FIELD = 4
@@ -130,13 +129,7 @@
 
 def main() -> None:
     """Run the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true", help="write nothing")
-    options = parser.parse_args()
-    if not options.check:
-        PAGE.write_text(page())
-    elif not PAGE.exists() or PAGE.read_text() != page():
-        sys.exit("settings_page: docs/SETTINGS.md is stale; run make settings-page")
+    write_or_check(__doc__, PAGE, page, "settings-page")
 
 
 if __name__ == "__main__":
