--- a/packages/laburnumscale/src/laburnumscale/announcements.py
+++ b/packages/laburnumscale/src/laburnumscale/announcements.py
@@ -18,7 +18,7 @@
 )
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.places import EndpointPlace, parse_place
-from laburnumscale.targetregistry import TargetRegistry
+from laburnumscale.targetregistry import MAX_SLOTS, TargetRegistry
 from laburnumscale.webserver import new_app
 from laburnumscale_schema import peer_pb2, target_pb2
 
@@ -26,7 +26,6 @@
 
 PATH = "/_laburnumscale/v1/targets/<service:str>/<endpoint:str>"
 DEFAULT_SLOTS = 5
-MAX_SLOTS = 10_000
 DEFAULT_LEASE_MS = 3_000
 MAX_LEASE_MS = 3_600_000
 READY = peer_pb2.TARGET_STATE_READY
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -16,7 +16,9 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["TargetRegistry"]
+__all__ = ["MAX_SLOTS", "TargetRegistry"]
+
+MAX_SLOTS = 10_000
 
 LEASE_CHECK_INTERVAL_S = 0.2
 LAPSED_RETENTION_MS = 10_000
--- a/tests/features/platform_messages.feature
+++ b/tests/features/platform_messages.feature
@@ -63,3 +63,33 @@
       | a text as time     |
       | no backend at all  |
       | a list as document |
+      | an endless time    |
+      | an absurd time     |
+      | an absurd version  |
+      | deep nesting       |
+
+  Scenario Outline: A document that cannot be applied leaves the previous one in force
+    Given a daemon that has applied a configuration with version 7
+    When it reads a configuration with <fault>
+    Then its settings still have revision 7
+    And its log names the document and the reason
+
+    Examples:
+      | fault             |
+      | an endless time   |
+      | an absurd time    |
+      | an absurd version |
+      | deep nesting      |
+
+  Scenario Outline: A heartbeat whose slots cannot be published is refused
+    Given a target registry
+    When a heartbeat with <slots> slots is handled
+    Then its status is <status>
+    And the endpoints can still be published
+
+    Examples:
+      | slots         | status |
+      | 5             | 200    |
+      | 10000         | 200    |
+      | 10001         | 400    |
+      | 1099511627776 | 400    |
--- a/tests/features/steps/platform_messages_steps.py
+++ b/tests/features/steps/platform_messages_steps.py
@@ -1,13 +1,25 @@
 import asyncio
 import json
+from types import SimpleNamespace
 
 import aiohttp
 from behave import given, then, when
+from structlog.testing import capture_logs
 
 from laburnumscale import errors
+from laburnumscale.addresses import Address
+from laburnumscale.deadlines import Deadline
+from laburnumscale.localtarget import LocalTarget
+from laburnumscale.members import Members
+from laburnumscale.metrics import Metrics
+from laburnumscale.platformlog import Batch, LogClient, Record
+from laburnumscale.settingsdocuments import DocumentSource, SettingsDocumentReader
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale_platform.configuration import decode_configuration
+from laburnumscale_platform.heartbeats import heartbeat_app
 from laburnumscale_platform.topics import TopicLog
-from laburnumscale_schema import settings_pb2
+from laburnumscale_schema import peer_pb2, settings_pb2
 
 SETTINGS_DEFAULTS = {"floor_percent": 70, "retry_budget_percent": 20}
 
@@ -157,6 +169,12 @@
         hold["timeout_s"] = "soon"
     if fault == "no backend at all":
         del hold["service"]
+    if fault == "an endless time":
+        hold["timeout_s"] = float("inf")
+    if fault == "an absurd time":
+        hold["target_latency_s"] = 1e300
+    if fault == "an absurd version":
+        value["version"] = 2**70
     return [value] if fault == "a list as document" else value
 
 
@@ -166,11 +184,17 @@
     context.snapshot = decode_configuration(payload, SETTINGS_DEFAULTS)
 
 
+def configuration_payload(fault):
+    if fault == "deep nesting":
+        return b"[" * 100_000
+    return json.dumps(configuration_document(fault)).encode()
+
+
 @when("a configuration with {fault} is decoded")
 def step_decode_invalid(context, fault):
     try:
         context.snapshot = decode_configuration(
-            json.dumps(configuration_document(fault)).encode(), SETTINGS_DEFAULTS
+            configuration_payload(fault), SETTINGS_DEFAULTS
         )
     except errors.LaburnumscaleError as error:
         context.snapshot = error
@@ -222,3 +246,101 @@
 @then("the route of {place} is not idempotent")
 def step_check_not_idempotent(context, place):
     assert not find_route_settings(context, place).idempotent
+
+
+class _OneDocumentLog(LogClient):
+    """A log whose newest record under the configuration key can be replaced."""
+
+    def __init__(self, payload):
+        self.records = [Record(0, payload, "config")]
+
+    async def read(self, stream, offset, wait_ms=0):
+        return Batch(tuple(self.records[offset:]), 0, len(self.records))
+
+    async def read_newest(self, stream):
+        return Batch(tuple(self.records[-1:]), 0, len(self.records))
+
+
+def read_documents(context):
+    async def read():
+        source = DocumentSource(
+            "op",
+            "config",
+            lambda payload: decode_configuration(payload, SETTINGS_DEFAULTS),
+        )
+        reader = SettingsDocumentReader(
+            context.feed, context.log, Metrics(), source, lambda: True
+        )
+        with capture_logs() as context.log_lines:
+            await reader.read(0)
+
+    asyncio.run(read())
+
+
+@given("a daemon that has applied a configuration with version 7")
+def step_apply_configuration(context):
+    context.feed = SettingsFeed(Metrics(), 1000)
+    context.log = _OneDocumentLog(configuration_payload(""))
+    read_documents(context)
+    assert context.feed.tree.revision == 7
+
+
+@when("it reads a configuration with {fault}")
+def step_read_invalid_configuration(context, fault):
+    context.log.records.append(Record(1, configuration_payload(fault), "config"))
+    read_documents(context)
+
+
+@then("its settings still have revision {revision:d}")
+def step_check_feed_revision(context, revision):
+    assert context.feed.tree.revision == revision, context.feed.tree.revision
+
+
+@then("its log names the document and the reason")
+def step_check_skip_logged(context):
+    (line,) = context.log_lines
+    assert line["event"] == "settings document skipped", line
+    assert "offset 1" in line["reason"], line
+
+
+@given("a target registry")
+def step_create_registry(context):
+    own = peer_pb2.Member(daemon="d1", incarnation=1, peer_address="127.0.0.1:1")
+    context.members = Members(own)
+    context.registry = TargetRegistry("d1", context.members, Metrics())
+
+
+@when("a heartbeat with {slots:d} slots is handled")
+def step_handle_heartbeat(context, slots):
+    app = heartbeat_app(f"slots{slots}", context.registry, 1500, lambda service: True)
+    info = {"service": "slot-desk", "version": "v1", "zone": "makati", "slots": slots}
+    status = {"state": "ready", "sequence": 1, "cold_left_s": 0}
+    value = {"address": "127.0.0.1:9", "info": info, "status": status}
+    (route,) = app.router.routes
+    request = SimpleNamespace(
+        args={"call": "instances.heartbeat", "of": "i-1"},
+        body=json.dumps(value).encode(),
+        ip="127.0.0.1",
+    )
+    context.heartbeat_status = asyncio.run(route.handler(request)).status
+
+
+@then("its status is {status:d}")
+def step_check_heartbeat_status(context, status):
+    assert context.heartbeat_status == status, context.heartbeat_status
+
+
+@then("the endpoints can still be published")
+def step_check_published(context):
+    context.registry.announce(
+        LocalTarget(
+            "slot-desk",
+            "i-2",
+            Address("127.0.0.1", 10),
+            5,
+            peer_pb2.TARGET_STATE_READY,
+            Deadline.after_ms(1000),
+        )
+    )
+    listed = [each.endpoint for each in context.members.own.endpoints]
+    assert "i-2" in listed, listed
