Accept fractions in settings that templates compute from ratios

Cause: the template multiplies ratios and seconds, so a deployment can give a slack of 64.5 attempts or a floor of 70.01 percent; the daemon refused its settings and ended.

Change: such a number is rounded so that it allows no more than the exact value: limits down, minimums up. Infinity is still refused with the line of the setting.

--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -3,6 +3,8 @@
 Reads and validates the settings of a daemon.
 """
 
+import math
+
 import attrs
 from google.protobuf import json_format
 
@@ -25,6 +27,15 @@
 DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1_000
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
+#: How to round settings that templates compute from ratios and seconds, so that the
+#: rounded value never allows more than the exact one.
+ROUNDING = {
+    "retry_slack_attempts": math.floor,
+    "retry_budget_percent": math.floor,
+    "floor_percent": math.ceil,
+    "drain_ms": math.floor,
+    "announcement_interval_ms": math.ceil,
+}
 
 
 @attrs.frozen
@@ -96,12 +107,18 @@
         if name not in known_fields:
             raise OptionUnknown(file.location(name), name)
         try:
-            json_format.ParseDict({name: value}, message)
+            json_format.ParseDict({name: _round(name, value)}, message)
         except json_format.ParseError as error:
             raise OptionValueInvalid(file.location(name), name, str(error)) from error
     return message
 
 
+def _round(name: str, value: object) -> object:
+    if name not in ROUNDING or not isinstance(value, float) or not math.isfinite(value):
+        return value
+    return ROUNDING[name](value)
+
+
 def _build_settings(file: SettingsFile) -> DaemonSettings:
     message = _parse(file)
 
--- a/tests/features/daemonsettings.feature
+++ b/tests/features/daemonsettings.feature
@@ -13,3 +13,17 @@
       | target_address | "10.0.0.1:1"   | 8    | setting "target_address": "10.0.0.1:1" is not loopback     |
       | data_centre    | ""             | 4    | setting "data_centre" is missing                           |
       | log_format     | "prose"        | 10   | setting "log_format": "prose" is none of json, console     |
+      | drain_ms       | Infinity       | 10   | setting "drain_ms"                                         |
+
+  Scenario Outline: A number that is computed from a ratio may have a fraction
+    Given a daemon settings file with "<name>" set to <value>
+    Then the daemon reads <used> as its "<name>"
+
+    Examples: limits are rounded down, minimums are rounded up
+      | name                     | value  | used |
+      | retry_slack_attempts     | 64.5   | 64   |
+      | retry_budget_percent     | 12.5   | 12   |
+      | floor_percent            | 70.01  | 71   |
+      | drain_ms                 | 6000.7 | 6000 |
+      | announcement_interval_ms | 1333.3 | 1334 |
+      | floor_percent            | 70.0   | 70   |
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 
+from laburnumscale.daemonsettings import read_daemon_settings
 from tests.standins.fleet import wait_until
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
@@ -141,6 +142,11 @@
     context.settings_path = path
 
 
+@then('the daemon reads {value:d} as its "{name}"')
+def step_check_setting_read(context, value, name):
+    assert getattr(read_daemon_settings(str(context.settings_path)), name) == value
+
+
 @when("the daemon is started with that file")
 def step_start_with_settings_file(context):
     path = str(context.settings_path)
