End the process right after the drain, and stop the peer server with a grace time

Cause: cleaning up the interpreter took 265 ms after the last log line (load 4), which is why a daemon whose calls do not end was sometimes gone after its time. A start that failed because of an address in use left the peer server to the garbage collector, which cancelled requests of peers in progress, and gRPC logged a traceback for each.

Change: the process flushes its output and exits once the daemon has stopped. The peer server is a context manager and stops with its grace time also if the start fails.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -26,11 +26,12 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.draining import EXIT_MARGIN_MS, FLUSH_TIMEOUT_MS, Drain
 from laburnumscale.errors import BackgroundTaskFailed
+from laburnumscale.gossip import Gossip
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
 from laburnumscale.operatorapi import OperatorApi
-from laburnumscale.peers import serve_peers
+from laburnumscale.peers import PEER_SERVER_GRACE_S, serve_peers
 from laburnumscale.platforms import get_platform_by_name
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreloader import SettingsReloader
@@ -43,7 +44,6 @@
 FORCED_EXIT_CODE = 130
 SETTINGS_TIMEOUT_MS = 1_000
 KEEP_ALIVE_TIMEOUT_S = 4  # shorter than the idle timeout of common HTTP servers
-PEER_SERVER_GRACE_S = 0.2  # peers retry their requests at other daemons
 
 
 class Daemon:
@@ -85,7 +85,7 @@
         guard_role = build_guard_role(shared)
         settings_role = build_settings_role(shared)
         entry_role = build_entry_role(shared, guard_role)
-        peer_server = await serve_peers(
+        async with serve_peers(
             shared.settings.peer_address,
             guard_role.guard,
             entry_role.settler,
@@ -93,12 +93,41 @@
             gossip.exchange.handle_request,
             shared.feed,
             entry_role.keyed_calls,
-        )
-        await gossip.start(shared.settings.peer_address)
+        ) as peer_server:
+            await gossip.start(shared.settings.peer_address)
+            tasks = self._start_background_tasks(
+                shared, guard_role, settings_role, entry_role
+            )
+            servers = await self._serve_until_stopped(
+                shared, guard_role, settings_role, entry_role, gossip
+            )
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await gossip.leave()
+            flush_deadline = Deadline.after_ms(FLUSH_TIMEOUT_MS)
+            await asyncio.gather(
+                *(server.close(flush_deadline) for server in servers),
+                peer_server.stop(PEER_SERVER_GRACE_S),
+            )
+        await shared.channels.close()
+        get_logger().info("daemon stopped")
+        if self._failure is not None:
+            raise self._failure
+
+    async def _serve_until_stopped(
+        self,
+        shared: SharedParts,
+        guard_role: GuardRole,
+        settings_role: SettingsRole,
+        entry_role: EntryRole,
+        gossip: Gossip,
+    ) -> list[Server]:
+        """Accept calls until a stop is requested, then drain.
+
+        :returns: the servers that still listen, those for callers and peers excepted.
+        """
         self._reloader.on_change(entry_role.runner.apply_settings)
-        tasks = self._start_background_tasks(
-            shared, guard_role, settings_role, entry_role
-        )
         await self._wait_unless_stopped(
             shared.feed.wait_for_tree(Deadline.after_ms(SETTINGS_TIMEOUT_MS))
         )
@@ -122,18 +151,7 @@
             caller_server,
         )
         await drain.run(self._drain_deadline)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await gossip.leave()
-        await asyncio.gather(
-            *(server.close(Deadline.after_ms(FLUSH_TIMEOUT_MS)) for server in servers),
-            peer_server.stop(PEER_SERVER_GRACE_S),
-        )
-        await shared.channels.close()
-        get_logger().info("daemon stopped")
-        if self._failure is not None:
-            raise self._failure
+        return servers
 
     def _build_shared_parts(self, session: aiohttp.ClientSession) -> SharedParts:
         settings = self.settings
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import grpc
 
@@ -16,8 +17,9 @@
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
-__all__ = ["serve_peers"]
+__all__ = ["PEER_SERVER_GRACE_S", "serve_peers"]
 
+PEER_SERVER_GRACE_S = 0.2  # peers retry their requests at other daemons
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 MAX_CONCURRENT_STREAMS = 4096
 SERVER_OPTIONS = (
@@ -119,6 +121,7 @@
         return peer_pb2.KeyHandOverReply()
 
 
+@asynccontextmanager
 async def serve_peers(
     address: Address,
     guard: Guard,
@@ -127,8 +130,11 @@
     handle_exchange: ExchangeHandler,
     feed: SettingsFeed,
     keyed_calls: KeyedCalls,
-) -> grpc.aio.Server:
-    """Start the gRPC server that handles the requests of other daemons.
+) -> AsyncIterator[grpc.aio.Server]:
+    """Handle the requests of other daemons while the context lasts.
+
+    Requests that are in progress at its end get a grace time, also if the start of
+    the daemon fails: otherwise the server cancels them, and gRPC logs each one.
 
     :param address: address to listen on.
     :param handle_exchange: handles one request of a membership table exchange and
@@ -150,4 +156,7 @@
             "peer_address", str(address), "address already in use"
         ) from error
     await server.start()
-    return server
+    try:
+        yield server
+    finally:
+        await server.stop(PEER_SERVER_GRACE_S)
--- a/packages/laburnumscaled/src/laburnumscaled/cli.py
+++ b/packages/laburnumscaled/src/laburnumscaled/cli.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import os
 import sys
 
 import uvloop
@@ -35,7 +36,15 @@
 
 
 async def _run_daemon(settings: DaemonSettings, path: str) -> None:
+    """Run the daemon, then end the process without cleaning up the interpreter.
+
+    The cleanup takes a quarter of a second, more on a busy host, and the platform
+    kills a process that exits late.
+    """
     await Daemon(settings, path).run()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def main() -> None:
--- a/tests/features/shell.feature
+++ b/tests/features/shell.feature
@@ -41,6 +41,19 @@
     Then the process exits with code 0
     And the process has printed "laburnumscaled --check examples/daemon.jsonc"
 
+  Scenario: A daemon that has stopped does not spend its grace time on cleaning up
+    Given a fleet of 1 daemons in makati
+    And the fleet is ready with the settings of bantayog
+    When a daemon with an exit handler is stopped by SIGTERM
+    Then the process exits with code 0
+    And the last line that the process has printed contains "daemon stopped"
+
+  Scenario: A peer whose request is in progress at a failed start gets its reply
+    Given a daemon whose peer server is answering a query
+    When its next address is in use
+    Then the start fails with the address in use
+    And the peer has received the reply of its query
+
   Scenario Outline: The error for an address in use names the setting
     Given a fleet of 1 daemons in makati
     And the fleet is ready with the settings of bantayog
--- a/tests/features/steps/shell_steps.py
+++ b/tests/features/steps/shell_steps.py
@@ -1,10 +1,16 @@
+import asyncio
 import signal
 import subprocess
 import sys
 import threading
 
+import grpc
 from behave import given, then, when
 
+from laburnumscale.addresses import Address
+from laburnumscale.errors import AddressInUse
+from laburnumscale.peers import serve_peers
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 from tests.standins.fleet import request, wait_until
 
 TIMEOUT_S = 60
@@ -105,3 +111,77 @@
         "the daemon logs that it is draining",
     )
     context.process_exit_code = context.fleet.stop(daemon.process)
+
+
+@when("a daemon with an exit handler is stopped by SIGTERM")
+def step_stop_with_exit_handler(context):
+    fleet = context.fleet
+    fleet.stop(fleet.daemons["d1"].process)
+    code = (
+        "import atexit; atexit.register(print, 'exit handler ran')\n"
+        "from laburnumscaled.cli import main; main()"
+    )
+    process = fleet.start("again", "-c", code, str(fleet.directory / "d1.jsonc"))
+    log = fleet.directory / "again.log"
+    wait_until(lambda: "daemon accepts calls" in log.read_text(), "the daemon started")
+    context.process_exit_code = fleet.stop(process)
+    context.process_output = log.read_text()
+
+
+@then('the last line that the process has printed contains "{text}"')
+def step_check_last_line(context, text):
+    last_line = context.process_output.splitlines()[-1]
+    assert text in last_line, context.process_output
+
+
+class _SlowSettler:
+    """A settler that takes a while to answer a query."""
+
+    def __init__(self):
+        self.is_asked = asyncio.Event()
+
+    async def handle_settle_request(self, request):
+        self.is_asked.set()
+        await asyncio.sleep(0.05)
+        return peer_pb2.SettleReply(verdict=peer_pb2.SETTLE_VERDICT_RUNNING)
+
+
+@given("a daemon whose peer server is answering a query")
+def step_choose_peer_address(context):
+    context.peer_address = Address("127.0.0.1", context.fleet.free_port())
+
+
+@when("its next address is in use")
+def step_fail_start(context):
+    async def start(settler):
+        async with serve_peers(
+            context.peer_address, None, settler, None, None, None, None
+        ):
+            await settler.is_asked.wait()
+            raise AddressInUse("caller_address", "127.0.0.1:1", "taken")
+
+    async def query(channel):
+        stub = peer_pb2_grpc.GuardStub(channel)
+        return await stub.Settle(peer_pb2.SettleRequest(), wait_for_ready=True)
+
+    async def run():
+        async with grpc.aio.insecure_channel(str(context.peer_address)) as channel:
+            query_task = asyncio.create_task(query(channel))
+            try:
+                await start(_SlowSettler())
+            except AddressInUse as error:
+                context.start_error = error
+            context.peer_reply = await query_task
+
+    asyncio.run(run())
+
+
+@then("the start fails with the address in use")
+def step_check_start_failed(context):
+    assert isinstance(context.start_error, AddressInUse)
+
+
+@then("the peer has received the reply of its query")
+def step_check_peer_reply(context):
+    running = peer_pb2.SETTLE_VERDICT_RUNNING
+    assert context.peer_reply.verdict == running, context.peer_reply
