Judge, admit and place calls by the latency of their route

Ejections were revoked by comparing thresholds of different routes. A target in its first three seconds was compared with nothing at all.

Change: a call carries the hash of its route. Guards average latencies by route, entries take the median over the endpoints of a route, and the threshold for slow calls, the expected time at admission and the choice of an endpoint use them. A cold target is compared with twice the median. Log lines of calls name their route.

--- a/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
@@ -37,6 +37,7 @@
 
     :ivar answered_at_s: monotonic time of its last answer.
     :ivar slow_by_comparison: its last bad call was slow compared with other targets.
+    :ivar slow_route: hash of the route of that call.
     :ivar threshold_s: latency from which that call counted as slow.
     :ivar recovery_task: task that returns the target to service after an ejection.
     """
@@ -47,6 +48,7 @@
     trial_running: bool = False
     answered_at_s: float = 0.0
     slow_by_comparison: bool = False
+    slow_route: int = 0
     threshold_s: float = 0.0
     recovery_task: asyncio.Task | None = None
 
@@ -76,6 +78,7 @@
 class AttemptMonitor:
     """Monitors one attempt and reports its result once it is answered or overdue.
 
+    :param route: hash of the route of the call.
     :param threshold_s: latency from which the attempt counts as slow.
     :param threshold_is_relative: the threshold was derived from the latencies of the
         service's other targets.
@@ -86,9 +89,11 @@
         tracker: HealthTracker,
         record: HealthRecord,
         settings: EffectiveSettings,
+        route: int,
         threshold_s: float,
         threshold_is_relative: bool,
     ) -> None:
+        self._route = route
         self._threshold_is_relative = threshold_is_relative
         self._tracker = tracker
         self._record = record
@@ -109,7 +114,7 @@
         self._timer.cancel()
         elapsed_s = self._elapsed_s()
         self._record.answered_at_s = time.monotonic()
-        self._record.statistics.add_latency(elapsed_s * US_PER_S)
+        self._add_latency(elapsed_s, failed)
         slow = elapsed_s > self._threshold_s and not failed
         cause = "server error" if failed else "slow" if slow else ""
         self._record_result(cause, slow)
@@ -144,6 +149,13 @@
         stalled_s = self._tracker.stalls.total_s() - self._stalls_at_start_s
         return time.monotonic() - self._started_at_s - stalled_s
 
+    def _add_latency(self, latency_s: float, failed: bool = False) -> None:
+        """Add a latency to the averages; a server error says little about its route."""
+        latency_us = latency_s * US_PER_S
+        self._record.statistics.add_latency(latency_us)
+        if not failed:
+            self._record.target.route_latencies.add(self._route, latency_us)
+
     def _handle_overdue(self) -> None:
         left_s = self._threshold_s - self._elapsed_s()
         if left_s > MIN_TIMER_S:
@@ -151,7 +163,7 @@
             self._timer = loop.call_later(left_s, self._handle_overdue)
             return
         self._overdue_at_s = self._elapsed_s()
-        self._record.statistics.add_latency(self._threshold_s * US_PER_S)
+        self._add_latency(self._threshold_s)
         self._record_result("overdue", slow=True)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._threshold_s, self._recount_if_unresponsive)
@@ -175,6 +187,7 @@
             return
         if cause:
             self._record.slow_by_comparison = slow and self._threshold_is_relative
+            self._record.slow_route = self._route
             self._record.threshold_s = self._threshold_s
         self._tracker.record_result(self._record, self._settings, cause, weight)
 
@@ -196,7 +209,7 @@
 def relative_threshold_s(settings: EffectiveSettings, reference_us: int) -> float:
     """Return the latency from which an attempt is slow compared with the median.
 
-    :param reference_us: median latency of the service's targets.
+    :param reference_us: median latency of the route at the service's targets.
     """
     slow_us = settings.slow_factor * reference_us
     excess_us = reference_us + settings.slow_excess_ms * US_PER_MS
--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -190,6 +190,7 @@
             idempotent=idempotent,
             deadline=deadline,
             body=await self._request_body(request, request_id, deadline),
+            route=f"{route.host}{route.path_prefix}" if route is not None else "",
             priority=route.priority if route is not None else 0,
             objective=_latency_objective(route),
         )
--- a/packages/laburnumscale/src/laburnumscale/calllog.py
+++ b/packages/laburnumscale/src/laburnumscale/calllog.py
@@ -60,6 +60,7 @@
             "call ended",
             request_id=call.request_id,
             service=call.service,
+            route=call.route,
             idempotent=call.idempotent,
             outcome=outcome_name(outcome),
             reason=reason_name(outcome),
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -129,7 +129,10 @@
         """
         if (
             self.draining
-            or self._router.pick(call.service, call.tried_endpoints, True) is None
+            or self._router.pick(
+                call.service, call.tried_endpoints, True, route=call.route_hash
+            )
+            is None
         ):
             return False
         return self._reserve_attempt(call)
@@ -164,12 +167,13 @@
             call.tried_endpoints,
             call.idempotent,
             reserve_trial=lambda: self._reserve_attempt(call),
+            route=call.route_hash,
         )
 
     async def _attempt(
         self, call: Call, view: EndpointView
     ) -> tuple[Outcome, HTTPResponse | None]:
-        attempt = self._router.start_attempt(view)
+        attempt = self._router.start_attempt(view, call.route_hash)
         try:
             request = self._attempt_request(call, view)
             async with self._attempt_client.send(view, request) as (first, rest):
@@ -200,6 +204,7 @@
             priority=call.priority,
             no_wait=not call.waits,
             objective_left_ms=call.objective_left_ms(),
+            route=call.route_hash,
         )
         self._router.fill_call_head(head, view)
         return AttemptRequest(
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -10,6 +10,7 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import NotRun, Outcome, Unknown
+from laburnumscale.routelatencies import hash_route
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
@@ -61,6 +62,7 @@
 class Call:
     """One call of a caller and its attempts so far.
 
+    :ivar route: host and path prefix of its route; empty if it matched none.
     :ivar priority: rank of the call when slots are scarce; 0 is served first.
     :ivar objective: latency objective; the call does not wait for a slot after it.
     :ivar tried_endpoints: names of the endpoints that were tried.
@@ -83,6 +85,7 @@
     idempotent: bool
     deadline: Deadline
     body: bytes | AsyncIterator[bytes]
+    route: str = ""
     priority: int = 0
     objective: Deadline | None = None
     tried_endpoints: set[str] = attrs.field(factory=set)
@@ -96,6 +99,11 @@
     waits: bool = False
     queue_refusals: int = 0
 
+    @property
+    def route_hash(self) -> int:
+        """Return the hash by which daemons refer to the route of the call."""
+        return hash_route(self.route)
+
     @property
     def replayable(self) -> bool:
         """Return whether the body can be sent again."""
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -147,7 +147,7 @@
         """Add the load report, which includes the guard's verdict on the target."""
         target = self._targets.get(head.service, head.endpoint)
         if target is not None:
-            reply.load.CopyFrom(target.load())
+            reply.load.CopyFrom(target.load(head.route))
         return reply
 
     def _refuse_if_stale(
@@ -206,7 +206,7 @@
                 self._check_response(target, settings, head, response, attempt_monitor)
                 attempt_monitor.record_response(failed=response.status >= SERVER_ERROR)
                 async with aclosing(
-                    iter_replies(target, settings, head.method, response)
+                    iter_replies(target, settings, head, response)
                 ) as replies:
                     async for reply in replies:
                         yield reply
@@ -214,12 +214,18 @@
             attempt_monitor.record_connection_failure()
             if transmission.attempt.state is AttemptState.WAITING:
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
+            yield unknown_reply(
+                peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load(head.route)
+            )
         except TimeoutError:
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_DEADLINE, target.load())
+            yield unknown_reply(
+                peer_pb2.UNKNOWN_REASON_DEADLINE, target.load(head.route)
+            )
         except aiohttp.ClientPayloadError:
             attempt_monitor.record_connection_failure()
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT, target.load())
+            yield unknown_reply(
+                peer_pb2.UNKNOWN_REASON_CUT_SHORT, target.load(head.route)
+            )
         except BodyIncomplete:
             attempt_monitor.discard()
             yield unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
@@ -227,12 +233,18 @@
             attempt_monitor.record_connection_failure()
             self._metrics.count("answers_mismatched", f'service="{target.service}"')
             get_logger().warning("response does not match request", reason=str(error))
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_MISMATCHED, target.load())
+            yield unknown_reply(
+                peer_pb2.UNKNOWN_REASON_MISMATCHED, target.load(head.route)
+            )
         except AnswerUnframed:
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load())
+            yield unknown_reply(
+                peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load(head.route)
+            )
         except (aiohttp.ClientError, AttemptSentTwice):
             attempt_monitor.record_connection_failure(transmission.reused)
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load())
+            yield unknown_reply(
+                peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load(head.route)
+            )
         finally:
             attempt_monitor.end()
 
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -29,6 +29,7 @@
 
 EVIDENCE = "evidence"
 MAX_THRESHOLD_GROWTH = 1.5
+COLD_LATENCY_FACTOR = 2  # targets are slower for some seconds after their start
 US_PER_MS = 1000
 EJECTED_RETRY_AFTER_MS = 1000
 
@@ -83,10 +84,13 @@
         """Return a monitor for an attempt that starts now."""
         record = self._get_record(target)
         self._most_look_bad[head.service] = head.most_look_bad
-        warming_up = target.is_warming_up() and not record.ejection_backoff.doublings
-        reference_us = 0 if warming_up else head.reference_latency_us
+        reference_us = head.reference_latency_us
+        if target.is_warming_up() and not record.ejection_backoff.doublings:
+            reference_us *= COLD_LATENCY_FACTOR
         threshold_s = slow_threshold_s(settings, reference_us, deadline)
-        return AttemptMonitor(self, record, settings, threshold_s, reference_us > 0)
+        return AttemptMonitor(
+            self, record, settings, head.route, threshold_s, reference_us > 0
+        )
 
     def is_comparison_valid(self, service: str) -> bool:
         """Return whether targets of a service may be compared with each other.
@@ -96,12 +100,18 @@
         return not self._most_look_bad.get(service, False)
 
     def revoke_comparison_ejections(
-        self, service: str, settings: EffectiveSettings, baseline: ServiceBaseline
+        self,
+        service: str,
+        settings: EffectiveSettings,
+        route: int,
+        baseline: ServiceBaseline,
     ) -> None:
         """Return targets to service whose ejection by comparison is no longer valid.
 
-        If most targets look bad or the median latency has risen far, the cause is not
-        the ejected target.
+        If most targets look bad or the median latency of the route has risen far, the
+        cause is not the ejected target.
+
+        :param route: hash of the route that the baseline belongs to.
         """
         threshold_s = relative_threshold_s(settings, baseline.median_latency_us)
         for record in self._records.values():
@@ -112,7 +122,8 @@
                 continue
             if (
                 baseline.most_look_bad
-                or threshold_s > MAX_THRESHOLD_GROWTH * record.threshold_s
+                or record.slow_route == route
+                and threshold_s > MAX_THRESHOLD_GROWTH * record.threshold_s
             ):
                 self._metrics.count("comparisons_voided", f'service="{service}"')
                 record.recovery_task.cancel()
--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -4,30 +4,25 @@
 older a report is, the less it counts.
 """
 
-import statistics
 import time
 
 import attrs
 
+from laburnumscale.latencyreports import EndpointKey, LatencyReports
 from laburnumscale.members import EndpointView
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["EndpointLoad", "LoadTable", "ServiceBaseline"]
+__all__ = ["EndpointLoad", "LoadTable", "OutstandingAttempt", "ServiceBaseline"]
 
 REPORT_HALF_LIFE_S = 0.2
-LATENCY_HALF_LIFE_S = 1.0
 UNRESPONSIVE_FACTOR = 2
 UNRESPONSIVE_EXCESS_US = 50_000
 MIN_UNRESPONSIVE_ENDPOINTS = 2
 US_PER_S = 1_000_000
-MAX_LATENCY_AGE_S = 10.0
 MAX_BASELINE_AGE_S = 0.02
+MAX_BASELINES = 1024
 EXPIRY_INTERVAL_S = 60.0
 REPORT_EXPIRY_S = 600.0
-MIN_COMPARED_ENDPOINTS = 2
-DEFAULT_LATENCY_US = 10_000
-
-EndpointKey = tuple[str, str, int]
 
 
 @attrs.define
@@ -43,12 +38,25 @@
     own_outstanding: int
 
 
+@attrs.frozen(eq=False)
+class OutstandingAttempt:
+    """An attempt of this entry that has not ended.
+
+    :ivar started_at_s: monotonic time of its start.
+    :ivar overdue_at_s: monotonic time from which its endpoint looks unresponsive.
+    """
+
+    started_at_s: float
+    overdue_at_s: float
+
+
 @attrs.frozen
 class ServiceBaseline:
     """The values that the endpoints of a service are compared with.
 
     :ivar computed_at_s: monotonic time at which it was computed.
-    :ivar median_latency_us: median of their latencies, 0 if too few are known.
+    :ivar median_latency_us: median of their latencies for one route, 0 if too few are
+        known.
     :ivar most_look_bad: whether most of them are ejected or unresponsive.
     """
 
@@ -94,24 +102,40 @@
 
     def __init__(self) -> None:
         self._reports: dict[EndpointKey, _ReceivedReport] = {}
-        self._outstanding: dict[EndpointKey, list[float]] = {}
-        self._medians_us: dict[str, int] = {}
+        self._outstanding: dict[EndpointKey, list[OutstandingAttempt]] = {}
+        self._latencies = LatencyReports()
         self._last_expiry_s = 0.0
-        self._baselines: dict[str, ServiceBaseline] = {}
+        self._baselines: dict[tuple[str, int], ServiceBaseline] = {}
 
-    def record_start(self, view: EndpointView) -> None:
-        """Record the start of an attempt at an endpoint."""
-        self._outstanding.setdefault(_key(view), []).append(time.monotonic())
+    def record_start(self, view: EndpointView, route: int = 0) -> OutstandingAttempt:
+        """Record the start of an attempt at an endpoint.
+
+        :param route: hash of the route of the call.
+        :returns: the attempt, to be passed to :meth:`record_end`.
+        """
+        median_us = self._latencies.last_median_us((view.service, route))
+        limit_us = max(
+            UNRESPONSIVE_FACTOR * median_us, median_us + UNRESPONSIVE_EXCESS_US
+        )
+        now_s = time.monotonic()
+        attempt = OutstandingAttempt(now_s, now_s + limit_us / US_PER_S)
+        self._outstanding.setdefault(_key(view), []).append(attempt)
+        return attempt
 
-    def record_end(self, view: EndpointView) -> None:
+    def record_end(self, view: EndpointView, attempt: OutstandingAttempt) -> None:
         """Record the end of an attempt at an endpoint."""
         key = _key(view)
-        self._outstanding[key].pop(0)
+        self._outstanding[key].remove(attempt)
         if not self._outstanding[key]:
             del self._outstanding[key]
 
-    def record_report(self, view: EndpointView, report: peer_pb2.LoadReport) -> None:
-        """Store the load report of a reply, unless a newer verdict is known."""
+    def record_report(
+        self, view: EndpointView, route: int, report: peer_pb2.LoadReport
+    ) -> None:
+        """Store the load report of a reply, unless a newer verdict is known.
+
+        :param route: hash of the route whose latency the report contains.
+        """
         key = _key(view)
         known = self._reports.get(key)
         if known and report.verdict_version < known.report.verdict_version:
@@ -119,6 +143,7 @@
         self._reports[key] = _ReceivedReport(
             report, time.monotonic(), self.count_outstanding(view)
         )
+        self._latencies.record((view.service, route), key, report.latency_us)
         self._expire_reports()
 
     def _expire_reports(self) -> None:
@@ -135,9 +160,12 @@
         return len(self._outstanding.get(_key(view), ()))
 
     def endpoint_load(
-        self, view: EndpointView, path_broken: bool = False
+        self, view: EndpointView, path_broken: bool = False, route: int = 0
     ) -> EndpointLoad:
-        """Return the state of an endpoint as this entry knows it."""
+        """Return the state of an endpoint as this entry knows it.
+
+        :param route: hash of the route whose latency is returned.
+        """
         received = self._reports.get(_key(view))
         own = self.count_outstanding(view)
         if received is None:
@@ -151,51 +179,31 @@
             on_trial=newest.on_trial,
             in_system=own + _calls_of_other_entries(received),
             open_slots=report.open_slots or view.slots,
-            latency_us=self._decayed_latency_us(view.service, received),
+            latency_us=self._latencies.estimate_us((view.service, route), _key(view)),
             path_broken=path_broken,
         )
 
-    def baseline(self, service: str, views: list[EndpointView]) -> ServiceBaseline:
-        """Return the values that the endpoints of a service are compared with."""
+    def baseline(
+        self, service: str, views: list[EndpointView], route: int = 0
+    ) -> ServiceBaseline:
+        """Return the values that the endpoints of a service are compared with.
+
+        :param route: hash of the route whose median latency is returned.
+        """
         now_s = time.monotonic()
-        found = self._baselines.get(service)
+        key = (service, route)
+        found = self._baselines.get(key)
         if found is None or now_s - found.computed_at_s > MAX_BASELINE_AGE_S:
-            median_latency_us = self._median_latency_us(service, views, now_s)
             found = ServiceBaseline(
-                now_s, median_latency_us, self._most_look_bad(service, views)
+                now_s,
+                self._latencies.compute_median_us(key),
+                self._most_look_bad(service, views),
             )
-            self._baselines[service] = found
+            if len(self._baselines) >= MAX_BASELINES:
+                self._baselines.clear()
+            self._baselines[key] = found
         return found
 
-    def _decayed_latency_us(self, service: str, received: _ReceivedReport) -> int:
-        """Return the reported latency, which decays to the median as it ages.
-
-        An endpoint that was slow once thus gets calls again, and their replies show
-        its current latency.
-        """
-        median_us = self._medians_us.get(service) or DEFAULT_LATENCY_US
-        reported_us = received.report.latency_us or median_us
-        age_s = time.monotonic() - received.received_at_s
-        weight = 0.5 ** (age_s / LATENCY_HALF_LIFE_S)
-        return int(median_us + weight * (reported_us - median_us))
-
-    def _median_latency_us(
-        self, service: str, views: list[EndpointView], now_s: float
-    ) -> int:
-        latencies = [
-            received.report.latency_us
-            for received in (self._reports.get(_key(view)) for view in views)
-            if received
-            and received.report.latency_us
-            and now_s - received.received_at_s < MAX_LATENCY_AGE_S
-        ]
-        if not latencies:
-            return 0
-        self._medians_us[service] = int(statistics.median_low(latencies))
-        if len(latencies) < MIN_COMPARED_ENDPOINTS:
-            return 0
-        return self._medians_us[service]
-
     def _most_look_bad(self, service: str, views: list[EndpointView]) -> bool:
         """Return whether most endpoints are ejected or unresponsive.
 
@@ -206,7 +214,7 @@
         ejected = sum(self.endpoint_load(view).ejected for view in views)
         if 2 * ejected > len(views):
             return True
-        waiting_since_s = self._waiting_since_s(service, views)
+        waiting_since_s = self._waiting_since_s(views)
         if len(waiting_since_s) < MIN_UNRESPONSIVE_ENDPOINTS:
             return False
         reports = (self._reports.get(_key(view)) for view in views)
@@ -216,16 +224,18 @@
         )
         return 2 * replied <= len(waiting_since_s)
 
-    def _waiting_since_s(self, service: str, views: list[EndpointView]) -> list[float]:
-        """Return the start of the oldest attempt at each unresponsive endpoint."""
-        median_us = self._medians_us.get(service, DEFAULT_LATENCY_US)
-        limit_us = max(
-            UNRESPONSIVE_FACTOR * median_us, median_us + UNRESPONSIVE_EXCESS_US
+    def _waiting_since_s(self, views: list[EndpointView]) -> list[float]:
+        """Return the start of the oldest overdue attempt at each endpoint with one."""
+        now_s = time.monotonic()
+        overdue = (
+            [
+                attempt.started_at_s
+                for attempt in self._outstanding.get(_key(view), ())
+                if attempt.overdue_at_s < now_s
+            ]
+            for view in views
         )
-        started_before_s = time.monotonic() - limit_us / US_PER_S
-        outstanding = (self._outstanding.get(_key(view)) for view in views)
-        oldest = [times[0] for times in outstanding if times]
-        return [at_s for at_s in oldest if at_s < started_before_s]
+        return [min(times_s) for times_s in overdue if times_s]
 
 
 def _calls_of_other_entries(received: _ReceivedReport) -> float:
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -10,6 +10,7 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
+from laburnumscale.routelatencies import RouteLatencies
 from laburnumscale.slotqueue import SlotQueue
 from laburnumscale_schema import peer_pb2
 
@@ -42,6 +43,7 @@
     :ivar running: number of calls that hold a slot.
     :ivar queue: calls that wait for a slot.
     :ivar latency_us: average latency of its calls; 0 before the first one.
+    :ivar route_latencies: average latency of the calls of each route.
     :ivar slot_time_us: average time for which a call holds a slot; 0 before the
         first one.
     :ivar severity_percent: ratio of bad calls while it is ejected, in percent.
@@ -64,6 +66,7 @@
     withdrawn: bool = False
     running: int = 0
     latency_us: int = 0
+    route_latencies: RouteLatencies = attrs.field(factory=RouteLatencies)
     slot_time_us: float = 0.0
     ejected: bool = False
     severity_percent: int = 0
@@ -86,13 +89,16 @@
             on_trial=self.on_trial,
         )
 
-    def load(self) -> peer_pb2.LoadReport:
-        """Return the load report that is attached to replies."""
+    def load(self, route: int = 0) -> peer_pb2.LoadReport:
+        """Return the load report that is attached to replies.
+
+        :param route: hash of the route whose latency is reported.
+        """
         return peer_pb2.LoadReport(
             running=self.running,
             queued=len(self.queue),
             ejected=self.ejected,
-            latency_us=self.latency_us,
+            latency_us=self.route_latencies.average_us(route),
             verdict_version=self.verdict_version,
             severity_percent=self.severity_percent,
             on_trial=self.on_trial,
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -12,7 +12,7 @@
 from laburnumscale.consecutiveerrors import ConsecutiveErrors
 from laburnumscale.ejection import Selection, count_announced_slots, select_endpoints
 from laburnumscale.health import TargetHealth
-from laburnumscale.loadtable import EndpointLoad, LoadTable
+from laburnumscale.loadtable import EndpointLoad, LoadTable, OutstandingAttempt
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale.policies import RoutingPolicy, get_policy_by_name
@@ -31,23 +31,26 @@
 class RoutedAttempt:
     """One attempt at an endpoint, from its start to its end.
 
+    :ivar route: hash of the route of the call.
     :ivar path_timer: starts a check of the path unless a reply arrives in time; None
         if the endpoint is on this daemon's host.
     """
 
     router: "Router"
     view: EndpointView
+    route: int
+    outstanding: OutstandingAttempt
     path_timer: asyncio.TimerHandle | None
 
     def record_reply(self, reply: peer_pb2.CallReply) -> None:
         """Record the first reply."""
         self._cancel_timer()
-        self.router.record_reply(self.view, reply)
+        self.router.record_reply(self.view, self.route, reply)
 
     def record_end(self) -> None:
         """Record the end of the attempt."""
         self._cancel_timer()
-        self.router.load_table.record_end(self.view)
+        self.router.load_table.record_end(self.view, self.outstanding)
 
     def _cancel_timer(self) -> None:
         if self.path_timer is not None:
@@ -82,6 +85,7 @@
         tried: set[str],
         idempotent: bool,
         reserve_trial: Callable[[], bool] = lambda: False,
+        route: int = 0,
     ) -> EndpointView | None:
         """Return the endpoint for the next attempt, or None.
 
@@ -90,9 +94,10 @@
         :param reserve_trial: called before the call becomes the trial of an endpoint;
             reserves a retry for the case that the trial fails, and returns whether
             it could.
+        :param route: hash of the route of the call.
         """
         settings = self._settings(service)
-        selection = self.selection(service)
+        selection = self.selection(service, route)
         loads = [load for load in selection.in_use if load.view.endpoint not in tried]
         trial = self._pick_trial(selection) if idempotent and not tried else None
         if trial is not None and reserve_trial():
@@ -102,10 +107,13 @@
             return None
         return self._policy(settings).choose(loads, self._own_data_centre()).view
 
-    def selection(self, service: str) -> Selection:
+    def selection(self, service: str, route: int = 0) -> Selection:
         """Return the endpoints of a service that take calls of this entry."""
         settings = self._settings(service)
-        loads = [self._endpoint_load(view) for view in self._members.endpoints(service)]
+        loads = [
+            self._endpoint_load(view, route)
+            for view in self._members.endpoints(service)
+        ]
         if settings.ejection_policy == EVIDENCE:
             return select_endpoints(loads, settings.floor_percent)
         announced_slots = count_announced_slots(loads)
@@ -128,26 +136,33 @@
         views = self._members.endpoints(view.service)
         load = self.load_table.endpoint_load(view)
         head.floor_traffic = load.ejected or self._kept_by_floor(load)
-        baseline = self.load_table.baseline(view.service, views)
+        baseline = self.load_table.baseline(view.service, views, head.route)
         head.reference_latency_us = baseline.median_latency_us
         head.most_look_bad = baseline.most_look_bad
         settings = self._settings(view.service)
-        self._health.revoke_comparison_ejections(view.service, settings, baseline)
+        self._health.revoke_comparison_ejections(
+            view.service, settings, head.route, baseline
+        )
 
-    def start_attempt(self, view: EndpointView) -> RoutedAttempt:
-        """Record the start of an attempt at an endpoint."""
-        self.load_table.record_start(view)
+    def start_attempt(self, view: EndpointView, route: int = 0) -> RoutedAttempt:
+        """Record the start of an attempt at an endpoint.
+
+        :param route: hash of the route of the call.
+        """
+        outstanding = self.load_table.record_start(view, route)
         timer = None
         if view.daemon != self._members.own.daemon:
             timer = self._paths.schedule_check(view.peer_address)
-        return RoutedAttempt(self, view, timer)
+        return RoutedAttempt(self, view, route, outstanding, timer)
 
-    def record_reply(self, view: EndpointView, reply: peer_pb2.CallReply) -> None:
+    def record_reply(
+        self, view: EndpointView, route: int, reply: peer_pb2.CallReply
+    ) -> None:
         """Record the first reply of an attempt."""
         if self._settings(view.service).ejection_policy == CONSECUTIVE_ERRORS:
             self._consecutive_errors.record_reply(view, reply)
         if reply.HasField("load"):
-            self.load_table.record_report(view, reply.load)
+            self.load_table.record_report(view, route, reply.load)
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.start_check(view.peer_address)
 
@@ -176,9 +191,9 @@
         share = len(idle) / max(1, len(idle) + len(in_use))
         return random.choice(idle) if random.random() < share else None
 
-    def _endpoint_load(self, view: EndpointView) -> EndpointLoad:
+    def _endpoint_load(self, view: EndpointView, route: int) -> EndpointLoad:
         return self.load_table.endpoint_load(
-            view, self._paths.is_broken(view.peer_address)
+            view, self._paths.is_broken(view.peer_address), route
         )
 
     def _policy(self, settings: EffectiveSettings) -> RoutingPolicy:
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -21,6 +21,7 @@
 MIN_RETRY_AFTER_MS = 100
 #: Deadline checks assume that a call takes this multiple of the average latency.
 LATENCY_MARGIN = 1.25
+MS_PER_S = 1000
 US_PER_MS = 1000
 US_PER_S = 1_000_000
 READY = peer_pb2.TARGET_STATE_READY
@@ -81,7 +82,8 @@
         peer_pb2.NOT_RUN_REASON_OVERLOADED, max(MIN_RETRY_AFTER_MS, int(wait_ms))
     )
     response_deadline = _queued_response_deadline(transmission, head)
-    if head.no_wait or _would_miss(target, wait_ms, response_deadline):
+    call_ms = _expected_call_ms(target, head)
+    if head.no_wait or wait_ms + LATENCY_MARGIN * call_ms > response_deadline.left_ms():
         raise refusal
     if len(target.queue) >= settings.queue_limit and not target.queue.evict_less_urgent(
         head.priority, refusal
@@ -90,7 +92,7 @@
     waiter = target.queue.enqueue(head.priority)
     try:
         async with asyncio.timeout(
-            _max_wait_s(target, transmission, response_deadline)
+            _max_wait_s(call_ms, transmission, response_deadline)
         ):
             await waiter.granted
     except BaseException as error:
@@ -105,13 +107,12 @@
 
 
 def _max_wait_s(
-    target: LocalTarget, transmission: Transmission, response_deadline: Deadline
+    call_ms: float, transmission: Transmission, response_deadline: Deadline
 ) -> float:
     """Return the wait timeout, which applies if more urgent calls keep arriving."""
-    call_s = target.latency_us / US_PER_S
     return min(
         transmission.send_deadline.left_s(),
-        max(0.0, response_deadline.left_s() - call_s),
+        max(0.0, response_deadline.left_s() - call_ms / MS_PER_S),
     )
 
 
@@ -125,7 +126,8 @@
 ) -> None:
     if target.ejected and not head.floor_traffic:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS)
-    if _would_miss(target, 0, transmission.deadline):
+    call_ms = _expected_call_ms(target, head)
+    if LATENCY_MARGIN * call_ms > transmission.deadline.left_ms():
         raise AttemptRefused(
             peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
         )
@@ -146,12 +148,10 @@
     return min(objective, transmission.deadline, key=lambda deadline: deadline.at_s)
 
 
-def _would_miss(
-    target: LocalTarget, wait_ms: float, response_deadline: Deadline
-) -> bool:
-    """Return whether an attempt would miss its response deadline after a wait."""
-    call_ms = LATENCY_MARGIN * target.latency_us / US_PER_MS
-    return wait_ms + call_ms > response_deadline.left_ms()
+def _expected_call_ms(target: LocalTarget, head: peer_pb2.CallHead) -> float:
+    """Return how long a call is expected to take; 0 if its route is new."""
+    latency_us = target.route_latencies.average_us(head.route)
+    return (latency_us or head.reference_latency_us) / US_PER_MS
 
 
 def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
--- a/packages/laburnumscale/src/laburnumscale/targetresponses.py
+++ b/packages/laburnumscale/src/laburnumscale/targetresponses.py
@@ -22,32 +22,32 @@
 async def iter_replies(
     target: LocalTarget,
     settings: EffectiveSettings,
-    method: str,
+    head: peer_pb2.CallHead,
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[peer_pb2.CallReply]:
     """Yield the reply messages for a response.
 
     The last message carries the load of the target.
 
-    :param method: method of the request.
+    :param head: head of the call.
     :raises AnswerUnframed: the response has neither a length nor chunks, and the
         settings do not accept the end of the connection as the end of the response.
     """
     if not settings.close_ends_answer:
-        check_framing(method, response)
+        check_framing(head.method, response)
     reply_head = _reply_head(response)
     length = response.content_length
     if length is not None and length <= MAX_SINGLE_MESSAGE_BODY_BYTES:
         payload = await response.read()
         yield peer_pb2.CallReply(
-            head=reply_head, body=payload, end=True, load=target.load()
+            head=reply_head, body=payload, end=True, load=target.load(head.route)
         )
         return
     # The head is sent with the first chunk: until then, a failure can be retried.
     async for chunk in response.content.iter_chunked(CHUNK_BYTES):
         yield peer_pb2.CallReply(head=reply_head, body=chunk)
         reply_head = None
-    yield peer_pb2.CallReply(head=reply_head, end=True, load=target.load())
+    yield peer_pb2.CallReply(head=reply_head, end=True, load=target.load(head.route))
 
 
 def _reply_head(response: aiohttp.ClientResponse) -> peer_pb2.ReplyHead:
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -99,6 +99,17 @@
       | 1      | 1        | none   |
       | 1      | 3        | some   |
 
+  Scenario Outline: A target that has just started is compared with twice the median
+    Given a target that started <age> s ago, in a service with a median latency of 20 ms
+    When a call to it with 2000 ms left is not answered within <wait> ms
+    Then the call counts as <counted>
+
+    Examples: a call is slow above 70 ms, or above 140 ms at a cold target
+      | age | wait | counted   |
+      | 10  | 100  | overdue   |
+      | 0   | 100  | no result |
+      | 0   | 200  | overdue   |
+
   Scenario: Time in service cancels a doubling of the ejection time
     Given a target whose first ejection lasts 500 ms
     When it fails again after 3 s in service
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -17,6 +17,7 @@
 from laburnumscale.endpointindex import EndpointView
 from laburnumscale.failurereplies import AttemptRefused
 from laburnumscale.headernames import HeaderNames
+from laburnumscale.health import TargetHealth
 from laburnumscale.loadtable import EndpointLoad
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logoutput import LogOutput
@@ -32,6 +33,7 @@
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slotqueue import SlotQueue
 from laburnumscale.slots import hold_slot
+from laburnumscale.stalls import LoopStalls
 from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale.transmission import Transmission
 from laburnumscale_schema import peer_pb2, settings_pb2
@@ -221,6 +223,42 @@
     assert time_ms - 100 <= actual_ms <= time_ms, actual_ms
 
 
+@given(
+    "a target that started {age_s:d} s ago, in a service with a median latency of "
+    "{median_ms:d} ms"
+)
+def step_create_aged_target(context, age_s, median_ms):
+    context.target = make_local_target("e1", 0, 0, "ready")
+    context.target.slow_start_at_s = time.monotonic() - age_s
+    context.median_us = median_ms * 1000
+
+
+@when("a call to it with {left_ms:d} ms left is not answered within {waited_ms:d} ms")
+def step_wait_for_answer(context, left_ms, waited_ms):
+    settings = attrs.evolve(EffectiveSettings(), slow_factor=3, slow_excess_ms=50)
+    head = peer_pb2.CallHead(
+        service="slot-desk", reference_latency_us=context.median_us
+    )
+    context.causes = []
+
+    async def wait():
+        health = TargetHealth(recovery=None, stalls=LoopStalls(), metrics=Metrics())
+        health.record_result = lambda *args, **kwargs: context.causes.append(args[2])
+        monitor = health.monitor_attempt(
+            context.target, settings, head, Deadline.after_ms(left_ms)
+        )
+        await asyncio.sleep(waited_ms / 1000)
+        monitor.end()
+
+    asyncio.run(wait())
+
+
+@then("the call counts as {result}")
+def step_check_counted(context, result):
+    expected = [] if result == "no result" else [result]
+    assert context.causes == expected, context.causes
+
+
 @given("a target whose first ejection lasts {length_ms:d} ms")
 def step_create_backoff(context, length_ms):
     context.ejection_backoff = EjectionBackoff()
