Do not refuse calls for a free slot because earlier calls were slow

Cause: a target's average latency includes calls that hung, and with a free slot a call was refused as overloaded if 1.25 times this average exceeded its time left.

Ruled out: ejection (no verdict in that time) and membership (the calls reached them).

Change: the expected time of a call is at most the median of its route over the service.

--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -149,9 +149,15 @@
 
 
 def _expected_call_ms(target: LocalTarget, head: peer_pb2.CallHead) -> float:
-    """Return how long a call is expected to take; 0 if its route is new."""
-    latency_us = target.route_latencies.average_us(head.route)
-    return (latency_us or head.reference_latency_us) / US_PER_MS
+    """Return how long a call is expected to take; 0 if its route is new.
+
+    The target's own average counts only if it is below the median of the service. A
+    higher one may come from a failure that is over, and if the target refused calls
+    because of it, nothing would ever correct it.
+    """
+    own_us = target.route_latencies.average_us(head.route)
+    known_us = [each for each in (own_us, head.reference_latency_us) if each]
+    return min(known_us, default=0) / US_PER_MS
 
 
 def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -196,3 +196,8 @@
     When it is announced with start time 0, sequence 0 and state draining
     And it is announced with start time 0, sequence 0 and state ready
     Then the target is ready
+
+  Scenario: A target whose last calls were slow still gets a call for a free slot
+    Given an idle target whose calls of a route took 2900 ms, with a median of 300 ms
+    When a call of that route with 3000 ms left requests a slot from it
+    Then 1 of them get a slot
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -41,6 +41,7 @@
 READY = peer_pb2.TARGET_STATE_READY
 STATES = {"ready": READY, "draining": peer_pb2.TARGET_STATE_DRAINING}
 PERCENT = 20
+ROUTE = 7
 
 
 @given(
@@ -156,6 +157,32 @@
     assert context.running == count, context.running
 
 
+@given(
+    "an idle target whose calls of a route took {latency_ms:d} ms, with a median of "
+    "{median_ms:d} ms"
+)
+def step_create_slow_target(context, latency_ms, median_ms):
+    context.target = make_local_target("e1", 0, 0, "ready")
+    context.target.route_latencies.add(ROUTE, latency_ms * 1000)
+    context.head = peer_pb2.CallHead(route=ROUTE, reference_latency_us=median_ms * 1000)
+
+
+@when("a call of that route with {left_ms:d} ms left requests a slot from it")
+def step_request_slot(context, left_ms):
+    deadline = Deadline.after_ms(left_ms)
+    transmission = Transmission(Attempt(), deadline, deadline)
+    context.running = 0
+
+    async def ask():
+        with suppress(AttemptRefused):
+            async with hold_slot(
+                context.target, EffectiveSettings(), transmission, context.head
+            ):
+                context.running = context.target.running
+
+    asyncio.run(ask())
+
+
 @when("a call of priority {priority:d} arrives at the full queue")
 def step_evict_for_call(context, priority):
     refusal = AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED)
