Estimate overtaking in a slot queue from all calls that started

Cause: the expected wait of a call assumed that more urgent calls take the same share of the coming slots as of the latest 20 grants from the queue.

Change: calls that start at once count in the history, as having overtaken nobody.

--- a/packages/laburnumscale/src/laburnumscale/slotqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/slotqueue.py
@@ -16,6 +16,7 @@
 GRANT_HISTORY_LENGTH = 20
 #: Below 1, since every priority with waiting calls receives some of the grants.
 MAX_OVERTAKING_SHARE = 0.9
+NO_PRIORITY = 2**31  # a call that did not wait has overtaken nobody
 
 
 @attrs.define(order=True)
@@ -60,11 +61,16 @@
         """Return how many queued calls precede a new call of this priority."""
         return sum(waiter.priority <= priority for waiter in self._waiters)
 
+    def record_direct_start(self) -> None:
+        """Record that a call got a free slot without waiting."""
+        self._granted_priorities.append(NO_PRIORITY)
+
     def expected_releases(self, priority: int) -> float:
         """Return how many slot releases a new call is expected to wait for.
 
         More urgent calls that arrive later overtake it. Their share of the coming
-        grants is estimated from the most recent grants.
+        grants is estimated from the most recent calls that started, with or without
+        waiting.
         """
         granted = self._granted_priorities
         overtaking = sum(each < priority for each in granted)
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -48,6 +48,7 @@
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
     if target.running < _concurrency_limit(target, settings):
         target.running += 1
+        target.queue.record_direct_start()
     else:
         await _wait_for_slot(target, settings, transmission, head)
     started_at_s = time.monotonic()
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -201,3 +201,9 @@
     Given an idle target whose calls of a route took 2900 ms, with a median of 300 ms
     When a call of that route with 3000 ms left requests a slot from it
     Then 1 of them get a slot
+
+  Scenario: Calls that started without waiting do not count as overtaking
+    Given calls wait for a slot with priorities 0, 2
+    When 1 slots are granted
+    And 9 calls start without waiting
+    Then a call of priority 2 expects a slot after 2.2 releases
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -119,9 +119,15 @@
     assert context.queue.expected_releases(priority) == 1
 
 
-@then("a call of priority {priority:d} expects a slot after {releases:d} releases")
+@when("{count:d} calls start without waiting")
+def step_start_directly(context, count):
+    for _ in range(count):
+        context.queue.record_direct_start()
+
+
+@then("a call of priority {priority:d} expects a slot after {releases:g} releases")
 def step_check_expected_releases(context, priority, releases):
-    assert context.queue.expected_releases(priority) == releases
+    assert round(context.queue.expected_releases(priority), 1) == releases
 
 
 @given("a target with {slots:d} slots that accepts {connections:d} connections")
