Keep calls that may run once away from targets in doubt, and play loads in a model

Cause: targets that hang or fail a part of their calls do so for several seconds, while ejection takes three bad calls more than good ones explain, each known only after four times the median.

Hypothesis: one failed or unusually long call is enough to prefer another target, if that costs only a refusal and no ejection.

Change: a target is in doubt from its first bad call until good calls outweigh it, for 5 s at most, and while a call runs for longer than half its slow threshold. The guard refuses calls that may run only once then, at most three times a call; a call that finds no other target accepts doubt. Entries avoid for 2 s what was reported as in doubt. Ejection and floor are unchanged, and calls that may be repeated show which targets work again.

bench.model runs routing, health, slots, retries and settlement in virtual time; the new scenarios play loads in it and check what callers get.

--- /dev/null
+++ b/bench/model/load.py
@@ -0,0 +1,149 @@
+"""Load of the model.
+
+Sends the calls of several routes to a model fleet and records what their callers get.
+"""
+
+import asyncio
+import itertools
+from types import SimpleNamespace
+
+import attrs
+import numpy as np
+
+from bench.model.fleet import SERVER_ERROR, SERVICE, ModelFleet
+from laburnumscale.callstate import Call
+from laburnumscale.deadlines import Deadline
+from laburnumscale.outcomes import Answered, NotRun, Outcome
+
+__all__ = ["LoadResult", "RouteLoad", "play_load"]
+
+MS_PER_S = 1000
+
+
+@attrs.frozen
+class RouteLoad:
+    """The calls of one route.
+
+    :ivar calls_per_s: mean rate of a Poisson process.
+    :ivar work_ms: median of the lognormal work.
+    :ivar work_sigma: spread of the work, as the deviation of its logarithm.
+    :ivar late_worth: worth of an answer after the objective; one in time is worth 1.
+    """
+
+    name: str
+    calls_per_s: float
+    idempotent: bool
+    work_ms: float
+    objective_ms: int
+    deadline_ms: int
+    work_sigma: float = 0.5
+    priority: int = 0
+    late_worth: float = 0.3
+
+
+@attrs.define
+class LoadResult:
+    """What the callers of one route got.
+
+    :ivar in_time: answers within the objective.
+    :ivar refusal_ms: how long each refused call waited for its refusal.
+    :ivar ran_twice: calls that may run only once and ran more often.
+    :ivar false_refusals: calls reported as not run that had run.
+    """
+
+    calls: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    worth: float = 0.0
+    refusal_ms: list[float] = attrs.field(factory=list)
+    ran_twice: int = 0
+    false_refusals: int = 0
+
+    @property
+    def worth_share(self) -> float:
+        """Return the worth earned for each call."""
+        return self.worth / max(1, self.calls)
+
+
+async def play_load(
+    fleet: ModelFleet, routes: list[RouteLoad], duration_s: float, seed: int
+) -> dict[str, LoadResult]:
+    """Send the calls of all routes and return the results by route name."""
+    random = np.random.default_rng(seed)
+    results = {route.name: LoadResult() for route in routes}
+    numbers = itertools.count(1)
+    async with asyncio.TaskGroup() as group:
+        for route in routes:
+            arrivals = _send_calls(
+                group, fleet, route, results[route.name], duration_s, random, numbers
+            )
+            group.create_task(arrivals)
+    return results
+
+
+async def _send_calls(
+    group: asyncio.TaskGroup,
+    fleet: ModelFleet,
+    route: RouteLoad,
+    result: LoadResult,
+    duration_s: float,
+    random: np.random.Generator,
+    numbers: itertools.count,
+) -> None:
+    loop = asyncio.get_running_loop()
+    end_at_s = loop.time() + duration_s
+    while True:
+        await asyncio.sleep(random.exponential(1 / route.calls_per_s))
+        if loop.time() >= end_at_s:
+            return
+        request_id = f"call-{next(numbers)}"
+        work_ms = route.work_ms * random.lognormal(0.0, route.work_sigma)
+        fleet.work_s[request_id] = work_ms / MS_PER_S
+        runner, _ = fleet.runners[random.integers(len(fleet.runners))]
+        group.create_task(_run_call(fleet, runner, route, request_id, result))
+
+
+async def _run_call(fleet, runner, route, request_id, result: LoadResult) -> None:
+    loop = asyncio.get_running_loop()
+    started_at_s = loop.time()
+    call = Call(
+        request=SimpleNamespace(method="GET", headers={}),
+        request_id=request_id,
+        service=SERVICE,
+        path_and_query="/",
+        settings=fleet.settings,
+        idempotent=route.idempotent,
+        deadline=Deadline.after_ms(route.deadline_ms),
+        body=b"",
+        route=route.name,
+        priority=route.priority,
+        objective=Deadline.after_ms(route.objective_ms),
+    )
+    outcome, _ = await runner.run(call)
+    elapsed_ms = (loop.time() - started_at_s) * MS_PER_S
+    _record(route, result, outcome, elapsed_ms, fleet.count_runs(request_id))
+
+
+def _record(
+    route: RouteLoad,
+    result: LoadResult,
+    outcome: Outcome,
+    elapsed_ms: float,
+    runs: int,
+) -> None:
+    result.calls += 1
+    result.ran_twice += not route.idempotent and runs > 1
+    if isinstance(outcome, NotRun):
+        result.refused += 1
+        result.refusal_ms.append(elapsed_ms)
+        result.false_refusals += not route.idempotent and runs > 0
+    elif not isinstance(outcome, Answered) or outcome.status >= SERVER_ERROR:
+        result.failed += 1
+    elif elapsed_ms <= route.objective_ms:
+        result.in_time += 1
+        result.worth += 1.0
+    else:
+        result.late += 1
+        result.worth += route.late_worth
--- a/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
@@ -25,6 +25,9 @@
 ]
 
 DEADLINE_FRACTION = 0.95
+#: Share of the slow threshold after which a call takes unusually long: at a threshold
+#: of four times the median, about one healthy call in ten.
+LATE_SHARE = 0.5
 MIN_TIMER_S = 0.005
 MS_PER_S = 1000
 US_PER_S = 1_000_000
@@ -105,6 +108,9 @@
         self._overdue_at_s = 0.0
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._threshold_s, self._handle_overdue)
+        self._is_late = False
+        late_s = self._threshold_s * LATE_SHARE
+        self._late_timer = loop.call_later(late_s, self._handle_late)
 
     def record_response(self, failed: bool) -> None:
         """Record that the head of the response has arrived.
@@ -112,6 +118,7 @@
         :param failed: it is a server error.
         """
         self._timer.cancel()
+        self._end_late()
         elapsed_s = self._elapsed_s()
         self._record.answered_at_s = time.monotonic()
         self._add_latency(elapsed_s, failed)
@@ -140,6 +147,7 @@
         in the meantime.
         """
         self._timer.cancel()
+        self._end_late()
         waited_s = self._elapsed_s() - self._overdue_at_s
         if self._overdue_at_s and waited_s > self._threshold_s / 2:
             self._recount_if_unresponsive()
@@ -149,6 +157,17 @@
         stalled_s = self._tracker.stalls.total_s() - self._stalls_at_start_s
         return time.monotonic() - self._started_at_s - stalled_s
 
+    def _handle_late(self) -> None:
+        """Put the target in doubt before the call counts as slow."""
+        self._is_late = True
+        self._record.target.late_calls += 1
+
+    def _end_late(self) -> None:
+        self._late_timer.cancel()
+        if self._is_late:
+            self._is_late = False
+            self._record.target.late_calls -= 1
+
     def _add_latency(self, latency_s: float, failed: bool = False) -> None:
         """Add a latency to the averages; a server error says little about its route."""
         latency_us = latency_s * US_PER_S
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -159,6 +159,8 @@
         view = self._pick_untried(call)
         if view is None and call.start_waiting():
             view = self._pick_untried(call)
+        if view is None and call.accept_doubt():
+            view = self._pick_untried(call)
         return view
 
     def _pick_untried(self, call: Call) -> EndpointView | None:
@@ -168,6 +170,7 @@
             call.idempotent,
             reserve_trial=lambda: self._reserve_attempt(call),
             route=call.route_hash,
+            avoid_doubt=call.avoids_doubt,
         )
 
     async def _attempt(
@@ -205,6 +208,7 @@
             no_wait=not call.waits,
             objective_left_ms=call.objective_left_ms(),
             route=call.route_hash,
+            avoid_doubt=call.avoids_doubt,
         )
         self._router.fill_call_head(head, view)
         return AttemptRequest(
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -44,8 +44,12 @@
         peer_pb2.NOT_RUN_REASON_STARTING,
         peer_pb2.NOT_RUN_REASON_MISDIRECTED,
         peer_pb2.NOT_RUN_REASON_OVERLOADED,
+        peer_pb2.NOT_RUN_REASON_IN_DOUBT,
     }
 )
+#: Endpoints in doubt that may refuse a call that may run only once. Such a call is lost
+#: if its target fails, while others can be retried and show which targets work again.
+MAX_DOUBT_REFUSALS = 3
 
 
 @attrs.frozen
@@ -70,6 +74,8 @@
     :ivar retry_reserved: the retry budget was already charged for the next attempt.
     :ivar waits: the next attempt waits for a slot.
     :ivar queue_refusals: attempts that were refused because the queue was too long.
+    :ivar doubtful_endpoints: names of the tried endpoints that were in doubt.
+    :ivar accepts_doubt: attempts may go to endpoints in doubt.
     :ivar counted_attempts: attempts that count towards the attempt limit.
     :ivar exempt_attempts: attempts refused for one of ``EXEMPT_REASONS``.
     :ivar last_unknown: outcome of the last attempt that may have run.
@@ -98,6 +104,8 @@
     busy_endpoints: set[str] = attrs.field(factory=set)
     waits: bool = False
     queue_refusals: int = 0
+    doubtful_endpoints: set[str] = attrs.field(factory=set)
+    accepts_doubt: bool = False
 
     @property
     def route_hash(self) -> int:
@@ -155,10 +163,33 @@
         self.tried_endpoints -= self.busy_endpoints
         return True
 
+    @property
+    def avoids_doubt(self) -> bool:
+        """Return whether an endpoint in doubt is to refuse the next attempt."""
+        return (
+            self.at_most_once
+            and not self.accepts_doubt
+            and len(self.doubtful_endpoints) < MAX_DOUBT_REFUSALS
+        )
+
+    def accept_doubt(self) -> bool:
+        """Let further attempts go to endpoints in doubt, and retry those tried.
+
+        :returns: False if they may already, or if no endpoint was in doubt.
+        """
+        if self.accepts_doubt or not self.doubtful_endpoints:
+            return False
+        self.accepts_doubt = True
+        self.waits = False
+        self.tried_endpoints -= self.doubtful_endpoints
+        return True
+
     def record_outcome(self, outcome: Outcome, endpoint: str) -> None:
         """Record the outcome of an attempt at an endpoint."""
-        if _is_overloaded(outcome):
+        if _has_reason(outcome, peer_pb2.NOT_RUN_REASON_OVERLOADED):
             self._record_overload(endpoint)
+        if _has_reason(outcome, peer_pb2.NOT_RUN_REASON_IN_DOUBT):
+            self._record_doubt(endpoint)
         if isinstance(outcome, Unknown):
             self.last_unknown = outcome
         if is_exempt(outcome):
@@ -166,9 +197,16 @@
         else:
             self.counted_attempts += 1
 
+    def _record_doubt(self, endpoint: str) -> None:
+        self.doubtful_endpoints.add(endpoint)
+        if not self.avoids_doubt:
+            self.accept_doubt()
+
     def _record_overload(self, endpoint: str) -> None:
         if self.waits:
             self.queue_refusals += 1
+            if self.queue_refusals >= MAX_QUEUE_REFUSALS and self.accept_doubt():
+                self.queue_refusals -= 1
             return
         self.busy_endpoints.add(endpoint)
         if len(self.busy_endpoints) >= MAX_BUSY_ENDPOINTS:
@@ -202,6 +240,5 @@
     return isinstance(outcome, NotRun) and outcome.reason in EXEMPT_REASONS
 
 
-def _is_overloaded(outcome: Outcome) -> bool:
-    overloaded = peer_pb2.NOT_RUN_REASON_OVERLOADED
-    return isinstance(outcome, NotRun) and outcome.reason == overloaded
+def _has_reason(outcome: Outcome, reason: int) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason == reason
--- a/packages/laburnumscale/src/laburnumscale/callstatistics.py
+++ b/packages/laburnumscale/src/laburnumscale/callstatistics.py
@@ -14,6 +14,8 @@
 FAILING_BAD_RATIO = 0.3
 BAD_CALL_STEP = math.log(FAILING_BAD_RATIO / HEALTHY_BAD_RATIO)
 GOOD_CALL_STEP = math.log((1 - FAILING_BAD_RATIO) / (1 - HEALTHY_BAD_RATIO))
+#: A single bad call raises the score above this; several good ones lower it again.
+DOUBT_THRESHOLD = BAD_CALL_STEP / 2
 AVERAGE_WEIGHT = 0.2
 PERCENT = 100
 
@@ -44,6 +46,14 @@
         )
         self.bad_ratio += AVERAGE_WEIGHT * (float(bad) - self.bad_ratio)
 
+    def raises_doubt(self) -> bool:
+        """Return whether the bad calls are not yet outweighed by good ones.
+
+        This is the case from the first bad call on, long before there is enough
+        evidence to eject the target.
+        """
+        return self.score >= DOUBT_THRESHOLD
+
     def add_latency(self, latency_us: float) -> None:
         """Add the latency of one call."""
         if not self.latency_us:
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -17,7 +17,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.failurereplies import AttemptRefused
 from laburnumscale.loadtable import ServiceBaseline
-from laburnumscale.localtarget import LocalTarget
+from laburnumscale.localtarget import NO_DOUBT, LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.recovery import TargetRecovery
@@ -29,6 +29,7 @@
 
 EVIDENCE = "evidence"
 MAX_THRESHOLD_GROWTH = 1.5
+MAX_DOUBT_MS = 5_000  # targets that fail some of their calls do so for seconds
 COLD_LATENCY_FACTOR = 2  # targets are slower for some seconds after their start
 US_PER_MS = 1000
 EJECTED_RETRY_AFTER_MS = 1000
@@ -151,6 +152,10 @@
         labels = f'service="{target.service}",bad="{str(bad).lower()}"'
         self._metrics.count("attempts", labels)
         target.latency_us = int(record.statistics.latency_us)
+        if not record.statistics.raises_doubt():
+            target.doubt_deadline = NO_DOUBT
+        elif bad:
+            target.doubt_deadline = Deadline.after_ms(MAX_DOUBT_MS)
         if target.ejected:
             target.severity_percent = max(1, record.statistics.severity_percent())
         elif target.on_trial:
@@ -184,6 +189,11 @@
         target = record.target
         if settings.ejection_policy != EVIDENCE or head.floor_traffic:
             return False
+        if head.avoid_doubt and target.in_doubt and not target.on_trial:
+            self._metrics.count("refused_in_doubt", f'service="{target.service}"')
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_IN_DOUBT, EJECTED_RETRY_AFTER_MS
+            )
         if target.ejected or (target.on_trial and record.trial_running):
             self._metrics.count("refused_ejected", f'service="{target.service}"')
             raise AttemptRefused(
--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -20,6 +20,7 @@
 MIN_UNRESPONSIVE_ENDPOINTS = 2
 US_PER_S = 1_000_000
 MAX_BASELINE_AGE_S = 0.02
+MAX_DOUBT_AGE_S = 2.0  # later, the guard is asked again
 MAX_BASELINES = 1024
 EXPIRY_INTERVAL_S = 60.0
 REPORT_EXPIRY_S = 600.0
@@ -70,6 +71,7 @@
     """The state of an endpoint as this entry knows it.
 
     :ivar in_system: estimated number of calls that run or wait at the endpoint.
+    :ivar in_doubt: some of its latest calls failed, according to a recent report.
     :ivar open_slots: calls that it runs at a time; fewer during its slow start.
     """
 
@@ -81,6 +83,7 @@
     open_slots: int
     latency_us: int
     path_broken: bool = False
+    in_doubt: bool = False
 
     @property
     def utilisation(self) -> float:
@@ -181,6 +184,7 @@
             open_slots=report.open_slots or view.slots,
             latency_us=self._latencies.estimate_us((view.service, route), _key(view)),
             path_broken=path_broken,
+            in_doubt=report.in_doubt and _is_recent(received),
         )
 
     def baseline(
@@ -238,6 +242,10 @@
         return [min(times_s) for times_s in overdue if times_s]
 
 
+def _is_recent(received: _ReceivedReport) -> bool:
+    return time.monotonic() - received.received_at_s < MAX_DOUBT_AGE_S
+
+
 def _calls_of_other_entries(received: _ReceivedReport) -> float:
     """Return the estimated calls of other entries, which decay as the report ages."""
     reported = received.report.running + received.report.queued
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -14,7 +14,9 @@
 from laburnumscale.slotqueue import SlotQueue
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["LocalTarget"]
+__all__ = ["NO_DOUBT", "LocalTarget"]
+
+NO_DOUBT = Deadline(0.0)
 
 #: One more slot opens after each step, about half the duration of a call in the known
 #: workloads.
@@ -46,6 +48,8 @@
     :ivar route_latencies: average latency of the calls of each route.
     :ivar slot_time_us: average time for which a call holds a slot; 0 before the
         first one.
+    :ivar late_calls: number of its running calls that take unusually long.
+    :ivar doubt_deadline: until when its latest bad calls leave it in doubt.
     :ivar severity_percent: ratio of bad calls while it is ejected, in percent.
     :ivar verdict_version: increases with each verdict of the guard.
     :ivar on_trial: it returns from an ejection and takes one call at a time.
@@ -68,6 +72,8 @@
     latency_us: int = 0
     route_latencies: RouteLatencies = attrs.field(factory=RouteLatencies)
     slot_time_us: float = 0.0
+    late_calls: int = 0
+    doubt_deadline: Deadline = NO_DOUBT
     ejected: bool = False
     severity_percent: int = 0
     verdict_version: int = attrs.field(factory=VERDICT_VERSIONS.__next__)
@@ -102,9 +108,15 @@
             verdict_version=self.verdict_version,
             severity_percent=self.severity_percent,
             on_trial=self.on_trial,
+            in_doubt=self.in_doubt,
             open_slots=self.open_slots(),
         )
 
+    @property
+    def in_doubt(self) -> bool:
+        """Return whether some of its latest calls failed, or take unusually long."""
+        return self.late_calls > 0 or not self.doubt_deadline.has_passed()
+
     def open_slots(self) -> int:
         """Return the number of open slots, which increases during a slow start."""
         elapsed_s = time.monotonic() - self.slow_start_at_s
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -86,6 +86,7 @@
         idempotent: bool,
         reserve_trial: Callable[[], bool] = lambda: False,
         route: int = 0,
+        avoid_doubt: bool = False,
     ) -> EndpointView | None:
         """Return the endpoint for the next attempt, or None.
 
@@ -95,6 +96,7 @@
             reserves a retry for the case that the trial fails, and returns whether
             it could.
         :param route: hash of the route of the call.
+        :param avoid_doubt: prefer endpoints whose latest calls have not failed.
         """
         settings = self._settings(service)
         selection = self.selection(service, route)
@@ -105,6 +107,8 @@
         loads = eligible(loads, selection, idempotent)
         if not loads:
             return None
+        if avoid_doubt:
+            loads = [load for load in loads if not load.in_doubt] or loads
         return self._policy(settings).choose(loads, self._own_data_centre()).view
 
     def selection(self, service: str, route: int = 0) -> Selection:
--- /dev/null
+++ b/tests/features/steps/load_steps.py
@@ -0,0 +1,136 @@
+import logging
+import random
+from contextlib import ExitStack
+from unittest import mock
+
+import structlog
+from behave import given, then, when
+
+from bench.model import (
+    Episode,
+    ModelFleet,
+    RouteLoad,
+    TargetPlan,
+    play_load,
+    run_in_virtual_time,
+)
+from laburnumscale import attemptmonitor, health
+from laburnumscale.settingstree import EffectiveSettings
+
+SEED = 4
+DATA_CENTRES = ("makati", "pasig")
+SETTINGS = EffectiveSettings(attempt_limit=2)
+ROUTES = {
+    "holds": RouteLoad("hold", 0, False, 300, 1_500, 3_000),
+    "lookups": RouteLoad("lookup", 0, True, 300, 1_200, 2_500),
+}
+#: How to switch off a mechanism: module, name and value of constants.
+SWITCHES = {
+    "doubt": (
+        (health, "MAX_DOUBT_MS", 0),
+        (attemptmonitor, "LATE_SHARE", 1.0),
+    ),
+}
+
+
+def plan_target(index, episodes):
+    return TargetPlan(DATA_CENTRES[index % 2], episodes=tuple(episodes))
+
+
+@given(
+    "{count:d} model targets, of which each hangs {percent:d} percent of its calls for "
+    "{length_s:d} s in turn"
+)
+def step_plan_hanging_targets(context, count, percent, length_s):
+    context.plans = []
+    for index in range(count):
+        start_s = 2.0 + 2 * index % 19
+        episode = Episode("hang", start_s, start_s + length_s, percent / 100)
+        context.plans.append(plan_target(index, [episode]))
+
+
+@given(
+    "{count:d} model targets that are all {factor:d} times as slow from {start_s:d} s "
+    "to {end_s:d} s"
+)
+def step_plan_slow_targets(context, count, factor, start_s, end_s):
+    episode = Episode("slow", start_s, end_s, 1.0)
+    context.plans = [plan_target(index, [episode]) for index in range(count)]
+
+
+def play(context, kind, rate_per_s, duration_s, without=()):
+    """Play a load and return the result of its route."""
+    route = RouteLoad(
+        **{
+            field.name: getattr(ROUTES[kind], field.name)
+            for field in RouteLoad.__attrs_attrs__
+            if field.name != "calls_per_s"
+        },
+        calls_per_s=rate_per_s,
+    )
+
+    async def run():
+        context.model_fleet = ModelFleet(context.plans, SETTINGS, SEED)
+        results = await play_load(context.model_fleet, [route], duration_s, SEED)
+        return results[route.name]
+
+    random.seed(SEED)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    try:
+        with ExitStack() as patches:
+            for switch in without:
+                patches.enter_context(mock.patch.object(*switch))
+            return run_in_virtual_time(run)
+    finally:
+        structlog.reset_defaults()
+
+
+@when("{duration_s:d} s of {kind} at {rate:d} calls a second are played")
+def step_play(context, duration_s, kind, rate):
+    context.result = play(context, kind, rate, duration_s)
+
+
+@when(
+    "{duration_s:d} s of {kind} at {rate:d} calls a second are played with and without "
+    "{mechanism}"
+)
+def step_play_twice(context, duration_s, kind, rate, mechanism):
+    context.result = play(context, kind, rate, duration_s)
+    context.result_without = play(context, kind, rate, duration_s, SWITCHES[mechanism])
+
+
+def count_lost(result):
+    return result.refused + result.failed
+
+
+def assert_ratio(more, fewer, ratio):
+    assert more >= ratio * fewer, (more, fewer)
+
+
+@then("without {mechanism} at least {ratio:f} times as many {kind} are lost")
+def step_compare_lost(context, mechanism, ratio, kind):
+    without, with_it = count_lost(context.result_without), count_lost(context.result)
+    assert_ratio(without, with_it, ratio)
+
+
+@then(
+    "without {mechanism} at least {ratio:f} times as many {kind} miss their objective"
+)
+def step_compare_late(context, mechanism, ratio, kind):
+    missed = [r.calls - r.in_time for r in (context.result_without, context.result)]
+    assert_ratio(missed[0], missed[1], ratio)
+
+
+@then("no hold has run twice, and none that was refused has run")
+def step_check_at_most_once(context):
+    found = (context.result.ran_twice, context.result.false_refusals)
+    assert found == (0, 0), found
+
+
+@then("every target has run holds in the last {period_s:d} s")
+def step_check_all_run(context, period_s):
+    last_runs_s = [machine.last_run_at_s for machine in context.model_fleet.machines]
+    oldest_s = max(last_runs_s) - period_s
+    assert min(last_runs_s) >= oldest_s, last_runs_s
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -95,6 +95,10 @@
     "probes": "health checks of ejected targets, by service",
     "probes_failed": "probes of daemons without an ack",
     "probes_indirect": "probes of daemons repeated through relays",
+    "refused_in_doubt": (
+        "attempts that may run only once refused because the latest calls of their "
+        "target failed or take unusually long"
+    ),
     "refused_ejected": (
         "attempts refused because their target is ejected or already has a trial call"
     ),
