--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -50,8 +50,8 @@
     :ivar deadline: deadline for the complete answer.
     :ivar settle_if_lost: whether a lost attempt is settled, because the call must not
         run twice.
-    :ivar reserve_failover: called at the reply deadline; reserves an attempt at another
-        endpoint, and returns whether to abandon this attempt for it.
+    :ivar reserve_failover: called from the reply deadline on; reserves an attempt at
+        another endpoint, and returns whether to abandon this attempt for it.
     """
 
     head: peer_pb2.CallHead
@@ -176,13 +176,11 @@
         A target that may be processing the request is abandoned only if another one
         can be tried.
         """
-        if request.reserve_failover():
-            return None
         first = None
         while first is None and not (
             reader.connection_lost or request.deadline.has_passed()
         ):
-            if self._paths.is_broken(view.peer_address):
+            if request.reserve_failover() or self._paths.is_broken(view.peer_address):
                 break
             pause = Deadline.after_ms(PATH_CHECK_INTERVAL_MS)
             first = await reader.read_first(_earlier(pause, request.deadline))
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -9,7 +9,12 @@
 
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
 from laburnumscale.callerresponses import buffered_response, stream_response
-from laburnumscale.callstate import AttemptSummary, Call, is_exempt
+from laburnumscale.callstate import (
+    MIN_RETRY_TIME_MS,
+    AttemptSummary,
+    Call,
+    is_exempt,
+)
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import MS_PER_S
 from laburnumscale.failurereplies import DEFAULT_RETRY_AFTER_MS, failure_outcome
@@ -33,6 +38,7 @@
 __all__ = ["CallRunner"]
 
 SERVER_ERROR = 500
+US_PER_MS = 1000
 
 
 class CallRunner:
@@ -120,15 +126,19 @@
         self._metrics.count(name, f'service="{call.service}"')
         return allowed
 
-    def _reserve_failover(self, call: Call) -> bool:
+    def _reserve_failover(self, call: Call, head: peer_pb2.CallHead) -> bool:
         """Reserve a retry at another endpoint to replace an attempt without a reply.
 
-        A draining daemon does not replace the attempts that it has started.
+        A draining daemon does not replace the attempts that it has started, and an
+        attempt that could hardly end in time replaces none.
 
+        :param head: head of the attempt without a reply.
         :returns: whether the current attempt may be abandoned.
         """
+        median_ms = head.reference_latency_us / US_PER_MS
         if (
             self.draining
+            or call.deadline.left_ms() < max(median_ms, MIN_RETRY_TIME_MS)
             or self._router.pick(
                 call.service, call.tried_endpoints, True, route=call.route_hash
             )
@@ -218,7 +228,7 @@
             reply_deadline=call.reply_deadline(),
             deadline=call.deadline,
             settle_if_lost=call.at_most_once,
-            reserve_failover=lambda: self._reserve_failover(call),
+            reserve_failover=lambda: self._reserve_failover(call, head),
         )
 
     def _target_headers(self, request: Request) -> list[peer_pb2.Header]:
