Keep a running attempt until a failover has been answered

Cause: an idempotent call whose attempt had no reply cancelled it as soon as another endpoint was known and the budget allowed a retry. If that endpoint then refused the call, the caller got a 504 of ours while its first target had been at work.

Ruled out: the drain itself ends no attempt and replaces none; the guard of the other host ends one only when its stream is cancelled, which the abandoning did.

Change: the attempt goes on while the failover is made, and the first answer counts. If the failover is refused, the call waits for its first attempt.

Measured: the new scenario fails before (unknown after 2 s) and passes now.

--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from bench.model.fleet import Episode, ModelFleet, TargetPlan
-from bench.model.load import LoadResult, RouteLoad, play_load
+from bench.model.load import LoadResult, RouteLoad, play_load, run_call
 from bench.model.virtualtime import run_in_virtual_time
 
 __all__ = [
@@ -14,5 +14,6 @@
     "RouteLoad",
     "TargetPlan",
     "play_load",
+    "run_call",
     "run_in_virtual_time",
 ]
--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -219,6 +219,7 @@
     :param plans: the targets.
     :param settings: settings of the service.
     :param retry_slack: retries that the fleet may make beyond the budget.
+    :ivar work_s: time that each request needs, by its id.
     :ivar runners: the entries, with the data centre of each.
     :ivar metrics: counters of all daemons.
     """
--- a/bench/model/load.py
+++ b/bench/model/load.py
@@ -11,11 +11,12 @@
 import numpy as np
 
 from bench.model.fleet import SERVER_ERROR, SERVICE, ModelFleet
+from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
 from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import Answered, NotRun, Outcome
 
-__all__ = ["LoadResult", "RouteLoad", "play_load"]
+__all__ = ["LoadResult", "RouteLoad", "play_load", "run_call"]
 
 MS_PER_S = 1000
 
@@ -102,10 +103,21 @@
         work_ms = route.work_ms * random.lognormal(0.0, route.work_sigma)
         fleet.work_s[request_id] = work_ms / MS_PER_S
         runner, _ = fleet.runners[random.integers(len(fleet.runners))]
-        group.create_task(_run_call(fleet, runner, route, request_id, result))
+        group.create_task(run_call(fleet, route, request_id, result, runner))
 
 
-async def _run_call(fleet, runner, route, request_id, result: LoadResult) -> None:
+async def run_call(
+    fleet: ModelFleet,
+    route: RouteLoad,
+    request_id: str,
+    result: LoadResult,
+    runner: CallRunner | None = None,
+) -> None:
+    """Send one call and record what its caller gets.
+
+    :param runner: the entry that receives it; the first one by default.
+    """
+    runner = runner or fleet.runners[0][0]
     loop = asyncio.get_running_loop()
     started_at_s = loop.time()
     call = Call(
--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import aclosing, asynccontextmanager
+from typing import Any
 
 import attrs
 import grpc
@@ -34,6 +35,7 @@
 RUNNING_SETTLE_INTERVAL_MS = 500
 SETTLE_TIMEOUT_MS = 300
 MAX_QUEUED_REPLIES = 2
+SERVER_ERROR = 500
 
 ReplyStream = AsyncIterator[peer_pb2.CallReply]
 
@@ -51,7 +53,10 @@
     :ivar settle_if_lost: whether a lost attempt is settled, because the call must not
         run twice.
     :ivar reserve_failover: called from the reply deadline on; reserves an attempt at
-        another endpoint, and returns whether to abandon this attempt for it.
+        another endpoint, and returns whether to make it.
+    :ivar fail_over: makes the reserved attempt, and returns whether it was answered, so
+        that its answer replaces that of this attempt.
+    :ivar answer_started: returns whether the caller has received a part of the answer.
     """
 
     head: peer_pb2.CallHead
@@ -61,6 +66,8 @@
     deadline: Deadline
     settle_if_lost: bool
     reserve_failover: Callable[[], bool]
+    fail_over: Callable[[], Coroutine[Any, Any, bool]]
+    answer_started: Callable[[], bool]
 
 
 class ReplyReader:
@@ -173,14 +180,21 @@
     ) -> peer_pb2.CallReply | None:
         """Wait for the first reply while the guard remains reachable.
 
-        A target that may be processing the request is abandoned only if another one
-        can be tried.
+        A target that may be processing the request is abandoned only once another one
+        has answered.
+
+        :returns: None also if the answer of a failover replaces that of this attempt.
         """
         first = None
         while first is None and not (
             reader.connection_lost or request.deadline.has_passed()
         ):
-            if request.reserve_failover() or self._paths.is_broken(view.peer_address):
+            if request.reserve_failover():
+                first, is_replaced = await _race_failover(request, reader)
+                if is_replaced:
+                    return None
+                continue
+            if self._paths.is_broken(view.peer_address):
                 break
             pause = Deadline.after_ms(PATH_CHECK_INTERVAL_MS)
             first = await reader.read_first(_earlier(pause, request.deadline))
@@ -250,6 +264,34 @@
             stream.cancel()
 
 
+async def _race_failover(
+    request: AttemptRequest, reader: ReplyReader
+) -> tuple[peer_pb2.CallReply | None, bool]:
+    """Fail over to another endpoint while the reply may still arrive.
+
+    :returns: the reply if one has arrived, and whether the failover was answered first.
+    """
+    reading = asyncio.create_task(reader.read_first(request.deadline))
+    failing_over = asyncio.create_task(request.fail_over())
+    tasks = {reading, failing_over}
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        reply = reading.result() if reading.done() else None
+        if _is_success(reply) and not request.answer_started():
+            return reply, False
+        is_replaced = await failing_over
+        return (reading.result() if reading.done() else None), is_replaced
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+
+def _is_success(reply: peer_pb2.CallReply | None) -> bool:
+    has_answer = reply is not None and reply.HasField("head")
+    return has_answer and reply.head.status < SERVER_ERROR
+
+
 def _earlier(one: Deadline, other: Deadline) -> Deadline:
     return min(one, other, key=_at_s)
 
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -27,6 +27,7 @@
     Answered,
     NotRun,
     Outcome,
+    Unknown,
     outcome_name,
     reason_name,
 )
@@ -103,6 +104,8 @@
             call.attempt_summaries.append(
                 AttemptSummary(view.endpoint, view.daemon, result, elapsed_ms)
             )
+            if call.failover_result is not None:
+                return call.failover_result
             if isinstance(outcome, Answered):
                 failed = response is not None and outcome.status >= SERVER_ERROR
                 if not (failed and call.may_retry_server_error()):
@@ -147,6 +150,19 @@
             return False
         return self._reserve_attempt(call)
 
+    async def _fail_over(self, call: Call, view: EndpointView) -> bool:
+        """Make further attempts while the one at ``view`` has no reply yet.
+
+        :returns: whether one of them was answered.
+        """
+        missing = Unknown(peer_pb2.UNKNOWN_REASON_DEADLINE)
+        call.record_outcome(missing, view.endpoint)
+        self._charge_retry(call, missing)
+        result = await self._try_targets(call)
+        if isinstance(result[0], Answered) or call.answer_started:
+            call.failover_result = result
+        return call.failover_result is not None
+
     def _reserve_attempt(self, call: Call) -> bool:
         """Reserve one more attempt of a call.
 
@@ -229,6 +245,8 @@
             deadline=call.deadline,
             settle_if_lost=call.at_most_once,
             reserve_failover=lambda: self._reserve_failover(call, head),
+            fail_over=lambda: self._fail_over(call, view),
+            answer_started=lambda: call.answer_started,
         )
 
     def _target_headers(self, request: Request) -> list[peer_pb2.Header]:
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 
 import attrs
-from sanic import Request
+from sanic import HTTPResponse, Request
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import NotRun, Outcome, Unknown
@@ -80,6 +80,8 @@
     :ivar exempt_attempts: attempts refused for one of ``EXEMPT_REASONS``.
     :ivar last_unknown: outcome of the last attempt that may have run.
     :ivar answer_started: the first part of an answer was sent to the caller.
+    :ivar failover_result: outcome and response of a failover that was answered while
+        the attempt that it replaces had no reply.
     :ivar attempt_summaries: results of the attempts so far, for the log.
     """
 
@@ -99,6 +101,7 @@
     exempt_attempts: int = 0
     last_unknown: Unknown | None = None
     answer_started: bool = False
+    failover_result: tuple[Outcome, HTTPResponse | None] | None = None
     attempt_summaries: list[AttemptSummary] = attrs.field(factory=list)
     retry_reserved: bool = False
     busy_endpoints: set[str] = attrs.field(factory=set)
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -11,3 +11,9 @@
     When 14 s of holds at 20 calls a second are played
     Then every target has run holds in the last 3 s
     And no hold has run twice, and none that was refused has run
+
+  Scenario: A failover that finds no place does not end the attempt that runs
+    Given 2 model targets with 1 slot each, one of which is busy for 10 s
+    When a lookup that takes 2500 ms is sent to the other one with 4000 ms left
+    Then its caller gets the answer after 2500 ms
+    And the lookup has run once
--- a/tests/features/steps/load_steps.py
+++ b/tests/features/steps/load_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import logging
 import random
 from contextlib import ExitStack
@@ -8,10 +9,12 @@
 
 from bench.model import (
     Episode,
+    LoadResult,
     ModelFleet,
     RouteLoad,
     TargetPlan,
     play_load,
+    run_call,
     run_in_virtual_time,
 )
 from laburnumscale import attemptmonitor, health
@@ -134,3 +137,49 @@
     last_runs_s = [machine.last_run_at_s for machine in context.model_fleet.machines]
     oldest_s = max(last_runs_s) - period_s
     assert min(last_runs_s) >= oldest_s, last_runs_s
+
+
+@given(
+    "{count:d} model targets with {slots:d} slot each, one of which is busy for "
+    "{busy_s:d} s"
+)
+def step_plan_busy_target(context, count, slots, busy_s):
+    context.plans = [TargetPlan(slots=slots) for _ in range(count)]
+    context.busy_ms = 1000 * busy_s
+
+
+@when(
+    "a lookup that takes {work_ms:d} ms is sent to the other one with {left_ms:d} ms "
+    "left"
+)
+def step_send_lookup(context, work_ms, left_ms):
+    busy = RouteLoad("busy", 1, True, context.busy_ms, 20_000, 20_000)
+    lookup = RouteLoad("lookup", 1, True, work_ms, left_ms, left_ms)
+
+    async def run():
+        fleet = ModelFleet(context.plans, SETTINGS, SEED)
+        fleet.work_s.update(busy=context.busy_ms / 1000, lookup=work_ms / 1000)
+        loop = asyncio.get_running_loop()
+        first = loop.create_task(run_call(fleet, busy, "busy", LoadResult()))
+        await asyncio.sleep(0.1)
+        result = LoadResult()
+        started_at_s = loop.time()
+        await run_call(fleet, lookup, "lookup", result)
+        context.elapsed_ms = 1000 * (loop.time() - started_at_s)
+        context.runs = fleet.count_runs("lookup")
+        first.cancel()
+        return result
+
+    random.seed(SEED)
+    context.result = run_in_virtual_time(run)
+
+
+@then("its caller gets the answer after {work_ms:d} ms")
+def step_check_answered(context, work_ms):
+    assert context.result.in_time == 1, context.result
+    assert work_ms <= context.elapsed_ms < work_ms + 100, context.elapsed_ms
+
+
+@then("the lookup has run once")
+def step_check_one_run(context):
+    assert context.runs == 1, context.runs
