--- a/tests/features/steps/members_views_steps.py
+++ b/tests/features/steps/members_views_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 from collections import Counter
 from functools import reduce
@@ -18,6 +19,10 @@
     without_endpoints,
 )
 from laburnumscale.members import Members
+from laburnumscale.merger import EntryMerger
+from laburnumscale.metrics import Metrics
+from laburnumscale.peersampling import sample_peers, shuffled_probe_order
+from laburnumscale.tableexchange import TableExchange
 from laburnumscale.updatequeue import UpdateQueue, send_limit
 from laburnumscale_schema import gossip_pb2, peer_pb2
 
@@ -262,3 +267,89 @@
     names = [f"d{index}" for index in range(count)]
     expected = dict.fromkeys(names, send_limit(GROUP_SIZE))
     assert context.sent_counts == expected, context.sent_counts
+
+
+def add_peers(members, count, data_centre, first=0):
+    for index in range(first, first + count):
+        peer = new_member(f"{data_centre}-{index}", address=f"127.0.0.1:{1000 + index}")
+        peer.data_centre = data_centre
+        members.merge(peer)
+
+
+@given("a daemon with {local:d} peers in its data centre and {remote:d} in others")
+def step_create_sampled_table(context, local, remote):
+    context.member_table = Members(new_member("own"))
+    add_peers(context.member_table, local, "makati")
+    add_peers(context.member_table, remote // 2, "pasig", first=100)
+    add_peers(context.member_table, remote - remote // 2, "quezon", first=200)
+
+
+@when("it samples {count:d} peers for gossip {times:d} times")
+def step_sample_peers(context, count, times):
+    random.seed(1)
+    context.samples = [sample_peers(context.member_table, count) for _ in range(times)]
+
+
+@then("between {low:d} and {high:d} percent of them are in other data centres")
+def step_check_remote_share(context, low, high):
+    sampled = [peer for sample in context.samples for peer in sample]
+    remote = sum(peer.data_centre != "makati" for peer in sampled)
+    assert low <= 100 * remote / len(sampled) <= high, remote / len(sampled)
+
+
+@then("each sample has {count:d} different peers")
+def step_check_sample_sizes(context, count):
+    sizes = {len({peer.daemon for peer in sample}) for sample in context.samples}
+    assert sizes == {count}, sizes
+
+
+@then("a round of probes covers all {count:d} peers")
+def step_check_all_probed(context, count):
+    assert len(set(shuffled_probe_order(context.member_table))) == count
+
+
+@then("each round of probes covers its {local:d} peers and {remote:d} others")
+def step_check_probe_round(context, local, remote):
+    for _ in range(50):
+        names = shuffled_probe_order(context.member_table)
+        local_names = {name for name in names if name.startswith("makati")}
+        assert len(local_names) == local, names
+        assert len(names) - local in (remote, remote + 1), names
+
+
+@given("two tables of {count:d} members that differ in one entry")
+def step_create_tables(context, count):
+    context.tables = [Members(new_member("own-a")), Members(new_member("own-b"))]
+    for table in context.tables:
+        add_peers(table, count - 2, "pasig")
+        table.merge(new_member("own-b" if table is context.tables[0] else "own-a"))
+    add_peers(context.tables[1], 1, "quezon", first=9000)
+
+
+@when("the first daemon exchanges tables with the second")
+def step_exchange_tables(context):
+    first, second = (
+        TableExchange(
+            table, EntryMerger(table, lambda peer: None, Metrics()), None, Metrics()
+        )
+        for table in context.tables
+    )
+    context.exchange_requests = []
+
+    class Stub:
+        async def ExchangeMembers(self, request, **options):  # noqa: N802
+            context.exchange_requests.append(request)
+            return second.handle_request(request)
+
+    asyncio.run(first._run_exchange(Stub(), announce_self=True))
+
+
+@then("both tables are equal")
+def step_check_tables_equal(context):
+    digests = [table.digests() for table in context.tables]
+    assert digests[0] == digests[1]
+
+
+@then("the first request has {count:d} digests")
+def step_check_digest_count(context, count):
+    assert len(context.exchange_requests[0].bucket_digests) == count
