Let calls with large answers wait longer for a slot in their data centre

Change: entries average the size of the answers by route.

The new examples fail without the setting.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -7,6 +7,7 @@
 
 from sanic import HTTPResponse, Request
 
+from laburnumscale.answersizes import AnswerSizes
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
 from laburnumscale.callerresponses import buffered_response, stream_response
 from laburnumscale.callstate import (
@@ -62,6 +63,7 @@
     ) -> None:
         self.in_flight = InFlightCounter()
         self.draining = False
+        self._answer_sizes = AnswerSizes()
         self._attempt_client = attempt_client
         self._router = router
         self._metrics = metrics
@@ -197,6 +199,7 @@
             reserve_trial=lambda: self._reserve_attempt(call),
             route=call.route_hash,
             avoid_doubt=call.avoids_doubt,
+            answer_bytes=self._answer_sizes.average_bytes(call.route_hash),
         )
 
     async def _attempt(
@@ -211,11 +214,13 @@
                 if outcome is not None:
                     return outcome, None
                 if first.end:
+                    self._answer_sizes.add(call.route_hash, len(first.body))
                     response = buffered_response(first, call.request_id, self._names)
                     return Answered(first.head.status), response
                 call.answer_started = True
+                measured = self._answer_sizes.measure(call.route_hash, first, rest)
                 streamed = stream_response(
-                    call.request, call.request_id, first, rest, self._names
+                    call.request, call.request_id, first, measured, self._names
                 )
                 return await streamed, None
         finally:
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -30,11 +30,18 @@
     name: str
 
     @abstractmethod
-    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+    def choose(
+        self,
+        loads: list[EndpointLoad],
+        data_centre: str,
+        remote_cost_us: float = 0.0,
+    ) -> EndpointLoad:
         """Return one of the endpoints.
 
         :param loads: at least one endpoint.
         :param data_centre: the data centre of the entry that handles the call.
+        :param remote_cost_us: waiting time in microseconds that is as bad as fetching
+            the answer from another data centre.
         """
 
 
@@ -44,11 +51,17 @@
     Calls leave the local data centre when its endpoints are full, or when they are
     several times as slow as others. While slots are free, load alone does not move
     calls to another data centre, because traffic between data centres is expensive.
+    Calls with large answers wait longer for a slot in their own.
     """
 
     name = "two-choices"
 
-    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+    def choose(
+        self,
+        loads: list[EndpointLoad],
+        data_centre: str,
+        remote_cost_us: float = 0.0,
+    ) -> EndpointLoad:
         best = self._cheaper_of_two(loads)
         max_latency_us = MAX_LOCAL_LATENCY_FACTOR * best.latency_us
         local = [
@@ -63,7 +76,7 @@
         if not local:
             return best
         best_local = self._cheaper_of_two(local)
-        max_cost = REMOTE_COST_FACTOR * self.cost(best)
+        max_cost = REMOTE_COST_FACTOR * self.cost(best) + remote_cost_us
         return best_local if self.cost(best_local) <= max_cost else best
 
     def _cheaper_of_two(self, loads: list[EndpointLoad]) -> EndpointLoad:
@@ -111,7 +124,12 @@
     def __init__(self) -> None:
         self._last: dict[str, str] = {}
 
-    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+    def choose(
+        self,
+        loads: list[EndpointLoad],
+        data_centre: str,
+        remote_cost_us: float = 0.0,
+    ) -> EndpointLoad:
         service = loads[0].view.service
         ordered = sorted(loads, key=lambda load: load.view.endpoint)
         last = self._last.get(service, "")
@@ -126,7 +144,12 @@
 
     name = "least-requests"
 
-    def choose(self, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
+    def choose(
+        self,
+        loads: list[EndpointLoad],
+        data_centre: str,
+        remote_cost_us: float = 0.0,
+    ) -> EndpointLoad:
         pair = random.sample(loads, min(2, len(loads)))
         return min(pair, key=lambda load: load.in_system)
 
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -39,6 +39,7 @@
     "retry_budget_percent": (0, 100),
     "eject_after": (1, 100),
     "break_weight": (1, 100),
+    "remote_ms_per_mib": (0, 600_000),
     "slow_factor": (0, 1000),
     "slow_excess_ms": (1, 600_000),
     "ejection_ms": (100, 600_000),
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -25,6 +25,8 @@
 READY = peer_pb2.TARGET_STATE_READY
 EVIDENCE = "evidence"
 CONSECUTIVE_ERRORS = "consecutive-errors"
+BYTES_PER_MIB = 1024 * 1024
+US_PER_MS = 1000
 
 
 @attrs.define(eq=False)
@@ -87,6 +89,7 @@
         reserve_trial: Callable[[], bool] = lambda: False,
         route: int = 0,
         avoid_doubt: bool = False,
+        answer_bytes: float = 0.0,
     ) -> EndpointView | None:
         """Return the endpoint for the next attempt, or None.
 
@@ -97,6 +100,7 @@
             it could.
         :param route: hash of the route of the call.
         :param avoid_doubt: prefer endpoints whose latest calls have not failed.
+        :param answer_bytes: expected size of the answer, 0 if unknown.
         """
         settings = self._settings(service)
         selection = self.selection(service, route)
@@ -109,7 +113,11 @@
             return None
         if avoid_doubt:
             loads = [load for load in loads if not load.in_doubt] or loads
-        return self._policy(settings).choose(loads, self._own_data_centre()).view
+        remote_cost_us = (
+            answer_bytes / BYTES_PER_MIB * settings.remote_ms_per_mib * US_PER_MS
+        )
+        policy = self._policy(settings)
+        return policy.choose(loads, self._own_data_centre(), remote_cost_us).view
 
     def selection(self, service: str, route: int = 0) -> Selection:
         """Return the endpoints of a service that take calls of this entry."""
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -45,6 +45,8 @@
     :ivar slow_excess_ms: a call is slow only if it exceeds the median latency by more
         than this time.
     :ivar ejection_ms: duration of a target's first ejection.
+    :ivar remote_ms_per_mib: waiting time in milliseconds that is as bad as fetching
+        an answer of 1 MiB from another data centre.
     :ivar connection_limit: maximum number of connections that a target accepts from
         all callers; 0 for no limit.
     :ivar close_ends_answer: whether an answer without a length is complete when its
@@ -66,6 +68,7 @@
     slow_factor: int = 4
     slow_excess_ms: int = 150
     ejection_ms: int = 500
+    remote_ms_per_mib: int = 5000  # 100 KiB are worth half a second of waiting
     probe_path: str = "/healthz"
     routing_policy: str = "two-choices"
     ejection_policy: str = "evidence"
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -207,3 +207,15 @@
     When 1 slots are granted
     And 9 calls start without waiting
     Then a call of priority 2 expects a slot after 2.2 releases
+
+  Scenario Outline: Calls with large answers wait longer in their data centre
+    Given an endpoint in makati with <local> calls and one in pasig with <remote> calls
+    When 100 calls from makati with answers of <kib> KiB choose between them
+    Then <near> of them stay in makati
+
+    Examples: a call takes 10 ms, and 1 KiB is as bad as waiting for 5 ms
+      | local | remote | kib | near |
+      | 9     | 4      | 0   | none |
+      | 9     | 4      | 1   | none |
+      | 9     | 4      | 90  | all  |
+      | 400   | 4      | 90  | none |
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -388,6 +388,19 @@
     context.count = count
 
 
+@when("{count:d} calls from makati with answers of {kib:d} KiB choose between them")
+def step_choose_with_answer_size(context, count, kib):
+    sources = _FakeRouterSources()
+    router = Router(sources, sources, sources, health=None)
+    router.selection = lambda service, route: select_endpoints(context.loads, 100)
+    chosen = [
+        router.pick("slot-desk", set(), True, answer_bytes=1024 * kib)
+        for _ in range(count)
+    ]
+    context.local_count = sum(view.data_centre == "makati" for view in chosen)
+    context.count = count
+
+
 @then("{share} of them stay in makati")
 def step_check_local_share(context, share):
     assert context.local_count == {"all": context.count, "none": 0}[share], (
