--- a/tests/features/losses.feature
+++ b/tests/features/losses.feature
@@ -21,3 +21,21 @@
       | ejected: overdue | 2 |
       """
     And the targets of slot-desk were ejected for 2.5 s and on trial for 0.5 s
+
+  Scenario: Calls that were not served are counted by route and cause
+    Given logs of d1
+      """
+      {"event": "call ended", "service": "slot-desk", "route": "a/hold/", "idempotent": false, "outcome": "answered", "reason": "none", "status": 200, "elapsed_ms": 900, "left_ms": 1100, "attempts": [{"endpoint": "e2", "daemon": "d2", "result": "answered none", "elapsed_ms": 900}], "stands_for": 4, "daemon": "d1", "timestamp": "2026-12-03T10:00:00.5Z"}
+      {"event": "call ended", "service": "slot-desk", "route": "a/hold/", "idempotent": false, "outcome": "unknown", "reason": "deadline", "status": null, "elapsed_ms": 2000, "left_ms": 0, "attempts": [{"endpoint": "e1", "daemon": "d1", "result": "unknown deadline", "elapsed_ms": 2000}], "stands_for": 1, "daemon": "d1", "timestamp": "2026-12-03T10:00:02Z"}
+      {"event": "call ended", "service": "slot-desk", "route": "a/hold/", "idempotent": false, "outcome": "unknown", "reason": "deadline", "status": null, "elapsed_ms": 2000, "left_ms": 0, "attempts": [{"endpoint": "e1", "daemon": "d1", "result": "unknown deadline", "elapsed_ms": 2000}], "stands_for": 1, "daemon": "d1", "timestamp": "2026-12-03T10:00:05Z"}
+      {"event": "call ended", "service": "slot-desk", "route": "a/look/", "idempotent": true, "outcome": "not_run", "reason": "overloaded", "status": null, "elapsed_ms": 3, "left_ms": 900, "attempts": [{"endpoint": "e1", "daemon": "d1", "result": "not_run overloaded", "elapsed_ms": 3}], "stands_for": 1, "daemon": "d1", "timestamp": "2026-12-03T10:00:04Z"}
+      """
+    When the causes are computed from the logs of d1
+    Then the causes of a/hold/ are
+      | cause                                       | count |
+      | deadline at a target that nobody could know | 1     |
+      | deadline at a suspect target                | 1     |
+    And the causes of a/look/ are
+      | cause                                   | count |
+      | refused overloaded, a slot was free     | 1     |
+    And a/hold/ had 6 calls and a/look/ is inner
