Let an answered failover win over a reply that arrives at the same moment

Cause, found by reading: if both ended in one iteration of the event loop, the reply of the first attempt was used and streamed, and the result of the failover was returned after it, as a second response on the connection. No play or test has shown it.

Change: the reply of the attempt counts only while the failover has not ended.

Measured: the first of the new examples fails before and passes now.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -25,7 +25,7 @@
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["AttemptClient", "AttemptRequest", "ReplyReader"]
+__all__ = ["AttemptClient", "AttemptRequest", "ReplyReader", "race_failover"]
 
 CONNECT_TIMEOUT_SHARE = 0.25
 PATH_CHECK_INTERVAL_MS = 100  # detecting a broken path takes about 0.5 s
@@ -190,7 +190,7 @@
             reader.connection_lost or request.deadline.has_passed()
         ):
             if request.reserve_failover():
-                first, is_replaced = await _race_failover(request, reader)
+                first, is_replaced = await race_failover(request, reader)
                 if is_replaced:
                     return None
                 continue
@@ -264,7 +264,7 @@
             stream.cancel()
 
 
-async def _race_failover(
+async def race_failover(
     request: AttemptRequest, reader: ReplyReader
 ) -> tuple[peer_pb2.CallReply | None, bool]:
     """Fail over to another endpoint while the reply may still arrive.
@@ -277,7 +277,8 @@
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         reply = reading.result() if reading.done() else None
-        if _is_success(reply) and not request.answer_started():
+        is_decided = failing_over.done() or request.answer_started()
+        if _is_success(reply) and not is_decided:
             return reply, False
         is_replaced = await failing_over
         return (reading.result() if reading.done() else None), is_replaced
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -219,3 +219,17 @@
       | 9     | 4      | 1   | none |
       | 9     | 4      | 90  | all  |
       | 400   | 4      | 90  | none |
+
+  Scenario Outline: Only one answer counts when a failover and its attempt are answered
+    Given an attempt that is answered with <status> after <reply> ms
+    When its failover ends after <failover> ms and is answered: <answered>
+    Then the answer that counts is that of the <winner>
+
+    Examples:
+      | status | reply | failover | answered | winner   |
+      | 200    | 0     | 0        | yes      | failover |
+      | 200    | 20    | 0        | yes      | failover |
+      | 200    | 0     | 20       | yes      | attempt  |
+      | 200    | 20    | 0        | no       | attempt  |
+      | 500    | 0     | 20       | yes      | failover |
+      | 500    | 0     | 20       | no       | attempt  |
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -3,11 +3,13 @@
 import time
 from collections import Counter
 from contextlib import AsyncExitStack, suppress
+from types import SimpleNamespace
 
 import attrs
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
+from laburnumscale.attemptclient import race_failover
 from laburnumscale.attempttable import Attempt
 from laburnumscale.callerapi import choose_backend
 from laburnumscale.calls import CallRunner
@@ -636,3 +638,42 @@
 def step_check_state(context, state):
     target = context.local_targets.get("slot-desk", "e1")
     assert target is not None and target.state == STATES[state], target
+
+
+@given("an attempt that is answered with {status:d} after {delay_ms:d} ms")
+def step_create_reader(context, status, delay_ms):
+    class Reader:
+        async def read_first(self, deadline):
+            if delay_ms:
+                await asyncio.sleep(delay_ms / 1000)
+            head = peer_pb2.ReplyHead(status=status)
+            return peer_pb2.CallReply(head=head, end=True)
+
+    context.reader = Reader()
+
+
+@when("its failover ends after {delay_ms:d} ms and is answered: {answered}")
+def step_race_failover(context, delay_ms, answered):
+    async def fail_over():
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+        return answered == "yes"
+
+    request = SimpleNamespace(
+        deadline=Deadline.after_ms(1000),
+        fail_over=fail_over,
+        answer_started=lambda: False,
+    )
+
+    async def race():
+        reply, is_replaced = await race_failover(request, context.reader)
+        while reply is None and not is_replaced:
+            reply = await context.reader.read_first(request.deadline)
+        return is_replaced
+
+    context.is_replaced = asyncio.run(race())
+
+
+@then("the answer that counts is that of the {winner}")
+def step_check_winner(context, winner):
+    assert context.is_replaced == (winner == "failover"), context.is_replaced
