--- a/packages/laburnumscale/src/laburnumscale/routelatencies.py
+++ b/packages/laburnumscale/src/laburnumscale/routelatencies.py
@@ -52,7 +52,3 @@
         """Return the average latency of a route in microseconds, 0 if unknown."""
         average = self._averages.get(route)
         return int(average.latency_us) if average is not None else 0
-
-    def clear(self) -> None:
-        """Forget all latencies."""
-        self._averages.clear()
