Log failed fetches and pushes of settings, and how far a daemon is behind

A failed fetch or push now logs its peer, its duration and the held and the reported revision. The histogram settings_lag measures the time from the first report.

--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -11,6 +11,7 @@
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
+from laburnumscale.revisionlag import RevisionLag
 from laburnumscale.settingschecks import check_snapshot, parse_record
 from laburnumscale.settingstree import SettingsTree
 from laburnumscale_schema import peer_pb2, settings_pb2
@@ -36,6 +37,7 @@
     :ivar newer_peer_address: address of a peer that reported a newer revision, or
         empty.
     :ivar newer_peer_found: set when ``newer_peer_address`` is set.
+    :ivar lag: the newer revisions that peers have reported.
 
     :param isolation_ms: time without contact after which the settings are stale.
     """
@@ -51,6 +53,7 @@
         self.snapshot_revision = 0
         self.newer_peer_address = ""
         self.newer_peer_found = asyncio.Event()
+        self.lag = RevisionLag(metrics)
         self._stale_after_s = isolation_ms / MS_PER_S
         self._metrics = metrics
         self._recent_records: deque[peer_pb2.LogRecord] = deque()
@@ -80,6 +83,7 @@
 
     def record_peer_revision(self, revision: int, address: str) -> None:
         """Record the address of a peer if it reports a newer revision."""
+        self.lag.record_report(revision, address, self.tree.revision)
         if revision > self.tree.revision and address:
             self.newer_peer_address = address
             self.newer_peer_found.set()
@@ -90,6 +94,7 @@
         This takes no lock, because the handler of a peer's request may be cancelled
         at any await.
         """
+        self.lag.record_held(self.tree.revision)
         changed, self._tree_changed = self._tree_changed, asyncio.Event()
         changed.set()
 
@@ -160,7 +165,11 @@
             return False
         self._recent_records.clear()
         self._recent_bytes = 0
-        get_logger().info("settings restored", revision=snapshot.revision)
+        get_logger().info(
+            "settings restored",
+            revision=snapshot.revision,
+            behind_ms=round(self.lag.behind_ms()),
+        )
         return True
 
     def apply_record(self, offset: int, payload: bytes) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -6,13 +6,15 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import AsyncIterator
 
 import grpc
 import xxhash
 
 from laburnumscale.channels import PeerChannels
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.settingsfeed import SettingsFeed
@@ -197,11 +199,13 @@
     ) -> peer_pb2.SettingsHeld | None:
         self._metrics.count("settings_pushes")
         message.sender_address = self._members.own.peer_address
+        started_at_s = time.monotonic()
         try:
             async with self._stub(address) as stub:
                 held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
-        except grpc.RpcError:
+        except grpc.RpcError as error:
             self._metrics.count("settings_push_failures")
+            self._log_failure("push", address, error, started_at_s)
             return None
         if held.has_tree:
             self._feed.record_contact(from_peer=True)
@@ -217,14 +221,32 @@
         self, address: str, request: peer_pb2.SettingsRequest
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
+        started_at_s = time.monotonic()
         try:
             async with self._stub(address) as stub:
                 reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
-        except grpc.RpcError:
+        except grpc.RpcError as error:
             self._metrics.count("settings_fetch_failures")
+            self._log_failure("fetch", address, error, started_at_s)
             return None
         return reply if reply.held.has_tree else None
 
+    def _log_failure(
+        self, request: str, address: str, error: grpc.RpcError, started_at_s: float
+    ) -> None:
+        """Log that a peer did not reply to a request.
+
+        :param request: ``fetch`` or ``push``.
+        """
+        get_logger().info(
+            f"settings {request} failed",
+            peer_address=address,
+            reason=error.code().name,
+            elapsed_ms=round((time.monotonic() - started_at_s) * MS_PER_S),
+            revision=self._feed.tree.revision,
+            newest_reported_revision=self._feed.lag.newest_revision,
+        )
+
     @contextlib.asynccontextmanager
     async def _stub(self, address: str) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
         """Yield the stub of a peer; only connections to partners stay open."""
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -111,6 +111,10 @@
     ),
     "settings_fetch_failures": "fetches of settings from a peer that failed",
     "settings_fetches": "fetches of settings from a peer",
+    "settings_lag": (
+        "time from the first report of a newer revision by a peer until all revisions "
+        "reported since are held"
+    ),
     "settings_log_behind": "reads of a log that ended before this daemon's revision",
     "settings_push_failures": "pushes of settings to a peer that failed",
     "settings_pushes": "pushes of settings to a peer",
