--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -61,7 +61,7 @@
     assert context.fleet.post_to_store("put/keyed.op/config", body).status == 200
 
 
-def start_platform_daemon(context, name, data_centre):
+def start_platform_daemon(context, name, data_centre, **settings):
     ports = context.fleet.daemon_ports(name)
     ports.setdefault("readiness", context.fleet.free_port())
     return context.fleet.start_daemon(
@@ -75,6 +75,7 @@
         retry_slack_attempts=56,
         drain_ms=4000,
         announcement_interval_ms=300,
+        **settings,
     )
 
 
--- /dev/null
+++ b/tests/features/steps/settings_replication_steps.py
@@ -0,0 +1,168 @@
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+import grpc
+from behave import given, then, when
+
+from laburnumscale.members import Members
+from laburnumscale.metrics import Metrics
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingsreplication import SettingsReplicator
+from laburnumscale_schema import peer_pb2, settings_pb2
+
+DATA_CENTRE = "makati"
+#: Longer than any request of a replicator waits.
+REPLY_NEVER_S = 30.0
+WAIT_LIMIT_S = 10.0
+
+
+def member(name):
+    return peer_pb2.Member(
+        daemon=name,
+        incarnation=1,
+        version=1,
+        peer_address=f"{name}:1",
+        data_centre=DATA_CENTRE,
+        state=peer_pb2.MEMBER_STATE_ALIVE,
+    )
+
+
+class PeerStub:
+    """Peer that holds a revision; a silent one does not reply until the timeout."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.silent = False
+        self.ended_requests = 0
+        self.reported_revisions = []
+
+    async def FetchSettings(self, request, **options):  # noqa: N802
+        await self._reply_delay(options["timeout"])
+        return peer_pb2.SettingsReply(
+            snapshot=settings_pb2.Snapshot(revision=self.revision), held=self._held()
+        )
+
+    async def PushSettings(self, message, **options):  # noqa: N802
+        await self._reply_delay(options["timeout"])
+        self.reported_revisions.append(message.held.revision)
+        return self._held()
+
+    async def _reply_delay(self, timeout_s):
+        if not self.silent:
+            return
+        try:
+            await asyncio.sleep(min(timeout_s, REPLY_NEVER_S))
+        finally:
+            self.ended_requests += 1
+        raise grpc.aio.AioRpcError(
+            grpc.StatusCode.DEADLINE_EXCEEDED, grpc.aio.Metadata(), grpc.aio.Metadata()
+        )
+
+    def _held(self):
+        return peer_pb2.SettingsHeld(revision=self.revision, has_tree=True)
+
+
+class ChannelsStub:
+    """Channels to peers in this process."""
+
+    def __init__(self, peers) -> None:
+        self.peers = peers
+
+    def peer(self, address):
+        return self.peers[address.partition(":")[0]]
+
+    @asynccontextmanager
+    async def transient_peer(self, address, new_connection=False):
+        yield self.peer(address)
+
+    def replace_channel(self, address):
+        """Replace a connection; a new one to a silent peer is silent, too."""
+
+
+@given("a daemon that replicates settings with peers {names}")
+def step_create_replicator(context, names):
+    context.peers = {name: PeerStub() for name in names.split(", ")}
+
+
+@given("d2 and d3 hold revision {revision:d}, and d2 does not reply to requests")
+def step_set_revisions(context, revision):
+    for name in ("d2", "d3"):
+        context.peers[name].revision = revision
+    context.peers["d2"].silent = True
+
+
+@given("d2 does not reply to requests")
+def step_silence_peer(context):
+    context.peers["d2"].silent = True
+
+
+async def run_replicator(context, act, is_done):
+    """Run a replicator while ``act`` runs and until ``is_done`` returns true.
+
+    :returns: whether it did so before a request to the silent peer ended.
+    """
+    members = Members(member("d1"))
+    for name in context.peers:
+        members.merge(member(name))
+    feed = SettingsFeed(Metrics())
+    feed.restore(settings_pb2.Snapshot(revision=1))
+    feed.mark_tree_complete()
+    replicator = SettingsReplicator(
+        members, feed, ChannelsStub(context.peers), (), Metrics()
+    )
+    tasks = [
+        asyncio.create_task(replicator.pull_forever()),
+        asyncio.create_task(replicator.push_forever()),
+    ]
+    await asyncio.sleep(0)
+    try:
+        await act(feed)
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while not is_done(feed):
+                if context.peers["d2"].ended_requests:
+                    return False
+                await asyncio.sleep(0.01)
+        return True
+    finally:
+        for task in tasks:
+            task.cancel()
+        with suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@when("d3 and then d2 report revision {revision:d}")
+def step_report_revision(context, revision):
+    async def act(feed):
+        feed.record_peer_revision(revision, "d3:1")
+        feed.record_peer_revision(revision, "d2:1")
+
+    context.act = act
+
+
+@then("the daemon holds revision {revision:d} before its fetch from d2 ends")
+def step_check_held(context, revision):
+    def is_done(feed):
+        return feed.tree.revision == revision
+
+    assert asyncio.run(run_replicator(context, context.act, is_done))
+
+
+@when("the daemon restores revision {first:d} and then revision {second:d}")
+def step_restore(context, first, second):
+    async def act(feed):
+        for revision in (first, second):
+            feed.restore(settings_pb2.Snapshot(revision=revision))
+            feed.notify_waiters()
+            await asyncio.sleep(0.1)
+
+    context.act = act
+
+
+@then("d3 and d4 get reports of revision {revision:d} before the push to d2 ends")
+def step_check_reports(context, revision):
+    def is_done(feed):
+        return all(
+            revision in context.peers[name].reported_revisions for name in ("d3", "d4")
+        )
+
+    assert asyncio.run(run_replicator(context, context.act, is_done))
