--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -119,10 +119,8 @@
         await act(feed)
         async with asyncio.timeout(WAIT_LIMIT_S):
             while not is_done(feed):
-                if context.peers["d2"].ended_requests:
-                    return False
                 await asyncio.sleep(0.01)
-        return True
+        return context.peers["d2"].ended_requests == 0
     finally:
         for task in tasks:
             task.cancel()
