Fetch settings from another peer when one does not reply

The daemon had received nothing for 3.2 s, although its peers reported each new revision to it.

Cause: settings were fetched from one peer at a time, over the connection that was open, for up to 2 s. The connection to a daemon whose host had lost power stayed open on this side, and a failed fetch did not replace it, so the next report of that daemon led to the same connection again.

Evidence: with all connections of a daemon silent, the log shows reports every 400 ms and fetches that end with DEADLINE_EXCEEDED after 2 s; 10 of 10 late requests got 404. A slow host, slow links and refused documents were ruled out by the logs of the incident.

Change: the peers that reported the newest revision are asked first. Reports that nobody repeats for 10 s are dropped, so that a false one does not keep a daemon fetching.

--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -80,15 +80,17 @@
 
     @asynccontextmanager
     async def transient_peer(
-        self, address: str
+        self, address: str, new_connection: bool = False
     ) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
         """Yield a stub for infrequent requests.
 
         An open channel to the address is used if there is one; otherwise, a new one is
         opened and closed after use.
+
+        :param new_connection: do not use a channel that is open.
         """
         resolved_address = self.overrides.get(address, address)
-        if resolved_address in self._channels:
+        if resolved_address in self._channels and not new_connection:
             yield self.peer(address)
             return
         async with grpc.aio.insecure_channel(
--- a/packages/laburnumscale/src/laburnumscale/revisionlag.py
+++ b/packages/laburnumscale/src/laburnumscale/revisionlag.py
@@ -19,13 +19,16 @@
 LATE_AFTER_MS = 500
 LOG_INTERVAL_MS = 1000
 MAX_REPORTERS = 16
+#: Peers repeat their revision with each datagram, at least once a second. A revision
+#: that nobody repeats is held by no reachable peer, or does not exist.
+REPORT_LIFETIME_MS = 10_000
 
 
 @attrs.define
 class RevisionLag:
     """The revisions that peers report while this daemon holds an older one.
 
-    :ivar newest_revision: highest revision that a peer has reported.
+    :ivar newest_revision: highest reported revision that is not held yet.
     :ivar behind_since_s: time since boot of the first report of a revision that this
         daemon does not hold yet; None if it holds all reported ones.
     :ivar reporters: highest revision that each peer has reported, by peer address;
@@ -36,16 +39,22 @@
     newest_revision: int = 0
     behind_since_s: float | None = None
     reporters: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
+    _reports_expire: Deadline = Deadline(0.0)
     _next_log: Deadline = Deadline(0.0)
 
     @property
     def is_behind(self) -> bool:
         """Return whether a peer has reported a revision that is not held yet."""
-        return self.behind_since_s is not None
+        return self.behind_since_s is not None and not self._reports_expire.has_passed()
+
+    @property
+    def wanted_revision(self) -> int:
+        """Return the highest reported revision that is not held yet; 0 if none."""
+        return self.newest_revision if self.is_behind else 0
 
     def behind_ms(self) -> float:
         """Return the time since the first report that is not held yet; 0 if none."""
-        if self.behind_since_s is None:
+        if not self.is_behind:
             return 0.0
         return (now_s() - self.behind_since_s) * MS_PER_S
 
@@ -56,9 +65,12 @@
         """
         if revision <= held_revision or not address:
             return
-        self.newest_revision = max(self.newest_revision, revision)
-        if self.behind_since_s is None:
+        if not self.is_behind:
+            self._forget_reports()
             self.behind_since_s = now_s()
+        if revision >= self.newest_revision:
+            self.newest_revision = revision
+            self._reports_expire = Deadline.after_ms(REPORT_LIFETIME_MS)
         self.reporters[address] = max(revision, self.reporters.get(address, 0))
         self.reporters.move_to_end(address)
         if len(self.reporters) > MAX_REPORTERS:
@@ -75,6 +87,10 @@
             get_logger().info(
                 "settings caught up", revision=revision, behind_ms=round(lag_ms)
             )
+        self._forget_reports()
+
+    def _forget_reports(self) -> None:
+        self.newest_revision = 0
         self.behind_since_s = None
         self.reporters.clear()
 
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -34,9 +34,7 @@
     :ivar contact_at_s: monotonic time of the last contact with the log or a peer.
     :ivar peer_contact_at_s: monotonic time of the last contact with a peer.
     :ivar snapshot_revision: revision of the newest known snapshot in the log.
-    :ivar newer_peer_address: address of a peer that reported a newer revision, or
-        empty.
-    :ivar newer_peer_found: set when ``newer_peer_address`` is set.
+    :ivar newer_peer_found: set when a peer reports a newer revision.
     :ivar lag: the newer revisions that peers have reported.
 
     :param isolation_ms: time without contact after which the settings are stale.
@@ -51,7 +49,6 @@
         self.contact_at_s = 0.0
         self.peer_contact_at_s = 0.0
         self.snapshot_revision = 0
-        self.newer_peer_address = ""
         self.newer_peer_found = asyncio.Event()
         self.lag = RevisionLag(metrics)
         self._stale_after_s = isolation_ms / MS_PER_S
@@ -82,10 +79,9 @@
             self.notify_waiters()
 
     def record_peer_revision(self, revision: int, address: str) -> None:
-        """Record the address of a peer if it reports a newer revision."""
+        """Record the revision that a peer reports."""
         self.lag.record_report(revision, address, self.tree.revision)
         if revision > self.tree.revision and address:
-            self.newer_peer_address = address
             self.newer_peer_found.set()
 
     def notify_waiters(self) -> None:
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -7,7 +7,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import grpc
 import xxhash
@@ -18,6 +18,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingsfetch import fetch_from_any
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["SettingsReplicator"]
@@ -26,9 +27,11 @@
 MAX_PARTNERS = 6
 PUSH_FANOUT = 3
 PULL_INTERVAL_S = 2.0
-BOOTSTRAP_INTERVAL_S = 0.3
+#: Interval of requests while this daemon is behind or has no settings.
+CATCH_UP_INTERVAL_S = 0.3
 MAX_BOOTSTRAP_PEERS = 6
 MIN_BOOTSTRAP_REPLIES = 2
+MAX_PEERS_PER_FETCH = 8
 RPC_TIMEOUT_S = 2.0
 ROLE_CACHE_MS = 3000
 MAX_CONFIRM_PEERS_PER_DATA_CENTRE = 2
@@ -59,7 +62,6 @@
         self._channels = channels
         self._seeds = seed_addresses
         self._metrics = metrics
-        self._last_fetch_failed = False
         self._roles_valid_until = Deadline(0.0)
         self._designated_reader = True
         self._partners: list[peer_pb2.Member] = []
@@ -100,10 +102,7 @@
                 if self._feed.log_failed:
                     await self._bootstrap_from_peers()
                 continue
-            address = self._feed.newer_peer_address or self._choose_address()
-            self._feed.newer_peer_address = ""
-            if address:
-                self._last_fetch_failed = await self._fetch_newer(address) is None
+            await self._fetch_from_peers()
 
     async def push_forever(self) -> None:
         """Push each new revision to some peers, until cancelled."""
@@ -218,12 +217,15 @@
         )
 
     async def _send_fetch(
-        self, address: str, request: peer_pb2.SettingsRequest
+        self,
+        address: str,
+        request: peer_pb2.SettingsRequest,
+        new_connection: bool = False,
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
         started_at_s = time.monotonic()
         try:
-            async with self._stub(address) as stub:
+            async with self._stub(address, new_connection) as stub:
                 reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError as error:
             self._metrics.count("settings_fetch_failures")
@@ -244,22 +246,60 @@
             reason=error.code().name,
             elapsed_ms=round((time.monotonic() - started_at_s) * MS_PER_S),
             revision=self._feed.tree.revision,
-            newest_reported_revision=self._feed.lag.newest_revision,
+            wanted_revision=self._feed.lag.wanted_revision,
         )
 
     @contextlib.asynccontextmanager
-    async def _stub(self, address: str) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
-        """Yield the stub of a peer; only connections to partners stay open."""
-        if any(address == partner.peer_address for partner in self._partners):
+    async def _stub(
+        self, address: str, new_connection: bool = False
+    ) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
+        """Yield the stub of a peer; only connections to partners stay open.
+
+        :param new_connection: do not use the connection that is open.
+        """
+        is_partner = any(address == each.peer_address for each in self._partners)
+        if is_partner and not new_connection:
             yield self._channels.peer(address)
             return
-        async with self._channels.transient_peer(address) as stub:
+        async with self._channels.transient_peer(address, new_connection) as stub:
             yield stub
 
-    async def _fetch_newer(self, address: str) -> peer_pb2.SettingsReply | None:
+    async def _fetch_from_peers(self) -> None:
+        """Get the newest reported settings from one peer, or poll one if none is newer.
+
+        The connections of requests without a reply are replaced: they may have been
+        opened to an earlier process of the peer that was gone without closing them.
+        """
+        wanted_revision = self._feed.lag.wanted_revision
+
+        async def fetch(address: str, new_connection: bool) -> bool:
+            reply = await self._fetch_newer(address, new_connection)
+            return reply is not None and self._feed.tree.revision >= wanted_revision
+
+        _, unanswered = await fetch_from_any(self._fetch_candidates(), fetch)
+        for address in unanswered:
+            self._replace_connection(address)
+
+    def _fetch_candidates(self) -> Iterator[str]:
+        """Yield the peers to ask: those that reported newer settings come first."""
+        asked: set[str] = set()
+        while len(asked) < MAX_PEERS_PER_FETCH:
+            address = self._choose_address(asked)
+            if not address:
+                return
+            asked.add(address)
+            yield address
+
+    def _replace_connection(self, address: str) -> None:
+        get_logger().info("settings connection replaced", peer_address=address)
+        self._channels.replace_channel(address)
+
+    async def _fetch_newer(
+        self, address: str, new_connection: bool = False
+    ) -> peer_pb2.SettingsReply | None:
         revision = self._feed.tree.revision
         request = peer_pb2.SettingsRequest(after_revision=revision)
-        reply = await self._send_fetch(address, request)
+        reply = await self._send_fetch(address, request, new_connection)
         if reply is not None:
             self._feed.record_contact(from_peer=True)
             self._feed.apply_reply(reply)
@@ -284,7 +324,8 @@
 
     async def _wait_for_newer_peer(self) -> None:
         """Wait until a peer has newer settings, at most for one poll interval."""
-        interval_s = PULL_INTERVAL_S if self._feed.has_tree else BOOTSTRAP_INTERVAL_S
+        is_current = self._feed.has_tree and not self._feed.lag.is_behind
+        interval_s = PULL_INTERVAL_S if is_current else CATCH_UP_INTERVAL_S
         try:
             async with asyncio.timeout(interval_s * random.uniform(0.5, 1.0)):
                 await self._feed.newer_peer_found.wait()
@@ -292,12 +333,19 @@
             return
         self._feed.newer_peer_found.clear()
 
-    def _choose_address(self) -> str:
+    def _choose_address(self, excluded: set[str]) -> str:
+        """Return the peer to ask next, or an empty string if there is none.
+
+        :param excluded: addresses that were asked already.
+        """
         self._refresh_roles()
-        partners = [peer.peer_address for peer in self._partners]
-        if self._last_fetch_failed or not partners:
-            partners = self._known_addresses()
-        return random.choice(partners) if partners else ""
+        latest_reporters = reversed(self._feed.lag.reporters)
+        reporter = next((each for each in latest_reporters if each not in excluded), "")
+        if reporter:
+            return reporter
+        partners = {peer.peer_address for peer in self._partners} - excluded
+        addresses = partners or set(self._known_addresses()) - excluded
+        return random.choice(sorted(addresses)) if addresses else ""
 
     def _select_partners(self) -> list[peer_pb2.Member]:
         """Return the few peers to which this daemon keeps connections open.
--- a/tests/features/settings_replication.feature
+++ b/tests/features/settings_replication.feature
@@ -4,10 +4,10 @@
     Given a daemon that replicates settings with peers d2, d3, d4
     And d2 and d3 hold revision 7, and d2 does not reply to requests
     When d3 and then d2 report revision 7
-    Then the daemon holds revision 7 before its fetch from d2 ends
+    Then the daemon holds revision 7 before its fetch from d2 times out
 
   Scenario: A peer that does not reply to a push does not delay reports to others
     Given a daemon that replicates settings with peers d2, d3, d4
     And d2 does not reply to requests
     When the daemon restores revision 7 and then revision 8
-    Then d3 and d4 get reports of revision 8 before the push to d2 ends
+    Then d3 and d4 get reports of revision 8 before the push to d2 times out
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -33,8 +33,8 @@
     def __init__(self) -> None:
         self.revision = 0
         self.silent = False
-        self.ended_requests = 0
-        self.reported_revisions = []
+        self.timed_out_requests = 0
+        self.reports = asyncio.Queue()
 
     async def FetchSettings(self, request, **options):  # noqa: N802
         await self._reply_delay(options["timeout"])
@@ -44,20 +44,22 @@
 
     async def PushSettings(self, message, **options):  # noqa: N802
         await self._reply_delay(options["timeout"])
-        self.reported_revisions.append(message.held.revision)
+        self.reports.put_nowait(message.held.revision)
         return self._held()
 
     async def _reply_delay(self, timeout_s):
         if not self.silent:
             return
-        try:
-            await asyncio.sleep(min(timeout_s, REPLY_NEVER_S))
-        finally:
-            self.ended_requests += 1
+        await asyncio.sleep(min(timeout_s, REPLY_NEVER_S))
+        self.timed_out_requests += 1
         raise grpc.aio.AioRpcError(
             grpc.StatusCode.DEADLINE_EXCEEDED, grpc.aio.Metadata(), grpc.aio.Metadata()
         )
 
+    async def wait_for_report(self, revision):
+        while await self.reports.get() < revision:
+            pass
+
     def _held(self):
         return peer_pb2.SettingsHeld(revision=self.revision, has_tree=True)
 
@@ -96,10 +98,10 @@
     context.peers["d2"].silent = True
 
 
-async def run_replicator(context, act, is_done):
-    """Run a replicator while ``act`` runs and until ``is_done`` returns true.
+async def run_replicator(context, act, wait):
+    """Run a replicator while ``act`` and then ``wait`` run.
 
-    :returns: whether it did so before a request to the silent peer ended.
+    :returns: whether no request to the silent peer had timed out by then.
     """
     members = Members(member("d1"))
     for name in context.peers:
@@ -118,14 +120,14 @@
     try:
         await act(feed)
         async with asyncio.timeout(WAIT_LIMIT_S):
-            while not is_done(feed):
-                await asyncio.sleep(0.01)
-        return context.peers["d2"].ended_requests == 0
+            await wait(feed)
     finally:
+        is_in_time = context.peers["d2"].timed_out_requests == 0
         for task in tasks:
             task.cancel()
         with suppress(asyncio.CancelledError):
             await asyncio.gather(*tasks, return_exceptions=True)
+    return is_in_time
 
 
 @when("d3 and then d2 report revision {revision:d}")
@@ -137,12 +139,12 @@
     context.act = act
 
 
-@then("the daemon holds revision {revision:d} before its fetch from d2 ends")
+@then("the daemon holds revision {revision:d} before its fetch from d2 times out")
 def step_check_held(context, revision):
-    def is_done(feed):
-        return feed.tree.revision == revision
+    async def wait(feed):
+        await feed.wait_for_newer_revision(revision - 1)
 
-    assert asyncio.run(run_replicator(context, context.act, is_done))
+    assert asyncio.run(run_replicator(context, context.act, wait))
 
 
 @when("the daemon restores revision {first:d} and then revision {second:d}")
@@ -156,11 +158,10 @@
     context.act = act
 
 
-@then("d3 and d4 get reports of revision {revision:d} before the push to d2 ends")
+@then("d3 and d4 get reports of revision {revision:d} before the push to d2 times out")
 def step_check_reports(context, revision):
-    def is_done(feed):
-        return all(
-            revision in context.peers[name].reported_revisions for name in ("d3", "d4")
-        )
+    async def wait(feed):
+        for name in ("d3", "d4"):
+            await context.peers[name].wait_for_report(revision)
 
-    assert asyncio.run(run_replicator(context, context.act, is_done))
+    assert asyncio.run(run_replicator(context, context.act, wait))
