Do not let a peer that does not reply delay pushes of settings to others

A daemon reported no new revision to any peer while one of its pushes had no reply, for up to 2 s.

Cause: the pushes of a revision were awaited together before the next revision was pushed.

--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import AsyncIterator, Iterator
+from functools import partial
 
 import grpc
 import xxhash
@@ -17,6 +18,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.peerpushes import PeerPushes
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsfetch import fetch_from_any
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
@@ -105,19 +107,31 @@
             await self._fetch_from_peers()
 
     async def push_forever(self) -> None:
-        """Push each new revision to some peers, until cancelled."""
+        """Push each new revision to some peers, until cancelled.
+
+        A partner that has not replied to the previous push is left out, so each
+        revision is pushed to others at once.
+        """
         pushed_revision = self._feed.tree.revision
-        while True:
-            await self._feed.wait_for_newer_revision(pushed_revision)
-            message = self._feed.reply_after(pushed_revision)
-            message.ClearField("snapshot")
-            pushed_revision = message.held.revision
-            self._refresh_roles()
-            partners = self._partners
-            selected = random.sample(partners, min(PUSH_FANOUT, len(partners)))
-            await asyncio.gather(
-                *(self._push(peer.peer_address, message) for peer in selected)
-            )
+        pushes = PeerPushes()
+        try:
+            while True:
+                await self._feed.wait_for_newer_revision(pushed_revision)
+                message = self._feed.reply_after(pushed_revision)
+                message.ClearField("snapshot")
+                message.sender_address = self._members.own.peer_address
+                pushed_revision = message.held.revision
+                for address in self._sample_partners(pushes):
+                    pushes.start(address, partial(self._push, message=message))
+        finally:
+            pushes.cancel()
+
+    def _sample_partners(self, pushes: PeerPushes) -> list[str]:
+        """Return the addresses of the partners to push the next revision to."""
+        self._refresh_roles()
+        addresses = [partner.peer_address for partner in self._partners]
+        free = [address for address in addresses if not pushes.is_busy(address)]
+        return random.sample(free, min(PUSH_FANOUT, len(free)))
 
     async def confirm_replication(
         self, revision: int, deadline: Deadline
@@ -178,6 +192,7 @@
         known_revision = revision - 1
         for _ in range(2):
             message = self._feed.reply_after(known_revision)
+            message.sender_address = self._members.own.peer_address
             held = await self._push(peer.peer_address, message)
             if held is None:
                 return False
@@ -197,7 +212,6 @@
         self, address: str, message: peer_pb2.SettingsReply
     ) -> peer_pb2.SettingsHeld | None:
         self._metrics.count("settings_pushes")
-        message.sender_address = self._members.own.peer_address
         started_at_s = time.monotonic()
         try:
             async with self._stub(address) as stub:
