--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -218,7 +218,7 @@
                 held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError as error:
             self._metrics.count("settings_push_failures")
-            self._log_failure("push", address, error, started_at_s)
+            self._handle_failure("push", address, error, started_at_s)
             return None
         if held.has_tree:
             self._feed.record_contact(from_peer=True)
@@ -243,14 +243,14 @@
                 reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
         except grpc.RpcError as error:
             self._metrics.count("settings_fetch_failures")
-            self._log_failure("fetch", address, error, started_at_s)
+            self._handle_failure("fetch", address, error, started_at_s)
             return None
         return reply if reply.held.has_tree else None
 
-    def _log_failure(
+    def _handle_failure(
         self, request: str, address: str, error: grpc.RpcError, started_at_s: float
     ) -> None:
-        """Log that a peer did not reply to a request.
+        """Log a request that failed, and replace its connection if no reply came.
 
         :param request: ``fetch`` or ``push``.
         """
@@ -262,6 +262,8 @@
             revision=self._feed.tree.revision,
             wanted_revision=self._feed.lag.wanted_revision,
         )
+        if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+            self._replace_connection(address)
 
     @contextlib.asynccontextmanager
     async def _stub(
--- a/tests/features/settings_replication.feature
+++ b/tests/features/settings_replication.feature
@@ -11,3 +11,9 @@
     And d2 does not reply to requests
     When the daemon restores revision 7 and then revision 8
     Then d3 and d4 get reports of revision 8 before the push to d2 times out
+
+  Scenario: The connection of a push that gets no reply is replaced
+    Given a daemon that replicates settings with peers d2, d3, d4
+    And d2 does not reply to requests
+    When the daemon restores revision 7 and then revision 8
+    Then the daemon replaces its connection to d2 and no other
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -69,6 +69,7 @@
 
     def __init__(self, peers) -> None:
         self.peers = peers
+        self.replaced = asyncio.Queue()
 
     def peer(self, address):
         return self.peers[address.partition(":")[0]]
@@ -78,7 +79,8 @@
         yield self.peer(address)
 
     def replace_channel(self, address):
-        """Replace a connection; a new one to a silent peer is silent, too."""
+        """Record the address; a new connection to a silent peer is silent, too."""
+        self.replaced.put_nowait(address)
 
 
 @given("a daemon that replicates settings with peers {names}")
@@ -98,7 +100,7 @@
     context.peers["d2"].silent = True
 
 
-async def run_replicator(context, act, wait):
+async def run_replicator(context, act, wait, pulls=True):
     """Run a replicator while ``act`` and then ``wait`` run.
 
     :returns: whether no request to the silent peer had timed out by then.
@@ -109,13 +111,11 @@
     feed = SettingsFeed(Metrics())
     feed.restore(settings_pb2.Snapshot(revision=1))
     feed.mark_tree_complete()
-    replicator = SettingsReplicator(
-        members, feed, ChannelsStub(context.peers), (), Metrics()
-    )
-    tasks = [
-        asyncio.create_task(replicator.pull_forever()),
-        asyncio.create_task(replicator.push_forever()),
-    ]
+    context.channels = ChannelsStub(context.peers)
+    replicator = SettingsReplicator(members, feed, context.channels, (), Metrics())
+    tasks = [asyncio.create_task(replicator.push_forever())]
+    if pulls:
+        tasks.append(asyncio.create_task(replicator.pull_forever()))
     await asyncio.sleep(0)
     try:
         await act(feed)
@@ -165,3 +165,12 @@
             await context.peers[name].wait_for_report(revision)
 
     assert asyncio.run(run_replicator(context, context.act, wait))
+
+
+@then("the daemon replaces its connection to {name} and no other")
+def step_check_replaced(context, name):
+    async def wait(feed):
+        assert await context.channels.replaced.get() == f"{name}:1"
+
+    asyncio.run(run_replicator(context, context.act, wait, pulls=False))
+    assert context.channels.replaced.empty()
