Do not answer 404 from settings that peers report as outdated

Cause: the route lookup did not ask how old its settings were. Now a missing route is looked up again when the reported revision has arrived, after 500 ms at most; a daemon that is still behind then, or that has heard neither the log nor a peer for 10 s, refuses the call as not run because of stale settings, with Retry-After. Requests whose route is found do not wait. The lookup moves from the caller API into a module of its own.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import random
 import re
 import time
 import uuid
@@ -36,13 +35,14 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun, Outcome, outcome_name
 from laburnumscale.problems import problem_response
+from laburnumscale.routelookup import CATCH_UP_WAIT_MS, Routed, RouteLookup
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.targetresponses import MAX_SINGLE_MESSAGE_BODY_BYTES
 from laburnumscale.webserver import App, new_app
 from laburnumscale_schema import peer_pb2, settings_pb2
 
-__all__ = ["CallerApi", "choose_backend"]
+__all__ = ["CallerApi"]
 
 STARTING_RETRY_AFTER_MS = 1000
 STALE_SETTINGS = peer_pb2.NOT_RUN_REASON_STALE_SETTINGS
@@ -79,7 +79,7 @@
     ) -> None:
         self._call_log = CallLog(lambda: feed.tree.revision)
         self._header_names = header_names
-        self._routes_only = routes_only
+        self._routes = RouteLookup(feed, routes_only)
         self._members = members
         self._feed = feed
         self._runner = runner
@@ -167,10 +167,10 @@
     async def _prepare_call(self, request: Request, request_id: str) -> Call | NotRun:
         if not self._feed.has_tree:
             return NotRun(peer_pb2.NOT_RUN_REASON_STARTING, STARTING_RETRY_AFTER_MS)
-        routed = self._resolve_route(request)
+        routed = await self._find_route(request)
         if isinstance(routed, NotRun):
             return routed
-        service, path_and_query, route = routed
+        service, route = routed.service, routed.route
         settings = self._route_settings(service, route)
         idempotent = request.method in settings.idempotent
         if route is not None and route.HasField("idempotent"):
@@ -185,7 +185,7 @@
             request=request,
             request_id=request_id,
             service=service,
-            path_and_query=path_and_query,
+            path_and_query=routed.path_and_query,
             settings=settings,
             idempotent=idempotent,
             deadline=deadline,
@@ -195,21 +195,12 @@
             objective=_latency_objective(route),
         )
 
-    def _resolve_route(
-        self, request: Request
-    ) -> NotRun | tuple[str, str, settings_pb2.Route | None]:
-        """Return the service, the path and query to send to it, and the route."""
-        host, raw_path = parse_request_target(request)
-        path, _, _ = raw_path.partition("?")
-        route = self._feed.tree.route(host, path)
-        if route is not None:
-            return choose_backend(route), raw_path, route
-        if self._routes_only:
-            return NotRun(peer_pb2.NOT_RUN_REASON_NO_ROUTE)
-        service, _, service_path = raw_path.removeprefix("/").partition("/")
-        if service not in self._feed.tree.services():
-            return NotRun(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
-        return service, "/" + service_path, None
+    async def _find_route(self, request: Request) -> Routed | NotRun:
+        host, path_and_query = parse_request_target(request)
+        time_left_ms = call_timeout_ms(
+            request, CATCH_UP_WAIT_MS, self._header_names.caller_time_limit
+        )
+        return await self._routes.find(host, path_and_query, time_left_ms)
 
     def _route_settings(
         self, service: str, route: settings_pb2.Route | None
@@ -288,16 +279,3 @@
     if route is None or not route.HasField("latency_objective_ms"):
         return None
     return Deadline.after_ms(route.latency_objective_ms)
-
-
-def choose_backend(route: settings_pb2.Route) -> str:
-    """Return the service for one call on a route.
-
-    If the route has several backends, one is chosen at random by weight. The choice
-    is independent for each call and ignores load: a backend without free capacity
-    refuses its own calls, and the shares of the other backends do not change.
-    """
-    if not route.backends:
-        return route.service
-    weights = [backend.weight for backend in route.backends]
-    return random.choices(route.backends, weights)[0].service
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/routelookup.py
@@ -0,0 +1,99 @@
+"""Route lookup.
+
+Finds the route and the service of a call. That there is none is a final response, so it
+is given only from settings that are current as far as this daemon can know.
+"""
+
+import random
+
+import attrs
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.outcomes import NotRun
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale_schema import peer_pb2, settings_pb2
+
+__all__ = ["CATCH_UP_WAIT_MS", "RouteLookup", "Routed", "choose_backend"]
+
+#: A daemon that is behind needs some 50 ms to fetch the settings, or 250 ms if the
+#: first peer does not reply.
+CATCH_UP_WAIT_MS = 500
+BEHIND_RETRY_AFTER_MS = 500
+#: Twice the longest time that a read of the log waits for a record.
+CONTACT_LIMIT_S = 10.0
+UNCONFIRMED_RETRY_AFTER_MS = 1000
+STALE_SETTINGS = peer_pb2.NOT_RUN_REASON_STALE_SETTINGS
+
+
+@attrs.frozen
+class Routed:
+    """The route of a call.
+
+    :ivar service: the service that runs the call.
+    :ivar path_and_query: path and query to send to the service.
+    :ivar route: the route; None if the path names the service.
+    """
+
+    service: str
+    path_and_query: str
+    route: settings_pb2.Route | None = None
+
+
+class RouteLookup:
+    """Finds routes in the settings of this daemon.
+
+    :param routes_only: whether requests that match no route are refused. Otherwise
+        the first segment of their path is the name of the service.
+    """
+
+    def __init__(self, feed: SettingsFeed, routes_only: bool) -> None:
+        self._feed = feed
+        self._routes_only = routes_only
+
+    async def find(
+        self, host: str, path_and_query: str, time_left_ms: float = CATCH_UP_WAIT_MS
+    ) -> Routed | NotRun:
+        """Return the route of a call, or why it has none.
+
+        If there is none while a peer has reported newer settings, the lookup waits for
+        them. If they do not arrive in time, the caller may retry.
+
+        :param time_left_ms: how long the caller waits at most, in milliseconds.
+        """
+        found = self._find_now(host, path_and_query)
+        wanted_revision = self._feed.lag.wanted_revision
+        if isinstance(found, Routed):
+            return found
+        if wanted_revision:
+            deadline = Deadline.after_ms(min(CATCH_UP_WAIT_MS, time_left_ms))
+            if not await self._feed.wait_for_revision(wanted_revision, deadline):
+                return NotRun(STALE_SETTINGS, BEHIND_RETRY_AFTER_MS)
+            found = self._find_now(host, path_and_query)
+        if isinstance(found, NotRun) and self._feed.contact_age_s() > CONTACT_LIMIT_S:
+            return NotRun(STALE_SETTINGS, UNCONFIRMED_RETRY_AFTER_MS)
+        return found
+
+    def _find_now(self, host: str, path_and_query: str) -> Routed | NotRun:
+        path, _, _ = path_and_query.partition("?")
+        route = self._feed.tree.route(host, path)
+        if route is not None:
+            return Routed(choose_backend(route), path_and_query, route)
+        if self._routes_only:
+            return NotRun(peer_pb2.NOT_RUN_REASON_NO_ROUTE)
+        service, _, service_path = path_and_query.removeprefix("/").partition("/")
+        if service not in self._feed.tree.services():
+            return NotRun(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
+        return Routed(service, "/" + service_path)
+
+
+def choose_backend(route: settings_pb2.Route) -> str:
+    """Return the service for one call on a route.
+
+    If the route has several backends, one is chosen at random by weight. The choice
+    is independent for each call and ignores load: a backend without free capacity
+    refuses its own calls, and the shares of the other backends do not change.
+    """
+    if not route.backends:
+        return route.service
+    weights = [backend.weight for backend in route.backends]
+    return random.choices(route.backends, weights)[0].service
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -99,6 +99,18 @@
         while self.tree.revision <= revision:
             await self._tree_changed.wait()
 
+    async def wait_for_revision(self, revision: int, deadline: Deadline) -> bool:
+        """Wait until the tree has at least a revision, or until the deadline.
+
+        :returns: whether it has.
+        """
+        try:
+            async with asyncio.timeout(deadline.left_s()):
+                await self.wait_for_newer_revision(revision - 1)
+        except TimeoutError:
+            return False
+        return True
+
     async def wait_for_tree(self, deadline: Deadline) -> None:
         """Wait until the tree may be used, or until the deadline."""
         while not self.has_tree and not deadline.has_passed():
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -11,7 +11,6 @@
 from laburnumscale.addresses import Address
 from laburnumscale.attemptclient import race_failover
 from laburnumscale.attempttable import Attempt
-from laburnumscale.callerapi import choose_backend
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
 from laburnumscale.deadlines import Deadline
@@ -31,6 +30,7 @@
 from laburnumscale.presence import PresenceStream
 from laburnumscale.recovery import EjectionBackoff
 from laburnumscale.retrybudget import MIN_GROUP_SIZE, RetryBudget
+from laburnumscale.routelookup import choose_backend
 from laburnumscale.routing import Router, eligible
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slotqueue import SlotQueue
