Read the log when peers do not deliver the settings that they report

Now a daemon that has been behind for 0.5 to 1 s, with a factor of its own, reads the log until it is current. The test failed before: no revision within 2 s.

--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import attrs
@@ -109,12 +108,8 @@
         return batch
 
     def _must_read(self) -> bool:
-        contact_age_s = time.monotonic() - self._feed.peer_contact_at_s
-        return (
-            not self._feed.has_tree
-            or self._is_designated_reader()
-            or contact_age_s > PEER_CONTACT_TIMEOUT_S
-        )
+        fed_by_peers = self._feed.is_fed_by_peers(PEER_CONTACT_TIMEOUT_S)
+        return not fed_by_peers or self._is_designated_reader()
 
     def _apply_record(self, record: Record) -> None:
         if record.key != self._source.key:
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 import time
 from collections import deque
 
@@ -22,6 +23,10 @@
 MAX_RECENT_RECORDS = 256
 MAX_RECENT_BYTES = 1024 * 1024
 DEFAULT_ISOLATION_MS = 60_000
+#: Time for which a daemon tries to get reported settings from its peers before it reads
+#: the log. Each daemon multiplies it by a factor of its own, so that a slow spread does
+#: not make all of them read at once.
+LOG_READ_DELAY_MS = 500
 
 
 class SettingsFeed:
@@ -51,6 +56,7 @@
         self.snapshot_revision = 0
         self.newer_peer_found = asyncio.Event()
         self.lag = RevisionLag(metrics)
+        self._log_read_delay_ms = LOG_READ_DELAY_MS * random.uniform(1.0, 2.0)
         self._stale_after_s = isolation_ms / MS_PER_S
         self._metrics = metrics
         self._recent_records: deque[peer_pb2.LogRecord] = deque()
@@ -65,6 +71,15 @@
         """Return whether the last contact is too old to rely on the settings."""
         return self.contact_age_s() > self._stale_after_s
 
+    def is_fed_by_peers(self, contact_timeout_s: float) -> bool:
+        """Return whether peers keep the tree up to date, so the log need not be read.
+
+        :param contact_timeout_s: time in seconds within which a peer must be heard.
+        """
+        contact_age_s = time.monotonic() - self.peer_contact_at_s
+        is_late = self.lag.behind_ms() > self._log_read_delay_ms
+        return self.has_tree and contact_age_s <= contact_timeout_s and not is_late
+
     def record_contact(self, from_peer: bool = False) -> None:
         """Record a contact with the log or, if ``from_peer``, with a peer."""
         self.contact_at_s = time.monotonic()
--- a/packages/laburnumscale/src/laburnumscale/settingslog.py
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -105,12 +105,8 @@
         return batch
 
     def _must_read(self) -> bool:
-        contact_age_s = time.monotonic() - self._feed.peer_contact_at_s
-        return (
-            not self._feed.has_tree
-            or self._is_designated_reader()
-            or contact_age_s > PEER_CONTACT_TIMEOUT_S
-        )
+        fed_by_peers = self._feed.is_fed_by_peers(PEER_CONTACT_TIMEOUT_S)
+        return not fed_by_peers or self._is_designated_reader()
 
     def _is_spot_check_due(self) -> bool:
         return time.monotonic() - self._last_read_at_s > SPOT_CHECK_INTERVAL_S
--- a/tests/features/settings_lag.feature
+++ b/tests/features/settings_lag.feature
@@ -22,3 +22,8 @@
     Then within 2 s a GET /added/a to d4 gets status 200
     When a client sends GET /none/a to d4
     Then the client response has status 404
+
+  Scenario: A daemon that cannot fetch reported settings from its peers reads the store
+    When the links of d4 to its peers are cut
+    And the operator adds the route /added/, which every daemon but d4 has in force
+    Then within 2 s a GET /added/a to d4 gets status 200
--- a/tests/features/steps/settings_lag_steps.py
+++ b/tests/features/steps/settings_lag_steps.py
@@ -134,3 +134,10 @@
         f"{path} gets status {status}",
         limit_s,
     )
+
+
+@when("the links of {source} to its peers are cut")
+def step_cut_peer_links(context, source):
+    for name, link in context.fleet.links.items():
+        if name.startswith(f"{source}>"):
+            link.faults(forward={"cut": True}, backward={"cut": True})
