--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -21,6 +21,7 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import KeyInvalid, OperationKey, parse_key
 from laburnumscale.recordedexchange import RecordedExchange
+from laburnumscale.routelookup import BEHIND_RETRY_AFTER_MS, CATCH_UP_WAIT_MS
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2
 
@@ -234,7 +235,14 @@
 
     async def _run_operation(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
-        if head.service not in self._feed.tree.services():
+        is_configured = await self._feed.check_service(
+            head.service, Deadline.after_ms(min(CATCH_UP_WAIT_MS, head.time_left_ms))
+        )
+        if is_configured is None:
+            return not_run_reply(
+                peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, BEHIND_RETRY_AFTER_MS
+            )
+        if not is_configured:
             return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
         settings = self._feed.tree.effective_settings(
             head.service, self._members.own.data_centre
--- a/packages/laburnumscale/src/laburnumscale/routelookup.py
+++ b/packages/laburnumscale/src/laburnumscale/routelookup.py
@@ -13,7 +13,13 @@
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, settings_pb2
 
-__all__ = ["CATCH_UP_WAIT_MS", "RouteLookup", "Routed", "choose_backend"]
+__all__ = [
+    "BEHIND_RETRY_AFTER_MS",
+    "CATCH_UP_WAIT_MS",
+    "RouteLookup",
+    "Routed",
+    "choose_backend",
+]
 
 #: A daemon that is behind needs some 50 ms to fetch the settings, or 250 ms if the
 #: first peer does not reply.
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -136,6 +136,28 @@
             except TimeoutError:
                 return
 
+    def may_have_service(self, service: str) -> bool:
+        """Return whether a service is configured, as far as this daemon can know.
+
+        Without a tree, or while a peer has reported newer settings, any service may be.
+        """
+        if not self.has_tree or self.lag.is_behind:
+            return True
+        return service in self.tree.services()
+
+    async def check_service(self, service: str, deadline: Deadline) -> bool | None:
+        """Return whether a service is configured, in the newest reported settings.
+
+        :param deadline: how long to wait for these if the service is not configured.
+        :returns: None if they have not arrived by then.
+        """
+        wanted_revision = self.lag.wanted_revision
+        if service in self.tree.services():
+            return True
+        if not await self.wait_for_revision(wanted_revision, deadline):
+            return None
+        return service in self.tree.services()
+
     def held(self) -> peer_pb2.SettingsHeld:
         """Return the revision and digest of the tree as a message for peers."""
         return peer_pb2.SettingsHeld(
--- a/tests/features/settings_replication.feature
+++ b/tests/features/settings_replication.feature
@@ -17,3 +17,13 @@
     And d2 does not reply to requests
     When the daemon restores revision 7 and then revision 8
     Then the daemon replaces its connection to d2 and no other
+
+  Scenario Outline: A service that newer settings may contain is not refused: <settings>
+    Given a daemon whose settings contain the service slot-desk and are <settings>
+    Then a heartbeat of service new-desk gets status <heartbeat status>
+    And a call with an operation key for service new-desk is not run: <reason>
+
+    Examples:
+      | settings                 | heartbeat status | reason          |
+      | the newest               | 400              | no_such_service |
+      | older than a peer's ones | 200              | stale_settings  |
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -1,13 +1,19 @@
 import asyncio
+import json
 from contextlib import asynccontextmanager, suppress
+from types import SimpleNamespace
 
 import grpc
 from behave import given, then, when
 
+from laburnumscale.keyedcalls import KeyedCalls
+from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreplication import SettingsReplicator
+from laburnumscale.targetregistry import TargetRegistry
+from laburnumscale_platform.heartbeats import heartbeat_app
 from laburnumscale_schema import peer_pb2, settings_pb2
 
 DATA_CENTRE = "makati"
@@ -174,3 +180,53 @@
 
     asyncio.run(run_replicator(context, context.act, wait, pulls=False))
     assert context.channels.replaced.empty()
+
+
+def handle_heartbeat(feed, service):
+    members = Members(member("d1"))
+    registry = TargetRegistry("d1", members, Metrics())
+    app = heartbeat_app(f"d1-{service}", registry, 1500, feed.may_have_service)
+    info = {"service": service, "version": "v1", "zone": "makati", "slots": 5}
+    status = {"state": "ready", "sequence": 1, "cold_left_s": 0}
+    value = {"address": "127.0.0.1:9", "info": info, "status": status}
+    (route,) = app.router.routes
+    request = SimpleNamespace(
+        args={"call": "instances.heartbeat", "of": "i-1"},
+        body=json.dumps(value).encode(),
+        ip="127.0.0.1",
+    )
+    return route.handler(request)
+
+
+async def run_keyed_call(feed, service):
+    members = Members(member("d1"))
+    table = KeyTable("d1", members.own.incarnation, 60_000, Metrics())
+    keyed_calls = KeyedCalls(members, feed, None, None, table, Metrics())
+    (key,) = table.mint(1)
+    head = peer_pb2.CallHead(service=service, method="POST", time_left_ms=1000)
+    return await keyed_calls.run_or_relay(peer_pb2.KeyedCall(key=str(key), head=head))
+
+
+@given("a daemon whose settings contain the service {service} and are {age}")
+def step_create_feed(context, service, age):
+    context.feed = SettingsFeed(Metrics())
+    snapshot = settings_pb2.Snapshot(revision=3)
+    place = snapshot.places.add(place=f"service:{service}", revision=3)
+    place.settings.probe_path = "/healthz"
+    assert context.feed.restore(snapshot)
+    context.feed.mark_tree_complete()
+    if age == "older than a peer's ones":
+        context.feed.record_peer_revision(4, "d2:1")
+
+
+@then("a heartbeat of service {service} gets status {status:d}")
+def step_check_heartbeat(context, service, status):
+    response = asyncio.run(handle_heartbeat(context.feed, service))
+    assert response.status == status, response.status
+
+
+@then("a call with an operation key for service {service} is not run: {reason}")
+def step_check_keyed_call(context, service, reason):
+    reply = asyncio.run(run_keyed_call(context.feed, service))
+    seen = peer_pb2.NotRunReason.Name(reply.not_run.reason)
+    assert seen == f"NOT_RUN_REASON_{reason.upper()}", reply
