--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -185,7 +185,8 @@
 def handle_heartbeat(feed, service):
     members = Members(member("d1"))
     registry = TargetRegistry("d1", members, Metrics())
-    app = heartbeat_app(f"d1-{service}", registry, 1500, feed.may_have_service)
+    daemon = f"d1-{feed.lag.wanted_revision}"  # names of applications are unique
+    app = heartbeat_app(daemon, registry, 1500, feed.may_have_service)
     info = {"service": service, "version": "v1", "zone": "makati", "slots": 5}
     status = {"state": "ready", "sequence": 1, "cold_left_s": 0}
     value = {"address": "127.0.0.1:9", "info": info, "status": status}
