Log the limits that targets name in their responses

The adapter names the header field; the guard of a target, which every response passes, keeps the rate and logs each change. A response without the field ends the limit only if its request was sent after the last one that named it.

--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -13,7 +13,7 @@
 
 from laburnumscale.attemptmonitor import AttemptMonitor
 from laburnumscale.attempttable import Attempt, AttemptState, AttemptTable
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import Deadline, now_s
 from laburnumscale.errors import (
     AnswerMismatched,
     AnswerUnframed,
@@ -32,6 +32,7 @@
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slots import hold_slot
+from laburnumscale.targetlimit import parse_rate
 from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale.targetresponses import iter_replies
 from laburnumscale.transmission import Transmission, send_once
@@ -198,11 +199,13 @@
         attempt_monitor = self._health.monitor_attempt(
             target, settings, head, transmission.deadline
         )
+        sent_at_s = now_s()
         try:
             async with (
                 response_timeout,
                 self._send_request(target, head, body, transmission) as response,
             ):
+                self._record_limit(target, response, sent_at_s)
                 self._check_response(target, settings, head, response, attempt_monitor)
                 attempt_monitor.record_response(failed=response.status >= SERVER_ERROR)
                 async with aclosing(
@@ -248,6 +251,24 @@
         finally:
             attempt_monitor.end()
 
+    def _record_limit(
+        self, target: LocalTarget, response: aiohttp.ClientResponse, sent_at_s: float
+    ) -> None:
+        """Record the limit that a response names, or that it names none.
+
+        :param sent_at_s: time since boot at which the request was sent.
+        """
+        if not self._header_names.rate_limit:
+            return
+        text = response.headers.get(self._header_names.rate_limit, "")
+        if target.limit.record_response(parse_rate(text), sent_at_s):
+            get_logger().info(
+                "target limit changed",
+                service=target.service,
+                endpoint=target.endpoint,
+                calls_per_s=target.limit.calls_per_s,
+            )
+
     def _check_response(
         self,
         target: LocalTarget,
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -12,6 +12,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.routelatencies import RouteLatencies
 from laburnumscale.slotqueue import SlotQueue
+from laburnumscale.targetlimit import TargetLimit
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["NO_DOUBT", "LocalTarget"]
@@ -46,6 +47,7 @@
     :ivar queue: calls that wait for a slot.
     :ivar latency_us: average latency of its calls; 0 before the first one.
     :ivar route_latencies: average latency of the calls of each route.
+    :ivar limit: the rate of calls that the target names.
     :ivar slot_time_us: average time for which a call holds a slot; 0 before the
         first one.
     :ivar late_calls: number of its running calls that take unusually long.
@@ -71,6 +73,7 @@
     running: int = 0
     latency_us: int = 0
     route_latencies: RouteLatencies = attrs.field(factory=RouteLatencies)
+    limit: TargetLimit = attrs.field(factory=TargetLimit)
     slot_time_us: float = 0.0
     late_calls: int = 0
     doubt_deadline: Deadline = NO_DOUBT
