--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -30,6 +30,9 @@
     :ivar wrong_id: number of responses that carry the id of another request.
     :ivar open_ended: whether responses have no length and end with their connection.
     :ivar cut: number of open-ended responses that are reset before their second half.
+    :ivar limit: limit of requests a second that responses name; empty for none.
+    :ivar leaving: whether responses say that the endpoint leaves.
+    :ivar arrivals_s: Unix times at which requests arrived, rejected ones included.
     :ivar instance: id that the X-Expected-Instance field of a request must contain.
     """
 
@@ -45,6 +48,9 @@
         self.wrong_id = 0
         self.open_ended = False
         self.cut = 0
+        self.limit = ""
+        self.leaving = False
+        self.arrivals_s: list[float] = []
         self.instance = options.endpoint
         self.born = int(time.time() * 1000)
         self._sequence = itertools.count(1)
@@ -53,6 +59,7 @@
         """Return the web application with its routes and the heartbeat task."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get("/ledger", self.show_ledger)
+        app.router.add_get("/arrivals", self.show_arrivals)
         app.router.add_get("/healthz", self.show_health)
         app.router.add_post("/faults", self.set_faults)
         app.router.add_route("*", "/{path:.*}", self.handle_request)
@@ -63,6 +70,10 @@
         """Return the requests that were run, oldest first."""
         return web.json_response(self.ledger)
 
+    async def show_arrivals(self, request: web.Request) -> web.Response:
+        """Return the times at which requests arrived, and the time of this response."""
+        return web.json_response({"arrivals_s": self.arrivals_s, "now_s": time.time()})
+
     async def show_health(self, request: web.Request) -> web.Response:
         """Respond to the health check, also while requests fail."""
         return web.Response(headers={"X-Instance-Id": self.instance})
@@ -75,7 +86,12 @@
 
     async def handle_request(self, request: web.Request) -> web.StreamResponse:
         """Run a request and record it in the ledger, or fail as the faults say."""
+        self.arrivals_s.append(time.time())
         headers = {"X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
+        if self.limit:
+            headers["Server-Limit"] = self.limit
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
         if request.headers.get("X-Expected-Instance") != self.instance:
             return web.Response(status=421, headers=headers)
         if self.shed:
