Keep all daemons within the rate that a target names in its responses

Its guard admitted calls by slots, and entries even preferred such a target, because little ran there.

Change: the guard, which every call to its target passes, keeps the rate for all daemons with a token bucket; probes of ejected targets count as well. A limit of each entry was ruled out, as 25 of them add up to 25 times the rate, and shares without a guard leave the target idle where entries have no calls. Entries learn of the limit with each reply, choose such a target only for an even share of its rate while others are left, and repeat the limit with each attempt, so that a guard that has started again keeps to it before the first response. Its end is published with the guard's verdicts. Calls beyond the limits of all targets are refused at once as overloaded, with the time until the next one.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -300,7 +300,11 @@
         own = peer_pb2.Member(
             daemon=f"entry{index}", incarnation=1, data_centre=plan.data_centre
         )
-        members = SimpleNamespace(own=own, endpoints=self._directory.endpoints)
+        members = SimpleNamespace(
+            own=own,
+            endpoints=self._directory.endpoints,
+            group_size=len(self._seeds),
+        )
         paths = SimpleNamespace(
             is_broken=lambda address: False,
             schedule_check=lambda address: None,
--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -49,6 +49,11 @@
     state: AttemptState = AttemptState.WAITING
     reply: peer_pb2.CallReply | None = None
 
+    @property
+    def is_sent(self) -> bool:
+        """Return whether the request may have reached the target."""
+        return self.state in (AttemptState.SENT, AttemptState.ENDED)
+
     def mark_sent(self, deadline: Deadline) -> None:
         """Record that the request is being sent to the target.
 
--- a/packages/laburnumscale/src/laburnumscale/endpointindex.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointindex.py
@@ -38,6 +38,7 @@
     verdict_version: int = 0
     severity_percent: int = 0
     on_trial: bool = False
+    names_limit: bool = False
     daemon_draining: bool = False
 
     @property
@@ -125,5 +126,6 @@
             verdict_version=endpoint.verdict_version,
             severity_percent=endpoint.severity_percent,
             on_trial=endpoint.on_trial,
+            names_limit=endpoint.names_limit,
             daemon_draining=member.draining,
         )
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -4,8 +4,8 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager, aclosing
+from collections.abc import AsyncIterator, Iterator
+from contextlib import AbstractAsyncContextManager, aclosing, contextmanager
 
 import aiohttp
 from multidict import CIMultiDict
@@ -130,7 +130,10 @@
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DEADLINE)
             target = self._get_available_target(head)
             transmission = Transmission(attempt, send_deadline, deadline)
-            with self._health.admit_attempt(target, settings, head):
+            with (
+                self._hold_limited_call(target, attempt),
+                self._health.admit_attempt(target, settings, head),
+            ):
                 async with hold_slot(target, settings, transmission, head):
                     self._get_available_target(head)
                     reply_stream = self._send_to_target(
@@ -142,6 +145,25 @@
         except AttemptRefused as refusal:
             yield self._with_load_report(head, refusal.reply)
 
+    @contextmanager
+    def _hold_limited_call(
+        self, target: LocalTarget, attempt: Attempt
+    ) -> Iterator[None]:
+        """Reserve one call within the limit that the target names.
+
+        :raises AttemptRefused: the limit allows no call now.
+        """
+        if not target.limit.try_acquire():
+            self._metrics.count("refused_over_limit", f'service="{target.service}"')
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_OVERLOADED, target.limit.retry_after_ms()
+            )
+        try:
+            yield
+        finally:
+            if not attempt.is_sent:
+                target.limit.release()
+
     def _with_load_report(
         self, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
     ) -> peer_pb2.CallReply:
@@ -183,6 +205,7 @@
         target = self._targets.get(head.service, head.endpoint)
         if target is None:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_TARGET_GONE)
+        self._adopt_notice(target, head)
         if target.state == peer_pb2.TARGET_STATE_DRAINING:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
         return target
@@ -205,7 +228,7 @@
                 response_timeout,
                 self._send_request(target, head, body, transmission) as response,
             ):
-                self._record_limit(target, response, sent_at_s)
+                self._record_notices(target, response, sent_at_s)
                 self._check_response(target, settings, head, response, attempt_monitor)
                 attempt_monitor.record_response(failed=response.status >= SERVER_ERROR)
                 async with aclosing(
@@ -251,23 +274,29 @@
         finally:
             attempt_monitor.end()
 
-    def _record_limit(
+    def _record_notices(
         self, target: LocalTarget, response: aiohttp.ClientResponse, sent_at_s: float
     ) -> None:
-        """Record the limit that a response names, or that it names none.
+        """Record what a target says of itself in a response.
 
         :param sent_at_s: time since boot at which the request was sent.
         """
-        if not self._header_names.rate_limit:
+        header_names = self._header_names
+        if not header_names.rate_limit:
             return
-        text = response.headers.get(self._header_names.rate_limit, "")
-        if target.limit.record_response(parse_rate(text), sent_at_s):
-            get_logger().info(
-                "target limit changed",
-                service=target.service,
-                endpoint=target.endpoint,
-                calls_per_s=target.limit.calls_per_s,
-            )
+        text = response.headers.get(header_names.rate_limit, "")
+        if target.record_rate(parse_rate(text), sent_at_s):
+            _log_limit(target)
+            self._targets.publish_endpoints()
+
+    def _adopt_notice(self, target: LocalTarget, head: peer_pb2.CallHead) -> None:
+        """Take over what the entry was told of this process of the target."""
+        notice = head.notice
+        is_same_process = notice.started_at_unix_ms == target.started_at_unix_ms
+        if not (head.HasField("notice") and is_same_process):
+            return
+        if notice.HasField("calls_per_s") and target.limit.adopt(notice.calls_per_s):
+            _log_limit(target)
 
     def _check_response(
         self,
@@ -320,6 +349,15 @@
         )
 
 
+def _log_limit(target: LocalTarget) -> None:
+    get_logger().info(
+        "target limit changed",
+        service=target.service,
+        endpoint=target.endpoint,
+        calls_per_s=target.limit.calls_per_s,
+    )
+
+
 def _message_age_ms(head: peer_pb2.CallHead) -> float:
     """Return an upper bound on the age of a message; 0 if the age is unknown."""
     if not head.guard_time_us:
--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -72,6 +72,7 @@
 
     :ivar in_system: estimated number of calls that run or wait at the endpoint.
     :ivar in_doubt: some of its latest calls failed, according to a recent report.
+    :ivar is_limited: it names a limit, and this entry has used up its share.
     :ivar open_slots: calls that it runs at a time; fewer during its slow start.
     """
 
@@ -84,6 +85,7 @@
     latency_us: int
     path_broken: bool = False
     in_doubt: bool = False
+    is_limited: bool = False
 
     @property
     def utilisation(self) -> float:
@@ -163,7 +165,11 @@
         return len(self._outstanding.get(_key(view), ()))
 
     def endpoint_load(
-        self, view: EndpointView, path_broken: bool = False, route: int = 0
+        self,
+        view: EndpointView,
+        path_broken: bool = False,
+        route: int = 0,
+        is_limited: bool = False,
     ) -> EndpointLoad:
         """Return the state of an endpoint as this entry knows it.
 
@@ -185,6 +191,7 @@
             latency_us=self._latencies.estimate_us((view.service, route), _key(view)),
             path_broken=path_broken,
             in_doubt=report.in_doubt and _is_recent(received),
+            is_limited=is_limited,
         )
 
     def baseline(
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -96,6 +96,16 @@
             verdict_version=self.verdict_version,
             severity_percent=self.severity_percent,
             on_trial=self.on_trial,
+            names_limit=self.limit.calls_per_s is not None,
+        )
+
+    def notice(self) -> peer_pb2.TargetNotice | None:
+        """Return what the target says of itself in its responses; None if nothing."""
+        if self.limit.calls_per_s is None:
+            return None
+        return peer_pb2.TargetNotice(
+            started_at_unix_ms=self.started_at_unix_ms,
+            calls_per_s=self.limit.calls_per_s,
         )
 
     def load(self, route: int = 0) -> peer_pb2.LoadReport:
@@ -113,6 +123,7 @@
             on_trial=self.on_trial,
             in_doubt=self.in_doubt,
             open_slots=self.open_slots(),
+            notice=self.notice(),
         )
 
     @property
@@ -125,6 +136,19 @@
         elapsed_s = time.monotonic() - self.slow_start_at_s
         return min(self.slots, 1 + int(elapsed_s / SLOW_START_STEP_S))
 
+    def record_rate(self, calls_per_s: float | None, sent_at_s: float) -> bool:
+        """Record the rate that a response names, or that it names none.
+
+        :param sent_at_s: time since boot at which the request was sent.
+        :returns: whether the target began or ended to name a limit.
+        """
+        named_before = self.limit.calls_per_s is not None
+        self.limit.record_response(calls_per_s, sent_at_s)
+        has_changed = named_before != (self.limit.calls_per_s is not None)
+        if has_changed:
+            self.verdict_version = next(VERDICT_VERSIONS)
+        return has_changed
+
     def is_warming_up(self) -> bool:
         """Return whether the target started or returned to service recently."""
         return time.monotonic() - self.slow_start_at_s < WARM_UP_S
--- a/packages/laburnumscale/src/laburnumscale/recovery.py
+++ b/packages/laburnumscale/src/laburnumscale/recovery.py
@@ -116,6 +116,9 @@
         while successes < REQUIRED_PROBE_SUCCESSES:
             if target.withdrawn:
                 return
+            if not target.limit.try_acquire():
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                continue
             healthy = await self._probe(target, settings)
             successes = successes + 1 if healthy else 0
             if successes < REQUIRED_PROBE_SUCCESSES:
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -18,6 +18,7 @@
 from laburnumscale.policies import RoutingPolicy, get_policy_by_name
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
+from laburnumscale.targetnotices import TargetNotices
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["RoutedAttempt", "Router", "eligible", "selection_to_dict"]
@@ -75,6 +76,7 @@
     ) -> None:
         self._health = health
         self.load_table = LoadTable()
+        self._notices = TargetNotices()
         self._members = members
         self._feed = feed
         self._paths = paths
@@ -111,6 +113,7 @@
         loads = eligible(loads, selection, idempotent)
         if not loads:
             return None
+        loads = [load for load in loads if not load.is_limited] or loads
         if avoid_doubt:
             loads = [load for load in loads if not load.in_doubt] or loads
         remote_cost_us = (
@@ -151,6 +154,9 @@
         baseline = self.load_table.baseline(view.service, views, head.route)
         head.reference_latency_us = baseline.median_latency_us
         head.most_look_bad = baseline.most_look_bad
+        notice = self._notices.get(view)
+        if notice is not None:
+            head.notice.CopyFrom(notice)
         settings = self._settings(view.service)
         self._health.revoke_comparison_ejections(
             view.service, settings, head.route, baseline
@@ -162,6 +168,7 @@
         :param route: hash of the route of the call.
         """
         outstanding = self.load_table.record_start(view, route)
+        self._notices.record_start(view, self._members.group_size)
         timer = None
         if view.daemon != self._members.own.daemon:
             timer = self._paths.schedule_check(view.peer_address)
@@ -175,6 +182,7 @@
             self._consecutive_errors.record_reply(view, reply)
         if reply.HasField("load"):
             self.load_table.record_report(view, route, reply.load)
+            self._notices.record(view, reply.load, self._members.group_size)
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.start_check(view.peer_address)
 
@@ -205,7 +213,10 @@
 
     def _endpoint_load(self, view: EndpointView, route: int) -> EndpointLoad:
         return self.load_table.endpoint_load(
-            view, self._paths.is_broken(view.peer_address), route
+            view,
+            self._paths.is_broken(view.peer_address),
+            route,
+            self._notices.is_limited(view),
         )
 
     def _policy(self, settings: EffectiveSettings) -> RoutingPolicy:
--- a/packages/laburnumscale/src/laburnumscale/targetlimit.py
+++ b/packages/laburnumscale/src/laburnumscale/targetlimit.py
@@ -1,16 +1,23 @@
 """Target limit.
 
-The rate that a target in need names in its responses, for the calls of all daemons
-together.
+Keeps the calls of all daemons within the rate that a target in need names in its
+responses. It is kept by the target's guard, which every call passes: limits of the
+entries would add up to a multiple of the rate.
 """
 
 import math
 
 import attrs
 
-from laburnumscale.deadlines import now_s
+from laburnumscale.deadlines import MS_PER_S, now_s
 
-__all__ = ["TargetLimit", "parse_rate"]
+__all__ = ["MIN_CALLS_PER_S", "TargetLimit", "parse_rate"]
+
+#: Calls of this time may come at once, and at least one.
+MAX_BURST_S = 0.25
+#: Without any call, no response could end the limit.
+MIN_CALLS_PER_S = 0.25
+MIN_RETRY_AFTER_MS = 100
 
 
 def parse_rate(text: str) -> float | None:
@@ -24,27 +31,76 @@
 
 @attrs.define
 class TargetLimit:
-    """The limit of one target, as its guard knows it.
+    """The limit of one target, as a token bucket that is empty at first.
 
-    :ivar calls_per_s: the rate that the latest response names; None if it names none.
+    :ivar calls_per_s: the rate that the target names; None if it names none.
+    :ivar has_response: whether the target has responded to this guard.
     """
 
     calls_per_s: float | None = None
+    has_response: bool = False
     _named_at_s: float = 0.0
+    _tokens: float = 0.0
+    _refilled_at_s: float = 0.0
 
-    def record_response(self, calls_per_s: float | None, sent_at_s: float) -> bool:
+    def record_response(self, calls_per_s: float | None, sent_at_s: float) -> None:
         """Record the rate in a response.
 
         A response that names none ends the limit only if its request was sent after the
         latest response that named one: responses may arrive in another order.
 
         :param sent_at_s: time since boot at which the request was sent.
-        :returns: whether the limit has changed.
         """
+        self.has_response = True
         if calls_per_s is None and sent_at_s < self._named_at_s:
-            return False
+            return
         if calls_per_s is not None:
             self._named_at_s = now_s()
-        has_changed = calls_per_s != self.calls_per_s
+        self._set(calls_per_s)
+
+    def adopt(self, calls_per_s: float) -> bool:
+        """Take over a rate that an entry was told, until the target responds.
+
+        :returns: whether it was taken over.
+        """
+        if self.has_response or self.calls_per_s is not None:
+            return False
+        self._set(calls_per_s)
+        return True
+
+    def try_acquire(self) -> bool:
+        """Use up one call, and return whether the limit allows it."""
+        if self.calls_per_s is None:
+            return True
+        self._refill()
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def release(self) -> None:
+        """Give back a call that was not sent."""
+        self._tokens += 1
+
+    def retry_after_ms(self) -> int:
+        """Return the time until the limit allows a call, in milliseconds."""
+        missing_s = (1 - self._tokens) / self._effective_rate()
+        return max(MIN_RETRY_AFTER_MS, math.ceil(missing_s * MS_PER_S))
+
+    def _set(self, calls_per_s: float | None) -> None:
+        if self.calls_per_s is None:
+            self._tokens = 0.0
+            self._refilled_at_s = now_s()
+        self._refill()
         self.calls_per_s = calls_per_s
-        return has_changed
+
+    def _refill(self) -> None:
+        rate = self._effective_rate()
+        elapsed_s = now_s() - self._refilled_at_s
+        self._refilled_at_s += elapsed_s
+        self._tokens = min(
+            max(1.0, rate * MAX_BURST_S), self._tokens + rate * elapsed_s
+        )
+
+    def _effective_rate(self) -> float:
+        return max(MIN_CALLS_PER_S, self.calls_per_s or 0.0)
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -0,0 +1,115 @@
+"""Target notices.
+
+What targets have said of themselves in their responses, as far as an entry was told.
+The entry repeats it with its attempts: a guard that has started again, and that heard
+no response of its target yet, thus still keeps to it.
+"""
+
+import random
+from collections import OrderedDict
+
+import attrs
+
+from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
+from laburnumscale.members import EndpointView
+from laburnumscale.targetlimit import MIN_CALLS_PER_S
+from laburnumscale_schema import peer_pb2
+
+__all__ = ["TargetNotices"]
+
+NOTICE_LIFETIME_MS = 60_000
+MAX_NOTICES = 4_096
+
+
+@attrs.define
+class _KnownNotice:
+    """A notice and the pace of this entry at its target.
+
+    :ivar guard_incarnation: incarnation of the guard that reported it.
+    :ivar verdict_version: version of the guard's verdict at that time.
+    :ivar expires: when the notice is forgotten unless it is repeated.
+    :ivar next_call: when this entry may choose the target again.
+    """
+
+    notice: peer_pb2.TargetNotice
+    guard_incarnation: int
+    verdict_version: int
+    expires: Deadline
+    next_call: Deadline
+
+
+class TargetNotices:
+    """The notices of the targets that an entry calls, by service and endpoint."""
+
+    def __init__(self) -> None:
+        self._known: OrderedDict[tuple[str, str], _KnownNotice] = OrderedDict()
+
+    def get(self, view: EndpointView) -> peer_pb2.TargetNotice | None:
+        """Return the latest notice of a target, or None."""
+        known = self._known.get((view.service, view.endpoint))
+        if known is None or known.expires.has_passed() or _has_ended(known, view):
+            return None
+        return known.notice
+
+    def record(
+        self, view: EndpointView, report: peer_pb2.LoadReport, entry_count: int
+    ) -> None:
+        """Record what the load report of a guard says of its target.
+
+        :param entry_count: number of daemons that share the limit.
+        """
+        key = (view.service, view.endpoint)
+        if not report.HasField("notice"):
+            self._known.pop(key, None)
+            return
+        known = self._known.get(key)
+        pace = random.uniform(0, 1) * _interval_s(report.notice, entry_count)
+        next_call = known.next_call if known else Deadline(now_s() + pace)
+        expires = Deadline.after_ms(NOTICE_LIFETIME_MS)
+        self._known[key] = _KnownNotice(
+            notice=report.notice,
+            guard_incarnation=view.incarnation,
+            verdict_version=report.verdict_version,
+            expires=expires,
+            next_call=next_call,
+        )
+        if len(self._known) > MAX_NOTICES:
+            self._known.popitem(last=False)
+
+    def record_start(self, view: EndpointView, entry_count: int) -> None:
+        """Record that this entry sends a call to a target.
+
+        :param entry_count: number of daemons that share the limit.
+        """
+        known = self._known.get((view.service, view.endpoint))
+        if known is not None:
+            interval_s = _interval_s(known.notice, entry_count)
+            wait_ms = interval_s * random.uniform(0.5, 1.5) * MS_PER_S
+            known.next_call = Deadline.after_ms(wait_ms)
+
+    def is_limited(self, view: EndpointView) -> bool:
+        """Return whether this entry has used up its share of a target's limit.
+
+        An entry chooses such a target only if no other is left, and the guard decides.
+        """
+        notice = self.get(view)
+        if notice is None or not notice.HasField("calls_per_s"):
+            return False
+        return not self._known[view.service, view.endpoint].next_call.has_passed()
+
+
+def _has_ended(known: _KnownNotice, view: EndpointView) -> bool:
+    """Return whether the guard has published since that the target names no limit.
+
+    A guard that has started again does not know the limit until it is told.
+    """
+    return (
+        view.incarnation == known.guard_incarnation
+        and view.verdict_version > known.verdict_version
+        and not view.names_limit
+    )
+
+
+def _interval_s(notice: peer_pb2.TargetNotice, entry_count: int) -> float:
+    """Return the time between two calls of an entry that takes an even share."""
+    return entry_count / max(MIN_CALLS_PER_S, notice.calls_per_s)
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -102,6 +102,10 @@
     "refused_ejected": (
         "attempts refused because their target is ejected or already has a trial call"
     ),
+    "refused_over_limit": (
+        "attempts refused because of the limit that their target names in its "
+        "responses, by service"
+    ),
     "requests_refused": "requests of callers rejected as invalid or too large",
     "retries": "retries that the retry budget allowed, by service",
     "retries_over_budget": "retries that the retry budget did not allow, by service",
