Send no more calls to a target that says in its responses that it leaves

A target that leaves names it in each response, besides or instead of reporting it to its daemon; it got 18 to 21 more requests in 2 s.

Its guard now treats the target as draining from the first such response on and publishes that. Entries that were told repeat it with their attempts, for this process of the target only, so a guard that has started again refuses them as well. The scenario counts requests of a daemon that was told: one that was not may send the call from which it learns it.

--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -282,6 +282,8 @@
         :param sent_at_s: time since boot at which the request was sent.
         """
         header_names = self._header_names
+        if header_names.leaving and header_names.leaving in response.headers:
+            self._targets.record_leaving(target)
         if not header_names.rate_limit:
             return
         text = response.headers.get(header_names.rate_limit, "")
@@ -295,6 +297,8 @@
         is_same_process = notice.started_at_unix_ms == target.started_at_unix_ms
         if not (head.HasField("notice") and is_same_process):
             return
+        if notice.leaving:
+            self._targets.record_leaving(target)
         if notice.HasField("calls_per_s") and target.limit.adopt(notice.calls_per_s):
             _log_limit(target)
 
--- a/packages/laburnumscale/src/laburnumscale/headernames.py
+++ b/packages/laburnumscale/src/laburnumscale/headernames.py
@@ -23,6 +23,7 @@
     :ivar not_run: field that a target sets in its response if it did not run the call.
     :ivar rate_limit: field in which a target names how many calls a second it takes
         from all daemons together, for as long as it names it.
+    :ivar leaving: field that a target sets in its responses while it leaves.
     :ivar echoes_request_id: whether targets repeat the request id in their responses.
     :ivar fractional_retry_after: whether callers accept fractions of a second in
         Retry-After.
@@ -35,6 +36,7 @@
     caller_service: str = ""
     not_run: str = ""
     rate_limit: str = ""
+    leaving: str = ""
     echoes_request_id: bool = False
     fractional_retry_after: bool = False
 
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -48,6 +48,7 @@
     :ivar latency_us: average latency of its calls; 0 before the first one.
     :ivar route_latencies: average latency of the calls of each route.
     :ivar limit: the rate of calls that the target names.
+    :ivar says_leaving: whether it has said in a response that it leaves.
     :ivar slot_time_us: average time for which a call holds a slot; 0 before the
         first one.
     :ivar late_calls: number of its running calls that take unusually long.
@@ -74,6 +75,7 @@
     latency_us: int = 0
     route_latencies: RouteLatencies = attrs.field(factory=RouteLatencies)
     limit: TargetLimit = attrs.field(factory=TargetLimit)
+    says_leaving: bool = False
     slot_time_us: float = 0.0
     late_calls: int = 0
     doubt_deadline: Deadline = NO_DOUBT
@@ -101,11 +103,12 @@
 
     def notice(self) -> peer_pb2.TargetNotice | None:
         """Return what the target says of itself in its responses; None if nothing."""
-        if self.limit.calls_per_s is None:
+        if self.limit.calls_per_s is None and not self.says_leaving:
             return None
         return peer_pb2.TargetNotice(
             started_at_unix_ms=self.started_at_unix_ms,
             calls_per_s=self.limit.calls_per_s,
+            leaving=self.says_leaving,
         )
 
     def load(self, route: int = 0) -> peer_pb2.LoadReport:
--- a/packages/laburnumscale/src/laburnumscale/targetnotices.py
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -107,6 +107,7 @@
         view.incarnation == known.guard_incarnation
         and view.verdict_version > known.verdict_version
         and not view.names_limit
+        and not known.notice.leaving
     )
 
 
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -92,6 +92,22 @@
         self.publish_endpoints()
         return True
 
+    def record_leaving(self, target: LocalTarget) -> None:
+        """Record that a target has said in a response that it leaves.
+
+        It gets no further calls; its own announcements do not undo that.
+        """
+        if target.says_leaving:
+            return
+        target.says_leaving = True
+        target.state = DRAINING
+        get_logger().info(
+            "target says that it leaves",
+            service=target.service,
+            endpoint=target.endpoint,
+        )
+        self.publish_endpoints()
+
     def withdraw(self, service: str, endpoint: str) -> bool:
         """Remove a target.
 
@@ -245,4 +261,6 @@
     A process that drains never becomes ready again; only its successor does. The two
     can be told apart only if the target announces its start time.
     """
-    return known.state == DRAINING and known.started_at_unix_ms > 0
+    return known.says_leaving or (
+        known.state == DRAINING and known.started_at_unix_ms > 0
+    )
--- a/tests/features/steps/target_limits_steps.py
+++ b/tests/features/steps/target_limits_steps.py
@@ -75,6 +75,11 @@
     start_lookups(context, [first, second], rate)
 
 
+@when("clients beside {daemon} send lookups, {rate:d} a second")
+def step_start_lookups_beside(context, daemon, rate):
+    start_lookups(context, [daemon], rate)
+
+
 def start_lookups(context, names, rate):
     urls = [context.fleet.daemons[name].callers for name in names]
     context.lookups = Lookups(urls, rate)
