Use the rate limiter of the logs for the limits of targets

TargetLimit kept a token bucket of its own beside RateLimiter. No bound or assertion of a test changed; the clock of the tests is also set in the shared module.

--- a/packages/laburnumscale/src/laburnumscale/targetlimit.py
+++ b/packages/laburnumscale/src/laburnumscale/targetlimit.py
@@ -10,6 +10,7 @@
 import attrs
 
 from laburnumscale.deadlines import MS_PER_S, now_s
+from laburnumscale.ratelimit import RateLimiter
 
 __all__ = ["MIN_CALLS_PER_S", "TargetLimit", "parse_rate"]
 
@@ -31,7 +32,7 @@
 
 @attrs.define
 class TargetLimit:
-    """The limit of one target, as a token bucket that is empty at first.
+    """The limit of one target, whose token bucket is empty at first.
 
     :ivar calls_per_s: the rate that the target names; None if it names none.
     :ivar has_response: whether the target has responded to this guard.
@@ -40,8 +41,7 @@
     calls_per_s: float | None = None
     has_response: bool = False
     _named_at_s: float = 0.0
-    _tokens: float = 0.0
-    _refilled_at_s: float = 0.0
+    _calls: RateLimiter | None = None
 
     def record_response(self, calls_per_s: float | None, sent_at_s: float) -> None:
         """Record the rate in a response.
@@ -70,37 +70,26 @@
 
     def try_acquire(self) -> bool:
         """Use up one call, and return whether the limit allows it."""
-        if self.calls_per_s is None:
-            return True
-        self._refill()
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return self._calls is None or self._calls.try_acquire()
 
     def release(self) -> None:
         """Give back a call that was not sent."""
-        self._tokens += 1
+        if self._calls is not None:
+            self._calls.release()
 
     def retry_after_ms(self) -> int:
         """Return the time until the limit allows a call, in milliseconds."""
-        missing_s = (1 - self._tokens) / self._effective_rate()
-        return max(MIN_RETRY_AFTER_MS, math.ceil(missing_s * MS_PER_S))
+        wait_s = 0.0 if self._calls is None else self._calls.next_token_s()
+        return max(MIN_RETRY_AFTER_MS, math.ceil(wait_s * MS_PER_S))
 
     def _set(self, calls_per_s: float | None) -> None:
-        if self.calls_per_s is None:
-            self._tokens = 0.0
-            self._refilled_at_s = now_s()
-        self._refill()
         self.calls_per_s = calls_per_s
-
-    def _refill(self) -> None:
-        rate = self._effective_rate()
-        elapsed_s = now_s() - self._refilled_at_s
-        self._refilled_at_s += elapsed_s
-        self._tokens = min(
-            max(1.0, rate * MAX_BURST_S), self._tokens + rate * elapsed_s
-        )
-
-    def _effective_rate(self) -> float:
-        return max(MIN_CALLS_PER_S, self.calls_per_s or 0.0)
+        if calls_per_s is None:
+            self._calls = None
+            return
+        rate_per_s = max(MIN_CALLS_PER_S, calls_per_s)
+        max_burst = max(1.0, rate_per_s * MAX_BURST_S)
+        if self._calls is None:
+            self._calls = RateLimiter(rate_per_s, max_burst, tokens=0.0)
+        else:
+            self._calls.change_rate(rate_per_s, max_burst)
--- a/tests/features/steps/target_limit_decisions_steps.py
+++ b/tests/features/steps/target_limit_decisions_steps.py
@@ -3,7 +3,7 @@
 
 from behave import given, then, when
 
-from laburnumscale import deadlines, targetlimit, targetnotices
+from laburnumscale import deadlines, ratelimit, targetlimit, targetnotices
 from laburnumscale.endpointindex import EndpointView
 from laburnumscale.targetlimit import TargetLimit, parse_rate
 from laburnumscale.targetnotices import TargetNotices
@@ -26,7 +26,7 @@
 
 def use_clock(context):
     context.clock = Clock()
-    for module in (deadlines, targetlimit, targetnotices):
+    for module in (deadlines, ratelimit, targetlimit, targetnotices):
         patcher = patch.object(module, "now_s", context.clock)
         patcher.start()
         context.add_cleanup(patcher.stop)
