Wait for reported settings in one place

The route lookup and the holder of an operation key each waited for the reported revision and then decided again, the latter through a check with three results. Both now call SettingsFeed.catch_up, which also holds the limit of the wait. Behaviour is unchanged.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -35,8 +35,8 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun, Outcome, outcome_name
 from laburnumscale.problems import problem_response
-from laburnumscale.routelookup import CATCH_UP_WAIT_MS, Routed, RouteLookup
-from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.routelookup import Routed, RouteLookup
+from laburnumscale.settingsfeed import CATCH_UP_WAIT_MS, SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.targetresponses import MAX_SINGLE_MESSAGE_BODY_BYTES
 from laburnumscale.webserver import App, new_app
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -21,8 +21,7 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import KeyInvalid, OperationKey, parse_key
 from laburnumscale.recordedexchange import RecordedExchange
-from laburnumscale.routelookup import BEHIND_RETRY_AFTER_MS, CATCH_UP_WAIT_MS
-from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingsfeed import BEHIND_RETRY_AFTER_MS, SettingsFeed
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["KeyedCalls"]
@@ -235,15 +234,13 @@
 
     async def _run_operation(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
-        is_configured = await self._feed.check_service(
-            head.service, Deadline.after_ms(min(CATCH_UP_WAIT_MS, head.time_left_ms))
-        )
-        if is_configured is None:
-            return not_run_reply(
-                peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, BEHIND_RETRY_AFTER_MS
-            )
-        if not is_configured:
-            return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
+        if head.service not in self._feed.tree.services():
+            if not await self._feed.catch_up(head.time_left_ms):
+                return not_run_reply(
+                    peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, BEHIND_RETRY_AFTER_MS
+                )
+            if head.service not in self._feed.tree.services():
+                return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
         settings = self._feed.tree.effective_settings(
             head.service, self._members.own.data_centre
         )
--- a/packages/laburnumscale/src/laburnumscale/routelookup.py
+++ b/packages/laburnumscale/src/laburnumscale/routelookup.py
@@ -8,23 +8,16 @@
 
 import attrs
 
-from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import NotRun
-from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingsfeed import (
+    BEHIND_RETRY_AFTER_MS,
+    CATCH_UP_WAIT_MS,
+    SettingsFeed,
+)
 from laburnumscale_schema import peer_pb2, settings_pb2
 
-__all__ = [
-    "BEHIND_RETRY_AFTER_MS",
-    "CATCH_UP_WAIT_MS",
-    "RouteLookup",
-    "Routed",
-    "choose_backend",
-]
-
-#: A daemon that is behind needs some 50 ms to fetch the settings, or 250 ms if the
-#: first peer does not reply.
-CATCH_UP_WAIT_MS = 500
-BEHIND_RETRY_AFTER_MS = 500
+__all__ = ["RouteLookup", "Routed", "choose_backend"]
+
 #: Twice the longest time that a read of the log waits for a record.
 CONTACT_LIMIT_S = 10.0
 UNCONFIRMED_RETRY_AFTER_MS = 1000
@@ -67,12 +60,8 @@
         :param time_left_ms: how long the caller waits at most, in milliseconds.
         """
         found = self._find_now(host, path_and_query)
-        wanted_revision = self._feed.lag.wanted_revision
-        if isinstance(found, Routed):
-            return found
-        if wanted_revision:
-            deadline = Deadline.after_ms(min(CATCH_UP_WAIT_MS, time_left_ms))
-            if not await self._feed.wait_for_revision(wanted_revision, deadline):
+        if isinstance(found, NotRun) and self._feed.lag.is_behind:
+            if not await self._feed.catch_up(time_left_ms):
                 return NotRun(STALE_SETTINGS, BEHIND_RETRY_AFTER_MS)
             found = self._find_now(host, path_and_query)
         if isinstance(found, NotRun) and self._feed.contact_age_s() > CONTACT_LIMIT_S:
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -17,7 +17,12 @@
 from laburnumscale.settingstree import SettingsTree
 from laburnumscale_schema import peer_pb2, settings_pb2
 
-__all__ = ["SETTINGS_STREAM", "SettingsFeed"]
+__all__ = [
+    "BEHIND_RETRY_AFTER_MS",
+    "CATCH_UP_WAIT_MS",
+    "SETTINGS_STREAM",
+    "SettingsFeed",
+]
 
 SETTINGS_STREAM = "settings"
 MAX_RECENT_RECORDS = 256
@@ -27,6 +32,10 @@
 #: the log. Each daemon multiplies it by a factor of its own, so that a slow spread does
 #: not make all of them read at once.
 LOG_READ_DELAY_MS = 500
+#: A daemon that is behind needs some 50 ms to fetch the settings, or 250 ms if the
+#: first peer does not reply.
+CATCH_UP_WAIT_MS = 500
+BEHIND_RETRY_AFTER_MS = 500
 
 
 class SettingsFeed:
@@ -114,14 +123,17 @@
         while self.tree.revision <= revision:
             await self._tree_changed.wait()
 
-    async def wait_for_revision(self, revision: int, deadline: Deadline) -> bool:
-        """Wait until the tree has at least a revision, or until the deadline.
+    async def catch_up(self, time_left_ms: float) -> bool:
+        """Wait until the tree has the newest revision that peers have reported.
 
-        :returns: whether it has.
+        :param time_left_ms: how long the caller waits at most, in milliseconds.
+        :returns: whether it has, at most ``CATCH_UP_WAIT_MS`` later.
         """
+        wanted_revision = self.lag.wanted_revision
+        deadline = Deadline.after_ms(min(CATCH_UP_WAIT_MS, time_left_ms))
         try:
             async with asyncio.timeout(deadline.left_s()):
-                await self.wait_for_newer_revision(revision - 1)
+                await self.wait_for_newer_revision(wanted_revision - 1)
         except TimeoutError:
             return False
         return True
@@ -145,19 +157,6 @@
             return True
         return service in self.tree.services()
 
-    async def check_service(self, service: str, deadline: Deadline) -> bool | None:
-        """Return whether a service is configured, in the newest reported settings.
-
-        :param deadline: how long to wait for these if the service is not configured.
-        :returns: None if they have not arrived by then.
-        """
-        wanted_revision = self.lag.wanted_revision
-        if service in self.tree.services():
-            return True
-        if not await self.wait_for_revision(wanted_revision, deadline):
-            return None
-        return service in self.tree.services()
-
     def held(self) -> peer_pb2.SettingsHeld:
         """Return the revision and digest of the tree as a message for peers."""
         return peer_pb2.SettingsHeld(
