Take over what an entry was told of a target once for each attempt

The lookup of the target did it, and an attempt looks its target up twice: before and after it waits for a slot. It is now a step of its own, and ends at once for the many attempts without a notice.

--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -128,6 +128,7 @@
             self._refuse_if_stale(head, settings)
             if send_deadline.has_passed():
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DEADLINE)
+            self._adopt_notice(head)
             target = self._get_available_target(head)
             transmission = Transmission(attempt, send_deadline, deadline)
             with (
@@ -205,7 +206,6 @@
         target = self._targets.get(head.service, head.endpoint)
         if target is None:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_TARGET_GONE)
-        self._adopt_notice(target, head)
         if target.state == peer_pb2.TARGET_STATE_DRAINING:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
         return target
@@ -291,11 +291,13 @@
             _log_limit(target)
             self._targets.publish_endpoints()
 
-    def _adopt_notice(self, target: LocalTarget, head: peer_pb2.CallHead) -> None:
+    def _adopt_notice(self, head: peer_pb2.CallHead) -> None:
         """Take over what the entry was told of this process of the target."""
+        if not head.HasField("notice"):
+            return
         notice = head.notice
-        is_same_process = notice.started_at_unix_ms == target.started_at_unix_ms
-        if not (head.HasField("notice") and is_same_process):
+        target = self._targets.get(head.service, head.endpoint)
+        if target is None or notice.started_at_unix_ms != target.started_at_unix_ms:
             return
         if notice.leaving:
             self._targets.record_leaving(target)
