--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -82,6 +82,7 @@
     :ivar answer_started: the first part of an answer was sent to the caller.
     :ivar failover_result: outcome and response of a failover that was answered while
         the attempt that it replaces had no reply.
+    :ivar route_hash: hash by which daemons refer to the route.
     :ivar attempt_summaries: results of the attempts so far, for the log.
     """
 
@@ -109,10 +110,10 @@
     queue_refusals: int = 0
     doubtful_endpoints: set[str] = attrs.field(factory=set)
     accepts_doubt: bool = False
+    route_hash: int = attrs.field(init=False)
 
-    @property
-    def route_hash(self) -> int:
-        """Return the hash by which daemons refer to the route of the call."""
+    @route_hash.default
+    def _hash_route(self) -> int:
         return hash_route(self.route)
 
     @property
