--- a/tests/features/steps/platform_messages_steps.py
+++ b/tests/features/steps/platform_messages_steps.py
@@ -310,10 +310,15 @@
     context.registry = TargetRegistry("d1", context.members, Metrics())
 
 
-@when("a heartbeat with {slots:d} slots is handled")
-def step_handle_heartbeat(context, slots):
-    app = heartbeat_app(f"slots{slots}", context.registry, 1500, lambda service: True)
-    info = {"service": "slot-desk", "version": "v1", "zone": "makati", "slots": slots}
+def handle_heartbeat(
+    name, registry, is_configured=lambda service: True, service="slot-desk", slots=5
+):
+    """Return the status of the response to a heartbeat.
+
+    :param name: name of the daemon; sanic refuses two applications of the same name.
+    """
+    app = heartbeat_app(name, registry, 1500, is_configured)
+    info = {"service": service, "version": "v1", "zone": "makati", "slots": slots}
     status = {"state": "ready", "sequence": 1, "cold_left_s": 0}
     value = {"address": "127.0.0.1:9", "info": info, "status": status}
     (route,) = app.router.routes
@@ -322,7 +327,14 @@
         body=json.dumps(value).encode(),
         ip="127.0.0.1",
     )
-    context.heartbeat_status = asyncio.run(route.handler(request)).status
+    return asyncio.run(route.handler(request)).status
+
+
+@when("a heartbeat with {slots:d} slots is handled")
+def step_handle_heartbeat(context, slots):
+    context.heartbeat_status = handle_heartbeat(
+        f"slots{slots}", context.registry, slots=slots
+    )
 
 
 @then("its status is {status:d}")
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -1,7 +1,5 @@
 import asyncio
-import json
 from contextlib import asynccontextmanager, suppress
-from types import SimpleNamespace
 
 import grpc
 from behave import given, then, when
@@ -13,8 +11,8 @@
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreplication import SettingsReplicator
 from laburnumscale.targetregistry import TargetRegistry
-from laburnumscale_platform.heartbeats import heartbeat_app
 from laburnumscale_schema import peer_pb2, settings_pb2
+from tests.features.steps.platform_messages_steps import handle_heartbeat
 
 DATA_CENTRE = "makati"
 #: Longer than any request of a replicator waits.
@@ -182,23 +180,6 @@
     assert context.channels.replaced.empty()
 
 
-def handle_heartbeat(feed, service):
-    members = Members(member("d1"))
-    registry = TargetRegistry("d1", members, Metrics())
-    daemon = f"d1-{feed.lag.wanted_revision}"  # names of applications are unique
-    app = heartbeat_app(daemon, registry, 1500, feed.may_have_service)
-    info = {"service": service, "version": "v1", "zone": "makati", "slots": 5}
-    status = {"state": "ready", "sequence": 1, "cold_left_s": 0}
-    value = {"address": "127.0.0.1:9", "info": info, "status": status}
-    (route,) = app.router.routes
-    request = SimpleNamespace(
-        args={"call": "instances.heartbeat", "of": "i-1"},
-        body=json.dumps(value).encode(),
-        ip="127.0.0.1",
-    )
-    return route.handler(request)
-
-
 async def run_keyed_call(feed, service):
     members = Members(member("d1"))
     table = KeyTable("d1", members.own.incarnation, 60_000, Metrics())
@@ -222,8 +203,11 @@
 
 @then("a heartbeat of service {service} gets status {status:d}")
 def step_check_heartbeat(context, service, status):
-    response = asyncio.run(handle_heartbeat(context.feed, service))
-    assert response.status == status, response.status
+    feed = context.feed
+    registry = TargetRegistry("d1", Members(member("d1")), Metrics())
+    name = f"d1-{feed.lag.wanted_revision}"
+    seen = handle_heartbeat(name, registry, feed.may_have_service, service)
+    assert seen == status, seen
 
 
 @then("a call with an operation key for service {service} is not run: {reason}")
