Remove state and results of the settings and limit modules that nothing reads

fetch_from_any returned whether a peer delivered, which its caller knows from the tree; reporters kept a revision for each peer, of which only the order is used; a push checked again that its peer is not busy; the pace of a limited target looked its notice up twice. Behaviour is unchanged.

--- a/packages/laburnumscale/src/laburnumscale/peerpushes.py
+++ b/packages/laburnumscale/src/laburnumscale/peerpushes.py
@@ -21,9 +21,7 @@
         return address in self._tasks
 
     def start(self, address: str, push: Callable[[str], Coroutine]) -> None:
-        """Start a push, unless one to the same peer is in progress."""
-        if self.is_busy(address):
-            return
+        """Start a push to a peer that is not busy."""
         task = asyncio.create_task(push(address))
         self._tasks[address] = task
         task.add_done_callback(lambda _: self._tasks.pop(address, None))
--- a/packages/laburnumscale/src/laburnumscale/revisionlag.py
+++ b/packages/laburnumscale/src/laburnumscale/revisionlag.py
@@ -14,7 +14,7 @@
 
 __all__ = ["RevisionLag"]
 
-US_PER_S = 1_000_000
+US_PER_MS = 1000
 #: A daemon that can fetch settings holds a reported revision within some 50 ms.
 LATE_AFTER_MS = 500
 LOG_INTERVAL_MS = 1000
@@ -31,14 +31,14 @@
     :ivar newest_revision: highest reported revision that is not held yet.
     :ivar behind_since_s: time since boot of the first report of a revision that this
         daemon does not hold yet; None if it holds all reported ones.
-    :ivar reporters: highest revision that each peer has reported, by peer address;
-        the latest report is the last.
+    :ivar reporters: addresses of the peers that have reported newer revisions, as
+        keys; the latest report is the last.
     """
 
     _metrics: Metrics
     newest_revision: int = 0
     behind_since_s: float | None = None
-    reporters: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
+    reporters: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     _reports_expire: Deadline = Deadline(0.0)
     _next_log: Deadline = Deadline(0.0)
 
@@ -71,7 +71,7 @@
         if revision >= self.newest_revision:
             self.newest_revision = revision
             self._reports_expire = Deadline.after_ms(REPORT_LIFETIME_MS)
-        self.reporters[address] = max(revision, self.reporters.get(address, 0))
+        self.reporters[address] = None
         self.reporters.move_to_end(address)
         if len(self.reporters) > MAX_REPORTERS:
             self.reporters.popitem(last=False)
@@ -82,7 +82,7 @@
         if self.behind_since_s is None or revision < self.newest_revision:
             return
         lag_ms = self.behind_ms()
-        self._metrics.record_us("settings_lag", lag_ms * US_PER_S / MS_PER_S)
+        self._metrics.record_us("settings_lag", lag_ms * US_PER_MS)
         if lag_ms >= LATE_AFTER_MS:
             get_logger().info(
                 "settings caught up", revision=revision, behind_ms=round(lag_ms)
--- a/packages/laburnumscale/src/laburnumscale/settingsfetch.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfetch.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 
-__all__ = ["HEDGE_DELAY_S", "MAX_CONCURRENT_FETCHES", "fetch_from_any"]
+__all__ = ["fetch_from_any"]
 
 #: A peer replies within a few milliseconds; this is a tenth of the time in which a
 #: change must be in force.
@@ -17,7 +17,7 @@
 
 async def fetch_from_any(
     addresses: Iterable[str], fetch: Callable[[str, bool], Awaitable[bool]]
-) -> tuple[bool, list[str]]:
+) -> list[str]:
     """Ask peers one after the other until one has delivered the settings.
 
     The next peer is asked when a request fails, or when no reply came for
@@ -27,7 +27,7 @@
     :param addresses: the peers in the order in which to ask them.
     :param fetch: sends a request to a peer, over a new connection if its second
         argument is true; returns whether the peer delivered the settings.
-    :returns: whether a peer delivered them, and the peers whose request had no reply.
+    :returns: the peers whose request had no reply when another one delivered.
     """
     remaining = iter(addresses)
     pending: dict[asyncio.Task[bool], str] = {}
@@ -42,9 +42,9 @@
             for task in done:
                 del pending[task]
             if any(task.result() for task in done):
-                return True, list(pending.values())
+                return list(pending.values())
             _start_next(remaining, pending, fetch, new_connection=True)
-        return False, []
+        return []
     finally:
         for task in pending:
             task.cancel()
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -292,8 +292,7 @@
             reply = await self._fetch_newer(address, new_connection)
             return reply is not None and self._feed.tree.revision >= wanted_revision
 
-        _, unanswered = await fetch_from_any(self._fetch_candidates(), fetch)
-        for address in unanswered:
+        for address in await fetch_from_any(self._fetch_candidates(), fetch):
             self._replace_connection(address)
 
     def _fetch_candidates(self) -> Iterator[str]:
--- a/packages/laburnumscale/src/laburnumscale/targetnotices.py
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -46,10 +46,8 @@
 
     def get(self, view: EndpointView) -> peer_pb2.TargetNotice | None:
         """Return the latest notice of a target, or None."""
-        known = self._known.get((view.service, view.endpoint))
-        if known is None or known.expires.has_passed() or _has_ended(known, view):
-            return None
-        return known.notice
+        known = self._find(view)
+        return None if known is None else known.notice
 
     def record(
         self, view: EndpointView, report: peer_pb2.LoadReport, entry_count: int
@@ -92,10 +90,16 @@
 
         An entry chooses such a target only if no other is left, and the guard decides.
         """
-        notice = self.get(view)
-        if notice is None or not notice.HasField("calls_per_s"):
+        known = self._find(view)
+        if known is None or not known.notice.HasField("calls_per_s"):
             return False
-        return not self._known[view.service, view.endpoint].next_call.has_passed()
+        return not known.next_call.has_passed()
+
+    def _find(self, view: EndpointView) -> _KnownNotice | None:
+        known = self._known.get((view.service, view.endpoint))
+        if known is None or known.expires.has_passed() or _has_ended(known, view):
+            return None
+        return known
 
 
 def _has_ended(known: _KnownNotice, view: EndpointView) -> bool:
