Choose an endpoint in the same time however large the service is

Cause: for each attempt, the router rated every endpoint of the service, several times (choice, queue, failover, head of the call), and the views of a whole service were built again after each change of one endpoint.

Ruled out: caching the selection until something changes.

Change: EndpointPool keeps the endpoints of a service sorted by health and data centre; a changed view, verdict or path updates one endpoint. A choice rates random endpoints until it has two to compare, 16 at most anywhere and 16 in its data centre. Floor, trials, draining, limits, doubt and locality keep their meaning; the operator's view and the comparison policies still rate all endpoints. The member index updates only the views of the changed daemon.

The fakes of the router in decisions.feature report no changes; the test of large answers now fills the load table instead of replacing the selection, with the same loads.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -16,12 +16,12 @@
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.calls import CallRunner
 from laburnumscale.deadlines import Deadline
+from laburnumscale.endpointindex import EndpointListener, EndpointView
 from laburnumscale.failurereplies import unknown_reply
 from laburnumscale.guard import Guard
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
 from laburnumscale.localtarget import LocalTarget
-from laburnumscale.members import EndpointView
 from laburnumscale.metrics import Metrics
 from laburnumscale.recovery import TargetRecovery
 from laburnumscale.retrybudget import RetryBudget
@@ -174,6 +174,7 @@
     def __init__(self) -> None:
         self.targets: dict[str, tuple[LocalTarget, str, str]] = {}
         self._views: dict[str, EndpointView] = {}
+        self._listeners: list[EndpointListener] = []
 
     def add(self, target: LocalTarget, daemon: str, data_centre: str) -> None:
         self.targets[daemon] = target, daemon, data_centre
@@ -185,7 +186,7 @@
 
     def publish(self, daemon: str) -> None:
         target, daemon, data_centre = self.targets[daemon]
-        self._views[daemon] = EndpointView(
+        view = EndpointView(
             service=target.service,
             endpoint=target.endpoint,
             slots=target.slots,
@@ -199,6 +200,12 @@
             severity_percent=target.severity_percent,
             on_trial=target.on_trial,
         )
+        self._views[daemon] = view
+        for listener in self._listeners:
+            listener(view.service, view.endpoint, view)
+
+    def on_change(self, listener: EndpointListener) -> None:
+        self._listeners.append(listener)
 
     def endpoints(self, service: str) -> list[EndpointView]:
         return list(self._views.values())
@@ -303,10 +310,13 @@
         members = SimpleNamespace(
             own=own,
             endpoints=self._directory.endpoints,
+            watch_endpoints=self._directory.endpoints,
+            on_endpoint_change=self._directory.on_change,
             group_size=len(self._seeds),
         )
         paths = SimpleNamespace(
             is_broken=lambda address: False,
+            on_change=lambda listener: None,
             schedule_check=lambda address: None,
             start_check=lambda address: None,
         )
--- a/packages/laburnumscale/src/laburnumscale/ejection.py
+++ b/packages/laburnumscale/src/laburnumscale/ejection.py
@@ -8,10 +8,15 @@
 
 import attrs
 
-from laburnumscale.loadtable import EndpointLoad
+from laburnumscale.loadtable import EndpointHealth, EndpointLoad
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["Selection", "count_announced_slots", "select_endpoints"]
+__all__ = [
+    "Selection",
+    "count_announced_slots",
+    "select_endpoints",
+    "severity",
+]
 
 PERCENT = 100
 READY = peer_pb2.TARGET_STATE_READY
@@ -50,7 +55,7 @@
     floor_slots = math.ceil(announced_slots * floor_percent / PERCENT)
     in_use = [load for load in ready if not load.unhealthy]
     slots = sum(load.view.slots for load in in_use)
-    for load in sorted((load for load in ready if load.unhealthy), key=_severity):
+    for load in sorted((load for load in ready if load.unhealthy), key=severity):
         if slots >= floor_slots:
             break
         in_use.append(load)
@@ -72,7 +77,7 @@
     )
 
 
-def _severity(load: EndpointLoad) -> tuple[bool, bool, int, str]:
+def severity(load: EndpointHealth) -> tuple[bool, bool, int, str]:
     """Return a sort key that puts the least unhealthy endpoint first."""
     return (
         load.path_broken,
--- a/packages/laburnumscale/src/laburnumscale/endpointindex.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointindex.py
@@ -11,7 +11,7 @@
 from laburnumscale.memberentries import GONE, SUSPECT, is_present
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["EndpointIndex", "EndpointView"]
+__all__ = ["EndpointIndex", "EndpointListener", "EndpointView"]
 
 
 @attrs.frozen
@@ -50,8 +50,58 @@
         return self.announced_us, self.incarnation, self.daemon
 
 
+EndpointListener = Callable[[str, str, EndpointView | None], None]
+
+
+@attrs.define(eq=False)
+class _ServiceViews:
+    """The views of the endpoints of one service.
+
+    :ivar by_daemon: the listed endpoints by daemon and name.
+    :ivar daemons: the daemons that list an endpoint, by its name.
+    :ivar selected: one view of each endpoint, by its name.
+    """
+
+    by_daemon: dict[str, dict[str, EndpointView]] = attrs.field(factory=dict)
+    daemons: dict[str, set[str]] = attrs.field(factory=dict)
+    selected: dict[str, EndpointView] = attrs.field(factory=dict)
+
+    def replace(self, daemon: str, views: dict[str, EndpointView]) -> list[str]:
+        """Replace the views of a daemon.
+
+        :returns: the names of the endpoints whose selected view has changed.
+        """
+        before = self.by_daemon.pop(daemon, {})
+        if views:
+            self.by_daemon[daemon] = views
+        changed = [
+            endpoint
+            for endpoint in before.keys() | views.keys()
+            if before.get(endpoint) != views.get(endpoint)
+        ]
+        for endpoint in before.keys() - views.keys():
+            self.daemons[endpoint].discard(daemon)
+        for endpoint in views:
+            self.daemons.setdefault(endpoint, set()).add(daemon)
+        return [endpoint for endpoint in changed if self._select(endpoint)]
+
+    def _select(self, endpoint: str) -> bool:
+        """Select the view of an endpoint and return whether it has changed."""
+        listed = [self.by_daemon[daemon][endpoint] for daemon in self.daemons[endpoint]]
+        before = self.selected.get(endpoint)
+        if not listed:
+            del self.daemons[endpoint]
+            del self.selected[endpoint]
+            return True
+        self.selected[endpoint] = max(listed, key=lambda view: view.precedence)
+        return self.selected[endpoint] != before
+
+
 class EndpointIndex:
-    """Index from services to daemons; endpoint views are built on demand and cached.
+    """Index from services to endpoints.
+
+    The views of a service are built when it is first used. From then on, a changed
+    membership entry updates only the views of its own endpoints.
 
     :param get_member: returns the membership entry of a daemon, or None.
     """
@@ -59,42 +109,77 @@
     def __init__(self, get_member: Callable[[str], peer_pb2.Member | None]) -> None:
         self._get_member = get_member
         self._daemons: dict[str, set[str]] = {}
-        self._cached_views: dict[str, list[EndpointView]] = {}
+        self._services: dict[str, _ServiceViews] = {}
+        self._listeners: list[EndpointListener] = []
+
+    def on_change(self, listener: EndpointListener) -> None:
+        """Register a function that is called for each changed endpoint.
+
+        It gets the service, the name of the endpoint, and its view or None. Only the
+        endpoints of services that are used or watched are reported.
+        """
+        self._listeners.append(listener)
 
     def update(
         self, before: peer_pb2.Member | None, after: peer_pb2.Member | None
     ) -> None:
         """Update the index for a changed membership entry."""
-        for service in _listed_services(before):
+        removed = _listed_services(before)
+        listed = _listed_services(after)
+        for service in removed - listed:
             self._remove_daemon(service, before.daemon)
-        for service in _listed_services(after):
+            self._replace_views(service, before.daemon, None)
+        for service in listed:
             self._daemons.setdefault(sys.intern(service), set()).add(after.daemon)
-            self._cached_views.pop(service, None)
+            self._replace_views(service, after.daemon, after)
 
     def endpoints(self, service: str) -> list[EndpointView]:
         """Return the endpoints of a service, one view each."""
-        views = self._cached_views.get(service)
-        if views is None:
-            views = self._build_views(service)
-            if service in self._daemons:
-                self._cached_views[service] = views
-        return views
+        if service not in self._services and service not in self._daemons:
+            return []
+        return list(self._get_views(service).selected.values())
+
+    def endpoint(self, service: str, endpoint: str) -> EndpointView | None:
+        """Return the view of one endpoint, or None."""
+        if service not in self._services and service not in self._daemons:
+            return None
+        return self._get_views(service).selected.get(endpoint)
+
+    def watch(self, service: str) -> list[EndpointView]:
+        """Return the endpoints of a service, and report all changes of them later."""
+        return list(self._get_views(service).selected.values())
 
     def _remove_daemon(self, service: str, daemon: str) -> None:
-        self._cached_views.pop(service, None)
         daemons = self._daemons.get(service, set())
         daemons.discard(daemon)
         if not daemons:
             self._daemons.pop(service, None)
 
-    def _build_views(self, service: str) -> list[EndpointView]:
-        selected: dict[str, EndpointView] = {}
-        for daemon in sorted(self._daemons.get(service, ())):
-            for view in _endpoint_views(self._get_member(daemon), service):
-                current = selected.get(view.endpoint)
-                if current is None or current.precedence < view.precedence:
-                    selected[view.endpoint] = view
-        return list(selected.values())
+    def _get_views(self, service: str) -> _ServiceViews:
+        views = self._services.get(service)
+        if views is None:
+            views = _ServiceViews()
+            for daemon in self._daemons.get(service, ()):
+                views.replace(daemon, _list_views(self._get_member(daemon), service))
+            self._services[service] = views
+        return views
+
+    def _replace_views(
+        self, service: str, daemon: str, member: peer_pb2.Member | None
+    ) -> None:
+        views = self._services.get(service)
+        if views is None:
+            return
+        for endpoint in views.replace(daemon, _list_views(member, service)):
+            for listener in self._listeners:
+                listener(service, endpoint, views.selected.get(endpoint))
+
+
+def _list_views(
+    member: peer_pb2.Member | None, service: str
+) -> dict[str, EndpointView]:
+    """Return the views of the endpoints of a service that a member lists, by name."""
+    return {view.endpoint: view for view in _endpoint_views(member, service)}
 
 
 def _listed_services(member: peer_pb2.Member | None) -> set[str]:
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -9,7 +9,11 @@
 import attrs
 
 from laburnumscale.deadlines import Deadline
-from laburnumscale.endpointindex import EndpointIndex, EndpointView
+from laburnumscale.endpointindex import (
+    EndpointIndex,
+    EndpointListener,
+    EndpointView,
+)
 from laburnumscale.errors import DaemonNameTaken
 from laburnumscale.logs import get_logger
 from laburnumscale.memberdeltas import (
@@ -197,8 +201,18 @@
 
     def endpoint(self, service: str, endpoint: str) -> EndpointView | None:
         """Return one endpoint with the daemon that lists it, or None."""
-        views = self.endpoints(service)
-        return next((view for view in views if view.endpoint == endpoint), None)
+        return self._index.endpoint(service, endpoint)
+
+    def watch_endpoints(self, service: str) -> list[EndpointView]:
+        """Return the endpoints of a service, and report all changes of them later."""
+        return self._index.watch(service)
+
+    def on_endpoint_change(self, listener: EndpointListener) -> None:
+        """Register a function that is called for each change of a watched endpoint.
+
+        It gets the service, the name of the endpoint, and its view or None.
+        """
+        self._index.on_change(listener)
 
     def remove_gone_members(self) -> list[str]:
         """Remove expired entries of gone members, and the oldest above the limit.
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import grpc
 
@@ -35,6 +36,11 @@
         self._metrics = metrics
         self._broken: set[str] = set()
         self._checks: dict[str, asyncio.Task] = {}
+        self._listeners: list[Callable[[str], None]] = []
+
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Register a function that is called with the address of a changed path."""
+        self._listeners.append(listener)
 
     def is_broken(self, peer_address: str) -> bool:
         """Return whether the guard at an address is unreachable."""
@@ -79,8 +85,14 @@
             self._broken.add(peer_address)
             self._metrics.count("paths_broken")
             get_logger().info("path broken", peer_address=peer_address)
+            self._notify(peer_address)
 
     def _set_recovered(self, peer_address: str) -> None:
         if peer_address in self._broken:
             self._broken.discard(peer_address)
             get_logger().info("path recovered", peer_address=peer_address)
+            self._notify(peer_address)
+
+    def _notify(self, peer_address: str) -> None:
+        for listener in self._listeners:
+            listener(peer_address)
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -5,11 +5,13 @@
 
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 
 from laburnumscale.loadtable import EndpointLoad
 
-__all__ = ["RoutingPolicy", "get_policy_by_name"]
+__all__ = ["CHOICES", "RoutingPolicy", "get_policy_by_name"]
 
+CHOICES = 2  # random endpoints that are compared
 SPILLOVER_UTILISATION = 1.0  # below 1, an endpoint has a free slot
 #: When all local slots are taken, calls go to another data centre only if the local
 #: cost exceeds the remote cost by this factor.
@@ -25,21 +27,23 @@
     """Chooses among the endpoints of a service.
 
     :cvar name: the value of the setting that selects this policy.
+    :cvar needs_all: whether it compares all endpoints instead of a random sample.
     """
 
     name: str
+    needs_all = False
 
     @abstractmethod
     def choose(
         self,
         loads: list[EndpointLoad],
-        data_centre: str,
+        local: Iterable[EndpointLoad],
         remote_cost_us: float = 0.0,
     ) -> EndpointLoad:
         """Return one of the endpoints.
 
-        :param loads: at least one endpoint.
-        :param data_centre: the data centre of the entry that handles the call.
+        :param loads: at least one endpoint; a random sample unless ``needs_all``.
+        :param local: endpoints in the data centre of the entry, in random order.
         :param remote_cost_us: waiting time in microseconds that is as bad as fetching
             the answer from another data centre.
         """
@@ -59,30 +63,27 @@
     def choose(
         self,
         loads: list[EndpointLoad],
-        data_centre: str,
+        local: Iterable[EndpointLoad],
         remote_cost_us: float = 0.0,
     ) -> EndpointLoad:
-        best = self._cheaper_of_two(loads)
+        best = min(_random_pair(loads), key=self.cost)
         max_latency_us = MAX_LOCAL_LATENCY_FACTOR * best.latency_us
-        local = [
-            load
-            for load in loads
-            if load.view.data_centre == data_centre
-            and load.latency_us <= max_latency_us
-        ]
-        free = [load for load in local if load.utilisation < SPILLOVER_UTILISATION]
+        free: list[EndpointLoad] = []
+        full: list[EndpointLoad] = []
+        for load in local:
+            if load.latency_us <= max_latency_us:
+                is_free = load.utilisation < SPILLOVER_UTILISATION
+                (free if is_free else full).append(load)
+            if len(free) == CHOICES:
+                break
         if free:
-            return self._cheaper_of_two(free)
-        if not local:
+            return min(free, key=self.cost)
+        if not full:
             return best
-        best_local = self._cheaper_of_two(local)
+        best_local = min(full[:CHOICES], key=self.cost)
         max_cost = REMOTE_COST_FACTOR * self.cost(best) + remote_cost_us
         return best_local if self.cost(best_local) <= max_cost else best
 
-    def _cheaper_of_two(self, loads: list[EndpointLoad]) -> EndpointLoad:
-        pair = random.sample(loads, min(2, len(loads)))
-        return min(pair, key=self.cost)
-
     @staticmethod
     def cost(load: EndpointLoad) -> float:
         """Return the expected time of one more call, in microseconds."""
@@ -120,6 +121,7 @@
     """Takes the endpoints in turn, in the order of their names."""
 
     name = "round-robin"
+    needs_all = True
 
     def __init__(self) -> None:
         self._last: dict[str, str] = {}
@@ -127,7 +129,7 @@
     def choose(
         self,
         loads: list[EndpointLoad],
-        data_centre: str,
+        local: Iterable[EndpointLoad],
         remote_cost_us: float = 0.0,
     ) -> EndpointLoad:
         service = loads[0].view.service
@@ -147,11 +149,14 @@
     def choose(
         self,
         loads: list[EndpointLoad],
-        data_centre: str,
+        local: Iterable[EndpointLoad],
         remote_cost_us: float = 0.0,
     ) -> EndpointLoad:
-        pair = random.sample(loads, min(2, len(loads)))
-        return min(pair, key=lambda load: load.in_system)
+        return min(_random_pair(loads), key=lambda load: load.in_system)
+
+
+def _random_pair(loads: list[EndpointLoad]) -> list[EndpointLoad]:
+    return random.sample(loads, min(CHOICES, len(loads)))
 
 
 _POLICIES = {
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -5,29 +5,47 @@
 
 import asyncio
 import random
+import sys
 from collections.abc import Callable
+from itertools import islice
 
 import attrs
 
+from laburnumscale.candidates import (
+    Candidates,
+    eligible,
+    find_candidates,
+    rank_load,
+    sample_best,
+)
 from laburnumscale.consecutiveerrors import ConsecutiveErrors
 from laburnumscale.ejection import Selection, count_announced_slots, select_endpoints
+from laburnumscale.endpointpool import EndpointPool
+from laburnumscale.endpointpools import EndpointPools
 from laburnumscale.health import TargetHealth
-from laburnumscale.loadtable import EndpointLoad, LoadTable, OutstandingAttempt
+from laburnumscale.loadtable import (
+    EndpointHealth,
+    EndpointLoad,
+    LoadTable,
+    OutstandingAttempt,
+)
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
-from laburnumscale.policies import RoutingPolicy, get_policy_by_name
+from laburnumscale.policies import CHOICES, RoutingPolicy, get_policy_by_name
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.targetnotices import TargetNotices
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["RoutedAttempt", "Router", "eligible", "selection_to_dict"]
+__all__ = ["RoutedAttempt", "Router", "selection_to_dict"]
 
 READY = peer_pb2.TARGET_STATE_READY
 EVIDENCE = "evidence"
 CONSECUTIVE_ERRORS = "consecutive-errors"
 BYTES_PER_MIB = 1024 * 1024
 US_PER_MS = 1000
+#: Endpoints that one choice looks at, so that its cost does not grow with the service.
+MAX_SAMPLED_ENDPOINTS = 16
 
 
 @attrs.define(eq=False)
@@ -82,6 +100,9 @@
         self._paths = paths
         self._policies: dict[str, RoutingPolicy] = {}
         self._consecutive_errors = ConsecutiveErrors()
+        self._pools = EndpointPools(members, self._rate)
+        self.load_table.on_change(self._pools.refresh)
+        paths.on_change(self._pools.refresh_path)
 
     def pick(
         self,
@@ -105,22 +126,62 @@
         :param answer_bytes: expected size of the answer, 0 if unknown.
         """
         settings = self._settings(service)
-        selection = self.selection(service, route)
-        loads = [load for load in selection.in_use if load.view.endpoint not in tried]
-        trial = self._pick_trial(selection) if idempotent and not tried else None
-        if trial is not None and reserve_trial():
-            return trial.view
-        loads = eligible(loads, selection, idempotent)
+        policy = self._policy(settings)
+        if settings.ejection_policy == EVIDENCE and not policy.needs_all:
+            pool = self._pools.get(service)
+            if idempotent and not tried:
+                trial = self._pick_trial(pool, settings)
+                if trial is not None and reserve_trial():
+                    return trial
+            data_centre = self._own_data_centre()
+            floor = settings.floor_percent
+            found = find_candidates(pool, floor, data_centre, tried, idempotent)
+        else:
+            found = self._find_in_selection(service, tried, idempotent)
+        return self._choose(policy, settings, found, route, avoid_doubt, answer_bytes)
+
+    def _choose(
+        self,
+        policy: RoutingPolicy,
+        settings: EffectiveSettings,
+        found: Candidates,
+        route: int,
+        avoid_doubt: bool,
+        answer_bytes: float,
+    ) -> EndpointView | None:
+        """Return the endpoint that a policy chooses, or None if there is none."""
+
+        def rank(load: EndpointLoad) -> tuple[bool, bool]:
+            return rank_load(load, avoid_doubt)
+
+        count = sys.maxsize if policy.needs_all else CHOICES
+        max_sampled = sys.maxsize if policy.needs_all else MAX_SAMPLED_ENDPOINTS
+        anywhere = (self._endpoint_load(view, route) for view in found.anywhere)
+        loads = sample_best(anywhere, rank, count, max_sampled)
         if not loads:
             return None
-        loads = [load for load in loads if not load.is_limited] or loads
-        if avoid_doubt:
-            loads = [load for load in loads if not load.in_doubt] or loads
+        local = (
+            self._endpoint_load(view, route)
+            for view in islice(found.local, MAX_SAMPLED_ENDPOINTS)
+        )
+        preferred = (load for load in local if rank(load) <= rank(loads[0]))
         remote_cost_us = (
             answer_bytes / BYTES_PER_MIB * settings.remote_ms_per_mib * US_PER_MS
         )
-        policy = self._policy(settings)
-        return policy.choose(loads, self._own_data_centre(), remote_cost_us).view
+        return policy.choose(loads, preferred, remote_cost_us).view
+
+    def _find_in_selection(
+        self, service: str, tried: set[str], idempotent: bool
+    ) -> Candidates:
+        """Return the endpoints that an attempt may go to, after rating all of them."""
+        in_use = self.selection(service).in_use
+        untried = [load for load in in_use if load.view.endpoint not in tried]
+        found = eligible(untried, in_use, idempotent)
+        views = [load.view for load in random.sample(found, len(found))]
+        own = self._own_data_centre()
+        return Candidates(
+            iter(views), (view for view in views if view.data_centre == own)
+        )
 
     def selection(self, service: str, route: int = 0) -> Selection:
         """Return the endpoints of a service that take calls of this entry."""
@@ -148,16 +209,15 @@
         Also returns targets on this daemon's host to service if the current baseline
         no longer justifies their ejection.
         """
-        views = self._members.endpoints(view.service)
-        load = self.load_table.endpoint_load(view)
-        head.floor_traffic = load.ejected or self._kept_by_floor(load)
-        baseline = self.load_table.baseline(view.service, views, head.route)
+        settings = self._settings(view.service)
+        pool = self._pools.get(view.service)
+        head.floor_traffic = self._is_floor_traffic(pool, settings, view)
+        baseline = self.load_table.baseline(view.service, pool, head.route)
         head.reference_latency_us = baseline.median_latency_us
         head.most_look_bad = baseline.most_look_bad
         notice = self._notices.get(view)
         if notice is not None:
             head.notice.CopyFrom(notice)
-        settings = self._settings(view.service)
         self._health.revoke_comparison_ejections(
             view.service, settings, head.route, baseline
         )
@@ -186,14 +246,19 @@
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.start_check(view.peer_address)
 
-    def _kept_by_floor(self, load: EndpointLoad) -> bool:
-        """Return whether the floor keeps an endpoint on trial in use."""
-        if not load.on_trial:
-            return False
-        in_use = self.selection(load.view.service).in_use
-        return any(kept.view is load.view for kept in in_use)
-
-    def _pick_trial(self, selection: Selection) -> EndpointLoad | None:
+    def _is_floor_traffic(
+        self, pool: EndpointPool, settings: EffectiveSettings, view: EndpointView
+    ) -> bool:
+        """Return whether an endpoint gets calls only because of the floor."""
+        health = self.load_table.endpoint_health(view)
+        if health.ejected or not health.on_trial:
+            return health.ejected
+        kept = pool.kept_by_floor(settings.floor_percent)
+        return any(each.view.endpoint == view.endpoint for each in kept)
+
+    def _pick_trial(
+        self, pool: EndpointPool, settings: EffectiveSettings
+    ) -> EndpointView | None:
         """Return a random endpoint on trial, or None.
 
         Each endpoint on trial that is idle gets an even share of the calls. Only
@@ -201,16 +266,22 @@
         answer is not known in advance, and traffic between data centres is expensive.
         """
         own = self._own_data_centre()
-        idle = [
-            load
-            for load in selection.on_trial
-            if load.view.data_centre == own
-            and not self.load_table.count_outstanding(load.view)
-        ]
-        in_use = [load for load in selection.in_use if load.view.data_centre == own]
-        share = len(idle) / max(1, len(idle) + len(in_use))
+        on_trial = pool.on_trial_in(own)
+        if not on_trial:
+            return None
+        sampled = islice(on_trial.shuffled(), MAX_SAMPLED_ENDPOINTS)
+        views = [pool.health(name).view for name in sampled]
+        idle = [view for view in views if not self.load_table.count_outstanding(view)]
+        kept = pool.kept_by_floor(settings.floor_percent)
+        local_kept = sum(each.view.data_centre == own for each in kept)
+        in_use = len(pool.healthy_in(own)) + local_kept
+        share = len(idle) / max(1, len(idle) + in_use)
         return random.choice(idle) if random.random() < share else None
 
+    def _rate(self, view: EndpointView) -> EndpointHealth:
+        broken = self._paths.is_broken(view.peer_address)
+        return self.load_table.endpoint_health(view, broken)
+
     def _endpoint_load(self, view: EndpointView, route: int) -> EndpointLoad:
         return self.load_table.endpoint_load(
             view,
@@ -232,24 +303,6 @@
         return self._members.own.data_centre
 
 
-def eligible(
-    loads: list[EndpointLoad], selection: Selection, idempotent: bool
-) -> list[EndpointLoad]:
-    """Return the endpoints among ``loads`` that a call may go to.
-
-    Unhealthy endpoints that stay in use because of the floor serve calls only when
-    the healthy ones are full. A call that may run only once waits for a healthy
-    endpoint instead, if there is one: a failing target could leave the outcome of the
-    call unknown, and no further attempt could correct that.
-    """
-    healthy = [load for load in loads if not load.unhealthy]
-    if healthy:
-        return healthy
-    if not idempotent and any(not load.unhealthy for load in selection.in_use):
-        return []
-    return loads
-
-
 def _is_path_failure(reply: peer_pb2.CallReply) -> bool:
     if reply.HasField("not_run"):
         return reply.not_run.reason == peer_pb2.NOT_RUN_REASON_NOT_CONNECTED
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -13,6 +13,7 @@
 from laburnumscale.attempttable import Attempt
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
+from laburnumscale.candidates import eligible
 from laburnumscale.deadlines import Deadline
 from laburnumscale.ejection import select_endpoints
 from laburnumscale.endpointindex import EndpointView
@@ -31,7 +32,7 @@
 from laburnumscale.recovery import EjectionBackoff
 from laburnumscale.retrybudget import MIN_GROUP_SIZE, RetryBudget
 from laburnumscale.routelookup import choose_backend
-from laburnumscale.routing import Router, eligible
+from laburnumscale.routing import Router
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slotqueue import SlotQueue
 from laburnumscale.slots import hold_slot
@@ -360,7 +361,8 @@
         for load in context.selection.in_use
         if load.view.endpoint not in tried.split(", ")
     ]
-    found = eligible(loads, context.selection, kind == "may be repeated")
+    in_use = context.selection.in_use
+    found = eligible(loads, in_use, kind == "may be repeated")
     context.eligible = sorted(load.view.endpoint for load in found)
 
 
@@ -385,16 +387,19 @@
 @when("{count:d} calls from makati choose between them")
 def step_choose_endpoints(context, count):
     policy = get_policy_by_name("two-choices")
-    chosen = [policy.choose(context.loads, "makati") for _ in range(count)]
+    local = [load for load in context.loads if load.view.data_centre == "makati"]
+    chosen = [policy.choose(context.loads, local) for _ in range(count)]
     context.local_count = sum(load.view.data_centre == "makati" for load in chosen)
     context.count = count
 
 
 @when("{count:d} calls from makati with answers of {kib:d} KiB choose between them")
 def step_choose_with_answer_size(context, count, kib):
-    sources = _FakeRouterSources()
+    sources = _FakeRouterSources([load.view for load in context.loads])
     router = Router(sources, sources, sources, health=None)
-    router.selection = lambda service, route: select_endpoints(context.loads, 100)
+    for load in context.loads:
+        for _ in range(load.in_system):
+            router.load_table.record_start(load.view)
     chosen = [
         router.pick("slot-desk", set(), True, answer_bytes=1024 * kib)
         for _ in range(count)
@@ -429,17 +434,33 @@
 
 
 class _FakeRouterSources:
-    """Fake endpoint index, settings and path checks of a router."""
+    """Fake endpoint index, settings and path checks of a router.
+
+    Without views, one endpoint is in service and one is on trial.
+    """
 
     own = peer_pb2.Member(daemon="d9", data_centre="makati")
     tree = property(lambda self: self)
 
-    def endpoints(self, service):
-        in_service = EndpointView(service, "e1", 5, READY, False, "d1", 1, "", "makati")
+    def __init__(self, views=()):
+        in_service = EndpointView(
+            "slot-desk", "e1", 5, READY, False, "d1", 1, "", "makati"
+        )
         trial = attrs.evolve(
             in_service, endpoint="e2", on_trial=True, verdict_version=1
         )
-        return [in_service, trial]
+        self.views = views or [in_service, trial]
+
+    def endpoints(self, service):
+        return self.views
+
+    watch_endpoints = endpoints
+
+    def on_endpoint_change(self, listener):
+        """The endpoints of the fake do not change."""
+
+    def on_change(self, listener):
+        """The paths of the fake do not change."""
 
     def effective_settings(self, service, data_centre):
         return EffectiveSettings()
