Import the daemon without garbage collections and without certificates

Cause: after a loss of power all daemons of a fleet start at once, on a part of a core each. Of the processor time of the imports, a fifth went into collections of objects that are not garbage, and a quarter into certificates: aiohttp builds a TLS context when it is imported, though the daemon opens no TLS connection.

Ruled out: leaving out modules that serve nothing (error pages of Sanic, web sockets): sanic imports them itself, so they would have to be replaced.

Test: shell.feature, which counts collections and certificates; before, 130 collections and 144 certificates.

--- a/packages/laburnumscaled/src/laburnumscaled/__main__.py
+++ b/packages/laburnumscaled/src/laburnumscaled/__main__.py
@@ -1,6 +1,6 @@
 """Entry point of ``python -m laburnumscaled``."""
 
-from laburnumscaled.cli import main
+from laburnumscaled.startup import main
 
 if __name__ == "__main__":
     main()
--- a/tests/features/shell.feature
+++ b/tests/features/shell.feature
@@ -78,3 +78,8 @@
     And the process exits with code 0
     When d2 receives SIGTERM twice while it forwards a call
     Then the process exits with code 130
+
+  Scenario: The daemon is imported without garbage collections and certificates
+    When the command of the daemon is imported
+    Then no garbage collection ran meanwhile, and they run again afterwards
+    And no certificates were read
--- a/tests/features/steps/shell_steps.py
+++ b/tests/features/steps/shell_steps.py
@@ -1,4 +1,6 @@
 import asyncio
+import json
+import os
 import signal
 import subprocess
 import sys
@@ -185,3 +187,35 @@
 def step_check_peer_reply(context):
     running = peer_pb2.SETTLE_VERDICT_RUNNING
     assert context.peer_reply.verdict == running, context.peer_reply
+
+
+@when("the command of the daemon is imported")
+def step_import_command(context):
+    code = (
+        "import gc, json, ssl\n"
+        "from laburnumscaled.startup import load_command\n"
+        "def count(): return sum(each['collections'] for each in gc.get_stats())\n"
+        "before = count()\n"
+        "load_command()\n"
+        "after = count()\n"
+        "stores = ssl.create_default_context().cert_store_stats()\n"
+        "print(json.dumps([after - before, gc.isenabled(), stores['x509']]))"
+    )
+    command = [sys.executable, "-c", code]
+    names = os.environ.keys() - {"SSL_CERT_FILE", "SSL_CERT_DIR"}
+    environment = {name: os.environ[name] for name in names}
+    output = subprocess.run(
+        command, check=True, capture_output=True, env=environment
+    ).stdout
+    context.collections, context.is_enabled, context.certificates = json.loads(output)
+
+
+@then("no garbage collection ran meanwhile, and they run again afterwards")
+def step_check_collections(context):
+    assert context.collections == 0, context.collections
+    assert context.is_enabled
+
+
+@then("no certificates were read")
+def step_check_certificates(context):
+    assert context.certificates == 0, context.certificates
