Keep the calls to the platform's log about constant as the fleet grows

Cause: three daemons of each data centre waited for a record for 2.5 s at a time, and so did every daemon that had no configuration yet; each daemon read the presence records twice when it started, and retried twice a second while the log refused calls.

Ruled out: longer waits alone. A read whose answer is lost would then hide changes for as long, and a silent connection too.

Change: 12 daemons of the fleet read continuously, at most 3 and at least 1 of a data centre. Their waits are spread so that one of them reads every 1.2 s. Silent connections to the log are closed after 3 s by TCP keep-alive, and a read is given up once peers report settings that it did not bring. After its first read, a daemon waits 1 s for its peers before it takes the role of a reader; without settings, it reads again when a peer reports some. After a start that found peers, only a few daemons read the presence records again. Retries are spread, and their limit grows with the readers. Calls are counted by operation, stream and outcome (log_calls).

A fleet of 234 in 6 data centres: 18 readers before, 12 now.

Tests: log_calls.feature; its fleet scenario and two of its reader counts failed before.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -27,6 +27,8 @@
 from laburnumscale.draining import EXIT_MARGIN_MS, FLUSH_TIMEOUT_MS, Drain
 from laburnumscale.errors import BackgroundTaskFailed
 from laburnumscale.gossip import Gossip
+from laburnumscale.logcalls import CountedLog
+from laburnumscale.logconnections import open_log_session
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
 from laburnumscale.metrics import Metrics
@@ -69,17 +71,20 @@
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
         connector = TargetConnector(limit=0, keepalive_timeout=KEEP_ALIVE_TIMEOUT_S)
-        async with aiohttp.ClientSession(
+        target_session = aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
             auto_decompress=False,
             request_class=SendOnceRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
-        ) as session:
-            await self._run_until_stopped(session)
+        )
+        async with target_session, open_log_session() as log_session:
+            await self._run_until_stopped(target_session, log_session)
 
-    async def _run_until_stopped(self, session: aiohttp.ClientSession) -> None:
-        shared = self._build_shared_parts(session)
+    async def _run_until_stopped(
+        self, target_session: aiohttp.ClientSession, log_session: aiohttp.ClientSession
+    ) -> None:
+        shared = self._build_shared_parts(target_session, log_session)
         gossip = build_gossip(shared)
         await gossip.join()
         get_logger().info("daemon started", incarnation=shared.members.own.incarnation)
@@ -154,7 +159,9 @@
         await drain.run(self._drain_deadline)
         return servers
 
-    def _build_shared_parts(self, session: aiohttp.ClientSession) -> SharedParts:
+    def _build_shared_parts(
+        self, target_session: aiohttp.ClientSession, log_session: aiohttp.ClientSession
+    ) -> SharedParts:
         settings = self.settings
         platform = get_platform_by_name(settings.platform, settings)
         metrics = Metrics()
@@ -163,10 +170,10 @@
         return SharedParts(
             settings=settings,
             platform=platform,
-            session=session,
+            session=target_session,
             metrics=metrics,
             members=members,
-            log=platform.log(session),
+            log=CountedLog(platform.log(log_session), metrics),
             feed=SettingsFeed(metrics, settings.isolation_ms),
             channels=PeerChannels(settings.peer_address_overrides, traffic),
         )
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -134,7 +134,7 @@
         shared.members, shared.feed, shared.channels, seeds, shared.metrics
     )
     source = shared.platform.settings_source(
-        shared.feed, shared.log, shared.metrics, replicator.is_designated_reader
+        shared.feed, shared.log, shared.metrics, replicator
     )
     publisher = SettingsPublisher(
         settings.daemon, shared.feed, source, replicator, shared.log, shared.metrics
--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -10,9 +10,9 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.errors import LaburnumscaleError
+from laburnumscale.logpacing import draw_retry_delay_s, reads_presence_after_start
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import sleep_until_retry
 from laburnumscale.presence import PresenceStream
 from laburnumscale.tableexchange import TableExchange
 
@@ -25,6 +25,8 @@
 MIN_POLL_INTERVAL_S = 5.0
 ANNOUNCE_INTERVAL_S_PER_MEMBER = 60.0
 MIN_ANNOUNCE_INTERVAL_S = 600.0
+#: Time in which daemons that start at once append their records, before they read.
+ANNOUNCED_PAUSE_S = (0.2, 0.5)
 
 
 class PeerDiscovery:
@@ -86,7 +88,7 @@
                 attempt += 1
             await self._contact_unknown_daemons()
             if attempt:
-                await sleep_until_retry(attempt)
+                await asyncio.sleep(draw_retry_delay_s(attempt, 1))
             await self._sleep_until_next_poll()
 
     async def _announce_and_read(self, announce_at_s: float) -> float:
@@ -98,6 +100,10 @@
         if time.monotonic() >= announce_at_s:
             await self._presence.announce()
             announce_at_s = time.monotonic() + self._announce_interval_s()
+            await asyncio.sleep(random.uniform(*ANNOUNCED_PAUSE_S))
+            group_size = self._members.group_size
+            if group_size > 1 and not reads_presence_after_start(group_size):
+                return announce_at_s
         await self._presence.read(
             0 if self._members.peers() else ALONE_POLL_INTERVAL_MS
         )
--- a/packages/laburnumscale/src/laburnumscale/platforms.py
+++ b/packages/laburnumscale/src/laburnumscale/platforms.py
@@ -4,7 +4,6 @@
 """
 
 import importlib
-from collections.abc import Callable
 
 import aiohttp
 import attrs
@@ -18,7 +17,7 @@
 from laburnumscale.platformlog import HttpLogClient, LogClient
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingslog import SettingsLogReader
-from laburnumscale.settingssource import SettingsSource
+from laburnumscale.settingssource import ReaderRole, SettingsSource
 from laburnumscale.targetregistry import TargetRegistry
 
 __all__ = ["Platform", "get_platform_by_name"]
@@ -50,15 +49,18 @@
         feed: SettingsFeed,
         log: LogClient,
         metrics: Metrics,
-        is_designated_reader: Callable[[], bool],
+        role: ReaderRole,
     ) -> SettingsSource:
         """Return the reader that updates the feed with new settings.
 
-        :param is_designated_reader: returns whether this daemon reads the log
-            continuously.
+        :param role: the part of this daemon in reading the log.
         """
         return SettingsLogReader(
-            feed, log, metrics, self.settings.snapshot_interval_ms, is_designated_reader
+            feed,
+            log,
+            metrics,
+            self.settings.snapshot_interval_ms,
+            role.is_designated_reader,
         )
 
     def target_app(self, targets: TargetRegistry, feed: SettingsFeed) -> Sanic:
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -4,33 +4,31 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import attrs
 
+from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
+from laburnumscale.logpacing import draw_read_wait_ms, draw_retry_delay_s
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
-from laburnumscale.platformlog import (
-    Batch,
-    LogClient,
-    LogReader,
-    Record,
-    sleep_until_retry,
-)
+from laburnumscale.platformlog import Batch, LogClient, LogReader, Record
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale.settingssource import SettingsSource
+from laburnumscale.settingssource import ReaderRole, SettingsSource
 from laburnumscale_schema import settings_pb2
 
 __all__ = ["DocumentSource", "SettingsDocumentReader"]
 
-#: A dead connection to the log is detected after this time plus the margin of a read
-#: request. It is short because changes must be in force within seconds.
-LONG_POLL_WAIT_MS = 2_500
 #: The designated readers change with the membership, which takes seconds.
 IDLE_DELAY_S = 0.25
 PEER_CONTACT_TIMEOUT_S = 4.0  # twice the interval at which peers are polled
-MAX_RETRY_DELAY_S = 0.5  # after an outage, changes must be in force within seconds
+#: Time after a start in which the peers are found that decide who reads the log.
+SETTLING_MS = 1_000
+#: Interval of the reads of a daemon that is no designated reader and has no settings.
+EMPTY_READ_INTERVAL_MS = 15_000
+LAG_CHECK_INTERVAL_S = 0.5
 
 
 @attrs.frozen
@@ -55,10 +53,12 @@
     Each document is a complete configuration, so a daemon that is behind applies the
     newest and skips those in between. The feed never returns to an older one.
 
-    Designated readers read the log continuously. The other daemons receive settings
-    from their peers and read the log only if no peer responds.
+    Each daemon reads the newest document when it starts. After that, designated
+    readers read the log continuously. The other daemons receive settings from their
+    peers and read the log only if no peer responds or, as long as they have no
+    settings, once a peer reports some.
 
-    :param is_designated_reader: returns whether this daemon is a designated reader.
+    :param role: the part of this daemon in reading the log.
     """
 
     accepts_changes = False
@@ -69,30 +69,58 @@
         log: LogClient,
         metrics: Metrics,
         source: DocumentSource,
-        is_designated_reader: Callable[[], bool],
+        role: ReaderRole,
     ) -> None:
         self._feed = feed
         self._reader = LogReader(log, source.stream)
         self._metrics = metrics
         self._source = source
-        self._is_designated_reader = is_designated_reader
+        self._role = role
+        self._settled: Deadline | None = None
+        self._next_empty_read = Deadline(0.0)
 
     async def run(self) -> None:
         """Read documents whenever this daemon has to read them, until cancelled."""
         attempt = 0
         while True:
+            if self._is_settling():
+                await asyncio.sleep(IDLE_DELAY_S)
+                continue
             if not self._must_read():
                 self._reader.restart_from_newest()
                 await asyncio.sleep(IDLE_DELAY_S)
                 continue
+            reader_count = self._role.reader_count()
             try:
-                await self.read(LONG_POLL_WAIT_MS)
+                await self._read_until_behind(draw_read_wait_ms(reader_count))
             except LaburnumscaleError as error:
                 self._record_read_failure(error)
-                await sleep_until_retry(attempt, MAX_RETRY_DELAY_S)
+                await asyncio.sleep(draw_retry_delay_s(attempt, reader_count))
                 attempt += 1
                 continue
             attempt = 0
+            if self._settled is None:
+                self._settled = Deadline.after_ms(SETTLING_MS)
+            interval_ms = EMPTY_READ_INTERVAL_MS * random.uniform(0.5, 1.5)
+            self._next_empty_read = Deadline.after_ms(interval_ms)
+
+    async def _read_until_behind(self, wait_ms: int) -> None:
+        """Read, but start again if peers report settings that the read does not bring.
+
+        The connection of such a read may have stopped delivering data.
+        """
+        reading = asyncio.create_task(self.read(wait_ms))
+        was_late = self._feed.is_late()
+        try:
+            while not reading.done():
+                await asyncio.wait((reading,), timeout=LAG_CHECK_INTERVAL_S)
+                if self._feed.is_late() and not (was_late or reading.done()):
+                    self._reader.restart_from_newest()
+                    return
+            reading.result()
+        finally:
+            reading.cancel()
+            await asyncio.wait((reading,))
 
     async def read(self, wait_ms: int) -> Batch:
         """Read the newest document, or wait for the next one.
@@ -107,9 +135,15 @@
         self._record_read_success()
         return batch
 
+    def _is_settling(self) -> bool:
+        return self._settled is not None and not self._settled.has_passed()
+
     def _must_read(self) -> bool:
-        fed_by_peers = self._feed.is_fed_by_peers(PEER_CONTACT_TIMEOUT_S)
-        return not fed_by_peers or self._is_designated_reader()
+        if self._role.is_designated_reader():
+            return True
+        if self._feed.has_tree:
+            return not self._feed.is_fed_by_peers(PEER_CONTACT_TIMEOUT_S)
+        return self._feed.lag.is_behind or self._next_empty_read.has_passed()
 
     def _apply_record(self, record: Record) -> None:
         if record.key != self._source.key:
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -86,8 +86,12 @@
         :param contact_timeout_s: time in seconds within which a peer must be heard.
         """
         contact_age_s = time.monotonic() - self.peer_contact_at_s
-        is_late = self.lag.behind_ms() > self._log_read_delay_ms
-        return self.has_tree and contact_age_s <= contact_timeout_s and not is_late
+        is_heard = contact_age_s <= contact_timeout_s
+        return self.has_tree and is_heard and not self.is_late()
+
+    def is_late(self) -> bool:
+        """Return whether peers should have delivered the settings that they report."""
+        return self.lag.behind_ms() > self._log_read_delay_ms
 
     def record_contact(self, from_peer: bool = False) -> None:
         """Record a contact with the log or, if ``from_peer``, with a peer."""
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -7,6 +7,7 @@
 import contextlib
 import random
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Iterator
 from functools import partial
 
@@ -25,7 +26,9 @@
 
 __all__ = ["SettingsReplicator"]
 
-DESIGNATED_READERS_PER_DATA_CENTRE = 3
+#: Readers of the log in the whole fleet, if the data centres allow it.
+DESIGNATED_READERS = 12
+MAX_READERS_PER_DATA_CENTRE = 3
 MAX_PARTNERS = 6
 PUSH_FANOUT = 3
 PULL_INTERVAL_S = 2.0
@@ -36,6 +39,7 @@
 MAX_PEERS_PER_FETCH = 8
 RPC_TIMEOUT_S = 2.0
 ROLE_CACHE_MS = 3000
+GROWTH_CACHE_MS = 200
 MAX_CONFIRM_PEERS_PER_DATA_CENTRE = 2
 CONFIRM_RETRY_DELAY_S = 0.1
 LEFT = peer_pb2.MEMBER_STATE_LEFT
@@ -65,7 +69,10 @@
         self._seeds = seed_addresses
         self._metrics = metrics
         self._roles_valid_until = Deadline(0.0)
+        self._growth_checked = Deadline(0.0)
         self._designated_reader = True
+        self._reader_count = 1
+        self._group_size = 1
         self._partners: list[peer_pb2.Member] = []
 
     def is_designated_reader(self) -> bool:
@@ -77,15 +84,42 @@
         self._refresh_roles()
         return self._designated_reader
 
+    def reader_count(self) -> int:
+        """Return the number of daemons that read the log continuously."""
+        self._refresh_roles()
+        return self._reader_count
+
     def _refresh_roles(self) -> None:
         """Recompute the reader role and the partners if they are out of date.
 
-        They are cached because the computation iterates over all members.
+        They are cached because the computation iterates over all members, and only
+        briefly while the group grows.
         """
-        if self._roles_valid_until.has_passed():
+        has_grown = self._members.group_size > self._group_size
+        if self._roles_valid_until.has_passed() or (
+            has_grown and self._growth_checked.has_passed()
+        ):
             self._designated_reader = self._is_among_lowest_hashes()
+            self._reader_count = self._count_readers()
             self._partners = self._select_partners()
+            self._group_size = self._members.group_size
             self._roles_valid_until = Deadline.after_ms(ROLE_CACHE_MS)
+            self._growth_checked = Deadline.after_ms(GROWTH_CACHE_MS)
+
+    def _count_readers(self) -> int:
+        limit = self._readers_per_data_centre()
+        return sum(
+            min(count, limit) for count in self._daemons_by_data_centre().values()
+        )
+
+    def _readers_per_data_centre(self) -> int:
+        shared = DESIGNATED_READERS // len(self._daemons_by_data_centre())
+        return max(1, min(MAX_READERS_PER_DATA_CENTRE, shared))
+
+    def _daemons_by_data_centre(self) -> Counter[str]:
+        daemons = Counter(member.data_centre for member in self._members.peers())
+        daemons[self._members.own.data_centre] += 1
+        return daemons
 
     def _is_among_lowest_hashes(self) -> bool:
         own = self._members.own
@@ -94,7 +128,7 @@
             and _hash_names(member.daemon) < _hash_names(own.daemon)
             for member in self._members.peers()
         )
-        return lower < DESIGNATED_READERS_PER_DATA_CENTRE
+        return lower < self._readers_per_data_centre()
 
     async def pull_forever(self) -> None:
         """Poll one peer after another for newer settings, until cancelled."""
--- a/packages/laburnumscale/src/laburnumscale/settingssource.py
+++ b/packages/laburnumscale/src/laburnumscale/settingssource.py
@@ -3,9 +3,21 @@
 The base class of the readers that bring settings into a daemon.
 """
 
+from typing import Protocol
+
 from laburnumscale.platformlog import Batch
 
-__all__ = ["SettingsSource"]
+__all__ = ["ReaderRole", "SettingsSource"]
+
+
+class ReaderRole(Protocol):
+    """The part of this daemon in reading the log for the fleet."""
+
+    def is_designated_reader(self) -> bool:
+        """Return whether this daemon reads the log continuously."""
+
+    def reader_count(self) -> int:
+        """Return the number of daemons that read the log continuously."""
 
 
 class SettingsSource:
--- /dev/null
+++ b/tests/features/log_calls.feature
@@ -0,0 +1,48 @@
+Feature: The calls of a fleet to the platform's log grow little with its size
+
+  Scenario Outline: <readers> readers wait for records with few calls
+    Given <readers> daemons that read the log continuously
+    Then together they make between 0.4 and 1 calls a second at rest
+    And after a record that all have read, one of them reads again within 4 s on average
+
+    Examples:
+      | readers |
+      | 6       |
+      | 12      |
+
+  Scenario Outline: <readers> readers that the log refuses retry at a bounded rate
+    Given <readers> daemons that read the log continuously
+    Then together they make at most 8 calls a second while the log refuses them for 20 s
+    And one of them calls again within 1 s on average after the log returns
+
+    Examples:
+      | readers |
+      | 6       |
+      | 12      |
+
+  Scenario Outline: A fleet in <data_centres> data centres has few readers, and one in each at least
+    Given a daemon that knows <daemons> daemons in <data_centres> data centres
+    Then <readers> of them read the log continuously
+
+    Examples:
+      | daemons | data_centres | readers |
+      | 5       | 1            | 3       |
+      | 24      | 4            | 12      |
+      | 234     | 6            | 12      |
+      | 220     | 11           | 11      |
+
+  Scenario: A fleet that starts before its first configuration makes few calls
+    Given a platform fleet of 12 daemons in makati
+    And the platform daemons accept calls
+    When 10 s pass without a configuration
+    Then the store got at most 4 calls for each daemon and one for each second
+    When the operator writes configuration version 4
+    Then every daemon has the configuration within 2 s
+
+  Scenario: A reader whose connection to the store no longer delivers gets a configuration
+    Given a linked platform fleet of 4 daemons in makati, with links from d1 to the others and the store
+    And the operator has written configuration version 4
+    And the platform fleet is ready
+    When the connections of d1 to the store become silent
+    And the operator writes configuration version 9
+    Then every daemon has the configuration within 2 s
--- /dev/null
+++ b/tests/features/steps/log_calls_steps.py
@@ -0,0 +1,161 @@
+import time
+from statistics import mean
+
+from behave import given, then, when
+
+from laburnumscale.logpacing import draw_read_wait_ms, draw_retry_delay_s
+from laburnumscale.members import Members
+from laburnumscale.metrics import Metrics
+from laburnumscale.settingsfeed import SettingsFeed
+from laburnumscale.settingsreplication import SettingsReplicator
+from laburnumscale_schema import peer_pb2
+from tests.features.steps.platform_steps import write_configuration
+from tests.standins.fleet import request, wait_until
+
+REST_S = 600
+OUTAGES = 40
+MAX_CALLS_OF_START = 4
+
+
+def count_store_calls(context):
+    """Return the number of calls that the store got from all daemons."""
+    url = f"http://127.0.0.1:{context.fleet.log_port}/counts"
+    counts = request("GET", url).json()
+    return counts["append"] + counts["read"] + counts["newest"]
+
+
+@given("{count:d} daemons that read the log continuously")
+def step_set_readers(context, count):
+    context.readers = count
+
+
+@given("a daemon that knows {count:d} daemons in {data_centres:d} data centres")
+def step_create_replicators(context, count, data_centres):
+    def member(index):
+        return peer_pb2.Member(
+            daemon=f"d{index}",
+            incarnation=1,
+            version=1,
+            peer_address=f"127.0.0.1:{1000 + index}",
+            data_centre=f"dc{index % data_centres}",
+            state=peer_pb2.MEMBER_STATE_ALIVE,
+        )
+
+    context.replicators = []
+    for own in range(count):
+        members = Members(member(own))
+        for index in range(count):
+            members.merge(member(index))
+        feed = SettingsFeed(Metrics())
+        context.replicators.append(
+            SettingsReplicator(members, feed, None, (), Metrics())
+        )
+
+
+@then("{count:d} of them read the log continuously")
+def step_check_readers(context, count):
+    readers = sum(each.is_designated_reader() for each in context.replicators)
+    assert readers == count, readers
+    assert context.replicators[0].reader_count() == count
+
+
+@then("together they make between {low:g} and {high:g} calls a second at rest")
+def step_check_rest_rate(context, low, high):
+    calls = 0
+    for _ in range(context.readers):
+        elapsed_s = 0.0
+        while elapsed_s < REST_S:
+            elapsed_s += draw_read_wait_ms(context.readers) / 1000
+            calls += 1
+    assert low <= calls / REST_S <= high, calls / REST_S
+
+
+@then(
+    "after a record that all have read, one of them reads again within {limit_s:g} s "
+    "on average"
+)
+def step_check_next_read(context, limit_s):
+    first_s = [
+        min(draw_read_wait_ms(context.readers) for _ in range(context.readers)) / 1000
+        for _ in range(OUTAGES)
+    ]
+    assert mean(first_s) <= limit_s, mean(first_s)
+
+
+def draw_retries_s(readers, duration_s):
+    """Return the times of the calls of all readers while the log refuses them."""
+    times_s = []
+    for _ in range(readers):
+        elapsed_s = 0.0
+        attempt = 0
+        while elapsed_s < duration_s:
+            times_s.append(elapsed_s)
+            elapsed_s += draw_retry_delay_s(attempt, readers)
+            attempt += 1
+    return times_s
+
+
+@then(
+    "together they make at most {limit:d} calls a second while the log refuses them "
+    "for {duration_s:d} s"
+)
+def step_check_refused_rate(context, limit, duration_s):
+    calls = len(draw_retries_s(context.readers, duration_s))
+    assert calls / duration_s <= limit, calls / duration_s
+
+
+@then("one of them calls again within {limit_s:g} s on average after the log returns")
+def step_check_return(context, limit_s):
+    outage_s = 20
+    delays_s = [
+        min(t for t in draw_retries_s(context.readers, 2 * outage_s) if t > outage_s)
+        - outage_s
+        for _ in range(OUTAGES)
+    ]
+    assert mean(delays_s) <= limit_s, mean(delays_s)
+
+
+@given("the platform daemons accept calls")
+def step_wait_accepting(context):
+    for daemon in context.fleet.daemons.values():
+        wait_until(
+            lambda daemon=daemon: request("GET", daemon.callers + "/").status != 0,
+            f"{daemon.name} accepts callers",
+        )
+
+
+@when("{duration_s:d} s pass without a configuration")
+def step_rest(context, duration_s):
+    time.sleep(duration_s)
+    context.rest_s = duration_s
+    context.store_calls = count_store_calls(context)
+
+
+@then("the store got at most 4 calls for each daemon and one for each second")
+def step_check_store_calls(context):
+    limit = MAX_CALLS_OF_START * len(context.fleet.daemons) + context.rest_s
+    assert context.store_calls <= limit, (context.store_calls, limit)
+
+
+@when("the operator writes configuration version {version:d}")
+def step_write_version(context, version):
+    context.written_version = version
+    write_configuration(context, version)
+
+
+@then("every daemon has the configuration within {limit_s:d} s")
+def step_check_version(context, limit_s):
+    def has_version(daemon):
+        return daemon.status()["revision"] == context.written_version
+
+    deadline_s = time.monotonic() + limit_s
+    pending = list(context.fleet.daemons.values())
+    while pending and time.monotonic() < deadline_s:
+        pending = [each for each in pending if not has_version(each)]
+    assert not pending, [daemon.name for daemon in pending]
+
+
+@when("the connections of {daemon} to the store become silent")
+def step_silence_store(context, daemon):
+    link = context.fleet.links[f"{daemon}-store"]
+    link.faults(forward={"silence": True}, backward={"silence": True})
--- a/tests/features/steps/platform_messages_steps.py
+++ b/tests/features/steps/platform_messages_steps.py
@@ -269,7 +269,7 @@
             lambda payload: decode_configuration(payload, SETTINGS_DEFAULTS),
         )
         reader = SettingsDocumentReader(
-            context.feed, context.log, Metrics(), source, lambda: True
+            context.feed, context.log, Metrics(), source, role=None
         )
         with capture_logs() as context.log_lines:
             await reader.read(0)
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -71,6 +71,7 @@
     ),
     "log_append_failures": "appends to the settings log without a usable response",
     "log_read_failures": "reads of settings from the log without a usable response",
+    "log_calls": "calls to the platform's log, by operation, stream and outcome",
     "log_reads": "reads of the log, by stream",
     "loop_pauses": "pauses of the event loop",
     "members_declared_dead": "suspect members declared dead when their timeout expired",
