End answers of targets whose bytes do not end

Cause: the client limits lines and fields of a head, but not interim responses before it; a body was forwarded for as long as the call lasted, and the body of a health check was read whole. Such a target kept a call, its slot and the link busy until the deadline, and interim responses were still read after it.

Change: a connection is closed if no response starts within 64 KB, a body ends at answer_limit_bytes (new setting, 256 MiB), and 64 KB of a health check fail it. The attempt counts as failed and is reported as unknown; the metric is answers_too_large.

--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -123,6 +123,7 @@
         AttemptTable(shared.members.own.incarnation),
         shared.platform.header_names,
     )
+    guard.answer_limit_bytes = shared.settings.answer_limit_bytes
     return GuardRole(targets, stalls, health, guard)
 
 
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -17,13 +17,14 @@
 from laburnumscale.settingsfile import SettingsFile, read_settings_file
 from laburnumscale_schema import daemon_pb2
 
-__all__ = ["DaemonSettings", "read_daemon_settings"]
+__all__ = ["DEFAULT_ANSWER_LIMIT_BYTES", "DaemonSettings", "read_daemon_settings"]
 
 DEFAULT_DRAIN_MS = 10_000
 DEFAULT_ISOLATION_MS = 60_000
 DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000
 DEFAULT_KEY_LIFE_MS = 600_000
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
+DEFAULT_ANSWER_LIMIT_BYTES = 256 * 1024 * 1024
 DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1_000
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
@@ -88,6 +89,7 @@
     floor_percent: int = 0
     retry_budget_percent: int = 0
     announcement_interval_ms: int = DEFAULT_ANNOUNCEMENT_INTERVAL_MS
+    answer_limit_bytes: int = DEFAULT_ANSWER_LIMIT_BYTES
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -173,6 +175,7 @@
         announcement_interval_ms=(
             message.announcement_interval_ms or DEFAULT_ANNOUNCEMENT_INTERVAL_MS
         ),
+        answer_limit_bytes=message.answer_limit_bytes or DEFAULT_ANSWER_LIMIT_BYTES,
     )
 
 
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -11,6 +11,7 @@
     "AddressInvalid",
     "AddressNotLoopback",
     "AnswerMismatched",
+    "AnswerTooLarge",
     "AnswerUnframed",
     "AttemptSentTwice",
     "BackgroundTaskFailed",
@@ -281,6 +282,17 @@
     )
 
 
+@dataclass(eq=False)
+class AnswerTooLarge(LaburnumscaleError):
+    """The body of a response is larger than allowed, or does not end."""
+
+    url: str
+    limit_bytes: int
+    template: ClassVar[str] = (
+        "{url}: the response is larger than {limit_bytes} bytes or does not end"
+    )
+
+
 @dataclass(eq=False)
 class PlatformUnknown(LaburnumscaleError):
     """The package of a platform cannot be imported."""
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -13,9 +13,11 @@
 
 from laburnumscale.attemptmonitor import AttemptMonitor
 from laburnumscale.attempttable import Attempt, AttemptState, AttemptTable
+from laburnumscale.daemonsettings import DEFAULT_ANSWER_LIMIT_BYTES
 from laburnumscale.deadlines import Deadline, now_s
 from laburnumscale.errors import (
     AnswerMismatched,
+    AnswerTooLarge,
     AnswerUnframed,
     AttemptSentTwice,
     BodyIncomplete,
@@ -53,6 +55,7 @@
     :ivar attempts: the attempts received from entries, kept for settling.
     :ivar in_flight: counter of the attempts in progress.
     :ivar draining: whether all new attempts are refused.
+    :ivar answer_limit_bytes: maximum size of the body of a target's response.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         self.attempts = attempts
         self.in_flight = InFlightCounter()
         self.draining = False
+        self.answer_limit_bytes = DEFAULT_ANSWER_LIMIT_BYTES
         self._data_centre = own.data_centre
         self._targets = targets
         self._feed = feed
@@ -232,7 +236,9 @@
                 self._check_response(target, settings, head, response, attempt_monitor)
                 attempt_monitor.record_response(failed=response.status >= SERVER_ERROR)
                 async with aclosing(
-                    iter_replies(target, settings, head, response)
+                    iter_replies(
+                        target, settings, head, response, self.answer_limit_bytes
+                    )
                 ) as replies:
                     async for reply in replies:
                         yield reply
@@ -255,13 +261,10 @@
         except BodyIncomplete:
             attempt_monitor.discard()
             yield unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
-        except AnswerMismatched as error:
+        except (AnswerMismatched, AnswerTooLarge) as error:
             attempt_monitor.record_connection_failure()
-            self._metrics.count("answers_mismatched", f'service="{target.service}"')
-            get_logger().warning("response does not match request", reason=str(error))
-            yield unknown_reply(
-                peer_pb2.UNKNOWN_REASON_MISMATCHED, target.load(head.route)
-            )
+            reason = self._report_rejected_answer(target, error)
+            yield unknown_reply(reason, target.load(head.route))
         except AnswerUnframed:
             yield unknown_reply(
                 peer_pb2.UNKNOWN_REASON_UNFRAMED, target.load(head.route)
@@ -274,6 +277,22 @@
         finally:
             attempt_monitor.end()
 
+    def _report_rejected_answer(
+        self, target: LocalTarget, error: AnswerMismatched | AnswerTooLarge
+    ) -> int:
+        """Count and log a response that is not forwarded.
+
+        :returns: the reason why the outcome of the attempt is unknown.
+        """
+        labels = f'service="{target.service}"'
+        if isinstance(error, AnswerTooLarge):
+            self._metrics.count("answers_too_large", labels)
+            get_logger().warning("response too large", reason=str(error))
+            return peer_pb2.UNKNOWN_REASON_CUT_SHORT
+        self._metrics.count("answers_mismatched", labels)
+        get_logger().warning("response does not match request", reason=str(error))
+        return peer_pb2.UNKNOWN_REASON_MISMATCHED
+
     def _record_notices(
         self, target: LocalTarget, response: aiohttp.ClientResponse, sent_at_s: float
     ) -> None:
--- a/packages/laburnumscale/src/laburnumscale/recovery.py
+++ b/packages/laburnumscale/src/laburnumscale/recovery.py
@@ -37,6 +37,7 @@
 DOUBLING_DECAY_FACTOR = 4
 MS_PER_S = 1000
 OK = 200
+MAX_PROBE_BODY_BYTES = 64 * 1024
 
 
 @attrs.define
@@ -150,7 +151,9 @@
         target.running += 1
         try:
             async with self._session.get(url, timeout=timeout) as response:
-                await response.read()
+                body = await response.content.read(MAX_PROBE_BODY_BYTES)
+                if len(body) == MAX_PROBE_BODY_BYTES:
+                    return f"body of {MAX_PROBE_BODY_BYTES} bytes or more"
                 return "" if response.status == OK else f"status {response.status}"
         except (aiohttp.ClientError, TimeoutError) as error:
             return repr(error)
--- a/packages/laburnumscale/src/laburnumscale/targetresponses.py
+++ b/packages/laburnumscale/src/laburnumscale/targetresponses.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from laburnumscale.errors import AnswerTooLarge
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.transmission import check_framing
@@ -24,12 +25,15 @@
     settings: EffectiveSettings,
     head: peer_pb2.CallHead,
     response: aiohttp.ClientResponse,
+    limit_bytes: int,
 ) -> AsyncIterator[peer_pb2.CallReply]:
     """Yield the reply messages for a response.
 
     The last message carries the load of the target.
 
     :param head: head of the call.
+    :param limit_bytes: maximum size of the body.
+    :raises AnswerTooLarge: the body is larger, or has no end.
     :raises AnswerUnframed: the response has neither a length nor chunks, and the
         settings do not accept the end of the connection as the end of the response.
     """
@@ -37,6 +41,8 @@
         check_framing(head.method, response)
     reply_head = _reply_head(response)
     length = response.content_length
+    if length is not None and length > limit_bytes:
+        raise AnswerTooLarge(str(response.url), limit_bytes)
     if length is not None and length <= MAX_SINGLE_MESSAGE_BODY_BYTES:
         payload = await response.read()
         yield peer_pb2.CallReply(
@@ -44,7 +50,11 @@
         )
         return
     # The head is sent with the first chunk: until then, a failure can be retried.
+    received_bytes = 0
     async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+        received_bytes += len(chunk)
+        if received_bytes > limit_bytes:
+            raise AnswerTooLarge(str(response.url), limit_bytes)
         yield peer_pb2.CallReply(head=reply_head, body=chunk)
         reply_head = None
     yield peer_pb2.CallReply(head=reply_head, end=True, load=target.load(head.route))
--- a/packages/laburnumscale/src/laburnumscale/transmission.py
+++ b/packages/laburnumscale/src/laburnumscale/transmission.py
@@ -28,6 +28,9 @@
 
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 BODILESS_STATUSES = (204, 304)
+FIRST_FINAL_STATUS = 200
+#: Bytes up to the end of the head of a response, with all interim responses.
+MAX_HEAD_BYTES = 64 * 1024
 REUSED_ATTRIBUTE = "laburnumscale_reused"
 
 
@@ -88,6 +91,35 @@
     as the end of the body.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head_bytes = 0
+        self._has_head = False
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response of the next request."""
+        self._head_bytes = 0
+        self._has_head = False
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes; fail a response whose head does not end.
+
+        The parser limits single lines and fields, but not the number of interim
+        responses before the head.
+        """
+        super().data_received(data)
+        if self._has_head:
+            return
+        self._head_bytes += len(data)
+        self._has_head = any(
+            message.code >= FIRST_FINAL_STATUS for (message, _), _ in self._buffer
+        )
+        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+            reason = f"no response within {MAX_HEAD_BYTES} bytes"
+            self.set_exception(aiohttp.ServerDisconnectedError(reason))
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an incomplete response if the connection was reset."""
         if exc is not None and self._payload is not None and not self._payload.is_eof():
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -19,6 +19,19 @@
 LEASE_MS = 1500
 HANG_S = 3600.0
 DOWNLOAD_CHUNK_BYTES = 64 * 1024
+ENDLESS_BLOCK_BYTES = 64 * 1024
+ENDLESS_PAUSE_S = 0.0005
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+_CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
+#: First bytes of an answer that does not end, and the bytes that follow repeatedly.
+ENDLESS_PARTS = {
+    "header": (_OK + b"X-Filler: ", b"x" * 64),
+    "fields": (_OK, b"X-Filler: x\r\n"),
+    "interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "chunked": (_CHUNKED, _CHUNK),
+    "health": (_CHUNKED, _CHUNK),
+}
 
 
 class TargetStandIn:
@@ -36,6 +49,11 @@
     :ivar hang: whether calls get no answer; the health check is still answered.
     :ivar flap_period_s: seconds after which ``hang`` repeats: it applies in the
         first half of each period only; 0 applies it all the time.
+    :ivar endless: part of the answers that does not end: ``header``, ``fields``,
+        ``interim``, ``chunked`` or ``health`` (the body of the health check); empty for
+        none.
+    :ivar endless_bytes: bytes that were sent of such an answer until the connection was
+        closed.
     :ivar drop_calls: number of next calls that are run, but whose connection is
         reset before the answer.
     """
@@ -51,6 +69,8 @@
         self.hang = False
         self.flap_period_s = 0.0
         self.drop_calls = 0
+        self.endless = ""
+        self.endless_bytes = 0
         self._call_count = 0
 
     def app(self) -> web.Application:
@@ -58,6 +78,7 @@
         app = web.Application(client_max_size=1024 * 1024 * 1024)
         app.router.add_get("/healthz", self.check_health)
         app.router.add_get("/ledger", self.show_ledger)
+        app.router.add_get("/endless", self.show_endless)
         app.router.add_post("/faults", self.set_faults)
         app.router.add_get("/download/{size}", self.download)
         app.router.add_route("*", "/{path:.*}", self.run_call)
@@ -66,12 +87,18 @@
 
     async def check_health(self, request: web.Request) -> web.Response:
         """Answer the health check, even while calls fail."""
+        if self.endless == "health":
+            return await self._send_endless(request, "health")
         return web.Response(text="ok")
 
     async def show_ledger(self, request: web.Request) -> web.Response:
         """Return all calls that were run."""
         return web.json_response(self.ledger)
 
+    async def show_endless(self, request: web.Request) -> web.Response:
+        """Return the bytes that were sent of answers without end."""
+        return web.json_response({"sent_bytes": self.endless_bytes})
+
     async def set_faults(self, request: web.Request) -> web.Response:
         """Set the faults that the request body names."""
         for name, value in (await request.json()).items():
@@ -86,6 +113,8 @@
             digest.update(chunk)
             size += len(chunk)
         self._call_count += 1
+        if self.endless and self.endless != "health":
+            return await self._send_endless(request, self.endless)
         content_id = request.headers.get("X-Content-Id", "")
         entry = {
             "method": request.method,
@@ -114,6 +143,19 @@
             }
         )
 
+    async def _send_endless(self, request: web.Request, part: str) -> web.Response:
+        """Send bytes until the connection is closed."""
+        start, repeated = ENDLESS_PARTS[part]
+        block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated))
+        transport = request.transport
+        transport.write(start)
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < ENDLESS_BLOCK_BYTES:
+                transport.write(block)
+                self.endless_bytes += len(block)
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+        return web.Response()
+
     def _call_duration_s(self) -> float:
         if not self.hang:
             return self.latency_ms / 1000
