Keep the stubs of a channel instead of building them for each attempt

A stub with its counted methods was built for each attempt, path check and settings request. They are now kept as long as their channel. Behaviour is unchanged.

--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -6,7 +6,9 @@
 import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
+from typing import Any, TypeVar
 
+import attrs
 import grpc
 
 from laburnumscale.deadlines import Deadline
@@ -33,6 +35,17 @@
 )
 
 
+Stub = TypeVar("Stub")
+
+
+@attrs.define(eq=False)
+class _OpenChannel:
+    """A channel and its stubs, by their kind and the announced address of the peer."""
+
+    channel: grpc.aio.Channel
+    stubs: dict[tuple[type, str], Any] = attrs.field(factory=dict)
+
+
 class PeerChannels:
     """One channel per peer address, opened on first use.
 
@@ -45,16 +58,16 @@
     ) -> None:
         self.overrides = overrides
         self._traffic = traffic
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._channels: dict[str, _OpenChannel] = {}
         self._closing_tasks: set[asyncio.Task] = set()
 
     def guard(self, address: str) -> peer_pb2_grpc.GuardStub:
         """Return the stub for sending attempts to the guard of a daemon."""
-        return peer_pb2_grpc.GuardStub(self._get_counted_channel(address))
+        return self._get_stub(address, peer_pb2_grpc.GuardStub)
 
     def peer(self, address: str) -> peer_pb2_grpc.PeerStub:
         """Return the stub for membership exchanges and settings."""
-        return peer_pb2_grpc.PeerStub(self._get_counted_channel(address))
+        return self._get_stub(address, peer_pb2_grpc.PeerStub)
 
     async def connect(self, address: str, deadline: Deadline) -> bool:
         """Wait until a peer is connected.
@@ -75,8 +88,7 @@
 
     def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
         """Return the stub for calls with operation keys."""
-        channel = self._get_counted_channel(address)
-        return peer_pb2_grpc.OperationKeysStub(channel)
+        return self._get_stub(address, peer_pb2_grpc.OperationKeysStub)
 
     @asynccontextmanager
     async def transient_peer(
@@ -105,27 +117,32 @@
         Calls in progress keep the old connection for ``RETIRED_CHANNEL_GRACE_S``,
         because their replies may still arrive.
         """
-        channel = self._channels.pop(self.overrides.get(address, address), None)
-        if channel is not None:
-            task = asyncio.create_task(channel.close(RETIRED_CHANNEL_GRACE_S))
+        opened = self._channels.pop(self.overrides.get(address, address), None)
+        if opened is not None:
+            task = asyncio.create_task(opened.channel.close(RETIRED_CHANNEL_GRACE_S))
             self._closing_tasks.add(task)
             task.add_done_callback(self._closing_tasks.discard)
 
     async def close_channel(self, address: str) -> None:
         """Close the channel to an address that no member uses any more."""
-        channel = self._channels.pop(self.overrides.get(address, address), None)
-        if channel is not None:
-            await channel.close()
+        opened = self._channels.pop(self.overrides.get(address, address), None)
+        if opened is not None:
+            await opened.channel.close()
 
     async def close(self) -> None:
         """Close all channels."""
         for task in self._closing_tasks:
             task.cancel()
-        for channel in self._channels.values():
-            await channel.close()
+        for opened in self._channels.values():
+            await opened.channel.close()
 
-    def _get_counted_channel(self, address: str) -> grpc.aio.Channel | CountedChannel:
-        return self._counted(self._get_channel(address), address)
+    def _get_stub(self, address: str, kind: type[Stub]) -> Stub:
+        """Return the stub of a kind; it is kept as long as its channel."""
+        opened = self._get_open_channel(address)
+        key = (kind, address)
+        if key not in opened.stubs:
+            opened.stubs[key] = kind(self._counted(opened.channel, address))
+        return opened.stubs[key]
 
     def _counted(
         self, channel: grpc.aio.Channel, address: str
@@ -135,9 +152,12 @@
         return CountedChannel(channel, address, self._traffic)
 
     def _get_channel(self, address: str) -> grpc.aio.Channel:
+        return self._get_open_channel(address).channel
+
+    def _get_open_channel(self, address: str) -> _OpenChannel:
         address = self.overrides.get(address, address)
-        channel = self._channels.get(address)
-        if channel is None:
+        opened = self._channels.get(address)
+        if opened is None:
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-            self._channels[address] = channel
-        return channel
+            opened = self._channels[address] = _OpenChannel(channel)
+        return opened
