Read the newest records again when the log comes back from an older copy

Cause: a reader continued at its offset, which the log may have given out again to other records: a configuration that was written again before that offset was never read. A read after the end (410) was taken for dropped records, and the reader went on from the oldest.

Ruled out: revisions of settings on the users' platform. They are the versions of the operator's documents, so a lower offset does not make them older.

Change: batches carry the era of the log and whether it lacks the offset. A reader whose response has another era, or whose offset is missing, reads the newest records again; a response of an earlier era is dropped. A daemon writes its presence record again.

Not done of the issue: the era in gossip and in the stream of the default log, returns in succession, during drains and partitions, and the cost at 300 daemons.

--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -24,6 +24,7 @@
     "FileUnreadable",
     "LaburnumscaleError",
     "LogReplyInvalid",
+    "LogReplyOutdated",
     "LogUnavailable",
     "LogUnreachable",
     "OptionMissing",
@@ -217,6 +218,18 @@
     template: ClassVar[str] = "log {url}: invalid answer: {reason}"
 
 
+@dataclass(eq=False)
+class LogReplyOutdated(LaburnumscaleError):
+    """A response of the log is from before its return from an older copy."""
+
+    stream: str
+    era: int
+    newest_era: int
+    template: ClassVar[str] = (
+        'stream "{stream}": response of era {era}, after one of era {newest_era}'
+    )
+
+
 @dataclass(eq=False)
 class RecordInvalid(LaburnumscaleError):
     """A record of a stream is invalid."""
--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -25,6 +25,8 @@
 MIN_POLL_INTERVAL_S = 5.0
 ANNOUNCE_INTERVAL_S_PER_MEMBER = 60.0
 MIN_ANNOUNCE_INTERVAL_S = 600.0
+#: Time in which the daemons write their records again after a return of the log.
+MAX_REANNOUNCE_DELAY_S = 2.0
 #: Time in which daemons that start at once append their records, before they read.
 ANNOUNCED_PAUSE_S = (0.2, 0.5)
 
@@ -107,6 +109,9 @@
         await self._presence.read(
             0 if self._members.peers() else ALONE_POLL_INTERVAL_MS
         )
+        if self._presence.is_announcement_lost():
+            await asyncio.sleep(random.uniform(0, MAX_REANNOUNCE_DELAY_S))
+            await self._presence.announce()
         return announce_at_s
 
     async def _sleep_until_next_poll(self) -> None:
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -10,7 +10,13 @@
 import aiohttp
 import attrs
 
-from laburnumscale.errors import LogReplyInvalid, LogUnavailable, LogUnreachable
+from laburnumscale.errors import (
+    LogReplyInvalid,
+    LogReplyOutdated,
+    LogUnavailable,
+    LogUnreachable,
+)
+from laburnumscale.logs import get_logger
 
 __all__ = [
     "Batch",
@@ -49,11 +55,17 @@
     :ivar records: the records in the order of their offsets.
     :ivar oldest_offset: offset of the oldest record that the log retains.
     :ivar next_offset: offset that the next appended record will have.
+    :ivar era: counts how often the log came back from an older copy, after which it
+        gives out offsets again; 0 for a log that does not say so.
+    :ivar is_missing: the log does not have the offset: its record was dropped, or it
+        is after the end.
     """
 
     records: tuple[Record, ...]
     oldest_offset: int
     next_offset: int
+    era: int = 0
+    is_missing: bool = False
 
     @property
     def next_read_offset(self) -> int:
@@ -78,8 +90,9 @@
     async def read(self, stream: str, offset: int, wait_ms: int = 0) -> Batch:
         """Read records, starting at ``offset``.
 
-        If the log no longer retains the record at ``offset``, the batch is empty and
-        its ``oldest_offset`` is higher than ``offset``.
+        If the log no longer retains the record at ``offset``, the batch is empty, its
+        ``oldest_offset`` is higher than ``offset`` and ``is_missing`` is set. The
+        latter is also set if ``offset`` is after the end.
 
         :param wait_ms: maximum time in milliseconds that the log waits for a record.
         :raises LogUnavailable: the log did not respond.
@@ -104,6 +117,12 @@
         self._log = log
         self._stream = stream
         self._offset: int | None = None
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the era of the latest response."""
+        return self._era
 
     def restart_from_newest(self) -> None:
         """Make the next read start with the newest records again."""
@@ -112,20 +131,41 @@
     async def read(self, wait_ms: int = 0) -> Batch:
         """Return the newest records at first, and then those since the last read.
 
-        If the log no longer retains all of these, the newest records are read again.
+        If the log no longer retains all of these, or came back from an older copy, the
+        newest records are read again.
 
         :param wait_ms: maximum time in milliseconds that the log waits for a record.
-        :raises LaburnumscaleError: the log did not respond, or its response is invalid.
+        :raises LaburnumscaleError: the log did not respond, or its response is invalid
+            or from before its return.
         """
         if self._offset is not None:
             batch = await self._log.read(self._stream, self._offset, wait_ms)
-            if batch.oldest_offset <= self._offset:
+            is_continued = batch.oldest_offset <= self._offset and not batch.is_missing
+            if is_continued and batch.era == self._era:
                 self._offset = batch.next_read_offset
                 return batch
         batch = await self._log.read_newest(self._stream)
+        self._record_era(batch.era)
         self._offset = batch.next_offset
         return batch
 
+    def _record_era(self, era: int) -> None:
+        """Record the era of the newest records.
+
+        :raises LogReplyOutdated: they were read before the log came back.
+        """
+        if era < self._era:
+            raise LogReplyOutdated(self._stream, era, self._era)
+        if self._offset is not None and era > self._era:
+            get_logger().warning(
+                "log came back from an older copy",
+                stream=self._stream,
+                era=era,
+                previous_era=self._era,
+                offset=self._offset,
+            )
+        self._era = era
+
 
 class HttpLogClient(LogClient):
     """Client for a log service with an HTTP interface, which has no record keys."""
@@ -159,7 +199,9 @@
             async with self._session.get(
                 url, params=query, timeout=timeout
             ) as response:
-                return self._parse_batch(await self._read_json(response))
+                batch = self._parse_batch(await self._read_json(response))
+                is_missing = batch.oldest_offset > offset
+                return attrs.evolve(batch, is_missing=is_missing)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise LogUnavailable(url, repr(error)) from error
         except (KeyError, TypeError, ValueError, binascii.Error) as error:
--- a/packages/laburnumscale/src/laburnumscale/presence.py
+++ b/packages/laburnumscale/src/laburnumscale/presence.py
@@ -31,6 +31,7 @@
         self._members = members
         self._metrics = metrics
         self._reader = LogReader(log, STREAM)
+        self._announced_era = 0
         self._contacts: dict[str, peer_pb2.Member] = {}
 
     async def announce(self) -> None:
@@ -40,9 +41,15 @@
             appended, but appending it again is harmless.
         """
         payload = without_endpoints(self._members.own).SerializeToString()
+        era = self._reader.era
         await self._log.append(STREAM, payload, self._members.own.daemon)
+        self._announced_era = era
         self._metrics.count("presence_records")
 
+    def is_announcement_lost(self) -> bool:
+        """Return whether the log came back from an older copy since the last record."""
+        return self._reader.era > self._announced_era
+
     async def read(self, wait_ms: int = 0) -> None:
         """Read the newest records, or those since the last read.
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -35,8 +35,9 @@
     ``/faults`` sets ``down`` (connections are reset), ``status`` (status that replaces
     every other response), ``lose_replies`` (number of appends that take effect but get
     no response) and ``garbage`` (response bodies that the protocol does not allow).
-    ``/trim/TOPIC/OFFSET`` drops the records before an offset. ``/put/TOPIC/KEY``
-    appends the body with a key, as operators do.
+    ``/trim/TOPIC/OFFSET`` drops the records before an offset. ``/return/TOPIC/COUNT``
+    drops the last records, as after a return from an older copy, and increases the
+    era. ``/put/TOPIC/KEY`` appends the body with a key, as operators do.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
         self.status = 0
         self.lose_replies = 0
         self.garbage = False
+        self.era = 1
 
     def app(self) -> web.Application:
         """Return the web application with its routes."""
@@ -55,6 +57,8 @@
         app.router.add_get("/-/log-read", self.read)
         app.router.add_get("/-/log-newest", self.newest)
         app.router.add_post("/trim/{topic}/{offset}", self.trim)
+        app.router.add_post("/return/{topic}/{count}", self.come_back)
+        app.on_response_prepare.append(self._add_era)
         app.router.add_post("/put/{topic}/{key}", self.put)
         return app
 
@@ -73,7 +77,7 @@
         await self._apply_faults(request, "read")
         stream = self.topics[request.query["topic"]]
         offset = int(request.query["from"])
-        if offset < stream.oldest_offset:
+        if offset < stream.oldest_offset or offset > stream.next_offset:
             return web.json_response({"first": stream.oldest_offset}, status=410)
         await stream.wait_for_record(
             offset, int(request.query.get("wait_ms", "0")) / 1000
@@ -119,6 +123,16 @@
         stream.drop_before(int(request.match_info["offset"]))
         return web.json_response({})
 
+    async def come_back(self, request: web.Request) -> web.Response:
+        """Drop the last records of a topic; their offsets are given out again."""
+        stream = self.topics[request.match_info["topic"]]
+        stream.drop_last(int(request.match_info["count"]))
+        self.era += 1
+        return web.json_response({})
+
+    async def _add_era(self, request: web.Request, response) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     async def _apply_faults(self, request: web.Request, kind: str) -> None:
         self.counts[kind] += 1
         if self.down:
--- a/tests/standins/streams.py
+++ b/tests/standins/streams.py
@@ -51,6 +51,10 @@
         del self.records[: max(0, offset - self.oldest_offset)]
         self.oldest_offset = max(self.oldest_offset, offset)
 
+    def drop_last(self, count: int) -> None:
+        """Drop the last records; their offsets are given out again."""
+        del self.records[max(0, len(self.records) - count) :]
+
 
 class FaultInjectionApp:
     """Base class of stand-ins whose faults are attributes that ``/faults`` sets.
