Do not take a path for broken because this daemon was paused

Cause: the time-out of a path check also expires while this process is not scheduled; the path was then marked as broken, the channel replaced, and attempts whose replies were on their way were given up.

Test: decisions.feature, 'A path check that times out while the daemon is paused does not count'; before, the path was broken.

--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import grpc
 
 from laburnumscale.channels import PeerChannels
+from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale_schema import peer_pb2
@@ -19,6 +21,7 @@
 CHECK_DELAY_S = 0.15
 CHECK_TIMEOUT_S = 0.4
 CHECK_INTERVAL_S = 0.5
+MAX_INCONCLUSIVE_CHECKS = 2
 #: Higher than any revision, so that the reply to a check carries no settings.
 FUTURE_REVISION = 2**63
 
@@ -71,6 +74,21 @@
             del self._checks[peer_address]
 
     async def _is_reachable(self, peer_address: str) -> bool:
+        """Check a path, up to ``MAX_INCONCLUSIVE_CHECKS`` times more if this is late.
+
+        A check whose timeout expired while this process was not scheduled says nothing
+        about the path: its reply may have been waiting.
+        """
+        for _ in range(1 + MAX_INCONCLUSIVE_CHECKS):
+            started_at_s = time.monotonic()
+            if await self._send_check(peer_address):
+                return True
+            late_s = time.monotonic() - started_at_s - CHECK_TIMEOUT_S
+            if late_s < MAX_WAKEUP_DELAY_S:
+                return False
+        return False
+
+    async def _send_check(self, peer_address: str) -> bool:
         self._metrics.count("path_checks")
         request = peer_pb2.SettingsRequest(after_revision=FUTURE_REVISION)
         stub = self._channels.peer(peer_address)
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -233,3 +233,14 @@
       | 200    | 20    | 0        | no       | attempt  |
       | 500    | 0     | 20       | yes      | failover |
       | 500    | 0     | 20       | no       | attempt  |
+
+  Scenario Outline: A path check that times out while the daemon is paused does not count
+    Given a guard whose replies to path checks <first>
+    When its path is checked
+    Then its path was <state>
+
+    Examples:
+      | first                               | state      |
+      | are missing                         | broken     |
+      | are missing once                    | broken     |
+      | are missed once by a paused daemon  | not broken |
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 import attrs
+import grpc
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
@@ -26,6 +27,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun
+from laburnumscale.pathhealth import PathHealth
 from laburnumscale.platformlog import Batch, LogClient, Record
 from laburnumscale.policies import get_policy_by_name
 from laburnumscale.presence import PresenceStream
@@ -698,3 +700,52 @@
 @then("the answer that counts is that of the {winner}")
 def step_check_winner(context, winner):
     assert context.is_replaced == (winner == "failover"), context.is_replaced
+
+
+class _CheckedGuard:
+    """Channels to a guard whose replies to some path checks do not arrive in time."""
+
+    def __init__(self, missing, is_paused):
+        self.missing = missing
+        self.is_paused = is_paused
+
+    def peer(self, address):
+        return self
+
+    def replace_channel(self, address):
+        """The next check uses the same fake."""
+
+    async def FetchSettings(self, request, **options):  # noqa: N802
+        if not self.missing:
+            return
+        timeout_s = options["timeout"]
+        self.missing -= 1
+        if self.is_paused:
+            time.sleep(timeout_s + 0.3)  # noqa: ASYNC251
+        await asyncio.sleep(0 if self.is_paused else timeout_s)
+        raise grpc.RpcError
+
+
+@given("a guard whose replies to path checks {first}")
+def step_create_checked_guard(context, first):
+    missing = 1 if "once" in first else 3
+    context.checked_guard = _CheckedGuard(missing, "paused" in first)
+
+
+@when("its path is checked")
+def step_check_path(context):
+    async def check():
+        paths = PathHealth(context.checked_guard, Metrics())
+        context.path_changes = []
+        paths.on_change(
+            lambda address: context.path_changes.append(paths.is_broken(address))
+        )
+        paths.start_check("127.0.0.1:1")
+        await asyncio.sleep(1.0)
+
+    asyncio.run(check())
+
+
+@then("its path was {state}")
+def step_check_path_state(context, state):
+    assert (True in context.path_changes) == (state == "broken"), context.path_changes
