Contact several daemons at once after a start

Cause: a daemon that knows nobody exchanged tables with the newest contacts one after the other; each one on a silent host delayed the next by 2 s, after a loss of power too.

Test: decisions.feature, 'Silent hosts do not delay the contact with a daemon that responds'; before, it was reached only after the silent ones, and the check failed.

--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -125,8 +125,8 @@
             await asyncio.sleep(mean_interval_s * random.uniform(0.5, 1.5))
 
     async def _contact_unknown_daemons(self) -> None:
-        for address in self._contact_addresses():
-            await self._exchange.exchange(address)
+        addresses = self._contact_addresses()
+        await asyncio.gather(*(self._exchange.exchange(each) for each in addresses))
 
     async def _read_presence(self) -> None:
         if self._presence is None:
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -244,3 +244,8 @@
       | are missing                         | broken     |
       | are missing once                    | broken     |
       | are missed once by a paused daemon  | not broken |
+
+  Scenario: Silent hosts do not delay the contact with a daemon that responds
+    Given presence records of 3 daemons, of which the 2 newest are on silent hosts
+    When a daemon that is alone contacts them
+    Then it has exchanged tables with the third one within 1 s
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -28,6 +28,7 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun
 from laburnumscale.pathhealth import PathHealth
+from laburnumscale.peerdiscovery import PeerDiscovery
 from laburnumscale.platformlog import Batch, LogClient, Record
 from laburnumscale.policies import get_policy_by_name
 from laburnumscale.presence import PresenceStream
@@ -749,3 +750,49 @@
 @then("its path was {state}")
 def step_check_path_state(context, state):
     assert (True in context.path_changes) == (state == "broken"), context.path_changes
+
+
+class _SilentHosts:
+    """Exchanges of tables of which some get no reply."""
+
+    def __init__(self, silent):
+        self.silent = silent
+        self.reached_at_s = {}
+
+    async def exchange(self, address):
+        if address in self.silent:
+            await asyncio.sleep(2.0)
+            return False
+        self.reached_at_s[address] = time.monotonic()
+        return True
+
+
+@given(
+    "presence records of {count:d} daemons, of which the {silent:d} newest are on "
+    "silent hosts"
+)
+def step_create_contacts(context, count, silent):
+    addresses = [f"127.0.0.1:{1000 + index}" for index in range(count)]
+    context.responding_address = addresses[0]
+    members = [
+        peer_pb2.Member(daemon=f"d{index}", peer_address=address)
+        for index, address in enumerate(addresses)
+    ]
+    context.exchange = _SilentHosts(addresses[count - silent :])
+    context.presence = SimpleNamespace(contacts=lambda: members[::-1])
+
+
+@when("a daemon that is alone contacts them")
+def step_contact(context):
+    own = peer_pb2.Member(daemon="d9", incarnation=1, peer_address="127.0.0.1:1")
+    discovery = PeerDiscovery(
+        Members(own), context.presence, context.exchange, Metrics(), ()
+    )
+    context.started_at_s = time.monotonic()
+    asyncio.run(discovery._contact_unknown_daemons())
+
+
+@then("it has exchanged tables with the third one within {limit_s:d} s")
+def step_check_contact(context, limit_s):
+    reached_at_s = context.exchange.reached_at_s[context.responding_address]
+    assert reached_at_s - context.started_at_s < limit_s
