--- a/packages/laburnumscale/src/laburnumscale/endpointpool.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointpool.py
@@ -89,10 +89,12 @@
 
     :param rate: returns the health of an endpoint.
     :ivar ejected_count: endpoints that their guards have ejected.
+    :ivar announced_slots: slots of all endpoints that are not draining.
     """
 
     def __init__(self, rate: Callable[[EndpointView], EndpointHealth]) -> None:
         self.ejected_count = 0
+        self.announced_slots = 0
         self._rate = rate
         self._health: dict[str, EndpointHealth] = {}
         self._by_path: dict[str, set[str]] = {}
@@ -100,7 +102,6 @@
         self._unhealthy = _Group()
         self._on_trial = _Group()
         self._leaving = _Group()
-        self._announced_slots = 0
         self._kept: tuple[int, list[EndpointHealth]] | None = None
 
     def __len__(self) -> int:
@@ -142,10 +143,6 @@
         """Return the names of the endpoints on trial in a data centre."""
         return self._on_trial.local(data_centre)
 
-    def announced_slots(self) -> int:
-        """Return the slots of all endpoints that are not draining."""
-        return self._announced_slots
-
     def kept_by_floor(self, floor_percent: int) -> list[EndpointHealth]:
         """Return the unhealthy endpoints in use, the least unhealthy ones first.
 
@@ -168,7 +165,7 @@
         return [self._health[name] for name in self._leaving.names.shuffled()]
 
     def _find_kept(self, floor_percent: int) -> list[EndpointHealth]:
-        floor_slots = math.ceil(self._announced_slots * floor_percent / PERCENT)
+        floor_slots = math.ceil(self.announced_slots * floor_percent / PERCENT)
         slots = self._healthy.slots
         if slots >= floor_slots:
             return []
@@ -196,7 +193,7 @@
         self._health[view.endpoint] = health
         self._by_path.setdefault(view.peer_address, set()).add(view.endpoint)
         self.ejected_count += health.ejected
-        self._announced_slots += _announced_slots(view)
+        self.announced_slots += _announced_slots(view)
         for group in self._groups(health):
             group.add(health)
 
@@ -208,7 +205,7 @@
         if not names:
             del self._by_path[view.peer_address]
         self.ejected_count -= health.ejected
-        self._announced_slots -= _announced_slots(view)
+        self.announced_slots -= _announced_slots(view)
         for group in self._groups(health):
             group.remove(health)
 
--- a/tests/features/steps/routing_scale_steps.py
+++ b/tests/features/steps/routing_scale_steps.py
@@ -62,7 +62,7 @@
         name for dc in ("dc0", "dc1") for name in pool.on_trial_in(dc).shuffled()
     }
     assert on_trial == {load.view.endpoint for load in expected.on_trial}
-    assert pool.announced_slots() == expected.announced_slots
+    assert pool.announced_slots == expected.announced_slots
     healthy = {load.view.endpoint for load in expected.in_use if not load.unhealthy}
     assert expected.in_use == [] or set(pool.healthy.shuffled()) <= healthy
     local = set(pool.healthy_in("dc0").shuffled())
