Bound the flow control windows between daemons

Cause: gRPC derives the window of a stream from the bandwidth and the round-trip time. On a busy host the round trips get longer, and the entry of a slow reader holds megabytes.

Ruled out: garbage of the interpreter; the growth follows the load of the machine.

Change: no estimate, and a window of 1 MiB in both directions.

--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -15,7 +15,7 @@
 from laburnumscale.peertraffic import CountedChannel, PeerTraffic
 from laburnumscale_schema import peer_pb2_grpc
 
-__all__ = ["PeerChannels"]
+__all__ = ["FLOW_CONTROL_OPTIONS", "PeerChannels"]
 
 READY = grpc.ChannelConnectivity.READY
 #: Longer than the calls of the current services take.
@@ -24,7 +24,14 @@
     grpc.ChannelConnectivity.TRANSIENT_FAILURE,
     grpc.ChannelConnectivity.SHUTDOWN,
 )
+#: Bytes of a stream that may be on their way. gRPC would otherwise derive the window
+#: from the bandwidth and the round-trip time, and use megabytes on a busy host.
+FLOW_CONTROL_OPTIONS = (
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 1024 * 1024),
+)
 CHANNEL_OPTIONS = (
+    *FLOW_CONTROL_OPTIONS,
     ("grpc.enable_http_proxy", 0),
     ("grpc.enable_retries", 0),  # each call is sent once; only the entry retries
     ("grpc.use_local_subchannel_pool", 1),  # a new channel opens its own connection
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -10,6 +10,7 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.attemptsettler import AttemptSettler
+from laburnumscale.channels import FLOW_CONTROL_OPTIONS
 from laburnumscale.errors import AddressInUse, BodyIncomplete
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
@@ -23,6 +24,7 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 MAX_CONCURRENT_STREAMS = 4096
 SERVER_OPTIONS = (
+    *FLOW_CONTROL_OPTIONS,
     ("grpc.so_reuseport", 0),
     ("grpc.max_concurrent_streams", MAX_CONCURRENT_STREAMS),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
