Pause a daemon that finds nobody before it reads the presence records again

Cause: alone, a daemon read the records again as soon as another daemon had appended one, and contacted daemons that did not serve yet.

--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -21,6 +21,7 @@
 JOIN_TIMEOUT_S = 3.0
 MAX_CONTACTS_PER_SOURCE = 3
 ALONE_POLL_INTERVAL_MS = 1_000
+ALONE_PAUSE_S = 1.0
 POLL_INTERVAL_S_PER_MEMBER = 2.0
 MIN_POLL_INTERVAL_S = 5.0
 ANNOUNCE_INTERVAL_S_PER_MEMBER = 60.0
@@ -115,9 +116,11 @@
         return announce_at_s
 
     async def _sleep_until_next_poll(self) -> None:
-        if self._presence is None and not self._members.peers():
-            await asyncio.sleep(ALONE_POLL_INTERVAL_MS / 1000)
-        elif self._members.peers():
+        if not self._members.peers():
+            has_log = self._presence is not None
+            pause_s = random.uniform(*ANNOUNCED_PAUSE_S) if has_log else ALONE_PAUSE_S
+            await asyncio.sleep(pause_s)
+        if self._members.peers():
             mean_interval_s = max(
                 MIN_POLL_INTERVAL_S,
                 self._members.group_size * POLL_INTERVAL_S_PER_MEMBER,
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -249,3 +249,8 @@
     Given presence records of 3 daemons, of which the 2 newest are on silent hosts
     When a daemon that is alone contacts them
     Then it has exchanged tables with the third one within 1 s
+
+  Scenario: A daemon that finds nobody does not read the presence records continuously
+    Given presence records of 3 daemons, of which the 3 newest are on silent hosts
+    When a daemon that is alone looks for others for 2 s while records are appended
+    Then it has read the presence records 10 times at most
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -796,3 +796,45 @@
 def step_check_contact(context, limit_s):
     reached_at_s = context.exchange.reached_at_s[context.responding_address]
     assert reached_at_s - context.started_at_s < limit_s
+
+
+class _BusyPresence:
+    """Presence records of which a new one arrives with every read."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def announce(self):
+        """Appending the record has no effect on the reads."""
+
+    def is_announcement_lost(self):
+        return False
+
+    def contacts(self):
+        return []
+
+    async def read(self, wait_ms=0):
+        self.reads += 1
+        await asyncio.sleep(0)
+
+
+@when(
+    "a daemon that is alone looks for others for {duration_s:d} s while records are "
+    "appended"
+)
+def step_discover(context, duration_s):
+    own = peer_pb2.Member(daemon="d9", incarnation=1, peer_address="127.0.0.1:1")
+    context.presence = _BusyPresence()
+    discovery = PeerDiscovery(Members(own), context.presence, None, Metrics(), ())
+
+    async def discover():
+        with suppress(TimeoutError):
+            async with asyncio.timeout(duration_s):
+                await discovery.discover_forever()
+
+    asyncio.run(discover())
+
+
+@then("it has read the presence records {count:d} times at most")
+def step_check_presence_reads(context, count):
+    assert 1 <= context.presence.reads <= count, context.presence.reads
