Show that a draining daemon loses requests on kept connections

Callers saw connections that ended without an answer or a refusal, under planned work only. Four scenarios with real daemons: requests on kept connections during a drain, after its notice period, calls that outlast it, and attempts in the queue of a guard that drains.

--- /dev/null
+++ b/tests/features/draining.feature
@@ -0,0 +1,38 @@
+Feature: A daemon that drains answers or refuses each request that it reads
+
+  Scenario: A request on a kept connection is not cut off by the end of the daemon
+    Given a fleet of 2 daemons that drain for at most 4000 ms
+    And target p1 of proof-vault beside d2 that responds after 20 ms
+    And target p2 of proof-vault beside d2 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    And 30 callers keep connections to d1 open
+    And all targets respond after 700 ms from now on
+    When d1 gets SIGTERM and the callers send holds between 0 and 3600 ms after it
+    Then no hold that a target ran was left without an answer
+    And each connection that ended without an answer ended within 200 ms of its hold
+    And all holds that were refused name a time to retry and were not run
+
+  Scenario: A request that comes after the notice period of a drain is refused at once
+    Given a fleet of 2 daemons that drain for at most 5000 ms
+    And target p1 of proof-vault beside d2 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    And 4 callers keep connections to d1 open
+    And all targets respond after 3500 ms from now on
+    When d1 gets SIGTERM while p1 runs a hold from d1, and the callers send holds between 2600 and 3000 ms after it
+    Then each hold was refused within 200 ms, or its connection had ended
+    And no target ran any of them
+
+  Scenario: A hold that outlasts the drain gets a final answer
+    Given a fleet of 2 daemons that drain for at most 3000 ms
+    And target p1 of proof-vault beside d2 that responds after 9000 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM while p1 runs a hold from d1, and the hold ends
+    Then the hold has status 504 and the outcome unknown
+    And the log of d1 names the hold as cut off
+
+  Scenario: An attempt that waits in the queue of a guard that drains is refused
+    Given a fleet of 1 daemons that drain for at most 3000 ms
+    And target e1 of slot-desk beside d1 that responds after 9000 ms
+    And the fleet is ready with the settings of bantayog
+    When a simulated entry's holds fill the slots of e1 and one more waits when d1 gets SIGTERM
+    Then the hold that waits ends as not_run draining within 2000 ms
--- /dev/null
+++ b/tests/features/steps/draining_steps.py
@@ -0,0 +1,185 @@
+import signal
+import threading
+import time
+
+import grpc
+from behave import given, then, when
+
+from laburnumscale_schema import peer_pb2_grpc
+from tests.features.steps.outcomes_load_steps import start_hold
+from tests.features.steps.outcomes_steps import (
+    GRPC_OPTIONS,
+    hold_request,
+    reply_result,
+    simulated_attempt_id,
+)
+from tests.standins.fleet import TERM_TIMEOUT_S, wait_until
+from tests.standins.keptconnections import KeptConnections
+
+SEED = 6601
+STATUS_OK = 200
+STATUS_NOT_RUN = 503
+SLOTS = 5
+QUEUEING_S = 0.5  # for one more hold to reach the queue of its target
+
+
+@given("{count:d} callers keep connections to {daemon} open")
+def step_keep_connections(context, count, daemon):
+    port = context.fleet.daemons[daemon].ports["caller"]
+    context.kept = KeptConnections("127.0.0.1", port, "/proof-vault/hold", count, SEED)
+    context.add_cleanup(context.kept.close)
+    context.kept.open()
+
+
+@given("all targets respond after {latency_ms:d} ms from now on")
+def step_set_latency(context, latency_ms):
+    for target in context.fleet.targets.values():
+        target.faults(latency_ms=latency_ms)
+
+
+@when(
+    "d1 gets SIGTERM and the callers send holds between {first_ms:d} and "
+    "{last_ms:d} ms after it"
+)
+def step_send_holds_in_drain(context, first_ms, last_ms):
+    send_in_drain(context, first_ms, last_ms)
+
+
+@when(
+    "d1 gets SIGTERM while p1 runs a hold from d1, and the callers send holds "
+    "between {first_ms:d} and {last_ms:d} ms after it"
+)
+def step_send_holds_beside_another(context, first_ms, last_ms):
+    caller, _ = start_running_hold(context)
+    send_in_drain(context, first_ms, last_ms)
+    caller.join()
+
+
+def start_running_hold(context):
+    target = context.fleet.targets["p1"]
+    known = len(target.ledger())
+    caller, replies = start_hold(context, "d1")
+    wait_until(lambda: len(target.ledger()) > known, "the target runs the hold")
+    return caller, replies
+
+
+def send_in_drain(context, first_ms, last_ms):
+    process = context.fleet.daemons["d1"].process
+    process.send_signal(signal.SIGTERM)
+    context.kept.spread_requests(first_ms / 1000, last_ms / 1000)
+    context.holds = context.kept.wait()
+    process.wait(TERM_TIMEOUT_S)
+    context.ran = {
+        entry["content_id"]
+        for target in context.fleet.targets.values()
+        for entry in target.ledger()
+    }
+
+
+def holds_without_answer(context):
+    return [hold for hold in context.holds if hold.sent and not hold.status]
+
+
+@then("no hold that a target ran was left without an answer")
+def step_no_lost_hold(context):
+    lost = [
+        hold for hold in holds_without_answer(context) if hold.content_id in context.ran
+    ]
+    assert not lost, lost
+
+
+@then(
+    "each connection that ended without an answer ended within {limit_ms:d} ms of "
+    "its hold"
+)
+def step_ended_at_once(context, limit_ms):
+    late = [
+        hold
+        for hold in holds_without_answer(context)
+        if hold.elapsed_s * 1000 > limit_ms
+    ]
+    assert not late, late
+
+
+@then("all holds that were refused name a time to retry and were not run")
+def step_refusals_are_true(context):
+    refused = [hold for hold in context.holds if hold.status == STATUS_NOT_RUN]
+    assert all(hold.has_retry_after for hold in refused), refused
+    assert not {hold.content_id for hold in refused} & context.ran
+
+
+@then("each hold was refused within {limit_ms:d} ms, or its connection had ended")
+def step_refused_at_once(context, limit_ms):
+    for hold in context.holds:
+        assert not hold.sent or hold.status in (0, STATUS_NOT_RUN), hold
+        assert hold.elapsed_s * 1000 <= limit_ms, hold
+
+
+@then("no target ran any of them")
+def step_none_run(context):
+    assert not {hold.content_id for hold in context.holds} & context.ran
+
+
+@when("d1 gets SIGTERM while p1 runs a hold from d1, and the hold ends")
+def step_hold_outlasts_drain(context):
+    caller, replies = start_running_hold(context)
+    context.fleet.daemons["d1"].process.send_signal(signal.SIGTERM)
+    caller.join()
+    context.hold = replies[0]
+
+
+@then("the hold has status {status:d} and the outcome {outcome}")
+def step_check_hold(context, status, outcome):
+    assert context.hold.status == status, context.hold
+    assert context.hold.json()["outcome"] == outcome, context.hold
+
+
+@then("the log of {daemon} names the hold as cut off")
+def step_check_cut_off_line(context, daemon):
+    request_id = context.hold.json()["request_id"]
+    text = (context.fleet.directory / f"{daemon}.log").read_text()
+    lines = [line for line in text.splitlines() if request_id in line]
+    assert any("drain" in line for line in lines), lines
+
+
+@when(
+    "a simulated entry's holds fill the slots of e1 and one more waits when d1 gets "
+    "SIGTERM"
+)
+def step_hold_waits_in_queue(context):
+    address = f"127.0.0.1:{context.fleet.daemons['d1'].ports['peer']}"
+    with grpc.insecure_channel(address, GRPC_OPTIONS) as channel:
+        stub = peer_pb2_grpc.GuardStub(channel)
+        attempts = [
+            simulated_attempt_id(context, "d1", n + 1) for n in range(SLOTS + 1)
+        ]
+        running = [stub.Call(hold_request(each)) for each in attempts[:SLOTS]]
+        target = context.fleet.targets["e1"]
+        wait_until(lambda: len(target.ledger()) == SLOTS, "all slots are in use")
+        context.waiting_result = ""
+        waiter = threading.Thread(
+            target=lambda: wait_for_hold(context, stub, attempts[SLOTS])
+        )
+        waiter.start()
+        time.sleep(QUEUEING_S)
+        context.terminated_at_s = time.monotonic()
+        context.fleet.daemons["d1"].process.send_signal(signal.SIGTERM)
+        waiter.join()
+        context.waited_ms = (time.monotonic() - context.terminated_at_s) * 1000
+        for call in running:
+            call.cancel()
+
+
+def wait_for_hold(context, stub, attempt_id):
+    try:
+        context.waiting_result = reply_result(
+            list(stub.Call(hold_request(attempt_id)))[-1]
+        )
+    except grpc.RpcError as error:
+        context.waiting_result = f"lost: {error.code()}"
+
+
+@then("the hold that waits ends as {result} within {limit_ms:d} ms")
+def step_check_waiting_hold(context, result, limit_ms):
+    assert context.waiting_result == result, context.waiting_result
+    assert context.waited_ms <= limit_ms, context.waited_ms
