Answer or refuse every request that a draining daemon reads

Callers of a daemon that got SIGTERM saw connections that ended without an answer: requests on connections that they kept were accepted until the end of the process.

Cause: the drain ended the listening socket only. Nothing refused a request on a kept connection, its time limit was not shortened to the time that the daemon had left, an attempt could begin just before the end, and at the end all connections were aborted. The guard had the same fault for attempts in the queue of a target. Class: work is accepted without the time to finish it. Ruled out: a lost answer of the target or of the path between daemons; the scenarios have neither.

Change: one drain state for entry and guard. Work is accepted until the end of the notice period, by the clock and not by the progress of the drain, and its deadline is at most that of the drain; later requests are refused at once, as not run, with a time to come back. Idle connections are closed at the end of the notice period, unless they have received a part of a request. Attempts that wait for a slot are refused, so that they run elsewhere. Calls that still run at the end get the final answer "unknown" with the reason "draining", and their log line says so. Notifying peers and handing over operation keys no longer delay these steps. A response whose request came before the drain ends its connection, too.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -25,7 +25,12 @@
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
 from laburnumscale.deadlines import MS_PER_S, Deadline
-from laburnumscale.errors import BodyIncomplete, BodyTooLarge, RequestInvalid
+from laburnumscale.errors import (
+    BodyIncomplete,
+    BodyTooLarge,
+    RequestInvalid,
+    WorkCutOff,
+)
 from laburnumscale.failurereplies import failure_outcome
 from laburnumscale.guard import STALE_RETRY_AFTER_MS
 from laburnumscale.headernames import HeaderNames
@@ -33,7 +38,7 @@
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
-from laburnumscale.outcomes import Answered, NotRun, Outcome, outcome_name
+from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown, outcome_name
 from laburnumscale.problems import problem_response
 from laburnumscale.routelookup import Routed, RouteLookup
 from laburnumscale.settingsfeed import CATCH_UP_WAIT_MS, SettingsFeed
@@ -47,6 +52,9 @@
 STARTING_RETRY_AFTER_MS = 1000
 STALE_SETTINGS = peer_pb2.NOT_RUN_REASON_STALE_SETTINGS
 MAX_CALLS_IN_FLIGHT = 4096
+#: Other daemons accept the call at once.
+DRAINING = NotRun(peer_pb2.NOT_RUN_REASON_DRAINING, retry_after_ms=100)
+CUT_OFF = Unknown(peer_pb2.UNKNOWN_REASON_DRAINING)
 OVERLOADED = NotRun(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms=1000)
 BAD_REQUEST = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
 STATUS_CONTENT_TOO_LARGE = 413
@@ -77,6 +85,7 @@
         header_names: HeaderNames,
         routes_only: bool,
     ) -> None:
+        self._drain_state = runner.drain_state
         self._call_log = CallLog(lambda: feed.tree.revision)
         self._header_names = header_names
         self._routes = RouteLookup(feed, routes_only)
@@ -145,17 +154,34 @@
             self._call_log.log_refusal(request_id, prepared, request.path)
             self._record_call("", prepared, started_at_s)
             return response
-        key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
-        if key is None:
-            outcome, response = await self._runner.run(prepared)
-        else:
-            reply = await self._keyed_calls.run_at_holder(prepared, key)
-            outcome, response = self._keyed_response(reply, request_id)
+        try:
+            async with self._drain_state.cut_off_scope():
+                outcome, response = await self._run_call(prepared)
+        except WorkCutOff:
+            outcome, response = CUT_OFF, self._cut_off_response(prepared)
         elapsed_ms = (time.monotonic() - started_at_s) * MS_PER_S
         self._call_log.log_call_end(prepared, outcome, elapsed_ms)
         self._record_call(prepared.service, outcome, started_at_s)
         return response
 
+    async def _run_call(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
+        call.deadline = self._drain_state.limit(call.deadline)
+        key = call.request.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if key is None:
+            return await self._runner.run(call)
+        reply = await self._keyed_calls.run_at_holder(call, key)
+        return self._keyed_response(reply, call.request_id)
+
+    def _cut_off_response(self, call: Call) -> HTTPResponse | None:
+        """Return the response to a call that the exit of the daemon cuts off.
+
+        A response that has begun cannot be completed; its connection is aborted.
+        """
+        if call.answer_started:
+            call.request.transport.abort()
+            return None
+        return self._problem_response(CUT_OFF, call.request_id)
+
     async def mint_keys(self, request: Request) -> HTTPResponse:
         """Return as many new operation keys as the request asks for."""
         count = request.args.get("count", "1")
@@ -165,6 +191,12 @@
         return json({"keys": keys})
 
     async def _prepare_call(self, request: Request, request_id: str) -> Call | NotRun:
+        """Check a request, find its route and receive its body.
+
+        :returns: the call, or why it is not run.
+        """
+        if not self._drain_state.accepts_work:
+            return DRAINING
         if not self._feed.has_tree:
             return NotRun(peer_pb2.NOT_RUN_REASON_STARTING, STARTING_RETRY_AFTER_MS)
         routed = await self._find_route(request)
@@ -181,6 +213,9 @@
             request, settings.time_limit_ms, self._header_names.caller_time_limit
         )
         deadline = Deadline.after_ms(timeout_ms)
+        body = await self._request_body(request, request_id, deadline)
+        if not self._drain_state.accepts_work:
+            return DRAINING
         return Call(
             request=request,
             request_id=request_id,
@@ -189,7 +224,7 @@
             settings=settings,
             idempotent=idempotent,
             deadline=deadline,
-            body=await self._request_body(request, request_id, deadline),
+            body=body,
             route=f"{route.host}{route.path_prefix}" if route is not None else "",
             priority=route.priority if route is not None else 0,
             objective=_latency_objective(route),
@@ -219,7 +254,11 @@
         return attrs.evolve(settings, **route_values) if route_values else settings
 
     def _problem_response(
-        self, outcome: NotRun, request_id: str, detail: str = "", status: int = 0
+        self,
+        outcome: NotRun | Unknown,
+        request_id: str,
+        detail: str = "",
+        status: int = 0,
     ) -> HTTPResponse:
         return problem_response(outcome, request_id, detail, status, self._header_names)
 
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -18,6 +18,7 @@
 )
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import MS_PER_S
+from laburnumscale.drainstate import DrainState
 from laburnumscale.failurereplies import DEFAULT_RETRY_AFTER_MS, failure_outcome
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.headers import end_to_end_headers
@@ -49,7 +50,7 @@
     :param names: names of the header fields for callers and targets.
     :param caller_service: service that the callers of this daemon belong to.
     :ivar in_flight: the calls in progress.
-    :ivar draining: whether the daemon is shutting down gracefully.
+    :ivar drain_state: by when calls must have ended, if the daemon drains.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         caller_service: str = "",
     ) -> None:
         self.in_flight = InFlightCounter()
-        self.draining = False
+        self.drain_state = DrainState()
         self._answer_sizes = AnswerSizes()
         self._attempt_client = attempt_client
         self._router = router
@@ -81,6 +82,7 @@
 
         :returns: the outcome, and the response unless it was already streamed.
         """
+        call.deadline = self.drain_state.limit(call.deadline)
         with self.in_flight.track():
             percent = call.settings.retry_budget_percent
             self._budget.add_call(call.service, percent)
@@ -142,7 +144,7 @@
         """
         median_ms = head.reference_latency_us / US_PER_MS
         if (
-            self.draining
+            self.drain_state.is_draining
             or call.deadline.left_ms() < max(median_ms, MIN_RETRY_TIME_MS)
             or self._router.pick(
                 call.service, call.tried_endpoints, True, route=call.route_hash
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -25,6 +25,7 @@
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
 from laburnumscale.draining import EXIT_MARGIN_MS, FLUSH_TIMEOUT_MS, Drain
+from laburnumscale.drainstate import DrainState
 from laburnumscale.errors import BackgroundTaskFailed
 from laburnumscale.gossip import Gossip
 from laburnumscale.logcalls import CountedLog
@@ -60,7 +61,7 @@
         self.settings = settings
         self._reloader = SettingsReloader(settings, settings_path)
         self._stop_requested = asyncio.Event()
-        self._drain_deadline = Deadline.after_ms(0)
+        self._drain_state = DrainState()
         self._failure: BackgroundTaskFailed | None = None
 
     async def run(self) -> None:
@@ -149,6 +150,7 @@
         await self._stop_requested.wait()
         get_logger().info("daemon draining")
         drain = Drain(
+            self._drain_state,
             shared.members,
             guard_role.guard,
             entry_role.runner,
@@ -156,7 +158,7 @@
             entry_role.keyed_calls.hand_over,
             caller_server,
         )
-        await drain.run(self._drain_deadline)
+        await drain.run()
         return servers
 
     def _build_shared_parts(
@@ -176,6 +178,7 @@
             log=CountedLog(platform.log(log_session), metrics),
             feed=SettingsFeed(metrics, settings.isolation_ms),
             channels=PeerChannels(settings.peer_address_overrides, traffic),
+            drain_state=self._drain_state,
         )
 
     def _start_background_tasks(
@@ -273,7 +276,7 @@
         self._request_stop()
 
     def _request_stop(self) -> None:
-        """Request the stop and start the drain timeout, even during startup."""
+        """Request the stop and begin the drain, even during startup."""
         drain_ms = max(0, self.settings.drain_ms - EXIT_MARGIN_MS)
-        self._drain_deadline = Deadline.after_ms(drain_ms)
+        self._drain_state.begin(Deadline.after_ms(drain_ms))
         self._stop_requested.set()
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -13,6 +13,7 @@
 from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
 from laburnumscale.daemonsettings import DaemonSettings
+from laburnumscale.drainstate import DrainState
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
@@ -60,6 +61,7 @@
     log: LogClient
     feed: SettingsFeed
     channels: PeerChannels
+    drain_state: DrainState
 
 
 @attrs.frozen(eq=False)
@@ -124,6 +126,7 @@
         shared.platform.header_names,
     )
     guard.answer_limit_bytes = shared.settings.answer_limit_bytes
+    guard.drain_state = shared.drain_state
     return GuardRole(targets, stalls, health, guard)
 
 
@@ -164,6 +167,7 @@
         header_names,
         settings.caller_service,
     )
+    runner.drain_state = shared.drain_state
     key_table = KeyTable(
         settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
     )
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -11,7 +11,8 @@
 import attrs
 
 from laburnumscale.calls import CallRunner
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.drainstate import DrainState
 from laburnumscale.guard import Guard
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
@@ -20,10 +21,6 @@
 __all__ = ["EXIT_MARGIN_MS", "FLUSH_TIMEOUT_MS", "Drain"]
 
 MAX_NOTIFIED_PEERS = 16
-#: A load balancer that checks readiness every second and removes a daemon after two
-#: failed checks takes nearly 3 s; until then callers still open connections.
-MAX_NOTICE_MS = 3_000
-MAX_NOTICE_SHARE = 0.5  # of the time that is left for the drain
 #: The responses are already written; only the kernel's send buffers remain to be sent.
 FLUSH_TIMEOUT_MS = 200
 #: The process must exit before the platform kills it. The margin covers the flush
@@ -35,11 +32,13 @@
 class Drain:
     """The drain procedure of a daemon.
 
+    :ivar state: the state of the drain, which has begun already.
     :ivar exchange_members: exchanges membership tables with the peer at an address.
     :ivar hand_over_keys: transfers the operation keys to another daemon.
     :ivar caller_server: the server that accepts the connections of callers.
     """
 
+    state: DrainState
     members: Members
     guard: Guard
     runner: CallRunner
@@ -47,23 +46,21 @@
     hand_over_keys: Callable[[Deadline], Awaitable[bool]]
     caller_server: Server
 
-    async def run(self, deadline: Deadline) -> None:
-        """Stop accepting work and wait for the calls in flight.
+    async def run(self) -> None:
+        """Stop accepting work and wait for the work in progress.
 
-        :param deadline: by when the calls in flight must have ended.
+        Work that has not ended by the deadline of the drain is cut off.
         """
         self.members.set_draining()
-        self.runner.draining = True
         self.caller_server.disable_keep_alive()
-        # During the notice period the guard still accepts attempts, for peers that
+        # During the notice period work is still accepted, from callers and peers that
         # have not learned of the drain yet.
-        notice_ms = min(MAX_NOTICE_MS, deadline.left_ms() * MAX_NOTICE_SHARE)
-        notice_deadline = Deadline.after_ms(notice_ms)
-        await self._notify_peers()
-        await asyncio.sleep(notice_deadline.left_s())
+        await self._give_notice(self.state.notice_deadline)
         await self.caller_server.stop_listening()
-        await self.hand_over_keys(deadline)
-        self.guard.draining = True
+        self.caller_server.close_idle_connections()
+        self.guard.refuse_waiting_attempts()
+        deadline = self.state.work_deadline
+        handing_over = asyncio.create_task(self.hand_over_keys(deadline))
         calls_ended = await self.runner.in_flight.wait_until_idle(deadline)
         attempts_ended = await self.guard.in_flight.wait_until_idle(deadline)
         if not (calls_ended and attempts_ended):
@@ -72,7 +69,25 @@
                 calls=self.runner.in_flight.count,
                 attempts=self.guard.in_flight.count,
             )
+        self.state.cut_off()
         await self.caller_server.close(Deadline.after_ms(FLUSH_TIMEOUT_MS))
+        await self._finish_hand_over(handing_over, deadline)
+
+    async def _give_notice(self, notice_deadline: Deadline) -> None:
+        notifying = asyncio.create_task(self._notify_peers())
+        await asyncio.sleep(notice_deadline.left_s())
+        notifying.cancel()
+        await asyncio.wait({notifying})
+
+    async def _finish_hand_over(
+        self, handing_over: asyncio.Task, deadline: Deadline
+    ) -> None:
+        timeout_s = max(deadline.left_s(), FLUSH_TIMEOUT_MS / MS_PER_S)
+        done, _ = await asyncio.wait({handing_over}, timeout=timeout_s)
+        if not done:
+            get_logger().warning("operation keys not handed over in time")
+            handing_over.cancel()
+            await asyncio.wait({handing_over})
 
     async def _notify_peers(self) -> None:
         peers = self.members.peers()
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/drainstate.py
@@ -0,0 +1,84 @@
+"""Drain state.
+
+Decides which work a daemon still accepts while it drains, and by when that work must
+have ended. It answers the load of a rolling restart: callers and peers that go on using
+their connections to a daemon that is about to exit.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import WorkCutOff
+
+__all__ = ["DrainState"]
+
+#: A load balancer that checks readiness every second and removes a daemon after two
+#: failed checks takes nearly 3 s; until then callers still open connections.
+MAX_NOTICE_MS = 3_000
+MAX_NOTICE_SHARE = 0.5  # of the time that is left for the drain
+
+
+class DrainState:
+    """Whether a daemon drains, accepts work, and how long its work may take.
+
+    :ivar notice_deadline: end of the notice period, in which a draining daemon still
+        accepts work; None while the daemon does not drain.
+    :ivar work_deadline: by when the accepted work must have ended; None as above.
+    """
+
+    def __init__(self) -> None:
+        self.notice_deadline: Deadline | None = None
+        self.work_deadline: Deadline | None = None
+        self._running: set[asyncio.Timeout] = set()
+        self._is_cut_off = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the drain has begun."""
+        return self.work_deadline is not None
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether new work is accepted."""
+        return self.notice_deadline is None or not self.notice_deadline.has_passed()
+
+    def begin(self, work_deadline: Deadline) -> None:
+        """Begin the drain.
+
+        :param work_deadline: by when the accepted work must have ended.
+        """
+        notice_ms = min(MAX_NOTICE_MS, work_deadline.left_ms() * MAX_NOTICE_SHARE)
+        self.notice_deadline = Deadline.after_ms(notice_ms)
+        self.work_deadline = work_deadline
+
+    def limit(self, deadline: Deadline) -> Deadline:
+        """Return a deadline, or the end of the drain if that is earlier."""
+        if self.work_deadline is None:
+            return deadline
+        return min(deadline, self.work_deadline, key=lambda each: each.at_s)
+
+    @asynccontextmanager
+    async def cut_off_scope(self) -> AsyncIterator[None]:
+        """Run work that is cancelled if the daemon ends first.
+
+        :raises WorkCutOff: :meth:`cut_off` was called before the work ended.
+        """
+        try:
+            async with asyncio.timeout(0 if self._is_cut_off else None) as timeout:
+                self._running.add(timeout)
+                try:
+                    yield
+                finally:
+                    self._running.discard(timeout)
+        except TimeoutError:
+            if timeout.expired():
+                raise WorkCutOff() from None
+            raise
+
+    def cut_off(self) -> None:
+        """Cancel the work that still runs."""
+        self._is_cut_off = True
+        for timeout in self._running:
+            timeout.reschedule(asyncio.get_running_loop().time())
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -37,6 +37,7 @@
     "RequestInvalid",
     "SettingsReadOnly",
     "SettingsUnavailable",
+    "WorkCutOff",
 ]
 
 
@@ -277,6 +278,13 @@
     template: ClassVar[str] = 'daemon "{daemon}" has no settings yet'
 
 
+@dataclass(eq=False)
+class WorkCutOff(LaburnumscaleError):
+    """The daemon exits before its work in progress has ended."""
+
+    template: ClassVar[str] = "the daemon exits before the work has ended"
+
+
 @dataclass(eq=False)
 class AttemptSentTwice(LaburnumscaleError):
     """An attempt that has already been sent to its target must not be sent again."""
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -15,6 +15,7 @@
 from laburnumscale.attempttable import Attempt, AttemptState, AttemptTable
 from laburnumscale.daemonsettings import DEFAULT_ANSWER_LIMIT_BYTES
 from laburnumscale.deadlines import Deadline, now_s
+from laburnumscale.drainstate import DrainState
 from laburnumscale.errors import (
     AnswerMismatched,
     AnswerTooLarge,
@@ -54,7 +55,7 @@
     :param own: membership entry of this daemon.
     :ivar attempts: the attempts received from entries, kept for settling.
     :ivar in_flight: counter of the attempts in progress.
-    :ivar draining: whether all new attempts are refused.
+    :ivar drain_state: whether and until when attempts are run.
     :ivar answer_limit_bytes: maximum size of the body of a target's response.
     """
 
@@ -73,7 +74,7 @@
         self.daemon = own.daemon
         self.attempts = attempts
         self.in_flight = InFlightCounter()
-        self.draining = False
+        self.drain_state = DrainState()
         self.answer_limit_bytes = DEFAULT_ANSWER_LIMIT_BYTES
         self._data_centre = own.data_centre
         self._targets = targets
@@ -109,6 +110,10 @@
             finally:
                 self.attempts.end(attempt, _cacheable_reply(head, last_reply))
 
+    def refuse_waiting_attempts(self) -> None:
+        """Refuse the attempts that wait for a slot; they can run elsewhere."""
+        self._targets.evict_waiting(AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING))
+
     async def prune_attempts(self, members: Members) -> None:
         """Prune the recorded attempts of departed entries, until cancelled."""
         while True:
@@ -123,7 +128,7 @@
         body: bytes | AsyncIterator[bytes],
     ) -> AsyncIterator[peer_pb2.CallReply]:
         age_ms = _message_age_ms(head)
-        deadline = Deadline.after_ms(head.time_left_ms - age_ms)
+        deadline = self.drain_state.limit(Deadline.after_ms(head.time_left_ms - age_ms))
         send_deadline = Deadline.after_ms(head.send_left_ms - age_ms)
         settings = self._feed.tree.effective_settings(
             head.service, self._data_centre, head.endpoint
@@ -205,7 +210,7 @@
         :raises AttemptRefused: the target is gone, or the target or this daemon is
             draining.
         """
-        if self.draining:
+        if not self.drain_state.accepts_work:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
         target = self._targets.get(head.service, head.endpoint)
         if target is None:
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -108,6 +108,11 @@
         )
         self.publish_endpoints()
 
+    def evict_waiting(self, error: Exception) -> None:
+        """Evict all calls that wait for a slot of a target."""
+        for target in self._targets.values():
+            target.queue.evict_all(error)
+
     def withdraw(self, service: str, endpoint: str) -> bool:
         """Remove a target.
 
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -11,6 +11,7 @@
 from sanic.exceptions import SanicException
 from sanic.handlers import ErrorHandler
 from sanic.http import Stage
+from sanic.response import BaseHTTPResponse
 from sanic.server.async_server import AsyncioServer
 from sanic.server.protocols.http_protocol import HttpProtocol
 
@@ -62,6 +63,12 @@
             url_bytes = b"*"
         super().__init__(url_bytes, headers, version, method, *args, **kwargs)
 
+    async def respond(self, *args, **kwargs) -> BaseHTTPResponse:
+        """Start the response; while the application drains, it ends the connection."""
+        if self.app.ctx.draining:
+            self.stream.keep_alive = False
+        return await super().respond(*args, **kwargs)
+
 
 class LimitedHttpProtocol(HttpProtocol):
     """A connection with a limit on the time to receive the complete header section.
@@ -95,6 +102,13 @@
         if in_header_section:
             self._time = header_started_at_s
 
+    def close_if_idle(self) -> bool:
+        """Close the connection unless it has received a part of a request.
+
+        :returns: whether the connection was closed.
+        """
+        return not self.recv_buffer and super().close_if_idle()
+
 
 class App(Sanic):
     """An application that dispatches no signals.
@@ -108,12 +122,6 @@
     async def dispatch(self, *args, **kwargs) -> None:
         """Do nothing, as no signal has a handler."""
 
-    async def handle_request(self, request: Request) -> None:
-        """Handle one request."""
-        if self.ctx.draining:
-            request.stream.keep_alive = False
-        await super().handle_request(request)
-
 
 class CallerApp(App):
     """An application that passes requests to ``ctx.call_handler`` without routing them.
@@ -126,8 +134,6 @@
         if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
             await super().handle_request(request)
             return
-        if self.ctx.draining:
-            request.stream.keep_alive = False
         try:
             response = await self.ctx.call_handler(request)
             if response is not None:
@@ -185,6 +191,11 @@
             await asyncio.sleep(0)
         self._server.server.close()
 
+    def close_idle_connections(self) -> None:
+        """Close the connections that wait for their next request."""
+        for connection in list(self._server.connections):
+            connection.close_if_idle()
+
     async def close(self, deadline: Deadline) -> None:
         """Stop listening and wait for the requests in flight until the deadline.
 
@@ -193,8 +204,7 @@
         self.disable_keep_alive()
         self._server.close()
         while self._server.connections and not deadline.has_passed():
-            for connection in list(self._server.connections):
-                connection.close_if_idle()
+            self.close_idle_connections()
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
         for connection in list(self._server.connections):
             connection.abort()
