Keep the end of a drain when a stop is requested again

The daemon accepted work after its notice period and outlived its time when a background task failed in the drain: the second request to stop replaced the deadlines. The first request now decides.

behave of drainstate.feature: 9 scenarios passed.

--- a/packages/laburnumscale/src/laburnumscale/drainstate.py
+++ b/packages/laburnumscale/src/laburnumscale/drainstate.py
@@ -45,10 +45,12 @@
         return self.notice_deadline is None or not self.notice_deadline.has_passed()
 
     def begin(self, work_deadline: Deadline) -> None:
-        """Begin the drain.
+        """Begin the drain, unless it has begun already.
 
         :param work_deadline: by when the accepted work must have ended.
         """
+        if self.is_draining:
+            return
         notice_ms = min(MAX_NOTICE_MS, work_deadline.left_ms() * MAX_NOTICE_SHARE)
         self.notice_deadline = Deadline.after_ms(notice_ms)
         self.work_deadline = work_deadline
