End the replies of an attempt that runs out of time in a full queue

A caller that read a long answer of a target beside its entry more slowly than the target sent it got neither the rest nor an end once the attempt ran out of time. The reader now replaces what is queued by the end of the stream, so the entry closes the connection before the answer is complete.

behave of attemptclient.feature: 1 scenario passed.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -114,8 +114,21 @@
             pass
         except Exception as error:
             get_logger().error("reading attempt replies failed", reason=repr(error))
+        except asyncio.CancelledError:
+            self._cut_short()
+            raise
         await self._queue.put(None)
 
+    def _cut_short(self) -> None:
+        """Replace the replies that were not read yet by the end of the stream.
+
+        The timeout of an attempt at this daemon's own guard cancels the task while it
+        waits for room in the queue.
+        """
+        while not self._queue.empty():
+            self._queue.get_nowait()
+        self._queue.put_nowait(None)
+
 
 class AttemptClient:
     """Sends the attempts of one entry to guards."""
