Accept all pending connections before listening ends

A daemon that drained reset the connections that waited to be accepted, except the first three, although their callers had connected and sent whole requests before listening ended. It now accepts until none waits, and gives the last ones the iterations of the event loop that set them up and read their requests.

--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import select
 from collections.abc import Awaitable, Callable
 
 from sanic import HTTPResponse, Request, Sanic
@@ -23,7 +24,8 @@
 
 __all__ = ["App", "CallerApp", "Server", "new_app", "serve_app"]
 
-ACCEPT_LOOP_ITERATIONS = 3
+#: Iterations of the event loop until a connection is set up and its request is read.
+SETUP_LOOP_ITERATIONS = 3
 MAX_CONNECTIONS = 10_000
 HEADER_TIMEOUT_S = 10
 MAX_HEADER_BYTES = 16 * 1024
@@ -186,10 +188,20 @@
         """Accept the connections that are pending, then stop listening."""
         self.disable_keep_alive()
         # Closing the socket resets connections that the kernel has accepted but the
-        # event loop has not.
-        for _ in range(ACCEPT_LOOP_ITERATIONS):
+        # event loop has not; it accepts one in each iteration.
+        for _ in range(LISTEN_BACKLOG):
+            if not self._has_pending_connections():
+                break
             await asyncio.sleep(0)
         self._server.server.close()
+        for _ in range(SETUP_LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+
+    def _has_pending_connections(self) -> bool:
+        pending = select.poll()
+        for each in self._server.server.sockets:
+            pending.register(each.fileno(), select.POLLIN)
+        return bool(pending.poll(0))
 
     def close_idle_connections(self) -> None:
         """Close the connections that wait for their next request."""
