Show that a drain cuts off a response that is not sent yet

A call counts as ended once its response has been written to the connection. When no call is in flight any more, the drain gives the connections 200 ms and aborts them, also when a caller that reads slowly has not received the rest and the drain has time left.

--- a/tests/features/steps/webserver_steps.py
+++ b/tests/features/steps/webserver_steps.py
@@ -1,8 +1,10 @@
 import asyncio
+import contextlib
 import socket
 import threading
 import time
 import uuid
+from types import SimpleNamespace
 
 import uvloop
 from behave import given, then, when
@@ -10,6 +12,9 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
+from laburnumscale.draining import Drain
+from laburnumscale.drainstate import DrainState
+from laburnumscale.inflight import InFlightCounter
 from laburnumscale.webserver import new_app, serve_app
 
 REQUEST = b"GET /hold HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -25,6 +30,12 @@
     context.body = b"ran"
 
 
+@given("a server whose responses have {size_bytes:d} bytes")
+def step_create_server_with_large_responses(context, size_bytes):
+    context.idle_s = 60.0
+    context.body = b"x" * size_bytes
+
+
 async def start_server(context, port):
     async def handle(request):
         return raw(context.body)
@@ -140,3 +151,63 @@
 @then("all requests are answered")
 def step_check_answered(context):
     assert set(context.statuses) == {200}, context.statuses
+
+
+def new_drain(server, drain_ms):
+    """Return the drain of a daemon whose calls have all ended."""
+    idle = SimpleNamespace(in_flight=InFlightCounter())
+    state = DrainState()
+    state.begin(Deadline.after_ms(drain_ms))
+
+    async def hand_over(deadline):
+        return True
+
+    return Drain(
+        state,
+        SimpleNamespace(set_draining=lambda: None, peers=list),
+        SimpleNamespace(**vars(idle), refuse_waiting_attempts=lambda: None),
+        idle,
+        None,
+        hand_over,
+        server,
+    )
+
+
+def read_late(connection, pause_s):
+    time.sleep(pause_s)
+    received = 0
+    with contextlib.suppress(OSError):
+        while chunk := connection.recv(READ_BYTES):
+            received += len(chunk)
+    return received
+
+
+@when(
+    "a caller begins to read the response {pause_ms:d} ms after a drain of "
+    "{drain_ms:d} ms began"
+)
+def step_read_late(context, pause_ms, drain_ms):
+    async def run():
+        port = context.fleet.free_port()
+        server = await start_server(context, port)
+        connection = await in_thread(connect, port)
+        connection.sendall(REQUEST)
+        await asyncio.sleep(SERVE_AFTER_S)
+        reading = asyncio.create_task(in_thread(read_late, connection, pause_ms / 1000))
+        began_at_s = time.monotonic()
+        await new_drain(server, drain_ms).run()
+        context.drain_ms = (time.monotonic() - began_at_s) * 1000
+        context.received_bytes = await reading
+        connection.close()
+
+    run_server(run())
+
+
+@then("the caller gets all bytes")
+def step_check_bytes(context):
+    assert context.received_bytes >= len(context.body), context.received_bytes
+
+
+@then("the drain ended within {limit_ms:d} ms")
+def step_check_drain_end(context, limit_ms):
+    assert context.drain_ms <= limit_ms, context.drain_ms
--- a/tests/features/webserver.feature
+++ b/tests/features/webserver.feature
@@ -14,3 +14,13 @@
     Given a server that closes connections that are idle for 60000 ms
     When 20 new connections send a request while the server is suspended and then stops listening
     Then all requests are answered
+
+  Scenario: A caller that reads late gets the whole response within the time of a drain
+    Given a server whose responses have 12000000 bytes
+    When a caller begins to read the response 1500 ms after a drain of 2500 ms began
+    Then the caller gets all bytes
+
+  Scenario: A caller that does not read does not delay the end of a drain
+    Given a server whose responses have 12000000 bytes
+    When a caller begins to read the response 4000 ms after a drain of 1000 ms began
+    Then the drain ended within 1400 ms
