Let a drain wait until its responses have been sent

A caller that read slowly lost the rest of a response that the daemon had written, although the drain had time left. The drain now waits, until its deadline, for what is still to be sent as it does for calls in flight.

--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -21,7 +21,7 @@
 __all__ = ["EXIT_MARGIN_MS", "FLUSH_TIMEOUT_MS", "Drain"]
 
 MAX_NOTIFIED_PEERS = 16
-#: The responses are already written; only the kernel's send buffers remain to be sent.
+#: For what is written at the deadline of the drain; earlier responses have been sent.
 FLUSH_TIMEOUT_MS = 200
 #: The process must exit before the platform kills it. The margin covers the flush
 #: timeout twice, and as much again because the processor may be shared.
@@ -69,6 +69,8 @@
                 calls=self.runner.in_flight.count,
                 attempts=self.guard.in_flight.count,
             )
+        if not await self.caller_server.wait_until_sent(deadline):
+            get_logger().warning("responses cut off")
         self.state.cut_off()
         await self.caller_server.close(Deadline.after_ms(FLUSH_TIMEOUT_MS))
         await self._finish_hand_over(handing_over, deadline)
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -104,6 +104,12 @@
         if in_header_section:
             self._time = header_started_at_s
 
+    def has_unsent_data(self) -> bool:
+        """Return whether a part of a response is still to be sent."""
+        return self.transport is not None and (
+            self.transport.get_write_buffer_size() > 0
+        )
+
     def close_if_idle(self) -> bool:
         """Close the connection unless it has received a part of a request.
 
@@ -208,6 +214,17 @@
         for connection in list(self._server.connections):
             connection.close_if_idle()
 
+    async def wait_until_sent(self, deadline: Deadline) -> bool:
+        """Wait until all responses that were written have been sent.
+
+        :returns: whether all were sent before the deadline.
+        """
+        while any(each.has_unsent_data() for each in self._server.connections):
+            if deadline.has_passed():
+                return False
+            await asyncio.sleep(IDLE_POLL_INTERVAL_S)
+        return True
+
     async def close(self, deadline: Deadline) -> None:
         """Stop listening and wait for the requests in flight until the deadline.
 
