Wait for keyed operations that begin while a drain waits

Repeats of a keyed request got "unknown" although the request had been answered, when it had reached a draining holder that was waiting for an earlier operation. The hand-over now waits until none runs, or until its deadline.

--- a/packages/laburnumscale/src/laburnumscale/keytable.py
+++ b/packages/laburnumscale/src/laburnumscale/keytable.py
@@ -124,15 +124,20 @@
         return await self._wait_for_reply(record, deadline)
 
     async def wait_for_operations(self, deadline: Deadline) -> None:
-        """Wait until no operation is running, or until the deadline."""
-        tasks = [
+        """Wait until no operation is running, or until the deadline.
+
+        Operations that begin meanwhile are waited for, too.
+        """
+        while (tasks := self._running_tasks()) and not deadline.has_passed():
+            await asyncio.wait(tasks, timeout=deadline.left_s())
+
+    def _running_tasks(self) -> list[asyncio.Task]:
+        return [
             record.task
             for home in self._homes.values()
             for record in home.records.values()
             if record.task is not None
         ]
-        if tasks:
-            await asyncio.wait(tasks, timeout=deadline.left_s())
 
     def export_tables(self, successor: peer_pb2.KeyHolder) -> list[peer_pb2.KeyTable]:
         """Stop accepting operations and return the tables for the successor.
