Refuse keys at a daemon that has handed its own over

Keyed requests got "unknown" for good when two daemons drained one after the other and the second hand-over went to the daemon whose own hand-over was over: it confirmed, and the keys of both ended with it. It now refuses, and the sender tries its next successor, since a refusal takes over nothing.

--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -22,6 +22,7 @@
     "EndpointMoved",
     "FileSyntaxInvalid",
     "FileUnreadable",
+    "HandOverRefused",
     "LaburnumscaleError",
     "LogReplyInvalid",
     "LogReplyOutdated",
@@ -344,3 +345,11 @@
     template: ClassVar[str] = (
         '{url}: the response to request "{request_id}" is for "{answered_id}"'
     )
+
+
+@dataclass(eq=False)
+class HandOverRefused(LaburnumscaleError):
+    """A daemon that has handed over its own operation keys takes over no others."""
+
+    daemon: str
+    template: ClassVar[str] = "daemon {daemon} has handed over its operation keys"
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -13,6 +13,7 @@
 from laburnumscale.callstate import Call
 from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import HandOverRefused
 from laburnumscale.failurereplies import not_run_reply, unknown_reply
 from laburnumscale.headers import end_to_end_headers
 from laburnumscale.keytable import KeyTable
@@ -112,8 +113,8 @@
     async def hand_over(self, deadline: Deadline) -> bool:
         """Hand all keys over to one successor.
 
-        Another successor is tried only if the connection to the previous one could not
-        be established: two daemons with the same keys could both run an operation.
+        Another successor is tried only if the previous one was not connected or
+        refused: two daemons with the same keys could both run an operation.
 
         :param deadline: how long to wait for running operations.
         :returns: whether a successor confirmed the hand-over.
@@ -129,7 +130,7 @@
                 await stub.HandOver(message, timeout=HAND_OVER_TIMEOUT_S)
             except grpc.aio.AioRpcError as error:
                 self._metrics.count("key_hand_over_failures")
-                if not _is_connect_failure(error):
+                if not (_is_connect_failure(error) or _is_refusal(error)):
                     return False
                 self._table.cancel_export()
                 continue
@@ -137,7 +138,12 @@
         return False
 
     def accept_hand_over(self, message: peer_pb2.KeyHandOver) -> None:
-        """Take over the keys of a draining daemon and announce them by gossip."""
+        """Take over the keys of a draining daemon and announce them by gossip.
+
+        :raises HandOverRefused: this daemon has handed over its own keys and ends.
+        """
+        if self._table.successor is not None:
+            raise HandOverRefused(self._members.own.daemon)
         for table in message.tables:
             if not self._table.holds_keys_of(
                 (table.home.daemon, table.home.incarnation)
@@ -275,6 +281,10 @@
     return error.code() == grpc.StatusCode.UNAVAILABLE and connect_failed
 
 
+def _is_refusal(error: grpc.aio.AioRpcError) -> bool:
+    return error.code() == grpc.StatusCode.FAILED_PRECONDITION
+
+
 def _fingerprint(message: peer_pb2.KeyedCall) -> bytes:
     head = message.head
     digest = xxhash.xxh3_128()
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -11,7 +11,7 @@
 from laburnumscale.addresses import Address
 from laburnumscale.attemptsettler import AttemptSettler
 from laburnumscale.channels import FLOW_CONTROL_OPTIONS
-from laburnumscale.errors import AddressInUse, BodyIncomplete
+from laburnumscale.errors import AddressInUse, BodyIncomplete, HandOverRefused
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
@@ -119,7 +119,10 @@
     async def HandOver(  # noqa: N802
         self, request: peer_pb2.KeyHandOver, context: grpc.aio.ServicerContext
     ) -> peer_pb2.KeyHandOverReply:
-        self._keyed_calls.accept_hand_over(request)
+        try:
+            self._keyed_calls.accept_hand_over(request)
+        except HandOverRefused as error:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(error))
         return peer_pb2.KeyHandOverReply()
 
 
