Let stand-ins end their process when they run a marked request

No stand-in could crash because of a request, so no test could show what a request does that crashes each target that runs it, and the ledger of a process ends with it.

--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from tests.standins.crashing import CrashingRequests
 from tests.standins.serving import serve, target_parser
 from tests.standins.streams import abort
 
@@ -54,6 +55,7 @@
         self.instance = options.endpoint
         self.born = int(time.time() * 1000)
         self._sequence = itertools.count(1)
+        self._crashing_requests = CrashingRequests(options)
 
     def app(self) -> web.Application:
         """Return the web application with its routes and the heartbeat task."""
@@ -94,6 +96,7 @@
             headers["Server-Leaving"] = "1"
         if request.headers.get("X-Expected-Instance") != self.instance:
             return web.Response(status=421, headers=headers)
+        await self._crashing_requests.admit(request)
         if self.shed:
             return web.Response(status=503, headers=headers | {"X-Not-Executed": "1"})
         if self.reset:
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from tests.standins.crashing import add_crash_options
+
 __all__ = ["port_parser", "serve", "target_parser"]
 
 
@@ -27,6 +29,7 @@
     parser.add_argument("--endpoint", required=True)
     parser.add_argument("--slots", type=int, default=5)
     parser.add_argument("--latency-ms", type=float, default=1.0)
+    add_crash_options(parser)
     return parser
 
 
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from tests.standins.crashing import CrashingRequests
 from tests.standins.serving import serve, target_parser
 
 __all__ = ["TargetStandIn"]
@@ -72,6 +73,7 @@
         self.endless = ""
         self.endless_bytes = 0
         self._call_count = 0
+        self._crashing_requests = CrashingRequests(options)
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -107,6 +109,7 @@
 
     async def run_call(self, request: web.Request) -> web.Response:
         """Run a call and record it in the ledger."""
+        await self._crashing_requests.admit(request)
         digest = hashlib.sha256()
         size = 0
         async for chunk in request.content.iter_any():
