--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -88,6 +88,7 @@
     port: int
     process: subprocess.Popen
     arguments: list[str] = attrs.field(factory=list)
+    kind: str = "target"
 
     def ledger(self) -> list[dict]:
         """Return the calls that the target has run."""
@@ -191,9 +192,13 @@
 
 
 class Fleet:
-    """Processes of one test; ``close`` stops them all."""
+    """Processes of one test; ``close`` stops them all.
+
+    :ivar cleanups: what ``close`` does before it kills the processes.
+    """
 
     def __init__(self, directory: str | None = None) -> None:
+        self.cleanups = contextlib.ExitStack()
         self._scratch = tempfile.TemporaryDirectory()
         self.directory = Path(directory or self._scratch.name)
         self.processes: list[subprocess.Popen] = []
@@ -338,14 +343,15 @@
             for part in (f"--{name.replace('_', '-')}", str(value))
         ]
         process = self.start(endpoint, "-m", f"tests.standins.{kind}", *arguments)
-        target = TargetProcess(service, endpoint, port, process, arguments)
+        target = TargetProcess(service, endpoint, port, process, arguments, kind)
         self.targets[endpoint] = target
         return target
 
     def restart_target(self, endpoint: str) -> TargetProcess:
         """Restart a target that has exited, with the same options and port."""
         old = self.targets[endpoint]
-        process = self.start(endpoint, "-m", "tests.standins.target", *old.arguments)
+        module = f"tests.standins.{old.kind}"
+        process = self.start(endpoint, "-m", module, *old.arguments)
         self.targets[endpoint] = attrs.evolve(old, process=process)
         return self.targets[endpoint]
 
@@ -381,6 +387,7 @@
 
     def close(self) -> None:
         """Kill all processes that were started and release the ports."""
+        self.cleanups.close()
         for process in self.processes:
             with contextlib.suppress(ProcessLookupError):
                 os.kill(process.pid, signal.SIGCONT) if process.poll() is None else None
