--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -64,11 +64,13 @@
 def start_platform_daemon(context, name, data_centre, **settings):
     ports = context.fleet.daemon_ports(name)
     ports.setdefault("readiness", context.fleet.free_port())
+    settings.setdefault(
+        "caller_service", "slot-desk" if name == "d1" else "proof-vault"
+    )
     return context.fleet.start_daemon(
         name,
         data_centre,
         platform="laburnumscale_platform",
-        caller_service="slot-desk" if name == "d1" else "proof-vault",
         routes_only=True,
         readiness_address=f"127.0.0.1:{ports['readiness']}",
         retry_budget_percent=20,
