Refuse a call after three targets have ended under it

What callers saw: a lookup that ends each target that begins to run it came again and again, as a new request at any daemon. Each repeat took up to two more targets out of service for seconds, with the calls that they ran; up to a tenth of all others were not served.

Cause: nothing recognised the call when it came again. An entry counts the attempts of one request id, a guard the failures of one target, and a lookup whose target ended was sent to a second one at once. Ruled out: ejection as the cause, which is per target while the harm follows the call; broken paths, since the targets were gone.

Evidence: a guard whose connection breaks while the target runs an attempt checks whether the target still accepts connections. The check is shared by all attempts that the target ran, so one end counts once. Targets that leave, freeze or only close a connection give no evidence. All calls that the target ran become suspects; a good answer to one of their repeats clears them.

Change: the call is identified by service, route, method, path, caller (service and credentials) and body; of a streamed body only the declared length counts, as it is not read ahead. Guards put the evidence into their reply and all daemons gossip it, with the table exchange for daemons that have just started. Records merge in any order. After one end a call still gets its retry, after two it does not, after three all entries and guards refuse it for ten minutes, at once, as not run and with the time that is left; after that one more end renews the refusal. At most 1,024 records of about 200 bytes are kept and each is gossiped 2 + 2 log10(n) times by a daemon, so nothing grows faster than the logarithm of the fleet. Operators see and release such calls.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -10,6 +10,7 @@
 from laburnumscale.answersizes import AnswerSizes
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
 from laburnumscale.callerresponses import buffered_response, stream_response
+from laburnumscale.callfingerprint import call_fingerprint
 from laburnumscale.callstate import (
     MIN_RETRY_TIME_MS,
     AttemptSummary,
@@ -34,6 +35,7 @@
     reason_name,
 )
 from laburnumscale.problems import problem_response
+from laburnumscale.quarantine import Quarantine
 from laburnumscale.retrybudget import RetryBudget
 from laburnumscale.routing import Router
 from laburnumscale_schema import peer_pb2
@@ -50,6 +52,7 @@
     :param names: names of the header fields for callers and targets.
     :param caller_service: service that the callers of this daemon belong to.
     :ivar in_flight: the calls in progress.
+    :ivar quarantine: the calls that are refused because their targets ended.
     :ivar drain_state: by when calls must have ended, if the daemon drains.
     """
 
@@ -68,6 +71,7 @@
         self._attempt_client = attempt_client
         self._router = router
         self._metrics = metrics
+        self.quarantine = Quarantine(metrics)
         self._budget = budget
         self._names = names
         self._daemon_header_names = names.set_by_daemons()
@@ -86,7 +90,7 @@
         with self.in_flight.track():
             percent = call.settings.retry_budget_percent
             self._budget.add_call(call.service, percent)
-            outcome, response = await self._try_targets(call)
+            outcome, response = await self._run_unless_quarantined(call)
             self._release_reserved_retry(call)
         if isinstance(outcome, Answered) or call.answer_started:
             return outcome, response
@@ -94,6 +98,40 @@
         outcome = call.last_unknown or outcome
         return outcome, problem_response(outcome, call.request_id, names=self._names)
 
+    async def _run_unless_quarantined(
+        self, call: Call
+    ) -> tuple[Outcome, HTTPResponse | None]:
+        refused_for_ms = 0
+        if len(self.quarantine):
+            refused_for_ms = self.quarantine.refused_for_ms(self._fingerprint(call))
+        if refused_for_ms:
+            self._metrics.count("calls_quarantined", f'service="{call.service}"')
+            return NotRun(peer_pb2.NOT_RUN_REASON_QUARANTINED, refused_for_ms), None
+        outcome, response = await self._try_targets(call)
+        if len(self.quarantine) and _is_good_answer(outcome):
+            self.quarantine.record_answer(self._fingerprint(call))
+        return outcome, response
+
+    def _fingerprint(self, call: Call) -> bytes:
+        """Return the fingerprint of a call, as the guards of its targets compute it."""
+        if not call.fingerprint:
+            head = peer_pb2.CallHead(
+                service=call.service,
+                method=call.request.method,
+                path_and_query=call.path_and_query,
+                headers=self._target_headers(call.request),
+                route=call.route_hash,
+            )
+            name = self._names.caller_service
+            call.fingerprint = call_fingerprint(head, call.body, name)
+        return call.fingerprint
+
+    def _may_run_again(self, call: Call, outcome: Outcome) -> bool:
+        """Return whether a call may be sent to a target after its latest attempt."""
+        if not isinstance(outcome, Unknown) or not len(self.quarantine):
+            return True
+        return self.quarantine.allows_retry(self._fingerprint(call))
+
     async def _try_targets(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         outcome: Outcome = NotRun(
             peer_pb2.NOT_RUN_REASON_NO_TARGET, DEFAULT_RETRY_AFTER_MS
@@ -116,7 +154,11 @@
                     return outcome, response
                 answer = outcome, response
             call.record_outcome(outcome, view.endpoint)
-            if not call.may_retry(outcome) or not self._charge_retry(call, outcome):
+            if not (
+                call.may_retry(outcome)
+                and self._may_run_again(call, outcome)
+                and self._charge_retry(call, outcome)
+            ):
                 break
         return answer or (outcome, None)
 
@@ -214,6 +256,7 @@
                 attempt.record_reply(first)
                 outcome = failure_outcome(first)
                 if outcome is not None:
+                    self._record_suspect(first)
                     return outcome, None
                 if first.end:
                     self._answer_sizes.add(call.route_hash, len(first.body))
@@ -228,6 +271,11 @@
         finally:
             attempt.record_end()
 
+    def _record_suspect(self, reply: peer_pb2.CallReply) -> None:
+        """Record that a call is suspect if the reply says so."""
+        if reply.unknown.HasField("suspect"):
+            self.quarantine.merge(reply.unknown.suspect)
+
     def _attempt_request(self, call: Call, view: EndpointView) -> AttemptRequest:
         head = peer_pb2.CallHead(
             request_id=call.request_id,
@@ -270,3 +318,7 @@
             name = self._names.caller_service
             headers.append(peer_pb2.Header(name=name, value=self._caller_service))
         return headers
+
+
+def _is_good_answer(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status < SERVER_ERROR
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -82,6 +82,7 @@
     :ivar answer_started: the first part of an answer was sent to the caller.
     :ivar failover_result: outcome and response of a failover that was answered while
         the attempt that it replaces had no reply.
+    :ivar fingerprint: identifies the call and its repeats; empty if not computed yet.
     :ivar route_hash: hash by which daemons refer to the route.
     :ivar attempt_summaries: results of the attempts so far, for the log.
     """
@@ -110,6 +111,7 @@
     queue_refusals: int = 0
     doubtful_endpoints: set[str] = attrs.field(factory=set)
     accepts_doubt: bool = False
+    fingerprint: bytes = b""
     route_hash: int = attrs.field(init=False)
 
     @route_hash.default
@@ -232,6 +234,8 @@
             return False
         if isinstance(outcome, Unknown) and not self.idempotent:
             return False
+        if _has_reason(outcome, peer_pb2.NOT_RUN_REASON_QUARANTINED):
+            return False
         if self.exempt_attempts >= MAX_EXEMPT_ATTEMPTS:
             return False
         if self.queue_refusals >= MAX_QUEUE_REFUSALS:
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -37,6 +37,7 @@
 from laburnumscale.peers import PEER_SERVER_GRACE_S, serve_peers
 from laburnumscale.peertraffic import PeerTraffic
 from laburnumscale.platforms import get_platform_by_name
+from laburnumscale.quarantine import Quarantine
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreloader import SettingsReloader
 from laburnumscale.transmission import SendOnceRequest, TargetConnector
@@ -179,6 +180,7 @@
             feed=SettingsFeed(metrics, settings.isolation_ms),
             channels=PeerChannels(settings.peer_address_overrides, traffic),
             drain_state=self._drain_state,
+            quarantine=Quarantine(metrics),
         )
 
     def _start_background_tasks(
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -25,6 +25,8 @@
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale.platformlog import LogClient
 from laburnumscale.platforms import Platform
+from laburnumscale.quarantine import Quarantine
+from laburnumscale.quarantineapi import QuarantineApi
 from laburnumscale.recovery import TargetRecovery
 from laburnumscale.retrybudget import RetryBudget
 from laburnumscale.routing import Router
@@ -62,6 +64,7 @@
     feed: SettingsFeed
     channels: PeerChannels
     drain_state: DrainState
+    quarantine: Quarantine
 
 
 @attrs.frozen(eq=False)
@@ -106,6 +109,7 @@
         seeds=shared.settings.seed_addresses,
         revision=lambda: feed.tree.revision,
         on_newer_revision=feed.record_peer_revision,
+        quarantine=shared.quarantine,
     )
 
 
@@ -127,6 +131,7 @@
     )
     guard.answer_limit_bytes = shared.settings.answer_limit_bytes
     guard.drain_state = shared.drain_state
+    guard.quarantine = shared.quarantine
     return GuardRole(targets, stalls, health, guard)
 
 
@@ -168,6 +173,7 @@
         settings.caller_service,
     )
     runner.drain_state = shared.drain_state
+    runner.quarantine = shared.quarantine
     key_table = KeyTable(
         settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
     )
@@ -204,4 +210,5 @@
         entry_role.router,
         shared.metrics,
         settings_api,
+        QuarantineApi(shared.quarantine),
     )
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -25,6 +25,7 @@
 from laburnumscale.peertraffic import PeerTraffic
 from laburnumscale.platformlog import LogClient
 from laburnumscale.presence import PresenceStream
+from laburnumscale.quarantine import Quarantine
 from laburnumscale.suspicions import SuspicionTimers
 from laburnumscale.tableexchange import TableExchange
 from laburnumscale_schema import gossip_pb2, peer_pb2
@@ -65,6 +66,7 @@
     :param revision: returns the settings revision of this daemon.
     :param on_newer_revision: called with a newer settings revision and the peer
         address of the daemon that has it.
+    :param quarantine: the suspect calls, which daemons tell each other of.
     """
 
     def __init__(
@@ -77,7 +79,9 @@
         seeds: Sequence[Address] = (),
         revision: Callable[[], int] = lambda: 0,
         on_newer_revision: Callable[[int, str], None] = lambda revision, address: None,
+        quarantine: Quarantine | None = None,
     ) -> None:
+        self._quarantine = quarantine or Quarantine(metrics)
         self._members = members
         self._channels = channels
         self._metrics = metrics
@@ -86,13 +90,17 @@
         self._health = LocalHealth()
         traffic = PeerTraffic(members, metrics)
         self._socket = DatagramSocket(channels.overrides, metrics, traffic)
-        self._gossip_sender = GossipSender(members, self._socket, revision)
+        self._gossip_sender = GossipSender(
+            members, self._socket, revision, self._quarantine
+        )
         self._suspicions = SuspicionTimers(members, self._health, metrics)
         self._detector = FailureDetector(
             members, self._gossip_sender, self._health, metrics
         )
         self._merger = EntryMerger(members, self._detector.ping, metrics)
-        self.exchange = TableExchange(members, self._merger, channels, metrics)
+        self.exchange = TableExchange(
+            members, self._merger, channels, metrics, self._quarantine
+        )
         presence = None if log is None else PresenceStream(log, members, metrics)
         self._discovery = PeerDiscovery(
             members, presence, self.exchange, metrics, seeds
@@ -218,6 +226,8 @@
         self._health.record_datagram()
         for update in datagram.updates:
             self._merge_update(update)
+        for suspect in datagram.suspect_calls:
+            self._quarantine.merge(suspect)
         sender = self._resolve_sender(datagram)
         self._compare_state(datagram)
         if datagram.kind == PING:
--- a/packages/laburnumscale/src/laburnumscale/gossipsender.py
+++ b/packages/laburnumscale/src/laburnumscale/gossipsender.py
@@ -9,13 +9,16 @@
 from laburnumscale.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
 from laburnumscale.memberentries import without_endpoints
 from laburnumscale.members import Members
-from laburnumscale.updatequeue import UpdateQueue
+from laburnumscale.quarantine import Quarantine
+from laburnumscale.suspectqueue import SuspectQueue
+from laburnumscale.updatequeue import FIELD_OVERHEAD_BYTES, UpdateQueue
 from laburnumscale_schema import gossip_pb2, peer_pb2
 
 __all__ = ["GossipSender"]
 
 SEND_RATE_BYTES_PER_S = 3_000
 MAX_BURST_BYTES = 24_000
+MAX_SUSPECT_BYTES = 700  # half of a datagram; the rest is for membership updates
 
 
 class GossipSender:
@@ -27,7 +30,11 @@
     """
 
     def __init__(
-        self, members: Members, socket: DatagramSocket, revision: Callable[[], int]
+        self,
+        members: Members,
+        socket: DatagramSocket,
+        revision: Callable[[], int],
+        quarantine: Quarantine,
     ) -> None:
         self._members = members
         self._socket = socket
@@ -36,6 +43,8 @@
         self._refilled_at_s = time.monotonic()
         self.queue = UpdateQueue()
         members.on_change(self.queue.add)
+        self._suspects = SuspectQueue()
+        quarantine.on_change(self._suspects.add)
 
     def send(
         self,
@@ -57,13 +66,21 @@
             datagram.updates.append(_liveness_update(member))
         available_bytes = MAX_DATAGRAM_BYTES - datagram.ByteSize()
         available_bytes = min(available_bytes, self._refill_budget())
+        suspects = self._suspects.take_batch(
+            min(available_bytes, MAX_SUSPECT_BYTES), self._members.group_size
+        )
+        datagram.suspect_calls.extend(suspects)
+        available_bytes -= sum(
+            each.ByteSize() + FIELD_OVERHEAD_BYTES for each in suspects
+        )
         updates = self.queue.take_batch(available_bytes, self._members.group_size)
         datagram.updates.extend(updates)
         self._budget_bytes -= self._socket.send(recipient.peer_address, datagram)
 
     def can_send_updates(self) -> bool:
         """Return whether urgent updates are queued and the budget allows a datagram."""
-        return self.queue.has_urgent() and self._refill_budget() >= MAX_DATAGRAM_BYTES
+        has_updates = self.queue.has_urgent() or len(self._suspects) > 0
+        return has_updates and self._refill_budget() >= MAX_DATAGRAM_BYTES
 
     def _refill_budget(self) -> int:
         now_s = time.monotonic()
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -13,6 +13,7 @@
 
 from laburnumscale.attemptmonitor import AttemptMonitor
 from laburnumscale.attempttable import Attempt, AttemptState, AttemptTable
+from laburnumscale.callfingerprint import call_fingerprint
 from laburnumscale.daemonsettings import DEFAULT_ANSWER_LIMIT_BYTES
 from laburnumscale.deadlines import Deadline, now_s
 from laburnumscale.drainstate import DrainState
@@ -32,9 +33,11 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.quarantine import Quarantine
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slots import hold_slot
+from laburnumscale.targetends import TargetEnds
 from laburnumscale.targetlimit import parse_rate
 from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale.targetresponses import iter_replies
@@ -56,6 +59,7 @@
     :ivar attempts: the attempts received from entries, kept for settling.
     :ivar in_flight: counter of the attempts in progress.
     :ivar drain_state: whether and until when attempts are run.
+    :ivar quarantine: the calls that are refused because their targets ended.
     :ivar answer_limit_bytes: maximum size of the body of a target's response.
     """
 
@@ -82,6 +86,8 @@
         self._health = health
         self._session = session
         self._metrics = metrics
+        self.quarantine = Quarantine(metrics)
+        self._target_ends = TargetEnds()
 
     async def run_attempt(
         self, head: peer_pb2.CallHead, body: bytes | AsyncIterator[bytes]
@@ -137,6 +143,7 @@
             self._refuse_if_stale(head, settings)
             if send_deadline.has_passed():
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DEADLINE)
+            self._refuse_if_quarantined(head, body)
             self._adopt_notice(head)
             target = self._get_available_target(head)
             transmission = Transmission(attempt, send_deadline, deadline)
@@ -146,6 +153,7 @@
             ):
                 async with hold_slot(target, settings, transmission, head):
                     self._get_available_target(head)
+                    self._refuse_if_quarantined(head, body)
                     reply_stream = self._send_to_target(
                         target, settings, head, body, transmission
                     )
@@ -197,6 +205,53 @@
                 peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, STALE_RETRY_AFTER_MS
             )
 
+    def _refuse_if_quarantined(
+        self, head: peer_pb2.CallHead, body: bytes | AsyncIterator[bytes]
+    ) -> None:
+        """Refuse an attempt of a call under which several targets have ended.
+
+        :raises AttemptRefused: the call is quarantined.
+        """
+        if not len(self.quarantine):
+            return
+        refused_for_ms = self.quarantine.refused_for_ms(self._fingerprint(head, body))
+        if refused_for_ms:
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_QUARANTINED, retry_after_ms=refused_for_ms
+            )
+
+    def _fingerprint(
+        self, head: peer_pb2.CallHead, body: bytes | AsyncIterator[bytes]
+    ) -> bytes:
+        return call_fingerprint(head, body, self._header_names.caller_service)
+
+    async def _lost_reply(
+        self,
+        reason: int,
+        target: LocalTarget,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
+    ) -> peer_pb2.CallReply:
+        """Return the reply to an attempt whose connection broke.
+
+        If the target has ended, the call is recorded as suspect.
+        """
+        target_end = await self._target_ends.find_end(target)
+        reply = unknown_reply(reason, target.load(head.route))
+        if target_end:
+            get_logger().warning(
+                "target ended while it ran a call",
+                request_id=head.request_id,
+                service=target.service,
+                endpoint=target.endpoint,
+                target_end=f"{target_end:x}",
+            )
+            suspect = self.quarantine.record_target_end(
+                self._fingerprint(head, body), target_end, head
+            )
+            reply.unknown.suspect.CopyFrom(suspect.message())
+        return reply
+
     def _record_final_reply(
         self, attempt: Attempt, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
     ) -> None:
@@ -251,8 +306,9 @@
             attempt_monitor.record_connection_failure()
             if transmission.attempt.state is AttemptState.WAITING:
                 raise AttemptRefused(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED) from None
-            yield unknown_reply(
-                peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load(head.route)
+            # aiohttp has tried a second connection after the first one broke.
+            yield await self._lost_reply(
+                peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target, head, body
             )
         except TimeoutError:
             yield unknown_reply(
@@ -260,8 +316,8 @@
             )
         except aiohttp.ClientPayloadError:
             attempt_monitor.record_connection_failure()
-            yield unknown_reply(
-                peer_pb2.UNKNOWN_REASON_CUT_SHORT, target.load(head.route)
+            yield await self._lost_reply(
+                peer_pb2.UNKNOWN_REASON_CUT_SHORT, target, head, body
             )
         except BodyIncomplete:
             attempt_monitor.discard()
@@ -276,8 +332,8 @@
             )
         except (aiohttp.ClientError, AttemptSentTwice):
             attempt_monitor.record_connection_failure(transmission.reused)
-            yield unknown_reply(
-                peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target.load(head.route)
+            yield await self._lost_reply(
+                peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target, head, body
             )
         finally:
             attempt_monitor.end()
--- a/packages/laburnumscale/src/laburnumscale/operatorapi.py
+++ b/packages/laburnumscale/src/laburnumscale/operatorapi.py
@@ -8,6 +8,7 @@
 
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.quarantineapi import QuarantineApi
 from laburnumscale.routing import Router, selection_to_dict
 from laburnumscale.settingsapi import SettingsApi, message_to_dict
 from laburnumscale.settingsfeed import SettingsFeed
@@ -21,6 +22,7 @@
     """Handles the requests of operators, of health checks and for metrics.
 
     :param settings: handles the requests that concern the settings.
+    :param quarantine: handles the requests that concern quarantined calls.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         router: Router,
         metrics: Metrics,
         settings: SettingsApi,
+        quarantine: QuarantineApi,
     ) -> None:
         self._members = members
         self._feed = feed
@@ -38,6 +41,7 @@
         self._router = router
         self._metrics = metrics
         self._settings_api = settings
+        self._quarantine_api = quarantine
 
     def app(self) -> Sanic:
         """Return the HTTP application for operators."""
@@ -48,6 +52,7 @@
         app.add_route(self.status, "/v1/status")
         app.add_route(self.selection, "/v1/selection/<service:str>")
         self._settings_api.add_routes(app)
+        self._quarantine_api.add_routes(app)
         app.add_route(
             self.drain, "/v1/drain/<service:str>/<endpoint:str>", methods=["POST"]
         )
--- a/packages/laburnumscale/src/laburnumscale/tableexchange.py
+++ b/packages/laburnumscale/src/laburnumscale/tableexchange.py
@@ -14,6 +14,7 @@
 from laburnumscale.members import Members
 from laburnumscale.merger import EntryMerger
 from laburnumscale.metrics import Metrics
+from laburnumscale.quarantine import Quarantine
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["TableExchange"]
@@ -21,6 +22,7 @@
 MIN_BUCKET_COUNT = 16
 MAX_BUCKET_COUNT = 256
 EXCHANGE_TIMEOUT_S = 2.0
+MAX_EXCHANGED_SUSPECTS = 64
 
 
 def bucket_index(daemon: str, bucket_count: int) -> int:
@@ -51,6 +53,9 @@
 class TableExchange:
     """Client and server side of the exchange of membership tables.
 
+    Daemons also tell each other of suspect calls, so that one that has just started
+    knows them.
+
     :ivar last_started_at_s: monotonic time at which this daemon last started an
         exchange, in seconds; 0 for never.
     """
@@ -61,7 +66,9 @@
         merger: EntryMerger,
         channels: PeerChannels,
         metrics: Metrics,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self.last_started_at_s = 0.0
         self._members = members
         self._merger = merger
@@ -93,6 +100,8 @@
     def _process_request(self, request: peer_pb2.MemberTable) -> peer_pb2.MemberTable:
         reply = peer_pb2.MemberTable(sender=self._members.own.daemon)
         if request.bucket_digests:
+            reply.suspect_calls.extend(self._suspect_messages())
+            self._merge_suspects(request)
             self._add_differing_digests(reply, list(request.bucket_digests))
             known = self._members.get(request.sender)
             if known is not None:
@@ -112,8 +121,10 @@
         digest_request.bucket_digests.extend(
             bucket_digests(self._members.digests(), bucket_count)
         )
+        digest_request.suspect_calls.extend(self._suspect_messages())
         reply = await stub.ExchangeMembers(digest_request, timeout=EXCHANGE_TIMEOUT_S)
         self._count_bytes(digest_request, reply)
+        self._merge_suspects(reply)
         self._merge_members(reply)
         entry_request = self._build_entry_request(reply, announce_self, bucket_count)
         if entry_request.members or entry_request.wanted:
@@ -148,6 +159,13 @@
         for member in reply.members:
             self._merger.merge_table_entry(member)
 
+    def _suspect_messages(self) -> list[peer_pb2.SuspectCall]:
+        return self._quarantine.messages(MAX_EXCHANGED_SUSPECTS)
+
+    def _merge_suspects(self, table: peer_pb2.MemberTable) -> None:
+        for suspect in table.suspect_calls:
+            self._quarantine.merge(suspect)
+
     def _add_differing_digests(
         self, reply: peer_pb2.MemberTable, peer_digests: list[int]
     ) -> None:
--- a/packages/laburnumscale/src/laburnumscale/updatequeue.py
+++ b/packages/laburnumscale/src/laburnumscale/updatequeue.py
@@ -16,7 +16,7 @@
 )
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["UpdateQueue", "send_limit"]
+__all__ = ["FIELD_OVERHEAD_BYTES", "UpdateQueue", "send_limit"]
 
 BASE_SENDS = 2
 SENDS_PER_DECADE = 2
--- a/packages/laburnumscalectl/src/laburnumscalectl/cli.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/cli.py
@@ -13,6 +13,7 @@
 from laburnumscalectl.changes import publish, remove, settle
 from laburnumscalectl.client import DaemonUnreachable, OperatorClient
 from laburnumscalectl.logfiles import parse_log_lines
+from laburnumscalectl.quarantine import release, show_quarantine
 from laburnumscalectl.tracing import trace_request
 from laburnumscalectl.views import explain, history, show, status
 
@@ -31,6 +32,8 @@
   laburnumscalectl --daemon 127.0.0.1:7002 settle 5b1f0c9e
   laburnumscalectl --daemon 127.0.0.1:7002 status
   laburnumscalectl --daemon 127.0.0.1:7002 drain slot-desk e3
+  laburnumscalectl --daemon 127.0.0.1:7002 quarantine
+  laburnumscalectl --daemon 127.0.0.1:7002 release 6f1d0a52c47be8093bd9a1e25c07f468
   laburnumscalectl trace 9c41d07be2a35f68 d1.log d2.log d3.log
 
 exit codes:
@@ -90,6 +93,7 @@
     )
     command.add_argument("service")
     command.add_argument("endpoint")
+    _add_quarantine_commands(commands)
     command = _add_command(commands, "trace", trace, "show how a request was handled")
     command.set_defaults(needs_daemon=False)
     command.add_argument(
@@ -137,6 +141,23 @@
     _add_author(command)
 
 
+def _add_quarantine_commands(commands) -> None:
+    _add_command(
+        commands,
+        "quarantine",
+        show_quarantine,
+        "show the calls under which targets ended",
+    )
+    command = _add_command(commands, "release", release, "release refused calls")
+    selection = command.add_mutually_exclusive_group(required=True)
+    selection.add_argument(
+        "fingerprint", nargs="*", default=[], help="as shown by quarantine"
+    )
+    selection.add_argument(
+        "--all", action="store_true", help="all that the daemon knows of"
+    )
+
+
 def _add_change_options(command: argparse.ArgumentParser) -> None:
     _add_author(command)
     command.add_argument(
--- a/packages/laburnumscalectl/src/laburnumscalectl/client.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/client.py
@@ -98,6 +98,15 @@
         value = self._request("GET", f"/v1/explain?{query}")
         return json_format.ParseDict(value, settings_pb2.Explanation())
 
+    def quarantine(self) -> list[dict]:
+        """Return the calls that are suspect or refused because targets ended."""
+        return self._request("GET", "/v1/quarantine")["calls"]
+
+    def release(self, fingerprint: str) -> None:
+        """Release a suspect or refused call."""
+        quoted = urllib.parse.quote(fingerprint, safe="")
+        self._request("POST", f"/v1/quarantine/{quoted}/release", b"")
+
     def drain(self, service: str, endpoint: str) -> None:
         """Drain a target on the host of the daemon."""
         self._request("POST", f"/v1/drain/{service}/{endpoint}", b"")
--- a/tests/features/steps/members_views_steps.py
+++ b/tests/features/steps/members_views_steps.py
@@ -22,6 +22,7 @@
 from laburnumscale.merger import EntryMerger
 from laburnumscale.metrics import Metrics
 from laburnumscale.peersampling import sample_peers, shuffled_probe_order
+from laburnumscale.quarantine import Quarantine
 from laburnumscale.tableexchange import TableExchange
 from laburnumscale.updatequeue import UpdateQueue, send_limit
 from laburnumscale_schema import gossip_pb2, peer_pb2
@@ -330,7 +331,11 @@
 def step_exchange_tables(context):
     first, second = (
         TableExchange(
-            table, EntryMerger(table, lambda peer: None, Metrics()), None, Metrics()
+            table,
+            EntryMerger(table, lambda peer: None, Metrics()),
+            None,
+            Metrics(),
+            Quarantine(Metrics()),
         )
         for table in context.tables
     )
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -40,6 +40,7 @@
     ),
     "call_latency": "latency of calls at their entry, by service",
     "calls": "calls at their entry, by service and outcome",
+    "calls_quarantined": "calls refused at their entry as targets ended under them",
     "comparisons_voided": (
         "ejections for slowness revoked because most targets of the "
         "service look bad or its median latency has risen"
@@ -132,6 +133,8 @@
     "settings_snapshots_missing": "restarts that found no usable snapshot in the log",
     "settings_snapshots_written": "settings snapshots written to the log",
     "settle_questions": "queries for the outcome of an attempt whose reply was lost",
+    "suspect_calls": "calls at a guard under which their target ended, by service",
+    "suspect_calls_invalid": "records of suspect calls of peers that are invalid",
     "suspicions_refuted": "suspicions of this daemon that it refuted",
     "targets_gone": "lapsed targets removed as they were not announced again",
     "targets_lapsed": "targets whose lease expired",
