--- a/tests/features/draining.feature
+++ b/tests/features/draining.feature
@@ -36,3 +36,30 @@
     And the fleet is ready with the settings of bantayog
     When a simulated entry's holds fill the slots of e1 and one more waits when d1 gets SIGTERM
     Then the hold that waits ends as not_run draining within 2000 ms
+
+  Scenario: A request that is complete only after the notice period is refused at once
+    Given a fleet of 2 daemons that drain for at most 5000 ms
+    And target p1 of proof-vault beside d2 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    And 4 callers keep connections to d1 open
+    And all targets respond after 3500 ms from now on
+    When d1 gets SIGTERM while p1 runs a hold from d1, and the callers end holds that they began between 2600 and 3000 ms after it
+    Then each hold was refused within 200 ms and names a time to retry
+    And no target ran any of them
+
+  Scenario: A call through the daemon of a target that runs its last attempt is served
+    Given a fleet of 2 daemons that drain for at most 5000 ms
+    And target p1 of proof-vault beside d1 that responds after 3300 ms
+    And target e1 of slot-desk beside d2 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM while p1 runs a lookup from d2
+    Then 2600 ms after it d1 serves a lookup of slot-desk with 800 ms left
+    And it refuses one of proof-vault with 60000 ms left
+
+  Scenario: A keyed call has its whole time limit at its holder while its entry drains
+    Given a fleet of 2 daemons that drain for at most 3000 ms
+    And target p1 of proof-vault beside d2 that responds after 4000 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM and gets a hold with a key of d2
+    Then d2 answers a repeat of that hold with status 200
+    And p1 ran it once
--- a/tests/features/steps/draining_steps.py
+++ b/tests/features/steps/draining_steps.py
@@ -55,6 +55,16 @@
     caller.join()
 
 
+@when(
+    "d1 gets SIGTERM while p1 runs a hold from d1, and the callers end holds that they "
+    "began between {first_ms:d} and {last_ms:d} ms after it"
+)
+def step_end_holds_beside_another(context, first_ms, last_ms):
+    caller, _ = start_running_hold(context)
+    send_in_drain(context, first_ms, last_ms, begin_now=True)
+    caller.join()
+
+
 def start_running_hold(context):
     target = context.fleet.targets["p1"]
     known = len(target.ledger())
@@ -63,10 +73,10 @@
     return caller, replies
 
 
-def send_in_drain(context, first_ms, last_ms):
+def send_in_drain(context, first_ms, last_ms, begin_now=False):
     process = context.fleet.daemons["d1"].process
     process.send_signal(signal.SIGTERM)
-    context.kept.spread_requests(first_ms / 1000, last_ms / 1000)
+    context.kept.spread_requests(first_ms / 1000, last_ms / 1000, begin_now)
     context.holds = context.kept.wait()
     process.wait(TERM_TIMEOUT_S)
     context.ran = {
@@ -115,6 +125,77 @@
         assert hold.elapsed_s * 1000 <= limit_ms, hold
 
 
+@then("each hold was refused within {limit_ms:d} ms and names a time to retry")
+def step_all_refused_at_once(context, limit_ms):
+    for hold in context.holds:
+        assert hold.status == STATUS_NOT_RUN and hold.has_retry_after, hold
+        assert hold.elapsed_s * 1000 <= limit_ms, hold
+
+
+@when("d1 gets SIGTERM while p1 runs a lookup from d2")
+def step_last_attempt(context):
+    target = context.fleet.targets["p1"]
+    daemon = context.fleet.daemons["d2"]
+    caller = threading.Thread(target=lambda: daemon.call("/proof-vault/status"))
+    caller.start()
+    wait_until(target.ledger, "the target runs the lookup")
+    context.terminated_at_s = time.monotonic()
+    context.fleet.daemons["d1"].process.send_signal(signal.SIGTERM)
+
+
+def call_with_limit(context, service, left_ms):
+    headers = {"X-Request-Timeout-Ms": str(left_ms)}
+    return context.fleet.daemons["d1"].call(f"/{service}/lookup", headers=headers)
+
+
+@then(
+    "{after_ms:d} ms after it d1 serves a lookup of {service} with {left_ms:d} ms left"
+)
+def step_inner_call_served(context, after_ms, service, left_ms):
+    at_s = context.terminated_at_s + after_ms / 1000
+    time.sleep(max(0.0, at_s - time.monotonic()))
+    reply = call_with_limit(context, service, left_ms)
+    assert reply.status == STATUS_OK, reply
+
+
+@then("it refuses one of {service} with {left_ms:d} ms left")
+def step_long_call_refused(context, service, left_ms):
+    reply = call_with_limit(context, service, left_ms)
+    assert reply.status == STATUS_NOT_RUN, reply
+    assert reply.json()["reason"] == "draining", reply
+
+
+@when("d1 gets SIGTERM and gets a hold with a key of d2")
+def step_keyed_hold_in_drain(context):
+    fleet = context.fleet
+    keys = fleet.daemons["d2"].call("/_laburnumscale/v1/operation-keys", "POST", b"")
+    context.key_headers = {"Idempotency-Key": keys.json()["keys"][0]}
+    caller = threading.Thread(target=lambda: send_keyed_hold(context, "d1"))
+    fleet.daemons["d1"].process.send_signal(signal.SIGTERM)
+    caller.start()
+    target = fleet.targets["p1"]
+    wait_until(lambda: len(target.ledger()) == 1, "p1 runs the hold")
+    fleet.daemons["d1"].process.wait(TERM_TIMEOUT_S)
+    caller.join()
+
+
+def send_keyed_hold(context, daemon):
+    return context.fleet.daemons[daemon].call(
+        "/proof-vault/hold", "POST", b"{}", context.key_headers
+    )
+
+
+@then("d2 answers a repeat of that hold with status {status:d}")
+def step_repeat_keyed_hold(context, status):
+    reply = send_keyed_hold(context, "d2")
+    assert reply.status == status, reply
+
+
+@then("p1 ran it once")
+def step_ran_once(context):
+    assert len(context.fleet.targets["p1"].ledger()) == 1
+
+
 @then("no target ran any of them")
 def step_none_run(context):
     assert not {hold.content_id for hold in context.holds} & context.ran
--- a/tests/standins/keptconnections.py
+++ b/tests/standins/keptconnections.py
@@ -61,13 +61,21 @@
         """Open the connections and send a first request on each."""
         self._submit(self._open_all()).result()
 
-    def spread_requests(self, first_after_s: float, last_after_s: float) -> None:
-        """Send a request on each connection, at random times within a period."""
+    def spread_requests(
+        self, first_after_s: float, last_after_s: float, begin_now: bool = False
+    ) -> None:
+        """Send a request on each connection, at random times within a period.
+
+        :param begin_now: send the first line of each request now, and only the rest at
+            the random time.
+        """
         for number, connection in enumerate(self._connections):
             delay_s = self._random.uniform(first_after_s, last_after_s)
             content_id = f"kept-{number}"
             self._sending.append(
-                self._submit(self._send_later(connection, delay_s, content_id))
+                self._submit(
+                    self._send_later(connection, delay_s, content_id, begin_now)
+                )
             )
 
     def wait(self) -> list[KeptRequest]:
@@ -86,17 +94,31 @@
     async def _open_all(self) -> None:
         for number in range(self._count):
             connection = _Connection(*await asyncio.open_connection(*self._address))
-            first = await self._exchange(connection, f"first-{number}")
+            first = await self._exchange(
+                connection, f"first-{number}", self._first_line()
+            )
             assert first.status == 200, first
             self._connections.append(connection)
 
     async def _send_later(
-        self, connection: _Connection, delay_s: float, content_id: str
+        self,
+        connection: _Connection,
+        delay_s: float,
+        content_id: str,
+        begin_now: bool,
     ) -> None:
+        if begin_now:
+            connection.writer.write(self._first_line())
         await asyncio.sleep(delay_s)
-        self.requests.append(await self._exchange(connection, content_id))
+        start = b"" if begin_now else self._first_line()
+        self.requests.append(await self._exchange(connection, content_id, start))
+
+    def _first_line(self) -> bytes:
+        return f"POST {self._path} HTTP/1.1\r\n".encode()
 
-    async def _exchange(self, connection: _Connection, content_id: str) -> KeptRequest:
+    async def _exchange(
+        self, connection: _Connection, content_id: str, start: bytes
+    ) -> KeptRequest:
         request = KeptRequest(content_id, time.monotonic())
         writer = connection.writer
         if connection.reader.at_eof() or writer.is_closing():
@@ -104,8 +126,9 @@
             return request
         host, port = self._address
         writer.write(
-            f"POST {self._path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
-            f"X-Content-Id: {content_id}\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+            start
+            + f"Host: {host}:{port}\r\nX-Content-Id: {content_id}\r\n"
+            "Content-Length: 2\r\n\r\n{}".encode()
         )
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
