Leave keyed calls their time limit at a holder that does not drain

A caller whose entry drained got "unknown" for its key for good: the entry shortened the time limit of the call to its own end and passed that on to the holder of the key, which then recorded the unfinished operation as unknown. Only the attempts that a draining daemon makes itself are limited now, each time one begins, so that calls from before the drain are included; the entry's own wait ends with its drain. The operation keys of a draining holder are handed over half a second before its end, so that an operation that outlasts it does not cost the outcomes of the others. A failed hand-over is logged. draining.feature: the scenario about keyed calls failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -165,7 +165,6 @@
         return response
 
     async def _run_call(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
-        call.deadline = self._drain_state.limit(call.deadline)
         key = call.request.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key is None:
             return await self._runner.run(call)
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -86,7 +86,6 @@
 
         :returns: the outcome, and the response unless it was already streamed.
         """
-        call.deadline = self.drain_state.limit(call.deadline)
         with self.in_flight.track():
             percent = call.settings.retry_budget_percent
             self._budget.add_call(call.service, percent)
@@ -137,6 +136,7 @@
             peer_pb2.NOT_RUN_REASON_NO_TARGET, DEFAULT_RETRY_AFTER_MS
         )
         answer: tuple[Outcome, HTTPResponse | None] | None = None
+        call.deadline = self.drain_state.limit(call.deadline)
         while (view := self._pick_endpoint(call)) is not None:
             call.tried_endpoints.add(view.endpoint)
             started_at_s = time.monotonic()
@@ -160,6 +160,7 @@
                 and self._charge_retry(call, outcome)
             ):
                 break
+            call.deadline = self.drain_state.limit(call.deadline)
         return answer or (outcome, None)
 
     def _charge_retry(self, call: Call, outcome: Outcome) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/deadlines.py
+++ b/packages/laburnumscale/src/laburnumscale/deadlines.py
@@ -35,6 +35,10 @@
         """Return the deadline that is ``time_left_ms`` milliseconds from now."""
         return cls(at_s=now_s() + time_left_ms / MS_PER_S)
 
+    def earlier_by_ms(self, lead_ms: float) -> "Deadline":
+        """Return the deadline that is ``lead_ms`` milliseconds earlier."""
+        return Deadline(self.at_s - lead_ms / MS_PER_S)
+
     def left_s(self) -> float:
         """Return the remaining seconds, or 0 if the deadline has passed."""
         return max(0.0, self.at_s - now_s())
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -23,6 +23,9 @@
 MAX_NOTIFIED_PEERS = 16
 #: For what is written at the deadline of the drain; earlier responses have been sent.
 FLUSH_TIMEOUT_MS = 200
+#: Time before the end of the drain at which the operation keys are handed over, even if
+#: operations are still running.
+HAND_OVER_MS = 500
 #: The process must exit before the platform kills it. The margin covers the flush
 #: timeout twice, and as much again because the processor may be shared.
 EXIT_MARGIN_MS = 800
@@ -60,7 +63,9 @@
         self.caller_server.close_idle_connections()
         self.guard.refuse_waiting_attempts()
         deadline = self.state.work_deadline
-        handing_over = asyncio.create_task(self.hand_over_keys(deadline))
+        handing_over = asyncio.create_task(
+            self.hand_over_keys(deadline.earlier_by_ms(HAND_OVER_MS))
+        )
         calls_ended = await self.runner.in_flight.wait_until_idle(deadline)
         attempts_ended = await self.guard.in_flight.wait_until_idle(deadline)
         if not (calls_ended and attempts_ended):
@@ -87,9 +92,13 @@
         timeout_s = max(deadline.left_s(), FLUSH_TIMEOUT_MS / MS_PER_S)
         done, _ = await asyncio.wait({handing_over}, timeout=timeout_s)
         if not done:
-            get_logger().warning("operation keys not handed over in time")
             handing_over.cancel()
             await asyncio.wait({handing_over})
+        if handing_over.cancelled():
+            get_logger().warning("operation keys not handed over in time")
+        elif handing_over.exception() is not None:
+            reason = repr(handing_over.exception())
+            get_logger().error("operation keys not handed over", reason=reason)
 
     async def _notify_peers(self) -> None:
         peers = self.members.peers()
