Serve calls through a draining daemon that end before it does

A target that runs its last attempt makes calls through its own daemon. After the notice period that daemon had stopped listening and refused all calls, so the attempt failed. It listens now until its targets have ended their attempts, and accepts calls whose whole time limit ends before the drain; other calls are refused at once as before.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -194,8 +194,6 @@
 
         :returns: the call, or why it is not run.
         """
-        if not self._drain_state.accepts_work:
-            return DRAINING
         if not self._feed.has_tree:
             return NotRun(peer_pb2.NOT_RUN_REASON_STARTING, STARTING_RETRY_AFTER_MS)
         routed = await self._find_route(request)
@@ -212,8 +210,10 @@
             request, settings.time_limit_ms, self._header_names.caller_time_limit
         )
         deadline = Deadline.after_ms(timeout_ms)
+        if not self._drain_state.accepts(deadline):
+            return DRAINING
         body = await self._request_body(request, request_id, deadline)
-        if not self._drain_state.accepts_work:
+        if not self._drain_state.accepts(deadline):
             return DRAINING
         return Call(
             request=request,
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -59,15 +59,16 @@
         # During the notice period work is still accepted, from callers and peers that
         # have not learned of the drain yet.
         await self._give_notice(self.state.notice_deadline)
-        await self.caller_server.stop_listening()
-        self.caller_server.close_idle_connections()
         self.guard.refuse_waiting_attempts()
         deadline = self.state.work_deadline
         handing_over = asyncio.create_task(
             self.hand_over_keys(deadline.earlier_by_ms(HAND_OVER_MS))
         )
-        calls_ended = await self.runner.in_flight.wait_until_idle(deadline)
+        # Targets make calls through this daemon while they run their last attempts.
         attempts_ended = await self.guard.in_flight.wait_until_idle(deadline)
+        await self.caller_server.stop_listening()
+        self.caller_server.close_idle_connections()
+        calls_ended = await self.runner.in_flight.wait_until_idle(deadline)
         if not (calls_ended and attempts_ended):
             get_logger().warning(
                 "calls cut off",
--- a/packages/laburnumscale/src/laburnumscale/drainstate.py
+++ b/packages/laburnumscale/src/laburnumscale/drainstate.py
@@ -44,6 +44,17 @@
         """Return whether new work is accepted."""
         return self.notice_deadline is None or not self.notice_deadline.has_passed()
 
+    def accepts(self, deadline: Deadline) -> bool:
+        """Return whether a call is accepted.
+
+        After the notice period only calls are accepted whose whole time limit ends
+        before the drain does, such as those that targets make through this daemon
+        while they run their last calls.
+
+        :param deadline: deadline of the call.
+        """
+        return self.accepts_work or deadline.at_s <= self.work_deadline.at_s
+
     def begin(self, work_deadline: Deadline) -> None:
         """Begin the drain, unless it has begun already.
 
