Give handlers a turn before a drain aborts their connections

After a pause of the process at the end of a drain, the time for the last answers may be over before the handlers had a turn, so the connections were aborted without the answers that the cut produces. The drain waits for the calls that it cut off, and the server polls a few times before it aborts connections. Attempts that are evicted from a queue each get an exception of their own, as its reply is changed on the way. Found by reading; draining.feature passes (two runs).

--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -78,6 +78,8 @@
         if not await self.caller_server.wait_until_sent(deadline):
             get_logger().warning("responses cut off")
         self.state.cut_off()
+        flush_deadline = Deadline.after_ms(FLUSH_TIMEOUT_MS)
+        await self.runner.in_flight.wait_until_idle(flush_deadline)
         await self.caller_server.close(Deadline.after_ms(FLUSH_TIMEOUT_MS))
         await self._finish_hand_over(handing_over, deadline)
 
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -118,7 +118,9 @@
 
     def refuse_waiting_attempts(self) -> None:
         """Refuse the attempts that wait for a slot; they can run elsewhere."""
-        self._targets.evict_waiting(AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING))
+        self._targets.evict_waiting(
+            lambda: AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
+        )
 
     async def prune_attempts(self, members: Members) -> None:
         """Prune the recorded attempts of departed entries, until cancelled."""
--- a/packages/laburnumscale/src/laburnumscale/recovery.py
+++ b/packages/laburnumscale/src/laburnumscale/recovery.py
@@ -110,7 +110,7 @@
         target returns to service. A target that was withdrawn is no longer probed.
         """
         target.queue.evict_all(
-            AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, ejection_ms)
+            lambda: AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, ejection_ms)
         )
         await asyncio.sleep(ejection_ms / MS_PER_S)
         successes = 0
--- a/packages/laburnumscale/src/laburnumscale/slotqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/slotqueue.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
@@ -101,10 +102,10 @@
         self._evict(max(less_urgent), error)
         return True
 
-    def evict_all(self, error: Exception) -> None:
-        """Evict all calls."""
+    def evict_all(self, new_error: Callable[[], Exception]) -> None:
+        """Evict all calls, each with an exception of its own."""
         for waiter in list(self._waiters):
-            self._evict(waiter, error)
+            self._evict(waiter, new_error())
 
     def _evict(self, waiter: Waiter, error: Exception) -> None:
         self.discard(waiter)
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -6,6 +6,7 @@
 import asyncio
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
@@ -108,10 +109,13 @@
         )
         self.publish_endpoints()
 
-    def evict_waiting(self, error: Exception) -> None:
-        """Evict all calls that wait for a slot of a target."""
+    def evict_waiting(self, new_error: Callable[[], Exception]) -> None:
+        """Evict all calls that wait for a slot of a target.
+
+        :param new_error: returns the exception that one of them gets.
+        """
         for target in self._targets.values():
-            target.queue.evict_all(error)
+            target.queue.evict_all(new_error)
 
     def withdraw(self, service: str, endpoint: str) -> bool:
         """Remove a target.
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import logging
 import select
 from collections.abc import Awaitable, Callable
@@ -30,6 +31,7 @@
 HEADER_TIMEOUT_S = 10
 MAX_HEADER_BYTES = 16 * 1024
 IDLE_POLL_INTERVAL_S = 0.02
+MIN_CLOSE_POLLS = 3
 KEEP_ALIVE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 1024
 INTERNAL_PATH_PREFIX = b"/_laburnumscale/"
@@ -232,8 +234,13 @@
         """
         self.disable_keep_alive()
         self._server.close()
-        while self._server.connections and not deadline.has_passed():
+        for number in itertools.count(1):
             self.close_idle_connections()
+            # After a pause of the process the deadline may have passed before the
+            # handlers had a turn.
+            is_over = deadline.has_passed() and number > MIN_CLOSE_POLLS
+            if not self._server.connections or is_over:
+                break
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
         for connection in list(self._server.connections):
             connection.abort()
