Show requests that the end of a drain leaves without an answer in time

A request whose body has not arrived when the drain ends is closed without an answer, although it was certainly not run. A hold at the target of another daemon that drains gets no answer when that daemon ends: its entry asks for the outcome until the time limit of the hold.

An upload in progress at the end of a drain gets a final answer and a download ends before its announced length; both scenarios pass.

--- a/tests/features/draining.feature
+++ b/tests/features/draining.feature
@@ -36,3 +36,33 @@
     And the fleet is ready with the settings of bantayog
     When a simulated entry's holds fill the slots of e1 and one more waits when d1 gets SIGTERM
     Then the hold that waits ends as not_run draining within 2000 ms
+
+  Scenario: A request whose body does not arrive by the end of the drain is refused
+    Given a fleet of 1 daemons that drain for at most 2000 ms
+    And target p1 of proof-vault beside d1 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM after a caller has sent a hold without the end of its body
+    Then the raw answer has status 503 and the outcome not_run
+    And no target ran any of them
+
+  Scenario: An upload that outlasts the drain gets a final answer
+    Given a fleet of 1 daemons that drain for at most 2000 ms
+    And target p1 of proof-vault beside d1 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM after a caller has sent a part of a chunked hold
+    Then the raw answer has status 504 and the outcome unknown
+
+  Scenario: A download that outlasts the drain ends visibly incomplete
+    Given a fleet of 2 daemons that drain for at most 2000 ms
+    And target p1 of proof-vault beside d2 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM while a caller that does not read downloads 40000000 bytes from it
+    Then the download ends before its announced length
+
+  Scenario: A hold that outlasts the drain of the guard at its target gets a final answer
+    Given a fleet of 2 daemons that drain for at most 2000 ms
+    And target p1 of proof-vault beside d2 that responds after 60000 ms
+    And the fleet is ready with the settings of bantayog
+    When d2 gets SIGTERM while p1 runs a hold from d1, and the hold ends
+    Then the hold has status 504 and the outcome unknown
+    And the hold ends within 2500 ms of the signal
--- a/tests/features/steps/draining_steps.py
+++ b/tests/features/steps/draining_steps.py
@@ -1,4 +1,8 @@
+import contextlib
+import json
+import re
 import signal
+import socket
 import threading
 import time
 
@@ -14,12 +18,22 @@
     simulated_attempt_id,
 )
 from tests.standins.fleet import TERM_TIMEOUT_S, wait_until
-from tests.standins.keptconnections import KeptConnections
+from tests.standins.keptconnections import KeptConnections, KeptRequest
 
 SEED = 6601
 STATUS_OK = 200
 STATUS_NOT_RUN = 503
 SLOTS = 5
+HOLD_HEAD = (
+    b"POST /proof-vault/hold HTTP/1.1\r\nHost: a\r\nX-Content-Id: partial\r\n"
+    b"X-Request-Timeout-Ms: 60000\r\n"
+)
+PARTIAL_BODY = b"Content-Length: 8\r\n\r\n{"
+PARTIAL_UPLOAD = b"Transfer-Encoding: chunked\r\n\r\n1\r\n{\r\n"
+READ_BYTES = 64 * 1024
+READ_TIMEOUT_S = 20.0
+SENT_S = 0.5  # for the daemon to read what was sent
+NOT_READING_S = 3.0
 QUEUEING_S = 0.5  # for one more hold to reach the queue of its target
 
 
@@ -69,7 +83,11 @@
     context.kept.spread_requests(first_ms / 1000, last_ms / 1000)
     context.holds = context.kept.wait()
     process.wait(TERM_TIMEOUT_S)
-    context.ran = {
+    context.ran = ran_content_ids(context)
+
+
+def ran_content_ids(context):
+    return {
         entry["content_id"]
         for target in context.fleet.targets.values()
         for entry in target.ledger()
@@ -120,14 +138,21 @@
     assert not {hold.content_id for hold in context.holds} & context.ran
 
 
-@when("d1 gets SIGTERM while p1 runs a hold from d1, and the hold ends")
-def step_hold_outlasts_drain(context):
+@when("{daemon} gets SIGTERM while p1 runs a hold from d1, and the hold ends")
+def step_hold_outlasts_drain(context, daemon):
     caller, replies = start_running_hold(context)
-    context.fleet.daemons["d1"].process.send_signal(signal.SIGTERM)
+    terminated_at_s = time.monotonic()
+    context.fleet.daemons[daemon].process.send_signal(signal.SIGTERM)
     caller.join()
+    context.hold_ms = (time.monotonic() - terminated_at_s) * 1000
     context.hold = replies[0]
 
 
+@then("the hold ends within {limit_ms:d} ms of the signal")
+def step_check_hold_time(context, limit_ms):
+    assert context.hold_ms <= limit_ms, context.hold_ms
+
+
 @then("the hold has status {status:d} and the outcome {outcome}")
 def step_check_hold(context, status, outcome):
     assert context.hold.status == status, context.hold
@@ -183,3 +208,55 @@
 def step_check_waiting_hold(context, result, limit_ms):
     assert context.waiting_result == result, context.waiting_result
     assert context.waited_ms <= limit_ms, context.waited_ms
+
+
+def send_raw_and_terminate(context, parts, pause_s=0.0):
+    """Send a part of a request, SIGTERM, and return all bytes of the answer."""
+    daemon = context.fleet.daemons["d1"]
+    address = ("127.0.0.1", daemon.ports["caller"])
+    answer = bytearray()
+    with socket.create_connection(address, READ_TIMEOUT_S) as connection:
+        connection.sendall(parts)
+        time.sleep(SENT_S)
+        daemon.process.send_signal(signal.SIGTERM)
+        time.sleep(pause_s)
+        with contextlib.suppress(ConnectionError):
+            while chunk := connection.recv(READ_BYTES):
+                answer += chunk
+    daemon.process.wait(TERM_TIMEOUT_S)
+    return bytes(answer)
+
+
+@when("d1 gets SIGTERM after a caller has sent a hold without the end of its body")
+def step_send_partial_body(context):
+    context.answer = send_raw_and_terminate(context, HOLD_HEAD + PARTIAL_BODY)
+    context.holds = [KeptRequest("partial", 0.0)]
+    context.ran = ran_content_ids(context)
+
+
+@when("d1 gets SIGTERM after a caller has sent a part of a chunked hold")
+def step_send_partial_upload(context):
+    context.answer = send_raw_and_terminate(context, HOLD_HEAD + PARTIAL_UPLOAD)
+
+
+@when(
+    "d1 gets SIGTERM while a caller that does not read downloads {size:d} bytes from it"
+)
+def step_download(context, size):
+    head = f"GET /proof-vault/download/{size} HTTP/1.1\r\nHost: a\r\n\r\n"
+    context.answer = send_raw_and_terminate(context, head.encode(), NOT_READING_S)
+
+
+@then("the raw answer has status {status:d} and the outcome {outcome}")
+def step_check_raw_answer(context, status, outcome):
+    assert context.answer, "the connection ended without an answer"
+    head, _, body = context.answer.partition(b"\r\n\r\n")
+    assert int(head.split(b" ")[1]) == status, context.answer
+    assert json.loads(body)["outcome"] == outcome, context.answer
+
+
+@then("the download ends before its announced length")
+def step_check_incomplete(context):
+    head, _, body = context.answer.partition(b"\r\n\r\n")
+    [length] = re.findall(rb"content-length: (\d+)", head.lower())
+    assert 0 < len(body) < int(length), (len(body), length)
