Refuse a request whose body does not arrive before the end of a drain

Its connection was closed without an answer. Receiving the body and finding the route now end with the drain, as the call itself does; the request was not run, so it is refused.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -148,7 +148,11 @@
     async def _respond(self, request: Request) -> HTTPResponse | None:
         started_at_s = time.monotonic()
         request_id = self._request_id(request)
-        prepared = await self._prepare_call(request, request_id)
+        try:
+            async with self._drain_state.cut_off_scope():
+                prepared = await self._prepare_call(request, request_id)
+        except WorkCutOff:
+            prepared = DRAINING
         if isinstance(prepared, NotRun):
             response = self._problem_response(prepared, request_id)
             self._call_log.log_refusal(request_id, prepared, request.path)
