Answer the attempts that a guard cuts off at the end of its drain

The caller of a hold at another daemon's target waited until the time limit of the hold when that daemon ended first: the stream of replies broke, and the entry asked a daemon that was gone for the outcome. The guard now ends each attempt with a final reply: unknown if its request was sent, otherwise refused.

--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -22,8 +22,9 @@
     AnswerUnframed,
     AttemptSentTwice,
     BodyIncomplete,
+    WorkCutOff,
 )
-from laburnumscale.failurereplies import AttemptRefused, unknown_reply
+from laburnumscale.failurereplies import AttemptRefused, refused_reply, unknown_reply
 from laburnumscale.guardclocks import boottime_us
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
@@ -144,7 +145,10 @@
                 self._hold_limited_call(target, attempt),
                 self._health.admit_attempt(target, settings, head),
             ):
-                async with hold_slot(target, settings, transmission, head):
+                async with (
+                    self.drain_state.cut_off_scope(),
+                    hold_slot(target, settings, transmission, head),
+                ):
                     self._get_available_target(head)
                     reply_stream = self._send_to_target(
                         target, settings, head, body, transmission
@@ -154,6 +158,8 @@
                             yield reply
         except AttemptRefused as refusal:
             yield self._with_load_report(head, refusal.reply)
+        except WorkCutOff:
+            yield _cut_off_reply(attempt)
 
     @contextmanager
     def _hold_limited_call(
@@ -400,6 +406,12 @@
     return reply
 
 
+def _cut_off_reply(attempt: Attempt) -> peer_pb2.CallReply:
+    if attempt.is_sent:
+        return unknown_reply(peer_pb2.UNKNOWN_REASON_DRAINING)
+    return refused_reply(peer_pb2.NOT_RUN_REASON_DRAINING)
+
+
 def _cacheable_reply(
     head: peer_pb2.CallHead, reply: peer_pb2.CallReply | None
 ) -> peer_pb2.CallReply | None:
