Show that overlapping signals and changes leave no request without an end

Three daemons are stopped, started, suspended and told to reload in a seeded order, up to two drain at once, and settings change and a service vanishes meanwhile. Callers keep their connections and use them whatever the daemons say; some send keyed requests twice. Their answers are compared with the ledgers of the targets.

--- /dev/null
+++ b/tests/features/signals.feature
@@ -0,0 +1,12 @@
+Feature: Callers get an answer or a refusal whatever signals the daemons get
+
+  Scenario: Signals and changes that overlap leave no request of a caller without an end
+    Given a fleet of 3 daemons that drain for at most 4000 ms
+    And each daemon has a target of slot-desk that takes 250 ms and one of proof-vault that takes 500 ms
+    And the fleet is ready with the settings of bantayog
+    When daemons are stopped, started and suspended and settings change while persistent callers send holds
+    Then no request that a target ran was left without an answer
+    And each request without an answer ended within 300 ms
+    And all refused requests were not run
+    And each keyed request ran once at most
+    And each answered keyed request gets the same answer again
--- /dev/null
+++ b/tests/features/steps/signals_steps.py
@@ -0,0 +1,223 @@
+import json
+import os
+import random
+import signal
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from tests.standins.persistentcallers import PersistentCallers
+
+SEED = int(os.environ.get("SEED", "20361"))
+DURATION_S = float(os.environ.get("SOAK_S", "20"))
+SERVICES = ("slot-desk", "proof-vault")
+CALLERS_PER_DAEMON = 8
+KEYED_CALLERS = 6
+MAX_PAUSE_S = 0.1
+MAX_DRAINING = 2
+MAX_SUSPENDED_S = 0.3
+MAX_STEP_S = 0.8
+TICK_S = 0.02
+#: A daemon that ends before it handles signals.
+EXIT_CODES = (0, -signal.SIGTERM)
+
+
+class Disruptions:
+    """Seeded signals and changes of settings."""
+
+    def __init__(self, fleet, seed):
+        self.counts = Counter()
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._stopping = {}
+        self._is_published = True
+        self._time_limits_ms = iter(range(1000, 10**9, 7))
+
+    def run(self, duration_s):
+        end_s = time.monotonic() + duration_s
+        actions = (
+            self._stop_one,
+            self._stop_one,
+            self._reload_all,
+            self._suspend_one,
+            self._change_time_limit,
+            self._toggle_service,
+        )
+        while time.monotonic() < end_s:
+            action = self._random.choice(actions)
+            self.counts[action.__name__] += 1
+            action()
+            self._wait(self._random.uniform(0, MAX_STEP_S))
+        while self._stopping:
+            self._wait(TICK_S)
+        if not self._is_published:
+            self._toggle_service()
+        self._fleet.wait_ready()
+
+    def _wait(self, pause_s):
+        """Start the daemons that have ended meanwhile."""
+        end_s = time.monotonic() + pause_s
+        while True:
+            for name, process in list(self._stopping.items()):
+                if process.poll() is not None:
+                    assert process.returncode in EXIT_CODES, (name, process.returncode)
+                    del self._stopping[name]
+                    self._start(name)
+            if time.monotonic() >= end_s:
+                return
+            time.sleep(TICK_S)
+
+    def _start(self, name):
+        daemon = self._fleet.start_daemon(name, "makati", drain_ms=4000)
+        if self._random.random() < 0.2 and len(self._stopping) < MAX_DRAINING:
+            self.counts["stopped while starting"] += 1
+            time.sleep(self._random.uniform(0, 1))
+            self._signal_stop(name, daemon.process)
+
+    def _running(self):
+        return [each for each in self._fleet.daemons if each not in self._stopping]
+
+    def _stop_one(self):
+        if len(self._stopping) >= MAX_DRAINING:
+            return
+        ready = [
+            name for name in self._running() if self._fleet.daemons[name].is_ready()
+        ]
+        if len(ready) < 2:
+            return
+        name = self._random.choice(ready)
+        self._signal_stop(name, self._fleet.daemons[name].process)
+
+    def _signal_stop(self, name, process):
+        self._stopping[name] = process
+        process.send_signal(signal.SIGTERM)
+        if self._random.random() < 0.5:
+            time.sleep(self._random.uniform(0, 0.2))
+            if process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+
+    def _reload_all(self):
+        for name in self._running():
+            if self._fleet.daemons[name].is_ready():
+                self._fleet.daemons[name].process.send_signal(signal.SIGHUP)
+
+    def _suspend_one(self):
+        process = self._fleet.daemons[self._random.choice(self._running())].process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(self._random.uniform(0, MAX_SUSPENDED_S))
+        process.send_signal(signal.SIGCONT)
+
+    def _change_time_limit(self):
+        path = self._fleet.directory / "limits.jsonc"
+        settings = {
+            "time_limit_ms": next(self._time_limits_ms),
+            "idempotent": {"methods": ["GET"]},
+        }
+        path.write_text(json.dumps({"services": {"slot-desk": settings}}))
+        self._run_cli("publish", str(path))
+
+    def _toggle_service(self):
+        """Remove a service from the settings, or publish it again."""
+        if self._is_published:
+            self._run_cli("remove", "service:proof-vault")
+        else:
+            path = self._fleet.directory / "service.jsonc"
+            settings = {"time_limit_ms": 5000, "idempotent": {"methods": ["GET"]}}
+            path.write_text(json.dumps({"services": {"proof-vault": settings}}))
+            self._run_cli("publish", str(path))
+        self._is_published = not self._is_published
+
+    def _run_cli(self, *arguments):
+        """Run a change; the daemon may refuse it while it starts."""
+        if running := self._running():
+            completed = self._fleet.run_cli(self._random.choice(running), *arguments)
+            self.counts[f"{arguments[0]} {completed.returncode}"] += 1
+
+
+@given(
+    "each daemon has a target of slot-desk that takes {first_ms:d} ms and one of "
+    "proof-vault that takes {second_ms:d} ms"
+)
+def step_start_targets(context, first_ms, second_ms):
+    for name in context.fleet.daemons:
+        for service, latency_ms in zip(SERVICES, (first_ms, second_ms), strict=True):
+            context.fleet.start_target(
+                service, f"{service}-{name}", name, latency_ms=latency_ms, slots=12
+            )
+
+
+@when(
+    "daemons are stopped, started and suspended and settings change while persistent "
+    "callers send holds"
+)
+def step_disrupt(context):
+    ports = {
+        name: daemon.ports["caller"] for name, daemon in context.fleet.daemons.items()
+    }
+    callers = PersistentCallers(
+        ports, SERVICES, CALLERS_PER_DAEMON, KEYED_CALLERS, MAX_PAUSE_S, SEED
+    )
+    disruptions = Disruptions(context.fleet, SEED)
+    callers.start()
+    disruptions.run(DURATION_S)
+    callers.stop()
+    context.requests = callers.requests
+    context.runs = Counter(
+        entry["content_id"]
+        for target in context.fleet.targets.values()
+        for entry in target.ledger()
+    )
+    seen = Counter((each.status, each.outcome) for each in context.requests)
+    print(f"seed {SEED}: {dict(disruptions.counts)}; answers {dict(seen)}")
+
+
+@then("no request that a target ran was left without an answer")
+def step_check_lost(context):
+    lost = [
+        each
+        for each in context.requests
+        if not each.status and not each.key and context.runs[each.content_id]
+    ]
+    assert not lost, (len(lost), lost[:5])
+
+
+@then("each request without an answer ended within {limit_ms:d} ms")
+def step_check_late(context, limit_ms):
+    late = [
+        each
+        for each in context.requests
+        if not each.status and each.elapsed_s * 1000 > limit_ms
+    ]
+    assert not late, (len(late), late[:5])
+
+
+@then("all refused requests were not run")
+def step_check_refused(context):
+    false = [
+        each
+        for each in context.requests
+        if each.outcome == "not_run" and not each.key and context.runs[each.content_id]
+    ]
+    assert not false, (len(false), false[:5])
+
+
+@then("each keyed request ran once at most")
+def step_check_once(context):
+    twice = {each for each, count in context.runs.items() if each and count > 1}
+    assert not twice, twice
+
+
+@then("each answered keyed request gets the same answer again")
+def step_check_repeats(context):
+    first_bodies = {}
+    changed = []
+    for each in context.requests:
+        if not each.key or not each.status:
+            continue
+        if each.key in first_bodies and first_bodies[each.key] != each.body:
+            changed.append(each)
+        elif each.is_answered:
+            first_bodies[each.key] = each.body
+    assert first_bodies
+    assert not changed, (len(changed), changed[:5])
