Gossip suspect calls from the quarantine of the daemon

A repeat of a call that ends its targets still reached targets through daemons that had run no part of it: one of six runs of the scenario about holds in crashing_calls.feature (six later calls reached targets). Trace: each daemon knew only what its own guard or the replies to its own calls had told it. Cause: the quarantine had a length, so an empty one was false, and the gossip took a new one in its place. The other scenarios passed because replies carry the evidence, too. The quarantine has no length any more.

Found on the way: the check of a target that found no end was shared for a second, so an end within that second was missed. Only ends are shared now.

Shown: a scenario with real daemons and the operators' commands failed before (not all daemons show the call) and passes.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -101,13 +101,13 @@
         self, call: Call
     ) -> tuple[Outcome, HTTPResponse | None]:
         refused_for_ms = 0
-        if len(self.quarantine):
+        if not self.quarantine.is_empty:
             refused_for_ms = self.quarantine.refused_for_ms(self._fingerprint(call))
         if refused_for_ms:
             self._metrics.count("calls_quarantined", f'service="{call.service}"')
             return NotRun(peer_pb2.NOT_RUN_REASON_QUARANTINED, refused_for_ms), None
         outcome, response = await self._try_targets(call)
-        if len(self.quarantine) and _is_good_answer(outcome):
+        if not self.quarantine.is_empty and _is_good_answer(outcome):
             self.quarantine.record_answer(self._fingerprint(call))
         return outcome, response
 
@@ -127,7 +127,7 @@
 
     def _may_run_again(self, call: Call, outcome: Outcome) -> bool:
         """Return whether a call may be sent to a target after its latest attempt."""
-        if not isinstance(outcome, Unknown) or not len(self.quarantine):
+        if not isinstance(outcome, Unknown) or self.quarantine.is_empty:
             return True
         return self.quarantine.allows_retry(self._fingerprint(call))
 
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -81,7 +81,7 @@
         on_newer_revision: Callable[[int, str], None] = lambda revision, address: None,
         quarantine: Quarantine | None = None,
     ) -> None:
-        self._quarantine = quarantine or Quarantine(metrics)
+        self._quarantine = Quarantine(metrics) if quarantine is None else quarantine
         self._members = members
         self._channels = channels
         self._metrics = metrics
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -220,7 +220,7 @@
 
         :raises AttemptRefused: the call is quarantined.
         """
-        if not len(self.quarantine):
+        if self.quarantine.is_empty:
             return
         refused_for_ms = self.quarantine.refused_for_ms(self._fingerprint(head, body))
         if refused_for_ms:
--- a/packages/laburnumscale/src/laburnumscale/quarantine.py
+++ b/packages/laburnumscale/src/laburnumscale/quarantine.py
@@ -41,8 +41,10 @@
         self._suspects: OrderedDict[bytes, SuspectCall] = OrderedDict()
         self._listeners: list[ChangeListener] = []
 
-    def __len__(self) -> int:
-        return len(self._suspects)
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no call is suspect."""
+        return not self._suspects
 
     def on_change(self, listener: ChangeListener) -> None:
         """Register a function that is called with each changed record."""
--- a/packages/laburnumscale/src/laburnumscale/targetends.py
+++ b/packages/laburnumscale/src/laburnumscale/targetends.py
@@ -37,6 +37,11 @@
     deadline: Deadline
     result: asyncio.Task
 
+    def is_outdated(self) -> bool:
+        """Return whether another connection that breaks needs a check of its own."""
+        found_no_end = self.result.done() and not self.result.result()
+        return found_no_end or self.deadline.has_passed()
+
 
 class TargetEnds:
     """Checks targets whose connections broke while they ran attempts.
@@ -56,7 +61,7 @@
         if target.withdrawn or target.state == peer_pb2.TARGET_STATE_DRAINING:
             return 0
         check = self._checks.get(target.address)
-        if check is None or check.deadline.has_passed():
+        if check is None or check.is_outdated():
             self._remove_old_checks()
             result = asyncio.create_task(_check(target.address))
             check = _Check(Deadline.after_ms(SAME_END_MS), result)
@@ -65,7 +70,7 @@
 
     def _remove_old_checks(self) -> None:
         for address, check in list(self._checks.items()):
-            if check.deadline.has_passed():
+            if check.is_outdated():
                 del self._checks[address]
 
 
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -94,3 +94,12 @@
     Given a queue of suspect calls with 30 calls
     When datagrams for a group of 99 daemons are filled until the queue is empty
     Then each call was sent 6 times and no datagram holds more than 700 bytes of calls
+
+  Scenario: Daemons that run no part of a call hear of the ends of its targets
+    Given a fleet of 3 daemons in makati
+    And two targets of slot-desk beside d1 end on "/crash"
+    And the fleet is ready with the settings of bantayog
+    When a caller sends one POST /slot-desk/crash to d1
+    Then within 2 s the quarantines of d1, d2, d3 show 1 end of a target for /crash
+    When an operator releases that call at d3
+    Then within 2 s the quarantines of d1, d2, d3 show no call
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import json
 import random
 from collections import Counter
 
@@ -17,7 +18,7 @@
 from laburnumscale.suspectqueue import SuspectQueue
 from laburnumscale.targetends import TargetEnds
 from laburnumscale_schema import peer_pb2
-from tests.standins.fleet import PortBlock
+from tests.standins.fleet import PortBlock, wait_until
 
 EXAMPLE_COUNT = 300
 CALLER_SERVICE = "x-caller-service"
@@ -125,7 +126,7 @@
 
 @then("daemon {number:d} knows at most {count:d} suspect calls")
 def step_bounded(context, number, count):
-    assert len(context.quarantines[number - 1]) <= count
+    assert len(context.quarantines[number - 1].suspects()) <= count
 
 
 @then(
@@ -278,3 +279,53 @@
     assert set(sends.values()) == {count}, sends
     for batch in context.batches:
         assert sum(each.ByteSize() for each in batch) <= limit
+
+
+@given('two targets of {service} beside {daemon} end on "{text}"')
+def step_start_ending_targets(context, service, daemon, text):
+    path = context.fleet.directory / "arrivals.jsonl"
+    for endpoint in ("e1", "e2"):
+        context.fleet.start_target(
+            service, endpoint, daemon, crash_on=text, arrivals_file=path
+        )
+
+
+def shown_calls(context, daemon):
+    completed = context.fleet.run_cli(daemon, "quarantine", "--json")
+    assert completed.returncode == 0, completed
+    return json.loads(completed.stdout)["calls"]
+
+
+@then(
+    "within {limit_s:d} s the quarantines of {daemons} show {count:d} end of a target "
+    "for {path}"
+)
+def step_shown_everywhere(context, limit_s, daemons, count, path):
+    expected = [(path, count)]
+
+    def is_shown(daemon):
+        calls = shown_calls(context, daemon)
+        context.shown = calls
+        return [(each["path"], each["target_ends"]) for each in calls] == expected
+
+    wait_until(
+        lambda: all(is_shown(daemon) for daemon in daemons.split(", ")),
+        "all daemons show the call",
+        limit_s,
+    )
+
+
+@when("an operator releases that call at {daemon}")
+def step_release_by_command(context, daemon):
+    fingerprint = context.shown[0]["fingerprint"]
+    completed = context.fleet.run_cli(daemon, "release", fingerprint)
+    assert completed.returncode == 0, completed
+
+
+@then("within {limit_s:d} s the quarantines of {daemons} show no call")
+def step_none_shown(context, limit_s, daemons):
+    wait_until(
+        lambda: not any(shown_calls(context, each) for each in daemons.split(", ")),
+        "no daemon shows a call",
+        limit_s,
+    )
