Give a target that names a limit its calls although others are faster

Callers left capacity unused: a target that named a limit of 1 call a second beside two targets in use got fewer calls than its limit allows, at times 1 to 4 in 10 s.

Cause: an entry whose share of the limit was due still compared the target by latency. The target's latency is known from its few calls and decays to the median of the service, which is above the fastest target, so the calls went to that one. Neither doubt nor ejection took part.

Evidence: a trace of three single runs of the scenario in target_limits.feature beside three busy processes. In one, an entry had a call due in 80 choices, in all of which the target's estimate was above that of the fastest, and 8 chose it; in the others 6 of 19 and 6 of 22 such choices. No choice found it in doubt or unhealthy.

Change: if the first of the local endpoints in random order names a limit of which a call is due, is healthy, has a free slot and is not several times as slow as others, it gets the call. It thus gets an even share of the calls at most. The guard still admits each call, so the limit holds as before.

The decision test with 4 entries chose the target 71 and 67 times in 100 s where its limit is 1 a second; it needs 90, and passes now. target_limit_decisions, decisions and routing_scale pass.

--- a/packages/laburnumscale/src/laburnumscale/loadtable.py
+++ b/packages/laburnumscale/src/laburnumscale/loadtable.py
@@ -103,6 +103,7 @@
     :ivar in_system: estimated number of calls that run or wait at the endpoint.
     :ivar in_doubt: some of its latest calls failed, according to a recent report.
     :ivar is_limited: it names a limit, and this entry has used up its share.
+    :ivar is_due: it names a limit, and this entry has a call left in its share.
     :ivar open_slots: calls that it runs at a time; fewer during its slow start.
     """
 
@@ -111,6 +112,7 @@
     latency_us: int
     in_doubt: bool = False
     is_limited: bool = False
+    is_due: bool = False
 
     @property
     def utilisation(self) -> float:
@@ -242,10 +244,13 @@
         path_broken: bool = False,
         route: int = 0,
         is_limited: bool = False,
+        is_due: bool = False,
     ) -> EndpointLoad:
         """Return the health and the load of an endpoint as this entry knows them.
 
         :param route: hash of the route whose latency is returned.
+        :param is_limited: whether the entry has used up its share of a limit.
+        :param is_due: whether the entry has a call left in its share of a limit.
         """
         received = self._received(view)
         report = received.report
@@ -262,6 +267,7 @@
             path_broken=path_broken,
             in_doubt=report.in_doubt and _is_recent(received),
             is_limited=is_limited,
+            is_due=is_due,
         )
 
     def _received(self, view: EndpointView) -> _ReceivedReport:
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -56,6 +56,10 @@
     several times as slow as others. While slots are free, load alone does not move
     calls to another data centre, because traffic between data centres is expensive.
     Calls with large answers wait longer for a slot in their own.
+
+    A target that names a limit gets the calls that its limit allows, up to an even
+    share of all, although others are faster: its latency is known from few calls, and
+    a slow one would keep the next ones away.
     """
 
     name = "two-choices"
@@ -73,6 +77,9 @@
         for load in local:
             if load.latency_us <= max_latency_us:
                 is_free = load.utilisation < SPILLOVER_UTILISATION
+                is_first = not free and not full
+                if is_first and is_free and load.is_due and not load.unhealthy:
+                    return load
                 (free if is_free else full).append(load)
             if len(free) == CHOICES:
                 break
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -288,6 +288,7 @@
             self._paths.is_broken(view.peer_address),
             route,
             self._notices.is_limited(view),
+            self._notices.is_due(view),
         )
 
     def _policy(self, settings: EffectiveSettings) -> RoutingPolicy:
--- a/packages/laburnumscale/src/laburnumscale/targetnotices.py
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -90,10 +90,22 @@
 
         An entry chooses such a target only if no other is left, and the guard decides.
         """
+        known = self._find_limit(view)
+        return known is not None and not known.next_call.has_passed()
+
+    def is_due(self, view: EndpointView) -> bool:
+        """Return whether this entry has a call left in its share of a target's limit.
+
+        The target gets it even if others are faster.
+        """
+        known = self._find_limit(view)
+        return known is not None and known.next_call.has_passed()
+
+    def _find_limit(self, view: EndpointView) -> _KnownNotice | None:
         known = self._find(view)
         if known is None or not known.notice.HasField("calls_per_s"):
-            return False
-        return not known.next_call.has_passed()
+            return None
+        return known
 
     def _find(self, view: EndpointView) -> _KnownNotice | None:
         known = self._known.get((view.service, view.endpoint))
--- a/tests/features/target_limit_decisions.feature
+++ b/tests/features/target_limit_decisions.feature
@@ -56,3 +56,14 @@
       | nan   | None |
       | inf   | None |
       | a lot | None |
+
+  Scenario Outline: A target whose last calls were slow is chosen as often as it allows
+    Given <entries> entries whose service has a target with a limit of <limit> calls a second and a latency of <latency_ms> ms
+    When each entry has <rate> calls a second at random times for 100 s
+    Then they chose the limited target at least <least> times
+
+    Examples:
+      | entries | limit | latency_ms | rate | least |
+      | 4       | 1     | 8          | 10   | 90    |
+      | 4       | 1     | 14         | 10   | 90    |
+      | 25      | 1.2   | 40         | 4    | 105   |
--- a/tests/standins/routingentry.py
+++ b/tests/standins/routingentry.py
@@ -33,6 +33,9 @@
     def is_broken(self, address):
         return address in self.broken
 
+    def schedule_check(self, address):
+        """Schedule no check; paths break only when the test says so."""
+
     def toggle(self, address):
         self.broken ^= {address}
         for listener in self._listeners:
