Let a call refused at a limit of a target use up no share of it

Callers left capacity unused: a target that named a limit of 1 call a second got about half of the calls that its limit allows.

Cause: the entries take their shares of the limit at random times, and the guard refuses those that come before its bucket has a call. A refused call used up the entry's share nevertheless: the entry left the target alone for a whole interval, in which the call that the bucket had again was lost.

Evidence: in the decision test, of 100 calls that a limit of 1 a second allows in 100 s, 49 and 57 were admitted (56 of 120 with 25 entries and a limit of 1.2).

Change: after a refusal as overloaded, the entry may choose the target again once the time to return that the guard named has passed.

--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -243,6 +243,8 @@
         if reply.HasField("load"):
             self.load_table.record_report(view, route, reply.load)
             self._notices.record(view, reply.load, self._members.group_size)
+            if _is_overloaded(reply):
+                self._notices.record_refusal(view, reply.not_run.retry_after_ms)
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.start_check(view.peer_address)
 
@@ -304,6 +306,11 @@
         return self._members.own.data_centre
 
 
+def _is_overloaded(reply: peer_pb2.CallReply) -> bool:
+    reason = peer_pb2.NOT_RUN_REASON_OVERLOADED
+    return reply.HasField("not_run") and reply.not_run.reason == reason
+
+
 def _is_path_failure(reply: peer_pb2.CallReply) -> bool:
     if reply.HasField("not_run"):
         return reply.not_run.reason == peer_pb2.NOT_RUN_REASON_NOT_CONNECTED
--- a/packages/laburnumscale/src/laburnumscale/targetnotices.py
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -85,6 +85,15 @@
             wait_ms = interval_s * random.uniform(0.5, 1.5) * MS_PER_S
             known.next_call = Deadline.after_ms(wait_ms)
 
+    def record_refusal(self, view: EndpointView, retry_after_ms: int) -> None:
+        """Record that a guard had no capacity for a call of this entry.
+
+        The call used up no share of the limit, so the entry comes back as it was told.
+        """
+        known = self._known.get((view.service, view.endpoint))
+        if known is not None:
+            known.next_call = Deadline.after_ms(retry_after_ms)
+
     def is_limited(self, view: EndpointView) -> bool:
         """Return whether this entry has used up its share of a target's limit.
 
--- a/tests/features/steps/limited_service_steps.py
+++ b/tests/features/steps/limited_service_steps.py
@@ -96,9 +96,15 @@
     while context.clock.now_s < context.started_at_s + duration_s:
         context.clock.now_s += seeded.expovariate(rate * len(entries))
         context.service.call(seeded.choice(entries))
+    context.admitted_s = context.service.admitted_s
 
 
 @then("they chose the limited target at least {least:d} times")
 def step_check_chosen(context, least):
     chosen = len(context.service.admitted_s) + context.service.refused
     assert chosen >= least, chosen
+
+
+@then("its guard refused at most {most:d} calls")
+def step_check_refused(context, most):
+    assert context.service.refused <= most, context.service.refused
--- a/tests/features/target_limit_decisions.feature
+++ b/tests/features/target_limit_decisions.feature
@@ -67,3 +67,16 @@
       | 4       | 1     | 8          | 10   | 90    |
       | 4       | 1     | 14         | 10   | 90    |
       | 25      | 1.2   | 40         | 4    | 105   |
+
+  Scenario Outline: Entries whose calls a guard refuses use the limit nevertheless
+    Given <entries> entries whose service has a target with a limit of <limit> calls a second and a latency of <latency_ms> ms
+    When each entry has <rate> calls a second at random times for 100 s
+    Then at least <least> calls are admitted
+    And at most <most> calls are admitted in any 4 s
+    And its guard refused at most <refused> calls
+
+    Examples:
+      | entries | limit | latency_ms | rate | least | most | refused |
+      | 4       | 1     | 5          | 10   | 70    | 5    | 150     |
+      | 4       | 1     | 14         | 10   | 70    | 5    | 150     |
+      | 25      | 1.2   | 40         | 4    | 75    | 6    | 250     |
