--- a/packages/laburnumscale/src/laburnumscale/targetnotices.py
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -54,7 +54,7 @@
     ) -> None:
         """Record what the load report of a guard says of its target.
 
-        :param entry_count: number of daemons that share the limit.
+        :param entry_count: number of entries that share the limit.
         """
         key = (view.service, view.endpoint)
         if not report.HasField("notice"):
@@ -77,7 +77,7 @@
     def record_start(self, view: EndpointView, entry_count: int) -> None:
         """Record that this entry sends a call to a target.
 
-        :param entry_count: number of daemons that share the limit.
+        :param entry_count: number of entries that share the limit.
         """
         known = self._known.get((view.service, view.endpoint))
         if known is not None:
@@ -85,15 +85,36 @@
             wait_ms = interval_s * random.uniform(0.5, 1.5) * MS_PER_S
             known.next_call = Deadline.after_ms(wait_ms)
 
+    def record_refusal(self, view: EndpointView, retry_after_ms: int) -> None:
+        """Record that a guard had no capacity for a call of this entry.
+
+        The call used up no share of the limit, so the entry comes back as it was told.
+        """
+        known = self._known.get((view.service, view.endpoint))
+        if known is not None:
+            known.next_call = Deadline.after_ms(retry_after_ms)
+
     def is_limited(self, view: EndpointView) -> bool:
         """Return whether this entry has used up its share of a target's limit.
 
         An entry chooses such a target only if no other is left, and the guard decides.
         """
+        known = self._find_limit(view)
+        return known is not None and not known.next_call.has_passed()
+
+    def is_due(self, view: EndpointView) -> bool:
+        """Return whether this entry has a call left in its share of a target's limit.
+
+        The target gets it even if others are faster.
+        """
+        known = self._find_limit(view)
+        return known is not None and known.next_call.has_passed()
+
+    def _find_limit(self, view: EndpointView) -> _KnownNotice | None:
         known = self._find(view)
         if known is None or not known.notice.HasField("calls_per_s"):
-            return False
-        return not known.next_call.has_passed()
+            return None
+        return known
 
     def _find(self, view: EndpointView) -> _KnownNotice | None:
         known = self._known.get((view.service, view.endpoint))
--- a/tests/features/target_limit_decisions.feature
+++ b/tests/features/target_limit_decisions.feature
@@ -56,3 +56,33 @@
       | nan   | None |
       | inf   | None |
       | a lot | None |
+
+  Scenario Outline: A target whose last calls were slow is chosen as often as it allows
+    Given <entries> entries whose service has a target with a limit of <limit> calls a second and a latency of <latency_ms> ms
+    When each entry has <rate> calls a second at random times for 100 s
+    Then they chose the limited target at least <least> times
+
+    Examples:
+      | entries | limit | latency_ms | rate | least |
+      | 4       | 1     | 8          | 10   | 90    |
+      | 4       | 1     | 14         | 10   | 90    |
+      | 25      | 1.2   | 40         | 4    | 105   |
+
+  Scenario Outline: Entries whose calls a guard refuses use the limit nevertheless
+    Given <entries> entries whose service has a target with a limit of <limit> calls a second and a latency of <latency_ms> ms
+    When each entry has <rate> calls a second at random times for 100 s
+    Then at least <least> calls are admitted
+    And at most <most> calls are admitted in any 4 s
+    And its guard refused at most <refused> calls
+
+    Examples:
+      | entries | limit | latency_ms | rate | least | most | refused |
+      | 4       | 1     | 5          | 10   | 70    | 5    | 150     |
+      | 4       | 1     | 14         | 10   | 70    | 5    | 150     |
+      | 25      | 1.2   | 40         | 4    | 75    | 6    | 250     |
+
+  Scenario: The entries near a target use its limit while those of other data centres do not
+    Given 25 entries in 6 data centres whose service has a target with a limit of 1.2 calls a second
+    When each of the 5 entries near it has 10 calls a second at random times for 100 s
+    Then at least 80 calls are admitted
+    And at most 6 calls are admitted in any 4 s
