Repeat refused keyed requests in the scenario about signals

The check took the refusal of a repeat by a daemon that drains for a changed answer. The refusal is true: the repeat was not run, and may be sent again. The callers now send each keyed request until a daemon answers it or states its outcome, and once more, and all of these answers must be the same, so the outcome can be asked for after each drain.

--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -213,7 +213,7 @@
     first_bodies = {}
     changed = []
     for each in context.requests:
-        if not each.key or not each.status:
+        if not each.key or not each.status or each.outcome == "not_run":
             continue
         if each.key in first_bodies and first_bodies[each.key] != each.body:
             changed.append(each)
--- a/tests/standins/persistentcallers.py
+++ b/tests/standins/persistentcallers.py
@@ -110,8 +110,8 @@
 
     :param ports: port for callers of each daemon, by name.
     :param services: services that the callers call in turn.
-    :param keyed_count: number of further callers that use operation keys, and send
-        each keyed request again later, to any daemon.
+    :param keyed_count: number of further callers that use operation keys. They send
+        each request, to any daemon, until it is not refused, and then once more.
     :ivar requests: all requests that have ended.
     """
 
@@ -182,10 +182,23 @@
                 continue
             [key] = json.loads(minting.body)["keys"]
             for _ in range(2):
-                connection = choices.choice(connections)
-                content_id = f"keyed-{number}-{sequence}"
-                request = CallerRequest(content_id, key, connection.daemon)
-                path = f"/{self._services[0]}/hold"
-                await connection.exchange(request, "POST", path)
-                self.requests.append(request)
-                await self._pause(choices)
+                await self._send_until_final(
+                    choices, connections, f"keyed-{number}-{sequence}", key
+                )
+
+    async def _send_until_final(
+        self,
+        choices: random.Random,
+        connections: list[_Connection],
+        content_id: str,
+        key: str,
+    ) -> None:
+        """Send a keyed request until a daemon answers it or states its outcome."""
+        is_final = False
+        while not is_final:
+            connection = choices.choice(connections)
+            request = CallerRequest(content_id, key, connection.daemon)
+            await connection.exchange(request, "POST", f"/{self._services[0]}/hold")
+            self.requests.append(request)
+            is_final = request.status != 0 and request.outcome != "not_run"
+            await self._pause(choices)
