Show that signals during startup leave no request without an end

A daemon gets SIGTERM and then SIGHUP at seeded moments of its start, from the moment at which it handles signals, while callers go on sending requests.

--- a/tests/features/signals.feature
+++ b/tests/features/signals.feature
@@ -10,3 +10,15 @@
     And all refused requests were not run
     And each keyed request ran once at most
     And each answered keyed request gets the same answer again
+
+  Scenario: SIGTERM and SIGHUP during startup leave no request of a caller without an end
+    Given a fleet of 2 daemons that drain for at most 3000 ms
+    And each daemon has a target of slot-desk that takes 250 ms and one of proof-vault that takes 500 ms
+    And the fleet is ready with the settings of bantayog
+    When d1 gets SIGTERM and then SIGHUP during 8 starts while persistent callers send holds
+    Then d1 ended within 3000 ms of each SIGTERM
+    And no request that a target ran was left without an answer
+    And each request without an answer ended within 300 ms
+    And all refused requests were not run
+    And each keyed request ran once at most
+    And each answered keyed request gets the same answer again
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -1,12 +1,16 @@
 import json
 import os
 import random
+import re
 import signal
 import time
 from collections import Counter
+from contextlib import contextmanager
+from pathlib import Path
 
 from behave import given, then, when
 
+from tests.standins.fleet import TERM_TIMEOUT_S, wait_until
 from tests.standins.persistentcallers import PersistentCallers
 
 SEED = int(os.environ.get("SEED", "20361"))
@@ -17,6 +21,7 @@
 MAX_PAUSE_S = 0.1
 MAX_DRAINING = 2
 MAX_SUSPENDED_S = 0.3
+MAX_STARTUP_S = 0.5
 MAX_STEP_S = 0.8
 TICK_S = 0.02
 #: A daemon that ends before it handles signals.
@@ -152,15 +157,23 @@
     "callers send holds"
 )
 def step_disrupt(context):
+    with sending_callers(context):
+        disruptions = Disruptions(context.fleet, SEED)
+        disruptions.run(DURATION_S)
+    print(f"{dict(disruptions.counts)}")
+
+
+@contextmanager
+def sending_callers(context):
+    """Send requests of persistent callers while the context lasts, then note runs."""
     ports = {
         name: daemon.ports["caller"] for name, daemon in context.fleet.daemons.items()
     }
     callers = PersistentCallers(
         ports, SERVICES, CALLERS_PER_DAEMON, KEYED_CALLERS, MAX_PAUSE_S, SEED
     )
-    disruptions = Disruptions(context.fleet, SEED)
     callers.start()
-    disruptions.run(DURATION_S)
+    yield
     callers.stop()
     context.requests = callers.requests
     context.runs = Counter(
@@ -169,7 +182,48 @@
         for entry in target.ledger()
     )
     seen = Counter((each.status, each.outcome) for each in context.requests)
-    print(f"seed {SEED}: {dict(disruptions.counts)}; answers {dict(seen)}")
+    print(f"seed {SEED}: answers {dict(seen)}")
+
+
+@when(
+    "d1 gets SIGTERM and then SIGHUP during {count:d} starts while persistent callers "
+    "send holds"
+)
+def step_stop_starts(context, count):
+    choices = random.Random(SEED)
+    context.ends = []
+    with sending_callers(context):
+        context.fleet.stop(context.fleet.daemons["d1"].process)
+        for _ in range(count):
+            process = context.fleet.start_daemon("d1", "makati", drain_ms=3000).process
+            wait_until(
+                lambda p=process: started_handling_signals(p), "d1 handles signals"
+            )
+            time.sleep(choices.uniform(0, MAX_STARTUP_S))
+            terminated_at_s = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+            time.sleep(choices.uniform(0, MAX_STARTUP_S))
+            if process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+            exit_code = process.wait(TERM_TIMEOUT_S)
+            context.ends.append((exit_code, time.monotonic() - terminated_at_s))
+        context.fleet.start_daemon("d1", "makati", drain_ms=3000)
+        context.fleet.wait_ready()
+    print(f"exit codes and seconds: {context.ends}")
+
+
+def started_handling_signals(process):
+    """Return whether a process has a handler for SIGHUP, which is set last."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    [caught] = re.findall(r"SigCgt:\s*(\w+)", status)
+    return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
+
+
+@then("d1 ended within {limit_ms:d} ms of each SIGTERM")
+def step_check_ends(context, limit_ms):
+    for exit_code, elapsed_s in context.ends:
+        assert exit_code == 0, context.ends
+        assert elapsed_s * 1000 <= limit_ms, context.ends
 
 
 @then("no request that a target ran was left without an answer")
