Show that the end of a guard leaves no request without an answer

A daemon is killed, terminated and started again while callers of two others send holds, some with operation keys, that may run at its targets. Downloads end visibly incomplete when the daemon of the caller or of the target ends.

--- a/tests/features/draining.feature
+++ b/tests/features/draining.feature
@@ -52,13 +52,19 @@
     When d1 gets SIGTERM after a caller has sent a part of a chunked hold
     Then the raw answer has status 504 and the outcome unknown
 
-  Scenario: A download that outlasts the drain ends visibly incomplete
+  Scenario Outline: A download ends visibly incomplete when <daemon> ends by <signal>
     Given a fleet of 2 daemons that drain for at most 2000 ms
     And target p1 of proof-vault beside d2 that responds after 20 ms
     And the fleet is ready with the settings of bantayog
-    When d1 gets SIGTERM while a caller that does not read downloads 40000000 bytes from it
+    When <daemon> gets <signal> while a caller that does not read downloads 40000000 bytes from d1
     Then the download ends before its announced length
 
+    Examples:
+      | daemon | signal  |
+      | d1     | SIGTERM |
+      | d2     | SIGTERM |
+      | d2     | SIGKILL |
+
   Scenario: A hold that outlasts the drain of the guard at its target gets a final answer
     Given a fleet of 2 daemons that drain for at most 2000 ms
     And target p1 of proof-vault beside d2 that responds after 60000 ms
--- a/tests/features/signals.feature
+++ b/tests/features/signals.feature
@@ -22,3 +22,13 @@
     And all refused requests were not run
     And each keyed request ran once at most
     And each answered keyed request gets the same answer again
+
+  Scenario: The end of a guard leaves no request at another daemon without an answer
+    Given a fleet of 3 daemons that drain for at most 3000 ms
+    And each daemon has a target of slot-desk that takes 250 ms and one of proof-vault that takes 500 ms
+    And the fleet is ready with the settings of bantayog
+    When d3 is killed, terminated and started 6 times while persistent callers send holds to d1 and d2
+    Then each request got an answer or a refusal
+    And all refused requests were not run
+    And each keyed request ran once at most
+    And each answered keyed request gets the same answer again
--- a/tests/features/steps/draining_steps.py
+++ b/tests/features/steps/draining_steps.py
@@ -210,41 +210,46 @@
     assert context.waited_ms <= limit_ms, context.waited_ms
 
 
-def send_raw_and_terminate(context, parts, pause_s=0.0):
-    """Send a part of a request, SIGTERM, and return all bytes of the answer."""
-    daemon = context.fleet.daemons["d1"]
-    address = ("127.0.0.1", daemon.ports["caller"])
+def send_raw_and_end(
+    context, parts, pause_s=0.0, daemon="d1", signal_number=signal.SIGTERM
+):
+    """Send a part of a request to d1, end a daemon, and return the whole answer."""
+    address = ("127.0.0.1", context.fleet.daemons["d1"].ports["caller"])
+    process = context.fleet.daemons[daemon].process
     answer = bytearray()
     with socket.create_connection(address, READ_TIMEOUT_S) as connection:
         connection.sendall(parts)
         time.sleep(SENT_S)
-        daemon.process.send_signal(signal.SIGTERM)
+        process.send_signal(signal_number)
         time.sleep(pause_s)
         with contextlib.suppress(ConnectionError):
             while chunk := connection.recv(READ_BYTES):
                 answer += chunk
-    daemon.process.wait(TERM_TIMEOUT_S)
+    process.wait(TERM_TIMEOUT_S)
     return bytes(answer)
 
 
 @when("d1 gets SIGTERM after a caller has sent a hold without the end of its body")
 def step_send_partial_body(context):
-    context.answer = send_raw_and_terminate(context, HOLD_HEAD + PARTIAL_BODY)
+    context.answer = send_raw_and_end(context, HOLD_HEAD + PARTIAL_BODY)
     context.holds = [KeptRequest("partial", 0.0)]
     context.ran = ran_content_ids(context)
 
 
 @when("d1 gets SIGTERM after a caller has sent a part of a chunked hold")
 def step_send_partial_upload(context):
-    context.answer = send_raw_and_terminate(context, HOLD_HEAD + PARTIAL_UPLOAD)
+    context.answer = send_raw_and_end(context, HOLD_HEAD + PARTIAL_UPLOAD)
 
 
 @when(
-    "d1 gets SIGTERM while a caller that does not read downloads {size:d} bytes from it"
+    "{daemon} gets {name} while a caller that does not read downloads {size:d} bytes "
+    "from d1"
 )
-def step_download(context, size):
+def step_download(context, daemon, name, size):
     head = f"GET /proof-vault/download/{size} HTTP/1.1\r\nHost: a\r\n\r\n"
-    context.answer = send_raw_and_terminate(context, head.encode(), NOT_READING_S)
+    context.answer = send_raw_and_end(
+        context, head.encode(), NOT_READING_S, daemon, signal.Signals[name]
+    )
 
 
 @then("the raw answer has status {status:d} and the outcome {outcome}")
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -157,18 +157,16 @@
     "callers send holds"
 )
 def step_disrupt(context):
-    with sending_callers(context):
+    with sending_callers(context, context.fleet.daemons):
         disruptions = Disruptions(context.fleet, SEED)
         disruptions.run(DURATION_S)
     print(f"{dict(disruptions.counts)}")
 
 
 @contextmanager
-def sending_callers(context):
+def sending_callers(context, daemons):
     """Send requests of persistent callers while the context lasts, then note runs."""
-    ports = {
-        name: daemon.ports["caller"] for name, daemon in context.fleet.daemons.items()
-    }
+    ports = {name: context.fleet.daemons[name].ports["caller"] for name in daemons}
     callers = PersistentCallers(
         ports, SERVICES, CALLERS_PER_DAEMON, KEYED_CALLERS, MAX_PAUSE_S, SEED
     )
@@ -192,7 +190,7 @@
 def step_stop_starts(context, count):
     choices = random.Random(SEED)
     context.ends = []
-    with sending_callers(context):
+    with sending_callers(context, context.fleet.daemons):
         context.fleet.stop(context.fleet.daemons["d1"].process)
         for _ in range(count):
             process = context.fleet.start_daemon("d1", "makati", drain_ms=3000).process
@@ -212,6 +210,29 @@
     print(f"exit codes and seconds: {context.ends}")
 
 
+@when(
+    "d3 is killed, terminated and started {count:d} times while persistent callers "
+    "send holds to d1 and d2"
+)
+def step_end_guard(context, count):
+    choices = random.Random(SEED)
+    with sending_callers(context, ("d1", "d2")):
+        for number in range(count):
+            time.sleep(choices.uniform(0, MAX_STEP_S))
+            process = context.fleet.daemons["d3"].process
+            process.send_signal((signal.SIGKILL, signal.SIGTERM)[number % 2])
+            process.wait(TERM_TIMEOUT_S)
+            context.fleet.start_daemon("d3", "makati", drain_ms=3000)
+            context.fleet.wait_ready()
+
+
+@then("each request got an answer or a refusal")
+def step_check_all_answered(context):
+    assert context.requests
+    missing = [each for each in context.requests if not each.status]
+    assert not missing, (len(missing), missing[:5])
+
+
 def started_handling_signals(process):
     """Return whether a process has a handler for SIGHUP, which is set last."""
     status = Path(f"/proc/{process.pid}/status").read_text()
