Show that a change of the settings file is lost during startup

SIGHUP during startup reads the file and logs the change as taken, but the part that uses the setting was built with the previous value and registers later, so the change does not take effect until the file changes again.

--- a/tests/features/daemonsettings.feature
+++ b/tests/features/daemonsettings.feature
@@ -27,3 +27,8 @@
       | drain_ms                 | 6000.7 | 6000 |
       | announcement_interval_ms | 1333.3 | 1334 |
       | floor_percent            | 70.0   | 70   |
+
+  Scenario: A file that is read again during startup takes effect
+    Given a daemon settings file with "caller_service" set to "slot-desk"
+    When its "caller_service" is changed to "proof-vault" and read before the daemon has its parts
+    Then the parts of the daemon get "proof-vault" as "caller_service"
