Give the settings in effect to parts that register late

A change of the settings file that was read during startup did not take effect. A part now gets the settings in effect when it registers.

--- a/packages/laburnumscale/src/laburnumscale/settingsreloader.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreloader.py
@@ -38,8 +38,12 @@
         self._listeners: list[Listener] = []
 
     def on_change(self, listener: Listener) -> None:
-        """Register a function to be called with the settings after each reload."""
+        """Register a function to be called with the settings now and after each reload.
+
+        The file may have been reloaded since the start of the process.
+        """
         self._listeners.append(listener)
+        listener(self.settings)
 
     async def watch(self) -> None:
         """Reload the file whenever it changes, until cancelled."""
