Check the end of a slow download with a daemon

The scenario without a network showed the queue of replies; this one shows what the caller sees: the connection ends before the announced length.

--- a/tests/features/attemptclient.feature
+++ b/tests/features/attemptclient.feature
@@ -4,3 +4,11 @@
     Given an attempt that yields replies until its deadline in 200 ms
     When its replies are read only after 400 ms
     Then the replies end within 1000 ms
+
+  Scenario: A download that a caller reads too slowly ends at its time limit
+    Given a fleet of 1 daemons that drain for at most 3000 ms
+    And target p1 of proof-vault beside d1 that responds after 20 ms
+    And the fleet is ready with the settings of bantayog
+    When a caller downloads 40000000 bytes from d1 within 1000 ms but reads only after 3000 ms
+    Then the download ends before its announced length
+    And it ended within 5000 ms
