Check the time left that a draining guard passes to its target

An attempt that is admitted in the notice period of a drain ends with the drain, and its target is told so.

--- a/tests/features/draining.feature
+++ b/tests/features/draining.feature
@@ -72,3 +72,10 @@
     When d2 gets SIGTERM while p1 runs a hold from d1, and the hold ends
     Then the hold has status 504 and the outcome unknown
     And the hold ends within 2500 ms of the signal
+
+  Scenario: The target of an attempt that a draining guard admits is told when the drain ends
+    Given a fleet of 1 daemons that drain for at most 3000 ms
+    And target e1 of slot-desk beside d1 that responds after 300 ms
+    And the fleet is ready with the settings of bantayog
+    When a simulated entry sends a hold with 60000 ms left to d1 200 ms after SIGTERM
+    Then e1 was told that at most 2000 ms are left
--- a/tests/features/steps/draining_steps.py
+++ b/tests/features/steps/draining_steps.py
@@ -265,3 +265,27 @@
     head, _, body = context.answer.partition(b"\r\n\r\n")
     [length] = re.findall(rb"content-length: (\d+)", head.lower())
     assert 0 < len(body) < int(length), (len(body), length)
+
+
+@when(
+    "a simulated entry sends a hold with {left_ms:d} ms left to d1 {pause_ms:d} ms "
+    "after SIGTERM"
+)
+def step_send_attempt_in_drain(context, left_ms, pause_ms):
+    daemon = context.fleet.daemons["d1"]
+    request = hold_request(simulated_attempt_id(context, "d1", 1))
+    request.head.time_left_ms = left_ms
+    request.head.send_left_ms = left_ms
+    address = f"127.0.0.1:{daemon.ports['peer']}"
+    with grpc.insecure_channel(address, GRPC_OPTIONS) as channel:
+        grpc.channel_ready_future(channel).result(READ_TIMEOUT_S)
+        daemon.process.send_signal(signal.SIGTERM)
+        time.sleep(pause_ms / 1000)
+        replies = list(peer_pb2_grpc.GuardStub(channel).Call(request))
+    assert replies[-1].head.status == STATUS_OK, replies
+
+
+@then("{endpoint} was told that at most {limit_ms:d} ms are left")
+def step_check_time_left(context, endpoint, limit_ms):
+    [entry] = context.fleet.targets[endpoint].ledger()
+    assert 0 < entry["time_left_ms"] <= limit_ms, entry
