Share the limit of a target among the entries near it only

Callers left capacity unused: a target that names a limit got a small part of the calls that it allows in a fleet of several data centres.

Cause: each entry took its even share of the limit, by the number of all daemons. Entries prefer targets with free slots in their own data centre, so those of other data centres do not use their shares.

Change: an entry in the data centre of the target shares the limit with the other entries there. Others count all daemons as before; calls beyond the limit are still refused by the guard. The membership table counts the daemons of each data centre as it changes, so a choice costs no more in a large fleet.

No fleet of several data centres was run.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -180,6 +180,10 @@
         self.targets[daemon] = target, daemon, data_centre
         self.publish(daemon)
 
+    def count_in(self, data_centre: str) -> int:
+        """Return the number of daemons in a data centre."""
+        return sum(each == data_centre for _, _, each in self.targets.values())
+
     def publish_later(self, daemon: str) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(GOSSIP_DELAY_S, self.publish, daemon)
@@ -313,6 +317,7 @@
             watch_endpoints=self._directory.endpoints,
             on_endpoint_change=self._directory.on_change,
             group_size=len(self._seeds),
+            count_in=self._directory.count_in,
         )
         paths = SimpleNamespace(
             is_broken=lambda address: False,
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -79,6 +80,7 @@
         self._digests: dict[str, int] = {own.daemon: digest(own)}
         self._table_digest = self._digests[own.daemon]
         self._peers: dict[str, peer_pb2.Member] = {}
+        self._peer_counts: Counter[str] = Counter()
         self._gone_deadlines: dict[str, Deadline] = {}
         self._key_holders: dict[tuple[str, int], str] = {}
         self._index = EndpointIndex(self.get)
@@ -114,6 +116,11 @@
         """Return the number of daemons alive or suspected, including this one."""
         return len(self._peers) + 1
 
+    def count_in(self, data_centre: str) -> int:
+        """Return the number of daemons of the group in a data centre."""
+        is_own = data_centre == self.own.data_centre
+        return self._peer_counts[data_centre] + is_own
+
     def dead(self) -> list[peer_pb2.Member]:
         """Return the entries of the daemons that were declared dead and may return."""
         gone = (self._table[daemon] for daemon in self._gone_deadlines)
@@ -286,8 +293,12 @@
         self._update_key_holders(before, after)
         self._index.update(before, after)
         self._gone_deadlines.pop(daemon, None)
+        known = self._peers.get(daemon)
+        if known is not None:
+            self._peer_counts[known.data_centre] -= 1
         if is_present(after) and daemon != self.own.daemon:
             self._peers[daemon] = after
+            self._peer_counts[after.data_centre] += 1
         else:
             self._peers.pop(daemon, None)
         if not is_present(after):
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -228,7 +228,7 @@
         :param route: hash of the route of the call.
         """
         outstanding = self.load_table.record_start(view, route)
-        self._notices.record_start(view, self._members.group_size)
+        self._notices.record_start(view, self._count_sharers(view))
         timer = None
         if view.daemon != self._members.own.daemon:
             timer = self._paths.schedule_check(view.peer_address)
@@ -242,7 +242,7 @@
             self._consecutive_errors.record_reply(view, reply)
         if reply.HasField("load"):
             self.load_table.record_report(view, route, reply.load)
-            self._notices.record(view, reply.load, self._members.group_size)
+            self._notices.record(view, reply.load, self._count_sharers(view))
             if _is_overloaded(reply):
                 self._notices.record_refusal(view, reply.not_run.retry_after_ms)
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
@@ -293,6 +293,16 @@
             self._notices.is_due(view),
         )
 
+    def _count_sharers(self, view: EndpointView) -> int:
+        """Return the number of entries that share the limit of a target with this one.
+
+        While targets of their own data centre have free slots, entries send no calls
+        to others, so those near a target share its limit among themselves.
+        """
+        if view.data_centre != self._own_data_centre():
+            return self._members.group_size
+        return self._members.count_in(view.data_centre)
+
     def _policy(self, settings: EffectiveSettings) -> RoutingPolicy:
         name = settings.routing_policy
         if name not in self._policies:
--- a/packages/laburnumscale/src/laburnumscale/targetnotices.py
+++ b/packages/laburnumscale/src/laburnumscale/targetnotices.py
@@ -54,7 +54,7 @@
     ) -> None:
         """Record what the load report of a guard says of its target.
 
-        :param entry_count: number of daemons that share the limit.
+        :param entry_count: number of entries that share the limit.
         """
         key = (view.service, view.endpoint)
         if not report.HasField("notice"):
@@ -77,7 +77,7 @@
     def record_start(self, view: EndpointView, entry_count: int) -> None:
         """Record that this entry sends a call to a target.
 
-        :param entry_count: number of daemons that share the limit.
+        :param entry_count: number of entries that share the limit.
         """
         known = self._known.get((view.service, view.endpoint))
         if known is not None:
--- a/tests/features/steps/limited_service_steps.py
+++ b/tests/features/steps/limited_service_steps.py
@@ -13,6 +13,7 @@
 ROUTE = 7
 LIMITED = "e0"
 US_PER_MS = 1000
+LATENCY_US = 5_000
 
 
 class LimitedService:
@@ -25,14 +26,14 @@
     :ivar refused: calls that its guard refused because of the limit.
     """
 
-    def __init__(self, clock, count, limit, limited_latency_us) -> None:
+    def __init__(self, clock, count, limit, limited_latency_us, data_centres=1) -> None:
         self.clock = clock
         self.limit = TargetLimit()
         self.limit.record_response(limit, clock.now_s)
         self.entries = [RoutingEntry() for _ in range(count)]
         for entry in self.entries:
             for index in range(count - 1):
-                entry.merge(index, 1)
+                entry.merge(index, data_centres)
         self.admitted_s = []
         self.refused = 0
         self._limited_latency_us = limited_latency_us
@@ -76,6 +77,18 @@
     "second and a latency of {latency_ms:d} ms"
 )
 def step_create_service(context, count, limit, latency_ms):
+    create_service(context, count, limit, latency_ms * US_PER_MS)
+
+
+@given(
+    "{count:d} entries in {data_centres:d} data centres whose service has a target "
+    "with a limit of {limit:g} calls a second"
+)
+def step_create_spread_service(context, count, data_centres, limit):
+    create_service(context, count, limit, LATENCY_US, data_centres)
+
+
+def create_service(context, count, limit, latency_us, data_centres=1):
     use_clock(context)
     time = SimpleNamespace(monotonic=context.clock)
     for module in (latencyreports, loadtable):
@@ -84,14 +97,25 @@
         context.add_cleanup(patcher.stop)
     random.seed(SEED)
     context.service = LimitedService(
-        context.clock, count, limit, latency_ms * US_PER_MS
+        context.clock, count, limit, latency_us, data_centres
     )
 
 
 @when("each entry has {rate:d} calls a second at random times for {duration_s:d} s")
 def step_call(context, rate, duration_s):
+    call_at_rate(context, context.service.entries, rate, duration_s)
+
+
+@when(
+    "each of the {count:d} entries near it has {rate:d} calls a second at random times "
+    "for {duration_s:d} s"
+)
+def step_call_nearby(context, count, rate, duration_s):
+    call_at_rate(context, context.service.entries[:count], rate, duration_s)
+
+
+def call_at_rate(context, entries, rate, duration_s):
     seeded = random.Random(SEED)
-    entries = context.service.entries
     context.started_at_s = context.clock.now_s
     while context.clock.now_s < context.started_at_s + duration_s:
         context.clock.now_s += seeded.expovariate(rate * len(entries))
--- a/tests/features/steps/routing_scale_steps.py
+++ b/tests/features/steps/routing_scale_steps.py
@@ -71,6 +71,10 @@
         for name in pool.healthy.shuffled()
         if pool.health(name).view.data_centre == "dc0"
     }
+    group = [entry.members.own, *entry.members.peers()]
+    for name in ("dc0", "dc1"):
+        count = sum(each.data_centre == name for each in group)
+        assert entry.members.count_in(name) == count
 
 
 @then(
--- a/tests/features/target_limit_decisions.feature
+++ b/tests/features/target_limit_decisions.feature
@@ -80,3 +80,9 @@
       | 4       | 1     | 5          | 10   | 70    | 5    | 150     |
       | 4       | 1     | 14         | 10   | 70    | 5    | 150     |
       | 25      | 1.2   | 40         | 4    | 75    | 6    | 250     |
+
+  Scenario: The entries near a target use its limit while those of other data centres do not
+    Given 25 entries in 6 data centres whose service has a target with a limit of 1.2 calls a second
+    When each of the 5 entries near it has 10 calls a second at random times for 100 s
+    Then at least 80 calls are admitted
+    And at most 6 calls are admitted in any 4 s
