Gossip harmful calls first, and in shorter records

In a large fleet the calls that run beside a harmful one fill the bytes of gossip: each end of a target makes a record for each call that it ran, which every daemon sends 2 + 2 log10(n) times. Records under which most targets ended go first now, paths are cut after 48 characters, and the record of a cleared call has no text.

--- a/packages/laburnumscale/src/laburnumscale/suspectcall.py
+++ b/packages/laburnumscale/src/laburnumscale/suspectcall.py
@@ -15,7 +15,7 @@
 REFUSAL_MS = 600_000
 #: For how long an end of a target counts, and a release is remembered.
 SUSPICION_MS = 120_000
-MAX_PATH_LENGTH = 120
+MAX_PATH_LENGTH = 48
 
 
 @attrs.frozen
@@ -59,17 +59,22 @@
         )
 
     def message(self) -> peer_pb2.SuspectCall:
-        """Return the record as it is sent to other daemons."""
-        return peer_pb2.SuspectCall(
+        """Return the record as it is sent to other daemons.
+
+        That of a cleared call has no text, as operators do not see it.
+        """
+        message = peer_pb2.SuspectCall(
             fingerprint=self.fingerprint,
             generation=self.generation,
             target_ends=self.target_ends,
             expires_in_ms=self.expiry_deadline.left_ms(),
             refused_for_ms=self.refusal_deadline.left_ms(),
-            service=self.service,
-            method=self.method,
-            path=self.path[:MAX_PATH_LENGTH],
         )
+        if self.target_ends:
+            message.service = self.service
+            message.method = self.method
+            message.path = self.path[:MAX_PATH_LENGTH]
+        return message
 
     @property
     def is_refused(self) -> bool:
@@ -91,8 +96,9 @@
         if is_new and len(target_ends) == MAX_TARGET_ENDS:
             refusal_deadline = Deadline.after_ms(REFUSAL_MS)
             expiry_deadline = Deadline.after_ms(REFUSAL_MS + SUSPICION_MS)
+        described = self if self.service else other
         return attrs.evolve(
-            self,
+            described,
             target_ends=target_ends,
             expiry_deadline=expiry_deadline,
             refusal_deadline=refusal_deadline,
--- a/packages/laburnumscale/src/laburnumscale/suspectqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/suspectqueue.py
@@ -3,7 +3,7 @@
 Queues suspect calls, each of which is gossiped a limited number of times.
 """
 
-from collections import OrderedDict
+import heapq
 
 import attrs
 
@@ -14,6 +14,9 @@
 __all__ = ["SuspectQueue"]
 
 
+MAX_RECORDS_IN_BATCH = 16
+
+
 @attrs.define(eq=False)
 class _Pending:
     suspect: SuspectCall
@@ -21,10 +24,10 @@
 
 
 class SuspectQueue:
-    """Records to be gossiped; those that were sent least often go first."""
+    """Records to be gossiped, those under which most targets ended first."""
 
     def __init__(self) -> None:
-        self._pending: OrderedDict[bytes, _Pending] = OrderedDict()
+        self._pending: dict[bytes, _Pending] = {}
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -32,7 +35,6 @@
     def add(self, suspect: SuspectCall) -> None:
         """Queue a new or changed record."""
         self._pending[suspect.fingerprint] = _Pending(suspect)
-        self._pending.move_to_end(suspect.fingerprint, last=False)
 
     def take_batch(
         self, limit_bytes: int, group_size: int
@@ -43,15 +45,20 @@
         :param group_size: number of daemons; determines how often a record is sent.
         """
         batch = []
-        for fingerprint, pending in list(self._pending.items()):
+        for pending in heapq.nsmallest(
+            MAX_RECORDS_IN_BATCH, self._pending.values(), key=_rank
+        ):
             message = pending.suspect.message()
             limit_bytes -= message.ByteSize() + FIELD_OVERHEAD_BYTES
             if limit_bytes < 0:
                 break
             batch.append(message)
             pending.sends += 1
-            if pending.sends < send_limit(group_size):
-                self._pending.move_to_end(fingerprint)
-            else:
-                del self._pending[fingerprint]
+            if pending.sends >= send_limit(group_size):
+                del self._pending[pending.suspect.fingerprint]
         return batch
+
+
+def _rank(pending: _Pending) -> tuple[int, int]:
+    """Return the sort key of a record: harmful calls first, then those sent least."""
+    return -len(pending.suspect.target_ends), pending.sends
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -95,6 +95,11 @@
     When datagrams for a group of 99 daemons are filled until the queue is empty
     Then each call was sent 6 times and no datagram holds more than 700 bytes of calls
 
+  Scenario: A harmful call is gossiped before those that ran beside it
+    Given a queue of suspect calls with 200 calls
+    When a call under which 3 targets ended is added to the queue
+    Then it is in the next 4 datagrams of 700 bytes
+
   Scenario: Daemons that run no part of a call hear of the ends of its targets
     Given a fleet of 3 daemons in makati
     And two targets of slot-desk beside d1 end on "/crash"
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -263,6 +263,21 @@
         )
 
 
+@when("a call under which {count:d} targets ended is added to the queue")
+def step_add_harmful_call(context, count):
+    quarantine = Quarantine(Metrics())
+    quarantine.on_change(context.queue.add)
+    for end in range(count):
+        quarantine.record_target_end(fingerprint_of("harmful"), end + 1, HEAD)
+
+
+@then("it is in the next {count:d} datagrams of {limit_bytes:d} bytes")
+def step_harmful_call_first(context, count, limit_bytes):
+    for _ in range(count):
+        batch = context.queue.take_batch(limit_bytes, group_size=99)
+        assert fingerprint_of("harmful") in {each.fingerprint for each in batch}
+
+
 @when("datagrams for a group of {count:d} daemons are filled until the queue is empty")
 def step_fill_datagrams(context, count):
     context.batches = []
