--- a/packages/laburnumscale/src/laburnumscale/suspectqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/suspectqueue.py
@@ -13,7 +13,6 @@
 
 __all__ = ["SuspectQueue"]
 
-
 MAX_RECORDS_IN_BATCH = 16
 
 
--- a/packages/laburnumscale/src/laburnumscale/targetends.py
+++ b/packages/laburnumscale/src/laburnumscale/targetends.py
@@ -24,7 +24,7 @@
 MAX_CONNECTIONS = 2
 CLOSE_TIMEOUT_S = 0.03
 RANDOM_BITS = 12
-US_PER_NS = 1000
+NS_PER_US = 1000
 
 
 @attrs.frozen(eq=False)
@@ -109,5 +109,5 @@
 
 def _new_identity() -> int:
     """Return a number that is unique in the fleet and increases with time."""
-    time_us = time.time_ns() // US_PER_NS
+    time_us = time.time_ns() // NS_PER_US
     return (time_us << RANDOM_BITS) + random.getrandbits(RANDOM_BITS)
