--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -77,8 +77,11 @@
 
     @property
     def key(self) -> str:
-        """Return the name of the scenario in KNOWN-RED.txt."""
-        return f"{self.feature}: {self.scenario}"
+        """Return the name of the scenario in KNOWN-RED.txt.
+
+        The names of examples end with a space.
+        """
+        return f"{self.feature}: {self.scenario}".strip()
 
 
 def read_known_red() -> set[str]:
