Log how old the settings may be on which a request was refused

The line of a refused request had the held revision only, and a call's end had nothing about reported ones.

Change: the feed records the last contact of each way (log read, fetch, push, reply to a push, datagram), by the clock that goes on while a host is suspended; refused requests are logged with these ages, the reported revision and the time behind, calls with the time behind. No decision changes, except that a host that resumes no longer takes the time of its suspension out of the age of its last contact.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -86,7 +86,7 @@
         routes_only: bool,
     ) -> None:
         self._drain_state = runner.drain_state
-        self._call_log = CallLog(lambda: feed.tree.revision)
+        self._call_log = CallLog(feed)
         self._header_names = header_names
         self._routes = RouteLookup(feed, routes_only)
         self._members = members
--- a/packages/laburnumscale/src/laburnumscale/calllog.py
+++ b/packages/laburnumscale/src/laburnumscale/calllog.py
@@ -3,14 +3,13 @@
 Writes a log line per call with its inputs, its attempts and its outcome.
 """
 
-from collections.abc import Callable
-
 import attrs
 
 from laburnumscale.callstate import Call
 from laburnumscale.logs import get_logger
 from laburnumscale.outcomes import Answered, Outcome, outcome_name, reason_name
 from laburnumscale.ratelimit import RateLimiter
+from laburnumscale.settingsfeed import SettingsFeed
 
 __all__ = ["CallLog"]
 
@@ -27,10 +26,10 @@
     Lines of successful calls are rate-limited; the field ``stands_for`` of such a line
     is the number of calls that it represents.
 
-    :param revision: returns the revision of the settings in force.
+    :param feed: the settings in force, and how old they may be.
     """
 
-    revision: Callable[[], int]
+    feed: SettingsFeed
     _success_line_rate: RateLimiter = attrs.field(
         factory=lambda: RateLimiter(MAX_SUCCESS_LINES_PER_S, MAX_SUCCESS_LINES_PER_S)
     )
@@ -43,7 +42,7 @@
             request_id=request_id,
             reason=reason_name(outcome),
             detail=detail,
-            revision=self.revision(),
+            **self.feed.describe_age(),
         )
 
     def log_call_end(self, call: Call, outcome: Outcome, elapsed_ms: float) -> None:
@@ -68,6 +67,7 @@
             elapsed_ms=round(elapsed_ms),
             left_ms=call.deadline.left_ms(),
             attempts=[attrs.asdict(summary) for summary in call.attempt_summaries],
-            revision=self.revision(),
+            revision=self.feed.tree.revision,
+            behind_ms=round(self.feed.lag.behind_ms()),
             stands_for=stands_for,
         )
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -108,7 +108,7 @@
         shared.metrics,
         seeds=shared.settings.seed_addresses,
         revision=lambda: feed.tree.revision,
-        on_newer_revision=feed.record_peer_revision,
+        on_revision=feed.record_datagram_revision,
         quarantine=shared.quarantine,
     )
 
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -64,8 +64,8 @@
         use only the seed addresses.
     :param seeds: addresses of daemons that may already be running.
     :param revision: returns the settings revision of this daemon.
-    :param on_newer_revision: called with a newer settings revision and the peer
-        address of the daemon that has it.
+    :param on_revision: called with the settings revision that a datagram reports and
+        the peer address of the daemon that has it.
     :param quarantine: the suspect calls, which daemons tell each other of.
     """
 
@@ -78,7 +78,7 @@
         *,
         seeds: Sequence[Address] = (),
         revision: Callable[[], int] = lambda: 0,
-        on_newer_revision: Callable[[int, str], None] = lambda revision, address: None,
+        on_revision: Callable[[int, str], None] = lambda revision, address: None,
         quarantine: Quarantine | None = None,
     ) -> None:
         self._quarantine = Quarantine(metrics) if quarantine is None else quarantine
@@ -86,7 +86,7 @@
         self._channels = channels
         self._metrics = metrics
         self._revision = revision
-        self._on_newer_revision = on_newer_revision
+        self._on_revision = on_revision
         self._health = LocalHealth()
         traffic = PeerTraffic(members, metrics)
         self._socket = DatagramSocket(channels.overrides, metrics, traffic)
@@ -260,8 +260,7 @@
         )
 
     def _compare_state(self, datagram: gossip_pb2.Datagram) -> None:
-        if datagram.settings_revision > self._revision():
-            self._on_newer_revision(datagram.settings_revision, datagram.sender_address)
+        self._on_revision(datagram.settings_revision, datagram.sender_address)
         if datagram.table_digest == self._members.table_digest:
             self._mismatched_addresses.clear()
         elif len(self._mismatched_addresses) < MISMATCHES_BEFORE_EXCHANGE:
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -15,6 +15,7 @@
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
+from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
@@ -101,7 +102,7 @@
     ) -> peer_pb2.SettingsHeld:
         self._feed.apply_reply(request)
         if request.held.has_tree:
-            self._feed.record_contact(from_peer=True)
+            self._feed.contacts.record(SettingsContact.PUSH)
         self._feed.notify_waiters()
         self._feed.record_peer_revision(request.held.revision, request.sender_address)
         return self._feed.held()
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -15,6 +15,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.platformlog import Batch, LogClient, LogReader, Record
+from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingssource import ReaderRole, SettingsSource
 from laburnumscale_schema import settings_pb2
@@ -164,7 +165,7 @@
             get_logger().info(
                 "settings log available again", revision=feed.tree.revision
             )
-        feed.record_contact()
+        feed.contacts.record(SettingsContact.LOG_READ)
         if feed.tree.revision:
             feed.mark_tree_complete()
         feed.notify_waiters()
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 from collections import deque
 
 from laburnumscale.deadlines import MS_PER_S, Deadline
@@ -14,6 +13,7 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.revisionlag import RevisionLag
 from laburnumscale.settingschecks import check_snapshot, parse_record
+from laburnumscale.settingscontacts import SettingsContact, SettingsContacts
 from laburnumscale.settingstree import SettingsTree
 from laburnumscale_schema import peer_pb2, settings_pb2
 
@@ -45,8 +45,7 @@
     :ivar has_tree: whether the tree may be used, because it has been complete once.
     :ivar log_failed: whether the last request to the log failed or its response was
         unusable.
-    :ivar contact_at_s: monotonic time of the last contact with the log or a peer.
-    :ivar peer_contact_at_s: monotonic time of the last contact with a peer.
+    :ivar contacts: when this daemon last heard of settings.
     :ivar snapshot_revision: revision of the newest known snapshot in the log.
     :ivar newer_peer_found: set when a peer reports a newer revision.
     :ivar lag: the newer revisions that peers have reported.
@@ -60,8 +59,7 @@
         self.tree = SettingsTree()
         self.has_tree = False
         self.log_failed = False
-        self.contact_at_s = 0.0
-        self.peer_contact_at_s = 0.0
+        self.contacts = SettingsContacts()
         self.snapshot_revision = 0
         self.newer_peer_found = asyncio.Event()
         self.lag = RevisionLag(metrics)
@@ -74,7 +72,7 @@
 
     def contact_age_s(self) -> float:
         """Return the seconds since the last contact with the log or a peer."""
-        return time.monotonic() - self.contact_at_s
+        return self.contacts.age_s()
 
     def is_stale(self) -> bool:
         """Return whether the last contact is too old to rely on the settings."""
@@ -85,20 +83,13 @@
 
         :param contact_timeout_s: time in seconds within which a peer must be heard.
         """
-        contact_age_s = time.monotonic() - self.peer_contact_at_s
-        is_heard = contact_age_s <= contact_timeout_s
+        is_heard = self.contacts.peer_age_s() <= contact_timeout_s
         return self.has_tree and is_heard and not self.is_late()
 
     def is_late(self) -> bool:
         """Return whether peers should have delivered the settings that they report."""
         return self.lag.behind_ms() > self._log_read_delay_ms
 
-    def record_contact(self, from_peer: bool = False) -> None:
-        """Record a contact with the log or, if ``from_peer``, with a peer."""
-        self.contact_at_s = time.monotonic()
-        if from_peer:
-            self.peer_contact_at_s = self.contact_at_s
-
     def mark_tree_complete(self) -> None:
         """Record that the tree is complete and may be used."""
         if not self.has_tree:
@@ -106,6 +97,20 @@
             get_logger().info("settings in force", revision=self.tree.revision)
             self.notify_waiters()
 
+    def record_datagram_revision(self, revision: int, address: str) -> None:
+        """Record the revision that a datagram of a peer reports."""
+        self.contacts.record(SettingsContact.DATAGRAM)
+        self.record_peer_revision(revision, address)
+
+    def describe_age(self) -> dict[str, object]:
+        """Return the revisions held and reported and the contacts, for log lines."""
+        return {
+            "revision": self.tree.revision,
+            "wanted_revision": self.lag.wanted_revision,
+            "behind_ms": round(self.lag.behind_ms()),
+            "contact_ages_ms": self.contacts.ages_ms(),
+        }
+
     def record_peer_revision(self, revision: int, address: str) -> None:
         """Record the revision that a peer reports."""
         self.lag.record_report(revision, address, self.tree.revision)
--- a/packages/laburnumscale/src/laburnumscale/settingslog.py
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -15,6 +15,7 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.platformlog import Batch, LogClient, sleep_until_retry
 from laburnumscale.settingschecks import parse_record
+from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SETTINGS_STREAM, SettingsFeed
 from laburnumscale.settingssource import SettingsSource
 from laburnumscale_schema import settings_pb2
@@ -96,7 +97,7 @@
         for record in batch.records:
             feed.apply_record(record.offset, record.payload)
         if feed.tree.revision >= batch.next_offset:
-            feed.record_contact()
+            feed.contacts.record(SettingsContact.LOG_READ)
             feed.mark_tree_complete()
             feed.log_failed = False
         if requested_revision > batch.next_offset:
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -20,6 +20,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.peerpushes import PeerPushes
+from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsfetch import fetch_from_any
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
@@ -255,7 +256,7 @@
             self._handle_failure("push", address, error, started_at_s)
             return None
         if held.has_tree:
-            self._feed.record_contact(from_peer=True)
+            self._feed.contacts.record(SettingsContact.PUSH_REPLY)
         self._feed.record_peer_revision(held.revision, address)
         return held
 
@@ -350,7 +351,7 @@
         request = peer_pb2.SettingsRequest(after_revision=revision)
         reply = await self._send_fetch(address, request, new_connection)
         if reply is not None:
-            self._feed.record_contact(from_peer=True)
+            self._feed.contacts.record(SettingsContact.FETCH)
             self._feed.apply_reply(reply)
             self._feed.notify_waiters()
         return reply
@@ -368,7 +369,7 @@
             self._feed.apply_reply(reply)
         if self._feed.tree.revision >= usable[-1].held.revision:
             self._feed.mark_tree_complete()
-            self._feed.record_contact(from_peer=True)
+            self._feed.contacts.record(SettingsContact.FETCH)
             self._feed.notify_waiters()
 
     async def _wait_for_newer_peer(self) -> None:
