Show daemons that take old settings for the newest, as known red

Cause: not mended here. A daemon that no peer tells of a change reads the store only after 4 s; a daemon that knows of a newer revision nevertheless uses routes of its own.

--- a/tests/features/steps/settings_lag_steps.py
+++ b/tests/features/steps/settings_lag_steps.py
@@ -9,6 +9,7 @@
     route_document,
     send_request,
     start_platform_daemon,
+    write_configuration,
 )
 from tests.standins.fleet import request, wait_until
 
@@ -56,6 +57,18 @@
         )
 
 
+@given(
+    "a linked platform fleet of {count:d} daemons in {data_centre}, "
+    "with links between {source} and the others and to the store"
+)
+def step_start_fleet_with_links_both_ways(context, count, data_centre, source):
+    for index in range(count):
+        name = f"d{index + 1}"
+        if name != source:
+            context.fleet.link_daemons(name, source)
+    step_start_fleet_with_links(context, count, data_centre, source)
+
+
 @when("the operator writes configurations until {daemon} gets them only from its peers")
 def step_wait_for_peers(context, daemon):
     versions = itertools.count(context.last_version + 1)
@@ -136,8 +149,39 @@
     )
 
 
-@when("the links of {source} to its peers are cut")
-def step_cut_peer_links(context, source):
+def cut_links(context, is_cut):
     for name, link in context.fleet.links.items():
-        if name.startswith(f"{source}>"):
+        if is_cut(name):
             link.faults(forward={"cut": True}, backward={"cut": True})
+
+
+@when("the links of {source} to its peers are cut")
+def step_cut_peer_links(context, source):
+    cut_links(context, lambda name: name.startswith(f"{source}>"))
+
+
+@when("all links between {daemon} and its peers are cut")
+def step_cut_links_both_ways(context, daemon):
+    cut_links(context, lambda name: daemon in name.split(">") and ">" in name)
+
+
+@when("the links of {source} to its peers and to the store are cut")
+def step_cut_peer_and_store_links(context, source):
+    cut_links(context, lambda name: name.startswith((f"{source}>", f"{source}-store")))
+
+
+@when("the operator moves the route /lookup/ to {service}")
+def step_move_route(context, service):
+    context.last_version += 1
+    write_configuration(context, context.last_version, service)
+    context.written_at_s = time.monotonic()
+
+
+@then(
+    "2 s later the GET {path} to {daemon} that {service} answers are none of {count:d}"
+)
+def step_check_former_service(context, path, daemon, service, count):
+    time.sleep(max(0.0, context.written_at_s + IN_FORCE_AFTER_S - time.monotonic()))
+    responses = [send_request(context, "GET", path, daemon) for _ in range(count)]
+    seen = [(each.status, each.body.decode()) for each in responses]
+    assert (STATUS_OK, service) not in seen, seen
