Bound the age of the settings that decide about a call

Cause: whether a daemon has the newest settings was knowledge without an age. Pushes and datagrams spread it by chance, a daemon that nobody told read the store only after 4 s without a peer, any request of a peer counted as being fed, and routes that exist in the old settings were used without a look at newer reported ones, without a limit.

Change: each daemon knows when its settings were last known to be the newest. The age travels with the revision and is subtracted from the time of the request, so it is never understated. A missing route is final only from settings that are confirmed and not behind; a route of settings that are older than the limit is used only if nothing newer is known and neither the log nor a reader can tell. Reads of the log that should have been answered are given up after 300 ms, doubled with each, also if the daemon was late before.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -38,6 +38,7 @@
 from laburnumscale.peertraffic import PeerTraffic
 from laburnumscale.platforms import get_platform_by_name
 from laburnumscale.quarantine import Quarantine
+from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreloader import SettingsReloader
 from laburnumscale.transmission import SendOnceRequest, TargetConnector
@@ -177,10 +178,13 @@
             metrics=metrics,
             members=members,
             log=CountedLog(platform.log(log_session), metrics),
-            feed=SettingsFeed(metrics, settings.isolation_ms),
+            feed=SettingsFeed(
+                metrics, settings.isolation_ms, settings.settings_apply_ms
+            ),
             channels=PeerChannels(settings.peer_address_overrides, traffic),
             drain_state=self._drain_state,
             quarantine=Quarantine(metrics),
+            roles=ReaderRoles(members),
         )
 
     def _start_background_tasks(
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -12,6 +12,7 @@
 from laburnumscale.callerapi import CallerApi
 from laburnumscale.calls import CallRunner
 from laburnumscale.channels import PeerChannels
+from laburnumscale.confirmationrequests import ConfirmationRequests
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.drainstate import DrainState
 from laburnumscale.gossip import Gossip
@@ -27,6 +28,7 @@
 from laburnumscale.platforms import Platform
 from laburnumscale.quarantine import Quarantine
 from laburnumscale.quarantineapi import QuarantineApi
+from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.recovery import TargetRecovery
 from laburnumscale.retrybudget import RetryBudget
 from laburnumscale.routing import Router
@@ -65,6 +67,7 @@
     channels: PeerChannels
     drain_state: DrainState
     quarantine: Quarantine
+    roles: ReaderRoles
 
 
 @attrs.frozen(eq=False)
@@ -101,7 +104,7 @@
 def build_gossip(shared: SharedParts) -> Gossip:
     """Build the group membership of a daemon."""
     feed = shared.feed
-    return Gossip(
+    gossip = Gossip(
         shared.members,
         shared.channels,
         shared.log,
@@ -111,6 +114,10 @@
         on_revision=feed.record_datagram_revision,
         quarantine=shared.quarantine,
     )
+    gossip.confirmations = ConfirmationRequests(
+        feed, shared.roles.sources, shared.metrics
+    )
+    return gossip
 
 
 def build_guard_role(shared: SharedParts) -> GuardRole:
@@ -140,10 +147,15 @@
     settings = shared.settings
     seeds = tuple(str(address) for address in settings.seed_addresses)
     replicator = SettingsReplicator(
-        shared.members, shared.feed, shared.channels, seeds, shared.metrics
+        shared.members,
+        shared.feed,
+        shared.channels,
+        seeds,
+        shared.metrics,
+        shared.roles,
     )
     source = shared.platform.settings_source(
-        shared.feed, shared.log, shared.metrics, replicator
+        shared.feed, shared.log, shared.metrics, shared.roles
     )
     publisher = SettingsPublisher(
         settings.daemon, shared.feed, source, replicator, shared.log, shared.metrics
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -14,6 +14,9 @@
     parse_loopback_ip_port,
 )
 from laburnumscale.errors import OptionMissing, OptionUnknown, OptionValueInvalid
+from laburnumscale.settingsconfirmation import (
+    DEFAULT_APPLY_LIMIT_MS as DEFAULT_SETTINGS_APPLY_MS,
+)
 from laburnumscale.settingsfile import SettingsFile, read_settings_file
 from laburnumscale_schema import daemon_pb2
 
@@ -26,6 +29,7 @@
 DEFAULT_BODY_LIMIT_BYTES = 256 * 1024 * 1024
 DEFAULT_ANSWER_LIMIT_BYTES = 256 * 1024 * 1024
 DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1_000
+MIN_SETTINGS_APPLY_MS = 500
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
 #: How to round settings that templates compute from ratios and seconds, so that the
@@ -36,6 +40,7 @@
     "floor_percent": math.ceil,
     "drain_ms": math.floor,
     "announcement_interval_ms": math.ceil,
+    "settings_apply_ms": math.floor,
 }
 
 
@@ -63,6 +68,8 @@
         platform's documents do not set it.
     :ivar announcement_interval_ms: expected time in milliseconds between two
         announcements of a target.
+    :ivar settings_apply_ms: time in milliseconds after which a change of the fleet's
+        settings must be in force on each daemon.
     """
 
     daemon: str
@@ -90,6 +97,7 @@
     retry_budget_percent: int = 0
     announcement_interval_ms: int = DEFAULT_ANNOUNCEMENT_INTERVAL_MS
     answer_limit_bytes: int = DEFAULT_ANSWER_LIMIT_BYTES
+    settings_apply_ms: int = DEFAULT_SETTINGS_APPLY_MS
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -176,9 +184,21 @@
             message.announcement_interval_ms or DEFAULT_ANNOUNCEMENT_INTERVAL_MS
         ),
         answer_limit_bytes=message.answer_limit_bytes or DEFAULT_ANSWER_LIMIT_BYTES,
+        settings_apply_ms=_read_settings_apply_ms(file, message),
     )
 
 
+def _read_settings_apply_ms(
+    file: SettingsFile, message: daemon_pb2.DaemonSettings
+) -> int:
+    value_ms = message.settings_apply_ms or DEFAULT_SETTINGS_APPLY_MS
+    if value_ms < MIN_SETTINGS_APPLY_MS:
+        option = "settings_apply_ms"
+        reason = f"{value_ms} is less than {MIN_SETTINGS_APPLY_MS}"
+        raise OptionValueInvalid(file.location(option), option, reason)
+    return value_ms
+
+
 def _parse_target_address(
     file: SettingsFile, message: daemon_pb2.DaemonSettings, value: str
 ) -> Address:
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -11,6 +11,7 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.channels import PeerChannels
+from laburnumscale.confirmationrequests import ConfirmationRequests
 from laburnumscale.datagrams import DatagramSocket
 from laburnumscale.detector import FailureDetector
 from laburnumscale.gossipsender import GossipSender
@@ -40,12 +41,15 @@
 EXCHANGE_S_PER_DECADE_SQUARED = 4.0
 MISMATCHES_BEFORE_EXCHANGE = 3
 MAX_PENDING_EXCHANGES = 4
+MIN_CONFIRMATION_DELAY_S = 0.01
 
 PING = gossip_pb2.DATAGRAM_KIND_PING
 ACK = gossip_pb2.DATAGRAM_KIND_ACK
 PING_REQUEST = gossip_pb2.DATAGRAM_KIND_PING_REQUEST
 NACK = gossip_pb2.DATAGRAM_KIND_NACK
 UPDATES = gossip_pb2.DATAGRAM_KIND_UPDATES
+CONFIRMATION_REQUEST = gossip_pb2.DATAGRAM_KIND_CONFIRMATION_REQUEST
+CONFIRMATION = gossip_pb2.DATAGRAM_KIND_CONFIRMATION
 
 
 def min_exchange_interval_s(group_size: int) -> float:
@@ -67,6 +71,8 @@
     :param on_revision: called with the settings revision that a datagram reports and
         the peer address of the daemon that has it.
     :param quarantine: the suspect calls, which daemons tell each other of.
+    :ivar confirmations: decides when to ask which reader of the log whether the
+        settings are the newest; None for a daemon without settings.
     """
 
     def __init__(
@@ -82,6 +88,7 @@
         quarantine: Quarantine | None = None,
     ) -> None:
         self._quarantine = Quarantine(metrics) if quarantine is None else quarantine
+        self.confirmations: ConfirmationRequests | None = None
         self._members = members
         self._channels = channels
         self._metrics = metrics
@@ -133,6 +140,7 @@
             self._run_periodic_work(),
             self._exchange_forever(),
             self._discovery.discover_forever(),
+            self._confirm_settings_forever(),
         ):
             task = asyncio.create_task(coroutine, name=coroutine.__qualname__)
             task.add_done_callback(self._log_task_failure)
@@ -199,6 +207,27 @@
             if address is not None:
                 await self.exchange.exchange(address)
 
+    async def _confirm_settings_forever(self) -> None:
+        """Ask the readers of the log whether the settings are the newest."""
+        confirmations = self.confirmations
+        while confirmations is not None:
+            await asyncio.sleep(max(MIN_CONFIRMATION_DELAY_S, confirmations.delay_s()))
+            request = confirmations.next_request()
+            if request is not None:
+                datagram = gossip_pb2.Datagram(
+                    kind=CONFIRMATION_REQUEST, sequence=request.sequence
+                )
+                self._gossip_sender.send_bare(request.address, datagram)
+
+    def _handle_confirmation(self, datagram: gossip_pb2.Datagram) -> None:
+        if self.confirmations is None:
+            return
+        if datagram.kind == CONFIRMATION:
+            self.confirmations.handle_reply(datagram)
+            return
+        reply = self.confirmations.handle_request(datagram)
+        self._gossip_sender.send_bare(datagram.sender_address, reply)
+
     def _next_exchange_address(self) -> str | None:
         if self._pending_exchanges:
             address, _ = self._pending_exchanges.popitem()
@@ -229,7 +258,11 @@
         for suspect in datagram.suspect_calls:
             self._quarantine.merge(suspect)
         sender = self._resolve_sender(datagram)
-        self._compare_state(datagram)
+        self._on_revision(datagram.settings_revision, datagram.sender_address)
+        if datagram.kind in (CONFIRMATION_REQUEST, CONFIRMATION):
+            self._handle_confirmation(datagram)
+            return
+        self._compare_digests(datagram)
         if datagram.kind == PING:
             self._detector.handle_ping(datagram, sender)
         elif datagram.kind == PING_REQUEST:
@@ -259,8 +292,7 @@
             peer_address=datagram.sender_address,
         )
 
-    def _compare_state(self, datagram: gossip_pb2.Datagram) -> None:
-        self._on_revision(datagram.settings_revision, datagram.sender_address)
+    def _compare_digests(self, datagram: gossip_pb2.Datagram) -> None:
         if datagram.table_digest == self._members.table_digest:
             self._mismatched_addresses.clear()
         elif len(self._mismatched_addresses) < MISMATCHES_BEFORE_EXCHANGE:
--- a/packages/laburnumscale/src/laburnumscale/gossipsender.py
+++ b/packages/laburnumscale/src/laburnumscale/gossipsender.py
@@ -77,6 +77,16 @@
         datagram.updates.extend(updates)
         self._budget_bytes -= self._socket.send(recipient.peer_address, datagram)
 
+    def send_bare(self, address: str, datagram: gossip_pb2.Datagram) -> None:
+        """Send a datagram that carries no updates and no digest of the table."""
+        own = self._members.own
+        datagram.sender = own.daemon
+        datagram.sender_incarnation = own.incarnation
+        datagram.sender_address = own.peer_address
+        datagram.settings_revision = self._revision()
+        self._refill_budget()
+        self._budget_bytes -= self._socket.send(address, datagram)
+
     def can_send_updates(self) -> bool:
         """Return whether urgent updates are queued and the budget allows a datagram."""
         has_updates = self.queue.has_urgent() or len(self._suspects) > 0
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -241,7 +241,8 @@
     async def _run_operation(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
         if head.service not in self._feed.tree.services():
-            if not await self._feed.catch_up(head.time_left_ms):
+            await self._feed.wait_until_current(head.time_left_ms)
+            if not self._feed.is_current():
                 return not_run_reply(
                     peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, BEHIND_RETRY_AFTER_MS
                 )
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -10,6 +10,7 @@
 import aiohttp
 import attrs
 
+from laburnumscale.deadlines import MS_PER_S, now_s
 from laburnumscale.errors import (
     LogReplyInvalid,
     LogReplyOutdated,
@@ -72,6 +73,19 @@
         """Return the offset of the next read; a read may end before the last record."""
         return self.records[-1].offset + 1 if self.records else self.next_offset
 
+    def confirmed_at_s(self, started_at_s: float, wait_ms: int) -> float:
+        """Return a time at which the records were the last ones of the stream.
+
+        A read that waited in vain was answered after its wait; one that brought records
+        may have been answered as soon as it began.
+
+        :param started_at_s: time since boot at which the read began.
+        :param wait_ms: how long the log waited for a record at most.
+        """
+        if self.records:
+            return started_at_s
+        return min(now_s(), started_at_s + wait_ms / MS_PER_S)
+
 
 class LogClient:
     """Base class of log clients."""
@@ -118,6 +132,12 @@
         self._stream = stream
         self._offset: int | None = None
         self._era = 0
+        self._is_at_end = False
+
+    @property
+    def is_at_end(self) -> bool:
+        """Return whether the latest read brought all records that the stream had."""
+        return self._is_at_end
 
     @property
     def era(self) -> int:
@@ -143,10 +163,12 @@
             is_continued = batch.oldest_offset <= self._offset and not batch.is_missing
             if is_continued and batch.era == self._era:
                 self._offset = batch.next_read_offset
+                self._is_at_end = self._offset >= batch.next_offset
                 return batch
         batch = await self._log.read_newest(self._stream)
         self._record_era(batch.era)
         self._offset = batch.next_offset
+        self._is_at_end = True
         return batch
 
     def _record_era(self, era: int) -> None:
--- a/packages/laburnumscale/src/laburnumscale/routelookup.py
+++ b/packages/laburnumscale/src/laburnumscale/routelookup.py
@@ -18,8 +18,6 @@
 
 __all__ = ["RouteLookup", "Routed", "choose_backend"]
 
-#: Twice the longest time that a read of the log waits for a record.
-CONTACT_LIMIT_S = 10.0
 UNCONFIRMED_RETRY_AFTER_MS = 1000
 STALE_SETTINGS = peer_pb2.NOT_RUN_REASON_STALE_SETTINGS
 
@@ -54,20 +52,36 @@
     ) -> Routed | NotRun:
         """Return the route of a call, or why it has none.
 
-        If there is none while a peer has reported newer settings, the lookup waits for
-        them. If they do not arrive in time, the caller may retry.
+        A route is used, and a response without one is final, only if the settings are
+        known to have been the newest within the time that a change may take. Otherwise
+        the lookup waits for a confirmation or for newer settings. A route is then also
+        used if nothing newer is known and the log does not respond; any other call may
+        be retried.
 
         :param time_left_ms: how long the caller waits at most, in milliseconds.
         """
         found = self._find_now(host, path_and_query)
-        if isinstance(found, NotRun) and self._feed.lag.is_behind:
-            if not await self._feed.catch_up(time_left_ms):
-                return NotRun(STALE_SETTINGS, BEHIND_RETRY_AFTER_MS)
+        if not self._is_final(found) and self._feed.may_become_current():
+            await self._feed.wait_until_current(time_left_ms)
             found = self._find_now(host, path_and_query)
-        if isinstance(found, NotRun) and self._feed.contact_age_s() > CONTACT_LIMIT_S:
+        if self._is_final(found):
+            return found
+        if self._feed.lag.is_behind:
+            return NotRun(STALE_SETTINGS, BEHIND_RETRY_AFTER_MS)
+        if isinstance(found, NotRun):
             return NotRun(STALE_SETTINGS, UNCONFIRMED_RETRY_AFTER_MS)
         return found
 
+    def _is_final(self, found: Routed | NotRun) -> bool:
+        """Return whether the settings are young enough for this result.
+
+        Until a newer revision that is known has to be in force, routes that exist may
+        be used; a missing route may have been added by it.
+        """
+        if isinstance(found, NotRun):
+            return self._feed.is_current()
+        return self._feed.confirmation.is_valid()
+
     def _find_now(self, host: str, path_and_query: str) -> Routed | NotRun:
         path, _, _ = path_and_query.partition("?")
         route = self._feed.tree.route(host, path)
--- a/packages/laburnumscale/src/laburnumscale/settingscontacts.py
+++ b/packages/laburnumscale/src/laburnumscale/settingscontacts.py
@@ -20,6 +20,7 @@
     PUSH = "push"
     PUSH_REPLY = "push_reply"
     DATAGRAM = "datagram"
+    CONFIRMATION = "confirmation"
 
 
 #: Contacts that show that a peer has settings.
@@ -51,6 +52,10 @@
         """Return the seconds since the last contact with a peer that has settings."""
         return self._age_s(PEER_CONTACTS)
 
+    def confirmation_age_s(self) -> float:
+        """Return the seconds since a reader replied to a confirmation request."""
+        return self._age_s(frozenset((SettingsContact.CONFIRMATION,)))
+
     def ages_ms(self) -> dict[str, int]:
         """Return the age of the last contact of each way, in milliseconds."""
         current_s = now_s()
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import Deadline, now_s
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.logpacing import draw_read_wait_ms, draw_retry_delay_s
 from laburnumscale.logs import get_logger
@@ -24,12 +24,15 @@
 
 #: The designated readers change with the membership, which takes seconds.
 IDLE_DELAY_S = 0.25
-PEER_CONTACT_TIMEOUT_S = 4.0  # twice the interval at which peers are polled
 #: Time after a start in which the peers are found that decide who reads the log.
 SETTLING_MS = 1_000
 #: Interval of the reads of a daemon that is no designated reader and has no settings.
 EMPTY_READ_INTERVAL_MS = 15_000
-LAG_CHECK_INTERVAL_S = 0.5
+LAG_CHECK_INTERVAL_S = 0.1
+#: Time in which the log answers a read, beside the wait for a record. It doubles with
+#: each read that is given up, because the log may be slow.
+FIRST_PATIENCE_MS = 300
+MAX_PATIENCE_MS = 2_000
 
 
 @attrs.frozen
@@ -79,6 +82,7 @@
         self._role = role
         self._settled: Deadline | None = None
         self._next_empty_read = Deadline(0.0)
+        self._patience_ms = FIRST_PATIENCE_MS
 
     async def run(self) -> None:
         """Read documents whenever this daemon has to read them, until cancelled."""
@@ -93,7 +97,7 @@
                 continue
             reader_count = self._role.reader_count()
             try:
-                await self._read_until_behind(draw_read_wait_ms(reader_count))
+                await self._read_until_overdue(self._draw_wait_ms())
             except LaburnumscaleError as error:
                 self._record_read_failure(error)
                 await asyncio.sleep(draw_retry_delay_s(attempt, reader_count))
@@ -105,24 +109,51 @@
             interval_ms = EMPTY_READ_INTERVAL_MS * random.uniform(0.5, 1.5)
             self._next_empty_read = Deadline.after_ms(interval_ms)
 
-    async def _read_until_behind(self, wait_ms: int) -> None:
-        """Read, but start again if peers report settings that the read does not bring.
+    def _draw_wait_ms(self) -> int:
+        """Return how long the next read waits for a record.
 
-        The connection of such a read may have stopped delivering data.
+        A read that has to confirm the settings does not wait. Without settings there is
+        nothing to confirm.
+        """
+        confirmation = self._feed.confirmation
+        if not self._feed.has_tree:
+            return draw_read_wait_ms(self._role.reader_count())
+        if confirmation.must_reserve_read():
+            return 0
+        if self._role.is_lead_reader():
+            return confirmation.read_wait_ms()
+        return draw_read_wait_ms(self._role.reader_count())
+
+    async def _read_until_overdue(self, wait_ms: int) -> None:
+        """Read, but give the read up if its connection may deliver nothing any more.
+
+        That is so if the log should have answered, if peers report settings that the
+        read does not bring, or if the settings have to be confirmed.
         """
         reading = asyncio.create_task(self.read(wait_ms))
-        was_late = self._feed.is_late()
+        answer_due = Deadline.after_ms(wait_ms + self._patience_ms)
+        may_give_up = Deadline.after_ms(self._patience_ms)
         try:
             while not reading.done():
                 await asyncio.wait((reading,), timeout=LAG_CHECK_INTERVAL_S)
-                if self._feed.is_late() and not (was_late or reading.done()):
-                    self._reader.restart_from_newest()
+                is_overdue = answer_due.has_passed() or (
+                    may_give_up.has_passed() and self._must_read_again()
+                )
+                if is_overdue and not reading.done():
+                    self._patience_ms = min(MAX_PATIENCE_MS, 2 * self._patience_ms)
                     return
             reading.result()
+            self._patience_ms = FIRST_PATIENCE_MS
         finally:
             reading.cancel()
             await asyncio.wait((reading,))
 
+    def _must_read_again(self) -> bool:
+        feed = self._feed
+        return feed.is_late() or (
+            feed.has_tree and feed.confirmation.must_reserve_read()
+        )
+
     async def read(self, wait_ms: int) -> Batch:
         """Read the newest document, or wait for the next one.
 
@@ -130,10 +161,13 @@
         :raises LaburnumscaleError: the log gave no usable response.
         """
         self._metrics.count("log_reads", f'stream="{self._source.stream}"')
+        started_at_s = now_s()
         batch = await self._reader.read(wait_ms)
         for record in batch.records:
             self._apply_record(record)
         self._record_read_success()
+        if self._reader.is_at_end:
+            self._feed.confirm_at(batch.confirmed_at_s(started_at_s, wait_ms))
         return batch
 
     def _is_settling(self) -> bool:
@@ -143,7 +177,7 @@
         if self._role.is_designated_reader():
             return True
         if self._feed.has_tree:
-            return not self._feed.is_fed_by_peers(PEER_CONTACT_TIMEOUT_S)
+            return not self._feed.is_fed_by_peers()
         return self._feed.lag.is_behind or self._next_empty_read.has_passed()
 
     def _apply_record(self, record: Record) -> None:
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections import deque
+from collections.abc import Callable
 
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
@@ -13,6 +15,10 @@
 from laburnumscale.metrics import Metrics
 from laburnumscale.revisionlag import RevisionLag
 from laburnumscale.settingschecks import check_snapshot, parse_record
+from laburnumscale.settingsconfirmation import (
+    DEFAULT_APPLY_LIMIT_MS,
+    SettingsConfirmation,
+)
 from laburnumscale.settingscontacts import SettingsContact, SettingsContacts
 from laburnumscale.settingstree import SettingsTree
 from laburnumscale_schema import peer_pb2, settings_pb2
@@ -36,6 +42,8 @@
 #: first peer does not reply.
 CATCH_UP_WAIT_MS = 500
 BEHIND_RETRY_AFTER_MS = 500
+#: Share of the apply limit for which a reader that has replied counts as reachable.
+ANSWERED_SHARE = 0.5
 
 
 class SettingsFeed:
@@ -49,12 +57,17 @@
     :ivar snapshot_revision: revision of the newest known snapshot in the log.
     :ivar newer_peer_found: set when a peer reports a newer revision.
     :ivar lag: the newer revisions that peers have reported.
+    :ivar confirmation: when the tree was last known to be the newest.
 
     :param isolation_ms: time without contact after which the settings are stale.
+    :param apply_limit_ms: time after which a change must be in force.
     """
 
     def __init__(
-        self, metrics: Metrics, isolation_ms: int = DEFAULT_ISOLATION_MS
+        self,
+        metrics: Metrics,
+        isolation_ms: int = DEFAULT_ISOLATION_MS,
+        apply_limit_ms: int = DEFAULT_APPLY_LIMIT_MS,
     ) -> None:
         self.tree = SettingsTree()
         self.has_tree = False
@@ -63,6 +76,7 @@
         self.snapshot_revision = 0
         self.newer_peer_found = asyncio.Event()
         self.lag = RevisionLag(metrics)
+        self.confirmation = SettingsConfirmation(apply_limit_ms)
         self._log_read_delay_ms = LOG_READ_DELAY_MS * random.uniform(1.0, 2.0)
         self._stale_after_s = isolation_ms / MS_PER_S
         self._metrics = metrics
@@ -78,13 +92,59 @@
         """Return whether the last contact is too old to rely on the settings."""
         return self.contact_age_s() > self._stale_after_s
 
-    def is_fed_by_peers(self, contact_timeout_s: float) -> bool:
+    def is_fed_by_peers(self) -> bool:
         """Return whether peers keep the tree up to date, so the log need not be read.
 
-        :param contact_timeout_s: time in seconds within which a peer must be heard.
+        As long as the confirmation is valid, a reader that replies without a younger
+        one is left to read the log itself.
         """
-        is_heard = self.contacts.peer_age_s() <= contact_timeout_s
-        return self.has_tree and is_heard and not self.is_late()
+        if not self.has_tree or self.is_late() or not self.confirmation.is_valid():
+            return False
+        return self._is_answered() or not self.confirmation.must_read_directly()
+
+    def _is_answered(self) -> bool:
+        """Return whether a reader has replied recently, whatever it confirmed."""
+        limit_s = self.confirmation.apply_limit_ms / MS_PER_S
+        return self.contacts.confirmation_age_s() <= ANSWERED_SHARE * limit_s
+
+    def is_current(self) -> bool:
+        """Return whether the tree is the newest as far as this daemon has to know."""
+        return not self.lag.is_behind and self.confirmation.is_valid()
+
+    def may_become_current(self) -> bool:
+        """Return whether it is worth waiting until the tree is the newest.
+
+        It is not while the log does not respond, to this daemon or to the readers.
+        """
+        if self.lag.is_behind:
+            return True
+        return not (self.log_failed or self._is_answered())
+
+    def confirm_at(self, at_s: float) -> None:
+        """Record that the tree was the newest at a point in time since boot."""
+        self._renew_confirmation(lambda: self.confirmation.record(at_s))
+
+    def offer_confirmation(self, revision: int, at_s: float) -> None:
+        """Record that a revision was the newest at a point in time since boot."""
+        held = self.tree.revision
+        self._renew_confirmation(lambda: self.confirmation.offer(revision, at_s, held))
+
+    def record_held_by_peer(
+        self, held: peer_pb2.SettingsHeld, requested_at_s: float
+    ) -> None:
+        """Record what a reply of a peer says about the newest revision.
+
+        :param requested_at_s: time since boot at which the request was sent.
+        """
+        if held.HasField("confirmed_age_ms"):
+            age_s = held.confirmed_age_ms / MS_PER_S
+            self.offer_confirmation(held.revision, requested_at_s - age_s)
+
+    def _renew_confirmation(self, renew: Callable[[], None]) -> None:
+        was_valid = self.confirmation.is_valid()
+        renew()
+        if not was_valid and self.confirmation.is_valid():
+            self.notify_waiters()
 
     def is_late(self) -> bool:
         """Return whether peers should have delivered the settings that they report."""
@@ -108,6 +168,7 @@
             "revision": self.tree.revision,
             "wanted_revision": self.lag.wanted_revision,
             "behind_ms": round(self.lag.behind_ms()),
+            "confirmed_age_ms": self.confirmation.rounded_age_ms(),
             "contact_ages_ms": self.contacts.ages_ms(),
         }
 
@@ -124,6 +185,7 @@
         at any await.
         """
         self.lag.record_held(self.tree.revision)
+        self.confirmation.apply_offer(self.tree.revision)
         changed, self._tree_changed = self._tree_changed, asyncio.Event()
         changed.set()
 
@@ -132,47 +194,46 @@
         while self.tree.revision <= revision:
             await self._tree_changed.wait()
 
-    async def catch_up(self, time_left_ms: float) -> bool:
-        """Wait until the tree has the newest revision that peers have reported.
+    async def wait_until_current(self, time_left_ms: float) -> None:
+        """Wait until the tree is the newest, at most ``CATCH_UP_WAIT_MS``.
 
         :param time_left_ms: how long the caller waits at most, in milliseconds.
-        :returns: whether it has, at most ``CATCH_UP_WAIT_MS`` later.
         """
-        wanted_revision = self.lag.wanted_revision
         deadline = Deadline.after_ms(min(CATCH_UP_WAIT_MS, time_left_ms))
-        try:
-            async with asyncio.timeout(deadline.left_s()):
-                await self.wait_for_newer_revision(wanted_revision - 1)
-        except TimeoutError:
-            return False
-        return True
+        while not self.is_current() and not deadline.has_passed():
+            await self._wait_for_change(deadline)
 
     async def wait_for_tree(self, deadline: Deadline) -> None:
         """Wait until the tree may be used, or until the deadline."""
         while not self.has_tree and not deadline.has_passed():
-            changed = self._tree_changed
-            try:
-                async with asyncio.timeout(deadline.left_s()):
-                    await changed.wait()
-            except TimeoutError:
-                return
+            await self._wait_for_change(deadline)
+
+    async def _wait_for_change(self, deadline: Deadline) -> None:
+        """Wait until waiters are notified, or until the deadline."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(deadline.left_s()):
+                await self._tree_changed.wait()
 
     def may_have_service(self, service: str) -> bool:
         """Return whether a service is configured, as far as this daemon can know.
 
-        Without a tree, or while a peer has reported newer settings, any service may be.
+        Without a tree, or while it may not be the newest, any service may be.
         """
-        if not self.has_tree or self.lag.is_behind:
+        if not self.has_tree or not self.is_current():
             return True
         return service in self.tree.services()
 
     def held(self) -> peer_pb2.SettingsHeld:
         """Return the revision and digest of the tree as a message for peers."""
-        return peer_pb2.SettingsHeld(
+        held = peer_pb2.SettingsHeld(
             revision=self.tree.revision,
             digest=self.tree.digest,
             has_tree=self.has_tree,
         )
+        age_ms = self.confirmation.rounded_age_ms()
+        if age_ms is not None:
+            held.confirmed_age_ms = age_ms
+        return held
 
     def reply_after(self, revision: int) -> peer_pb2.SettingsReply:
         """Return the records after ``revision``, or a snapshot if some were dropped."""
--- a/packages/laburnumscale/src/laburnumscale/settingslog.py
+++ b/packages/laburnumscale/src/laburnumscale/settingslog.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 
-from laburnumscale.deadlines import MS_PER_S
+from laburnumscale.deadlines import MS_PER_S, now_s
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
@@ -22,9 +22,7 @@
 
 __all__ = ["SettingsLogReader"]
 
-LONG_POLL_WAIT_MS = 5000
 IDLE_DELAY_S = 0.5
-PEER_CONTACT_TIMEOUT_S = 6.0
 SPOT_CHECK_INTERVAL_S = 60.0
 MAX_RECORDS_SINCE_SNAPSHOT = 500
 SNAPSHOT_JITTER = 0.2
@@ -63,7 +61,7 @@
         """Read the stream whenever this daemon has to read it, until cancelled."""
         attempt = 0
         while True:
-            wait_ms = LONG_POLL_WAIT_MS if self._must_read() else 0
+            wait_ms = self._feed.confirmation.read_wait_ms() if self._must_read() else 0
             if not wait_ms and not self._is_spot_check_due():
                 await asyncio.sleep(IDLE_DELAY_S)
                 continue
@@ -84,6 +82,7 @@
         """
         feed = self._feed
         self._last_read_at_s = time.monotonic()
+        started_at_s = now_s()
         requested_revision = feed.tree.revision
         try:
             batch = await self._log.read(SETTINGS_STREAM, requested_revision, wait_ms)
@@ -100,14 +99,14 @@
             feed.contacts.record(SettingsContact.LOG_READ)
             feed.mark_tree_complete()
             feed.log_failed = False
+            feed.confirm_at(batch.confirmed_at_s(started_at_s, wait_ms))
         if requested_revision > batch.next_offset:
             self._metrics.count("settings_log_behind")
         feed.notify_waiters()
         return batch
 
     def _must_read(self) -> bool:
-        fed_by_peers = self._feed.is_fed_by_peers(PEER_CONTACT_TIMEOUT_S)
-        return not fed_by_peers or self._is_designated_reader()
+        return not self._feed.is_fed_by_peers() or self._is_designated_reader()
 
     def _is_spot_check_due(self) -> bool:
         return time.monotonic() - self._last_read_at_s > SPOT_CHECK_INTERVAL_S
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -6,20 +6,18 @@
 import asyncio
 import contextlib
 import random
-import time
-from collections import Counter
 from collections.abc import AsyncIterator, Iterator
 from functools import partial
 
 import grpc
-import xxhash
 
 from laburnumscale.channels import PeerChannels
-from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.peerpushes import PeerPushes
+from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsfetch import fetch_from_any
@@ -27,10 +25,6 @@
 
 __all__ = ["SettingsReplicator"]
 
-#: Readers of the log in the whole fleet, if the data centres allow it.
-DESIGNATED_READERS = 12
-MAX_READERS_PER_DATA_CENTRE = 3
-MAX_PARTNERS = 6
 PUSH_FANOUT = 3
 PULL_INTERVAL_S = 2.0
 #: Interval of requests while this daemon is behind or has no settings.
@@ -39,21 +33,16 @@
 MIN_BOOTSTRAP_REPLIES = 2
 MAX_PEERS_PER_FETCH = 8
 RPC_TIMEOUT_S = 2.0
-ROLE_CACHE_MS = 3000
-GROWTH_CACHE_MS = 200
 MAX_CONFIRM_PEERS_PER_DATA_CENTRE = 2
 CONFIRM_RETRY_DELAY_S = 0.1
 LEFT = peer_pb2.MEMBER_STATE_LEFT
 
 
-def _hash_names(*names: str) -> int:
-    return xxhash.xxh64_intdigest("\0".join(names).encode())
-
-
 class SettingsReplicator:
     """Pushes new revisions to some peers, and polls others for newer ones.
 
     :param seed_addresses: peer addresses that are polled while no member is known.
+    :param roles: selects the peers to which connections stay open.
     """
 
     def __init__(
@@ -63,73 +52,14 @@
         channels: PeerChannels,
         seed_addresses: tuple[str, ...],
         metrics: Metrics,
+        roles: ReaderRoles,
     ) -> None:
         self._members = members
         self._feed = feed
         self._channels = channels
+        self._roles = roles
         self._seeds = seed_addresses
         self._metrics = metrics
-        self._roles_valid_until = Deadline(0.0)
-        self._growth_checked = Deadline(0.0)
-        self._designated_reader = True
-        self._reader_count = 1
-        self._group_size = 1
-        self._partners: list[peer_pb2.Member] = []
-
-    def is_designated_reader(self) -> bool:
-        """Return whether this daemon reads the log on behalf of its data centre.
-
-        The designated readers of a data centre read the log continuously; its other
-        daemons receive the settings from peers.
-        """
-        self._refresh_roles()
-        return self._designated_reader
-
-    def reader_count(self) -> int:
-        """Return the number of daemons that read the log continuously."""
-        self._refresh_roles()
-        return self._reader_count
-
-    def _refresh_roles(self) -> None:
-        """Recompute the reader role and the partners if they are out of date.
-
-        They are cached because the computation iterates over all members, and only
-        briefly while the group grows.
-        """
-        has_grown = self._members.group_size > self._group_size
-        if self._roles_valid_until.has_passed() or (
-            has_grown and self._growth_checked.has_passed()
-        ):
-            self._designated_reader = self._is_among_lowest_hashes()
-            self._reader_count = self._count_readers()
-            self._partners = self._select_partners()
-            self._group_size = self._members.group_size
-            self._roles_valid_until = Deadline.after_ms(ROLE_CACHE_MS)
-            self._growth_checked = Deadline.after_ms(GROWTH_CACHE_MS)
-
-    def _count_readers(self) -> int:
-        limit = self._readers_per_data_centre()
-        return sum(
-            min(count, limit) for count in self._daemons_by_data_centre().values()
-        )
-
-    def _readers_per_data_centre(self) -> int:
-        shared = DESIGNATED_READERS // len(self._daemons_by_data_centre())
-        return max(1, min(MAX_READERS_PER_DATA_CENTRE, shared))
-
-    def _daemons_by_data_centre(self) -> Counter[str]:
-        daemons = Counter(member.data_centre for member in self._members.peers())
-        daemons[self._members.own.data_centre] += 1
-        return daemons
-
-    def _is_among_lowest_hashes(self) -> bool:
-        own = self._members.own
-        lower = sum(
-            member.data_centre == own.data_centre
-            and _hash_names(member.daemon) < _hash_names(own.daemon)
-            for member in self._members.peers()
-        )
-        return lower < self._readers_per_data_centre()
 
     async def pull_forever(self) -> None:
         """Poll one peer after another for newer settings, until cancelled."""
@@ -163,8 +93,7 @@
 
     def _sample_partners(self, pushes: PeerPushes) -> list[str]:
         """Return the addresses of the partners to push the next revision to."""
-        self._refresh_roles()
-        addresses = [partner.peer_address for partner in self._partners]
+        addresses = [partner.peer_address for partner in self._roles.partners()]
         free = [address for address in addresses if not pushes.is_busy(address)]
         return random.sample(free, min(PUSH_FANOUT, len(free)))
 
@@ -247,7 +176,7 @@
         self, address: str, message: peer_pb2.SettingsReply
     ) -> peer_pb2.SettingsHeld | None:
         self._metrics.count("settings_pushes")
-        started_at_s = time.monotonic()
+        started_at_s = now_s()
         try:
             async with self._stub(address) as stub:
                 held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
@@ -257,6 +186,7 @@
             return None
         if held.has_tree:
             self._feed.contacts.record(SettingsContact.PUSH_REPLY)
+            self._feed.record_held_by_peer(held, started_at_s)
         self._feed.record_peer_revision(held.revision, address)
         return held
 
@@ -272,7 +202,7 @@
         new_connection: bool = False,
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
-        started_at_s = time.monotonic()
+        started_at_s = now_s()
         try:
             async with self._stub(address, new_connection) as stub:
                 reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
@@ -280,7 +210,10 @@
             self._metrics.count("settings_fetch_failures")
             self._handle_failure("fetch", address, error, started_at_s)
             return None
-        return reply if reply.held.has_tree else None
+        if not reply.held.has_tree:
+            return None
+        self._feed.record_held_by_peer(reply.held, started_at_s)
+        return reply
 
     def _handle_failure(
         self, request: str, address: str, error: grpc.RpcError, started_at_s: float
@@ -293,7 +226,7 @@
             f"settings {request} failed",
             peer_address=address,
             reason=error.code().name,
-            elapsed_ms=round((time.monotonic() - started_at_s) * MS_PER_S),
+            elapsed_ms=round((now_s() - started_at_s) * MS_PER_S),
             revision=self._feed.tree.revision,
             wanted_revision=self._feed.lag.wanted_revision,
         )
@@ -308,7 +241,8 @@
 
         :param new_connection: do not use the connection that is open.
         """
-        is_partner = any(address == each.peer_address for each in self._partners)
+        partners = self._roles.partners()
+        is_partner = any(address == each.peer_address for each in partners)
         if is_partner and not new_connection:
             yield self._channels.peer(address)
             return
@@ -388,27 +322,14 @@
 
         :param excluded: addresses that were asked already.
         """
-        self._refresh_roles()
         latest_reporters = reversed(self._feed.lag.reporters)
         reporter = next((each for each in latest_reporters if each not in excluded), "")
         if reporter:
             return reporter
-        partners = {peer.peer_address for peer in self._partners} - excluded
+        partners = {peer.peer_address for peer in self._roles.partners()} - excluded
         addresses = partners or set(self._known_addresses()) - excluded
         return random.choice(sorted(addresses)) if addresses else ""
 
-    def _select_partners(self) -> list[peer_pb2.Member]:
-        """Return the few peers to which this daemon keeps connections open.
-
-        They are the peers with the lowest hashes of both daemons' names. Each daemon
-        thus gets different partners, and the connections form a random graph.
-        """
-        own_name = self._members.own.daemon
-        peers = self._members.peers()
-        return sorted(peers, key=lambda peer: _hash_names(own_name, peer.daemon))[
-            :MAX_PARTNERS
-        ]
-
     def _known_addresses(self) -> list[str]:
         known = {peer.peer_address for peer in self._members.peers()}
         known.update(self._seeds)
--- a/packages/laburnumscale/src/laburnumscale/settingssource.py
+++ b/packages/laburnumscale/src/laburnumscale/settingssource.py
@@ -16,6 +16,9 @@
     def is_designated_reader(self) -> bool:
         """Return whether this daemon reads the log continuously."""
 
+    def is_lead_reader(self) -> bool:
+        """Return whether this daemon confirms settings on behalf of its data centre."""
+
     def reader_count(self) -> int:
         """Return the number of daemons that read the log continuously."""
 
--- a/tests/features/log_calls.feature
+++ b/tests/features/log_calls.feature
@@ -23,13 +23,20 @@
   Scenario Outline: A fleet in <data_centres> data centres has few readers, and one in each at least
     Given a daemon that knows <daemons> daemons in <data_centres> data centres
     Then <readers> of them read the log continuously
+    And <leads> of them lead, <local> in each data centre
+    And each of them asks <sources> readers, the first one in its own data centre
 
     Examples:
-      | daemons | data_centres | readers |
-      | 5       | 1            | 3       |
-      | 24      | 4            | 12      |
-      | 234     | 6            | 12      |
-      | 220     | 11           | 11      |
+      | daemons | data_centres | readers | leads | local | sources |
+      | 24      | 4            | 12      | 4     | 1     | 4       |
+      | 234     | 6            | 12      | 12    | 2     | 4       |
+      | 220     | 11           | 11      | 11    | 1     | 4       |
+      | 600     | 5            | 25      | 25    | 5     | 4       |
+
+  Scenario: A small fleet in one data centre has three readers, of which one leads
+    Given a daemon that knows 5 daemons in 1 data centres
+    Then 3 of them read the log continuously
+    And 1 of them lead, 1 in each data centre
 
   Scenario: A fleet that starts before its first configuration makes few calls
     Given a platform fleet of 12 daemons in makati
--- a/tests/features/settings_replication.feature
+++ b/tests/features/settings_replication.feature
@@ -27,3 +27,4 @@
       | settings                 | heartbeat status | reason          |
       | the newest               | 400              | no_such_service |
       | older than a peer's ones | 200              | stale_settings  |
+      | not confirmed            | 200              | stale_settings  |
--- a/tests/features/steps/log_calls_steps.py
+++ b/tests/features/steps/log_calls_steps.py
@@ -7,9 +7,7 @@
 
 from laburnumscale.logpacing import draw_read_wait_ms, draw_retry_delay_s
 from laburnumscale.members import Members
-from laburnumscale.metrics import Metrics
-from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale.settingsreplication import SettingsReplicator
+from laburnumscale.readerroles import ReaderRoles
 from laburnumscale_schema import peer_pb2
 from tests.features.steps.platform_steps import write_configuration
 from tests.standins.fleet import request, wait_until
@@ -43,22 +41,39 @@
             state=peer_pb2.MEMBER_STATE_ALIVE,
         )
 
-    context.replicators = []
+    context.data_centres = data_centres
+    context.roles = []
     for own in range(count):
         members = Members(member(own))
         for index in range(count):
             members.merge(member(index))
-        feed = SettingsFeed(Metrics())
-        context.replicators.append(
-            SettingsReplicator(members, feed, None, (), Metrics())
-        )
+        context.roles.append(ReaderRoles(members))
 
 
 @then("{count:d} of them read the log continuously")
 def step_check_readers(context, count):
-    readers = sum(each.is_designated_reader() for each in context.replicators)
+    readers = sum(each.is_designated_reader() for each in context.roles)
     assert readers == count, readers
-    assert context.replicators[0].reader_count() == count
+    assert context.roles[0].reader_count() == count
+
+
+@then("{count:d} of them lead, {local:d} in each data centre")
+def step_check_lead_readers(context, count, local):
+    leads = [each for each in context.roles if each.is_lead_reader()]
+    assert len(leads) == count, len(leads)
+    assert all(each.is_designated_reader() for each in leads)
+
+
+@then("each of them asks {count:d} readers, the first one in its own data centre")
+def step_check_sources(context, count):
+    readers = [each.is_designated_reader() for each in context.roles]
+    for own, roles in enumerate(context.roles):
+        asked = [int(address.rpartition(":")[2]) - 1000 for address in roles.sources()]
+        assert len(asked) == count, asked
+        assert own not in asked, asked
+        assert all(readers[index] for index in asked), asked
+        is_local = asked[0] % context.data_centres == own % context.data_centres
+        assert is_local or roles.is_lead_reader(), (own, asked)
 
 
 @then("together they make between {low:g} and {high:g} calls a second at rest")
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -77,6 +77,7 @@
         retry_slack_attempts=56,
         drain_ms=4000,
         announcement_interval_ms=300,
+        settings_apply_ms=2000,
         **settings,
     )
 
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -4,10 +4,12 @@
 import grpc
 from behave import given, then, when
 
+from laburnumscale.deadlines import now_s
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreplication import SettingsReplicator
 from laburnumscale.targetregistry import TargetRegistry
@@ -116,7 +118,9 @@
     feed.restore(settings_pb2.Snapshot(revision=1))
     feed.mark_tree_complete()
     context.channels = ChannelsStub(context.peers)
-    replicator = SettingsReplicator(members, feed, context.channels, (), Metrics())
+    replicator = SettingsReplicator(
+        members, feed, context.channels, (), Metrics(), ReaderRoles(members)
+    )
     tasks = [asyncio.create_task(replicator.push_forever())]
     if pulls:
         tasks.append(asyncio.create_task(replicator.pull_forever()))
@@ -197,6 +201,8 @@
     place.settings.probe_path = "/healthz"
     assert context.feed.restore(snapshot)
     context.feed.mark_tree_complete()
+    if age != "not confirmed":
+        context.feed.confirm_at(now_s())
     if age == "older than a peer's ones":
         context.feed.record_peer_revision(4, "d2:1")
 
@@ -205,7 +211,7 @@
 def step_check_heartbeat(context, service, status):
     feed = context.feed
     registry = TargetRegistry("d1", Members(member("d1")), Metrics())
-    name = f"d1-{feed.lag.wanted_revision}"
+    name = f"d1-{feed.lag.wanted_revision}-{feed.is_current()}"
     seen = handle_heartbeat(name, registry, feed.may_have_service, service)
     assert seen == status, seen
 
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -113,6 +113,12 @@
     "retries": "retries that the retry budget allowed, by service",
     "retries_over_budget": "retries that the retry budget did not allow, by service",
     "settings_changes": "settings changes processed, by verdict",
+    "settings_confirmation_requests": (
+        "requests to readers of the log whether the settings are the newest"
+    ),
+    "settings_confirmations_ignored": (
+        "replies of readers that nobody waits for or that confirm nothing"
+    ),
     "settings_digest_mismatches": (
         "peers with different settings at the same revision; must stay 0"
     ),
@@ -132,6 +138,10 @@
     "settings_snapshots_invalid": "settings snapshots rejected as invalid",
     "settings_snapshots_missing": "restarts that found no usable snapshot in the log",
     "settings_snapshots_written": "settings snapshots written to the log",
+    "settings_unconfirmed": (
+        "time since the settings were known to be the newest, when a reader of the log "
+        "confirms it again"
+    ),
     "settle_questions": "queries for the outcome of an attempt whose reply was lost",
     "suspect_calls": "calls at a guard under which their target ended, by service",
     "suspect_calls_invalid": "records of suspect calls of peers that are invalid",
