Let fetches and pushes without a reply delay no other one

Cause: a fetch waited for up to 2 s, at most four at a time, so four peers that do not reply kept a daemon from asking a fifth for as long as a change may take in all. A push kept its peer out of the next samples for 2 s.

Change: a fetch lasts as long as four peers are asked in turn, 0.8 s at first, and doubles up to 2 s while no peer delivers; a push that announces a revision lasts 0.5 s. Requests for whole trees and confirmations of an operator's change keep 2 s.

Result: two scenarios of settings_replication.feature fail before (5 peers, of which four are silent: not held after 1 s; a push after 1 s skips the silent peer) and pass after.

--- a/packages/laburnumscale/src/laburnumscale/settingsfetch.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfetch.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 
-__all__ = ["fetch_from_any"]
+__all__ = ["HEDGE_DELAY_S", "MAX_CONCURRENT_FETCHES", "fetch_from_any"]
 
 #: A peer replies within a few milliseconds; this is a tenth of the time in which a
 #: change must be in force.
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -20,7 +20,11 @@
 from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SettingsFeed
-from laburnumscale.settingsfetch import fetch_from_any
+from laburnumscale.settingsfetch import (
+    HEDGE_DELAY_S,
+    MAX_CONCURRENT_FETCHES,
+    fetch_from_any,
+)
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["SettingsReplicator"]
@@ -33,6 +37,13 @@
 MIN_BOOTSTRAP_REPLIES = 2
 MAX_PEERS_PER_FETCH = 8
 RPC_TIMEOUT_S = 2.0
+#: A push to an idle peer takes milliseconds. It mostly announces a revision; one that
+#: gets no reply must not keep the peer from hearing of the next ones.
+PUSH_TIMEOUT_S = 0.5
+#: First time limit of a fetch. Peers are asked in turn at shorter intervals, so that
+#: requests without a reply never delay the next one. It doubles while no peer
+#: delivers, because the link may be slow.
+FIRST_FETCH_TIMEOUT_S = MAX_CONCURRENT_FETCHES * HEDGE_DELAY_S
 MAX_CONFIRM_PEERS_PER_DATA_CENTRE = 2
 CONFIRM_RETRY_DELAY_S = 0.1
 LEFT = peer_pb2.MEMBER_STATE_LEFT
@@ -58,6 +69,7 @@
         self._feed = feed
         self._channels = channels
         self._roles = roles
+        self._fetch_timeout_s = FIRST_FETCH_TIMEOUT_S
         self._seeds = seed_addresses
         self._metrics = metrics
 
@@ -157,7 +169,7 @@
         for _ in range(2):
             message = self._feed.reply_after(known_revision)
             message.sender_address = self._members.own.peer_address
-            held = await self._push(peer.peer_address, message)
+            held = await self._push(peer.peer_address, message, RPC_TIMEOUT_S)
             if held is None:
                 return False
             if held.revision >= revision:
@@ -173,13 +185,16 @@
         return is_mismatch
 
     async def _push(
-        self, address: str, message: peer_pb2.SettingsReply
+        self,
+        address: str,
+        message: peer_pb2.SettingsReply,
+        timeout_s: float = PUSH_TIMEOUT_S,
     ) -> peer_pb2.SettingsHeld | None:
         self._metrics.count("settings_pushes")
         started_at_s = now_s()
         try:
             async with self._stub(address) as stub:
-                held = await stub.PushSettings(message, timeout=RPC_TIMEOUT_S)
+                held = await stub.PushSettings(message, timeout=timeout_s)
         except grpc.RpcError as error:
             self._metrics.count("settings_push_failures")
             self._handle_failure("push", address, error, started_at_s)
@@ -192,20 +207,21 @@
 
     async def _fetch_whole_tree(self, address: str) -> peer_pb2.SettingsReply | None:
         return await self._send_fetch(
-            address, peer_pb2.SettingsRequest(whole_tree=True)
+            address, peer_pb2.SettingsRequest(whole_tree=True), RPC_TIMEOUT_S
         )
 
     async def _send_fetch(
         self,
         address: str,
         request: peer_pb2.SettingsRequest,
+        timeout_s: float,
         new_connection: bool = False,
     ) -> peer_pb2.SettingsReply | None:
         self._metrics.count("settings_fetches")
         started_at_s = now_s()
         try:
             async with self._stub(address, new_connection) as stub:
-                reply = await stub.FetchSettings(request, timeout=RPC_TIMEOUT_S)
+                reply = await stub.FetchSettings(request, timeout=timeout_s)
         except grpc.RpcError as error:
             self._metrics.count("settings_fetch_failures")
             self._handle_failure("fetch", address, error, started_at_s)
@@ -263,6 +279,10 @@
 
         for address in await fetch_from_any(self._fetch_candidates(), fetch):
             self._replace_connection(address)
+        if self._feed.tree.revision >= wanted_revision:
+            self._fetch_timeout_s = FIRST_FETCH_TIMEOUT_S
+        else:
+            self._fetch_timeout_s = min(RPC_TIMEOUT_S, 2 * self._fetch_timeout_s)
 
     def _fetch_candidates(self) -> Iterator[str]:
         """Yield the peers to ask: those that reported newer settings come first."""
@@ -283,7 +303,9 @@
     ) -> peer_pb2.SettingsReply | None:
         revision = self._feed.tree.revision
         request = peer_pb2.SettingsRequest(after_revision=revision)
-        reply = await self._send_fetch(address, request, new_connection)
+        reply = await self._send_fetch(
+            address, request, self._fetch_timeout_s, new_connection
+        )
         if reply is not None:
             self._feed.contacts.record(SettingsContact.FETCH)
             self._feed.apply_reply(reply)
--- a/tests/features/settings_replication.feature
+++ b/tests/features/settings_replication.feature
@@ -6,6 +6,18 @@
     When d3 and then d2 report revision 7
     Then the daemon holds revision 7 before its fetch from d2 times out
 
+  Scenario: Several peers that do not reply do not delay newer settings
+    Given a daemon that replicates settings with peers d2, d3, d4, d5, d6
+    And d2, d3, d4, d5 and d6 hold revision 7, and all but d6 do not reply to requests
+    When d6, d5, d4, d3 and then d2 report revision 7
+    Then the daemon holds revision 7 within 1 s
+
+  Scenario: A peer that does not reply to a push gets the report of the next revision
+    Given a daemon that replicates settings with peers d2, d3, d4
+    And d2 does not reply to requests
+    When the daemon restores revision 7 and then, 1 s later, revision 8
+    Then d2 gets a request with revision 8 within 0.5 s
+
   Scenario: A peer that does not reply to a push does not delay reports to others
     Given a daemon that replicates settings with peers d2, d3, d4
     And d2 does not reply to requests
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -40,6 +40,7 @@
         self.revision = 0
         self.silent = False
         self.timed_out_requests = 0
+        self.requests = asyncio.Queue()
         self.reports = asyncio.Queue()
 
     async def FetchSettings(self, request, **options):  # noqa: N802
@@ -49,6 +50,7 @@
         )
 
     async def PushSettings(self, message, **options):  # noqa: N802
+        self.requests.put_nowait(message.held.revision)
         await self._reply_delay(options["timeout"])
         self.reports.put_nowait(message.held.revision)
         return self._held()
@@ -101,6 +103,16 @@
     context.peers["d2"].silent = True
 
 
+@given(
+    "d2, d3, d4, d5 and d6 hold revision {revision:d}, "
+    "and all but d6 do not reply to requests"
+)
+def step_silence_most(context, revision):
+    for name, peer in context.peers.items():
+        peer.revision = revision
+        peer.silent = name != "d6"
+
+
 @given("d2 does not reply to requests")
 def step_silence_peer(context):
     context.peers["d2"].silent = True
@@ -147,6 +159,24 @@
     context.act = act
 
 
+@when("d6, d5, d4, d3 and then d2 report revision {revision:d}")
+def step_report_revision_of_many(context, revision):
+    async def act(feed):
+        for name in ("d6", "d5", "d4", "d3", "d2"):
+            feed.record_peer_revision(revision, f"{name}:1")
+
+    context.act = act
+
+
+@then("the daemon holds revision {revision:d} within {limit_s:d} s")
+def step_check_held_in_time(context, revision, limit_s):
+    async def wait(feed):
+        async with asyncio.timeout(limit_s):
+            await feed.wait_for_newer_revision(revision - 1)
+
+    asyncio.run(run_replicator(context, context.act, wait))
+
+
 @then("the daemon holds revision {revision:d} before its fetch from d2 times out")
 def step_check_held(context, revision):
     async def wait(feed):
@@ -166,6 +196,30 @@
     context.act = act
 
 
+@when(
+    "the daemon restores revision {first:d} and then, {delay_s:d} s later, "
+    "revision {second:d}"
+)
+def step_restore_later(context, first, delay_s, second):
+    async def act(feed):
+        for revision in (first, second):
+            feed.restore(settings_pb2.Snapshot(revision=revision))
+            feed.notify_waiters()
+            await asyncio.sleep(delay_s if revision == first else 0)
+
+    context.act = act
+
+
+@then("d2 gets a request with revision {revision:d} within {limit_s:g} s")
+def step_check_requested(context, revision, limit_s):
+    async def wait(feed):
+        async with asyncio.timeout(limit_s):
+            while await context.peers["d2"].requests.get() != revision:
+                pass
+
+    asyncio.run(run_replicator(context, context.act, wait, pulls=False))
+
+
 @then("d3 and d4 get reports of revision {revision:d} before the push to d2 times out")
 def step_check_reports(context, revision):
     async def wait(feed):
