Poll peers rarely while readers of the log confirm the settings

Change: confirmed daemons poll every 10 to 20 s, others as before.

Result: settings_replication and settings_confirmation features pass.

--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -31,6 +31,9 @@
 
 PUSH_FANOUT = 3
 PULL_INTERVAL_S = 2.0
+#: Interval of polls while the readers of the log confirm the settings; such a poll only
+#: detects peers with other settings at the same revision.
+CONFIRMED_PULL_INTERVAL_MS = 20_000
 #: Interval of requests while this daemon is behind or has no settings.
 CATCH_UP_INTERVAL_S = 0.3
 MAX_BOOTSTRAP_PEERS = 6
@@ -70,6 +73,7 @@
         self._channels = channels
         self._roles = roles
         self._fetch_timeout_s = FIRST_FETCH_TIMEOUT_S
+        self._next_confirmed_poll = Deadline(0.0)
         self._seeds = seed_addresses
         self._metrics = metrics
 
@@ -81,7 +85,10 @@
                 if self._feed.log_failed:
                     await self._bootstrap_from_peers()
                 continue
-            await self._fetch_from_peers()
+            if self._is_poll_due():
+                delay_ms = CONFIRMED_PULL_INTERVAL_MS * random.uniform(0.5, 1.0)
+                self._next_confirmed_poll = Deadline.after_ms(delay_ms)
+                await self._fetch_from_peers()
 
     async def push_forever(self) -> None:
         """Push each new revision to some peers, until cancelled.
@@ -339,6 +346,12 @@
             return
         self._feed.newer_peer_found.clear()
 
+    def _is_poll_due(self) -> bool:
+        is_confirmed = self._feed.confirmation.is_valid()
+        if self._feed.lag.is_behind or not is_confirmed:
+            return True
+        return self._next_confirmed_poll.has_passed()
+
     def _choose_address(self, excluded: set[str]) -> str:
         """Return the peer to ask next, or an empty string if there is none.
 
