Check paths over a new connection, and send attempts over silent ones again

Callers lost calls when the open connections of a daemon stopped delivering.

Cause: silence was taken for a slow reply, then for an unreachable host. An attempt without a reply was noticed after 150 ms; its path was checked for 400 ms over the same connection, then counted as broken for another 500 ms, so calls went to the next silent connection and ran out of attempts.

Change: a check that gets no response within 80 ms is repeated over a new connection; if only that one delivers, the connection is replaced, the path stays usable, and attempts without a first reply are sent again under the same ID to the same guard. The guard's table admits the first copy to arrive and refuses the other. If the original had arrived, a call that must not run twice is settled, any other one retried. Paths are checked after 100 ms instead of 150; calls take longer than that, so the number of checks hardly rises. A check that was late because this daemon did not run replaces nothing.

The example 'missing once' of the scenario on path checks becomes three: missing on the open connection only no longer breaks the path, missing on both still does, and each states whether the connection is replaced.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import aclosing, asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
+from contextlib import aclosing, asynccontextmanager, contextmanager
 from typing import Any
 
 import attrs
@@ -75,26 +75,43 @@
 
     :ivar connection_lost: whether the stream ended before the first reply; the attempt
         may have been sent to the target.
+    :ivar is_silent: whether the connection of the attempt was replaced before the first
+        reply, because it delivers nothing any more.
     """
 
     def __init__(self, replies: ReplyStream) -> None:
         self.connection_lost = False
+        self.is_silent = False
+        self._first_reply_timeout: asyncio.Timeout | None = None
         self._queue: asyncio.Queue[peer_pb2.CallReply | None]
         self._queue = asyncio.Queue(MAX_QUEUED_REPLIES)
         self._task = asyncio.create_task(self._read_replies(replies))
 
     async def read_first(self, deadline: Deadline) -> peer_pb2.CallReply | None:
-        """Return the first reply, or None if it is lost or late."""
+        """Return the first reply, or None if it is lost or late.
+
+        A wait in progress ends when the connection turns out to be silent.
+        """
         if self.connection_lost:
             return None
         try:
-            async with asyncio.timeout(deadline.left_s()):
+            async with asyncio.timeout(deadline.left_s()) as timeout:
+                self._first_reply_timeout = timeout
                 reply = await self._queue.get()
         except TimeoutError:
             return None
+        finally:
+            self._first_reply_timeout = None
         self.connection_lost = reply is None
         return reply
 
+    def mark_silent(self) -> None:
+        """Record that the connection delivers nothing any more."""
+        self.is_silent = True
+        timeout = self._first_reply_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
+
     async def read_remaining(self) -> ReplyStream:
         """Yield the replies after the first one."""
         while (reply := await self._queue.get()) is not None:
@@ -149,6 +166,8 @@
         self._clocks = GuardClocks()
         own = members.own
         self._sequences = AttemptSequences(own.daemon, own.incarnation)
+        self._unanswered: dict[str, set[ReplyReader]] = {}
+        paths.on_silence(self._mark_silent)
 
     @asynccontextmanager
     async def send(
@@ -159,19 +178,51 @@
         The attempt is cancelled on exit from the context unless it has ended.
         """
         with self._sequences.allocate_id(view) as attempt_id:
-            head = self._build_head(view, request, attempt_id)
-            reader = ReplyReader(self._send_to_guard(view, request, head))
+            reader = self._start_attempt(view, request, attempt_id)
+            readers = [reader]
             try:
-                first = await reader.read_first(request.reply_deadline)
-                if first is None and request.settle_if_lost:
-                    first = await self._settle_attempt(
-                        view, request, attempt_id, reader
-                    )
-                elif first is None:
-                    first = await self._wait_for_reply(view, request, reader)
+                with self._await_first_reply(view, reader):
+                    first = await reader.read_first(request.reply_deadline)
+                    if first is None and reader.is_silent and _can_repeat(request):
+                        readers.append(self._start_attempt(view, request, attempt_id))
+                        first, reader = await _read_repeated(request, *readers)
+                    if first is None and request.settle_if_lost:
+                        first = await self._settle_attempt(
+                            view, request, attempt_id, reader
+                        )
+                    elif first is None:
+                        first = await self._wait_for_reply(view, request, reader)
                 yield first or _missing_reply(reader), reader.read_remaining()
             finally:
-                await reader.close()
+                for each in readers:
+                    await each.close()
+
+    def _start_attempt(
+        self,
+        view: EndpointView,
+        request: AttemptRequest,
+        attempt_id: peer_pb2.AttemptId,
+    ) -> ReplyReader:
+        head = self._build_head(view, request, attempt_id)
+        return ReplyReader(self._send_to_guard(view, request, head))
+
+    @contextmanager
+    def _await_first_reply(
+        self, view: EndpointView, reader: ReplyReader
+    ) -> Iterator[None]:
+        """Let the reader know if its connection turns out to be silent."""
+        readers = self._unanswered.setdefault(view.peer_address, set())
+        readers.add(reader)
+        try:
+            yield
+        finally:
+            readers.discard(reader)
+            if not readers:
+                self._unanswered.pop(view.peer_address, None)
+
+    def _mark_silent(self, peer_address: str) -> None:
+        for reader in self._unanswered.get(peer_address, ()):
+            reader.mark_silent()
 
     def _build_head(
         self,
@@ -200,7 +251,7 @@
         """
         first = None
         while first is None and not (
-            reader.connection_lost or request.deadline.has_passed()
+            reader.connection_lost or reader.is_silent or request.deadline.has_passed()
         ):
             if request.reserve_failover():
                 first, is_replaced = await race_failover(request, reader)
@@ -239,7 +290,8 @@
             if started and reader.connection_lost:
                 return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
             retry = Deadline.after_ms(SETTLE_INTERVAL_MS)
-            interval_ms = RUNNING_SETTLE_INTERVAL_MS if is_reachable else 0
+            may_arrive = is_reachable and not reader.is_silent
+            interval_ms = RUNNING_SETTLE_INTERVAL_MS if may_arrive else 0
             pause = max(retry, Deadline.after_ms(interval_ms), key=_at_s)
             first = await reader.read_first(_earlier(pause, request.deadline))
             if first is not None:
@@ -314,6 +366,28 @@
     return deadline.at_s
 
 
+def _can_repeat(request: AttemptRequest) -> bool:
+    """Return whether an attempt can be sent again under the same ID."""
+    return isinstance(request.body, bytes) and not request.answer_started()
+
+
+async def _read_repeated(
+    request: AttemptRequest, original: ReplyReader, repeated: ReplyReader
+) -> tuple[peer_pb2.CallReply | None, ReplyReader]:
+    """Return the first reply of an attempt that was sent again, and its reader.
+
+    The guard runs the copy that arrives first and refuses the other one. If that is the
+    repeated one, only the guard can tell the outcome of a call that must not run twice;
+    any other call can be retried.
+    """
+    first = await repeated.read_first(request.reply_deadline)
+    if first is None or first.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED:
+        return first, repeated
+    if request.settle_if_lost:
+        return None, original
+    return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST), original
+
+
 def _missing_reply(reader: ReplyReader) -> peer_pb2.CallReply:
     if reader.connection_lost:
         return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -11,15 +11,19 @@
 import grpc
 
 from laburnumscale.channels import PeerChannels
+from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
-from laburnumscale_schema import peer_pb2
+from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
 __all__ = ["PathHealth"]
 
-CHECK_DELAY_S = 0.15
+CHECK_DELAY_S = 0.1
 CHECK_TIMEOUT_S = 0.4
+#: Time without a response after which a check is repeated over a new connection: the
+#: open one may deliver nothing any more although the peer is reachable.
+NEW_CONNECTION_DELAY_S = 0.08
 CHECK_INTERVAL_S = 0.5
 MAX_INCONCLUSIVE_CHECKS = 2
 #: Higher than any revision, so that the reply to a check carries no settings.
@@ -40,6 +44,15 @@
         self._broken: set[str] = set()
         self._checks: dict[str, asyncio.Task] = {}
         self._listeners: list[Callable[[str], None]] = []
+        self._silence_listeners: list[Callable[[str], None]] = []
+
+    def on_silence(self, listener: Callable[[str], None]) -> None:
+        """Register a function that is called when a connection was replaced.
+
+        It gets the address of the peer, which responds over the new connection. What
+        was sent over the former one may not have arrived.
+        """
+        self._silence_listeners.append(listener)
 
     def on_change(self, listener: Callable[[str], None]) -> None:
         """Register a function that is called with the address of a changed path."""
@@ -83,20 +96,43 @@
             started_at_s = time.monotonic()
             if await self._send_check(peer_address):
                 return True
-            late_s = time.monotonic() - started_at_s - CHECK_TIMEOUT_S
-            if late_s < MAX_WAKEUP_DELAY_S:
+            if _late_s(started_at_s) < MAX_WAKEUP_DELAY_S:
                 return False
         return False
 
     async def _send_check(self, peer_address: str) -> bool:
+        """Return whether a peer responds, over the open connection or a new one.
+
+        The open connection is replaced if only the new one delivers.
+        """
         self._metrics.count("path_checks")
-        request = peer_pb2.SettingsRequest(after_revision=FUTURE_REVISION)
-        stub = self._channels.peer(peer_address)
+        checks = [self._start_request(self._channels.peer(peer_address))]
+        started_at_s = time.monotonic()
+        deadline = Deadline.after_ms(CHECK_TIMEOUT_S * MS_PER_S)
         try:
-            await stub.FetchSettings(request, timeout=CHECK_TIMEOUT_S)
-        except grpc.RpcError:
-            return False
-        return True
+            await asyncio.wait(checks, timeout=NEW_CONNECTION_DELAY_S)
+            if _has_response(checks[0]):
+                return True
+            async with self._channels.transient_peer(peer_address, True) as stub:
+                checks.append(self._start_request(stub))
+                is_reachable = await _wait_for_any(checks, deadline)
+            is_late = _late_s(started_at_s) >= MAX_WAKEUP_DELAY_S
+            if is_reachable and not (is_late or _has_response(checks[0])):
+                self._replace_connection(peer_address)
+            return is_reachable
+        finally:
+            for check in checks:
+                check.cancel()
+
+    def _start_request(self, stub: peer_pb2_grpc.PeerStub) -> asyncio.Task[bool]:
+        return asyncio.create_task(_is_answered(stub))
+
+    def _replace_connection(self, peer_address: str) -> None:
+        self._metrics.count("connections_replaced")
+        get_logger().info("silent connection replaced", peer_address=peer_address)
+        self._channels.replace_channel(peer_address)
+        for listener in self._silence_listeners:
+            listener(peer_address)
 
     def _set_broken(self, peer_address: str) -> None:
         if peer_address not in self._broken:
@@ -114,3 +150,34 @@
     def _notify(self, peer_address: str) -> None:
         for listener in self._listeners:
             listener(peer_address)
+
+
+async def _is_answered(stub: peer_pb2_grpc.PeerStub) -> bool:
+    """Return whether a peer responds to a request that changes nothing."""
+    request = peer_pb2.SettingsRequest(after_revision=FUTURE_REVISION)
+    try:
+        await stub.FetchSettings(request, timeout=CHECK_TIMEOUT_S)
+    except grpc.RpcError:
+        return False
+    return True
+
+
+def _late_s(started_at_s: float) -> float:
+    """Return for how long a check has lasted beyond its timeout, in seconds."""
+    return time.monotonic() - started_at_s - CHECK_TIMEOUT_S
+
+
+def _has_response(check: asyncio.Task[bool]) -> bool:
+    return check.done() and check.result()
+
+
+async def _wait_for_any(checks: list[asyncio.Task[bool]], deadline: Deadline) -> bool:
+    """Wait until a check has a response, all have failed, or the deadline."""
+    pending = {check for check in checks if not check.done()}
+    while pending and not deadline.has_passed():
+        done, pending = await asyncio.wait(
+            pending, timeout=deadline.left_s(), return_when=asyncio.FIRST_COMPLETED
+        )
+        if any(check.result() for check in done):
+            return True
+    return False
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -250,12 +250,15 @@
     Given a guard whose replies to path checks <first>
     When its path is checked
     Then its path was <state>
+    And its open connection was <connection>
 
     Examples:
-      | first                               | state      |
-      | are missing                         | broken     |
-      | are missing once                    | broken     |
-      | are missed once by a paused daemon  | not broken |
+      | first                                 | state      | connection   |
+      | are missing                           | broken     | replaced     |
+      | are missing until the first time-out  | broken     | replaced     |
+      | are missing on the open connection    | not broken | replaced     |
+      | are missed once by a paused daemon    | not broken | not replaced |
+      | arrive                                | not broken | not replaced |
 
   Scenario: Silent hosts do not delay the contact with a daemon that responds
     Given presence records of 3 daemons, of which the 2 newest are on silent hosts
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -2,7 +2,8 @@
 import os
 import time
 from collections import Counter
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from functools import partial
 from types import SimpleNamespace
 
 import attrs
@@ -704,33 +705,52 @@
 
 
 class _CheckedGuard:
-    """Channels to a guard whose replies to some path checks do not arrive in time."""
+    """Channels to a guard whose replies to some path checks do not arrive in time.
 
-    def __init__(self, missing, is_paused):
+    :ivar missing: number of requests without a reply.
+    :ivar open_is_silent: no request over the open connection gets a reply.
+    :ivar is_paused: this process is paused while it waits for a missing reply.
+    :ivar replacements: how often the open connection was replaced.
+    """
+
+    def __init__(self, missing, open_is_silent, is_paused):
         self.missing = missing
+        self.open_is_silent = open_is_silent
         self.is_paused = is_paused
+        self.replacements = 0
 
     def peer(self, address):
-        return self
+        return SimpleNamespace(FetchSettings=partial(self._fetch, self.open_is_silent))
+
+    @asynccontextmanager
+    async def transient_peer(self, address, new_connection):
+        assert new_connection
+        yield SimpleNamespace(FetchSettings=partial(self._fetch, False))
 
     def replace_channel(self, address):
-        """The next check uses the same fake."""
+        self.replacements += 1
+        self.open_is_silent = False
 
-    async def FetchSettings(self, request, **options):  # noqa: N802
-        if not self.missing:
+    async def _fetch(self, is_silent, request, timeout):  # noqa: ASYNC109
+        if not (is_silent or self.missing):
             return
-        timeout_s = options["timeout"]
-        self.missing -= 1
+        self.missing = max(0, self.missing - 1)
         if self.is_paused:
-            time.sleep(timeout_s + 0.3)  # noqa: ASYNC251
-        await asyncio.sleep(0 if self.is_paused else timeout_s)
+            time.sleep(timeout + 0.3)  # noqa: ASYNC251
+        await asyncio.sleep(0 if self.is_paused else timeout)
         raise grpc.RpcError
 
 
 @given("a guard whose replies to path checks {first}")
 def step_create_checked_guard(context, first):
-    missing = 1 if "once" in first else 3
-    context.checked_guard = _CheckedGuard(missing, "paused" in first)
+    missing = {
+        "are missing": 100,
+        "are missing until the first time-out": 2,
+        "are missed once by a paused daemon": 1,
+    }
+    context.checked_guard = _CheckedGuard(
+        missing.get(first, 0), "on the open connection" in first, "paused" in first
+    )
 
 
 @when("its path is checked")
@@ -752,6 +772,12 @@
     assert (True in context.path_changes) == (state == "broken"), context.path_changes
 
 
+@then("its open connection was {state}")
+def step_check_connection(context, state):
+    replacements = context.checked_guard.replacements
+    assert (replacements > 0) == (state == "replaced"), replacements
+
+
 class _SilentHosts:
     """Exchanges of tables of which some get no reply."""
 
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -45,6 +45,9 @@
         "ejections for slowness revoked because most targets of the "
         "service look bad or its median latency has risen"
     ),
+    "connections_replaced": (
+        "connections to peers replaced because a new one delivers and they do not"
+    ),
     "daemon_name_taken": "another process uses the name of this daemon; must stay 0",
     "datagram_bytes_received": "bytes of membership datagrams received",
     "datagram_bytes_sent": "bytes of membership datagrams sent",
