Count the wait for settings against the time that the caller allows

Cause: the deadline of a call was set after its route had been found, and finding it may wait up to 500 ms for newer settings. Targets were handed more time than was left, and a final response could come 500 ms late.

Attempts that are sent again under one ID get a property test of the guard's table: 2000 random orders of copies, queries, ends and restarts run it once at most.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -24,7 +24,7 @@
 from laburnumscale.calllog import CallLog
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
-from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.errors import (
     BodyIncomplete,
     BodyTooLarge,
@@ -200,6 +200,7 @@
         """
         if not self._feed.has_tree:
             return NotRun(peer_pb2.NOT_RUN_REASON_STARTING, STARTING_RETRY_AFTER_MS)
+        received_at_s = now_s()
         routed = await self._find_route(request)
         if isinstance(routed, NotRun):
             return routed
@@ -213,7 +214,7 @@
         timeout_ms = call_timeout_ms(
             request, settings.time_limit_ms, self._header_names.caller_time_limit
         )
-        deadline = Deadline.after_ms(timeout_ms)
+        deadline = Deadline(received_at_s + timeout_ms / MS_PER_S)
         if not self._drain_state.accepts(deadline):
             return DRAINING
         body = await self._request_body(request, request_id, deadline)
--- a/tests/features/attemptclient.feature
+++ b/tests/features/attemptclient.feature
@@ -12,3 +12,8 @@
     When a caller downloads 40000000 bytes from d1 within 1000 ms but reads only after 3000 ms
     Then the download ends before its announced length
     And it ended within 5000 ms
+
+  Scenario: An attempt that is sent again under its ID runs once, in any order of arrival
+    Given 2000 random orders of both copies, queries, ends of runs and restarts of the guard
+    Then no order runs the attempt twice
+    And no query says that an attempt did not run which ran before or after it
--- a/tests/features/settings_lag.feature
+++ b/tests/features/settings_lag.feature
@@ -23,6 +23,13 @@
     When a client sends GET /none/a to d4
     Then the client response has status 404
 
+  Scenario: The wait for newer settings is a part of the time that the caller allows
+    When all links of d4 are cut
+    And the operator adds the route /added/, which every daemon but d4 has in force
+    And the links of d4 are restored 200 ms after a client sent it GET /added/a
+    Then the client response has status 200
+    And endpoint e1 has run the request for caller service proof-vault with at most 1350 ms left
+
   Scenario: A daemon that cannot fetch reported settings from its peers reads the store
     When the links of d4 to its peers are cut
     And the operator adds the route /added/, which every daemon but d4 has in force
--- a/tests/features/steps/attemptclient_steps.py
+++ b/tests/features/steps/attemptclient_steps.py
@@ -1,12 +1,18 @@
 import asyncio
 import contextlib
+import random
 import socket
 import time
+from collections import Counter
+from contextlib import suppress
 
 from behave import given, then, when
 
 from laburnumscale.attemptclient import ReplyReader
+from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
+from laburnumscale.errors import AttemptSentTwice
+from laburnumscale.failurereplies import AttemptRefused
 from laburnumscale_schema import peer_pb2
 
 MAX_READ_S = 3.0
@@ -75,3 +81,84 @@
 @then("it ended within {limit_ms:d} ms")
 def step_check_download_end(context, limit_ms):
     assert context.download_s * 1000 <= limit_ms, context.download_s
+
+
+class _GuardModel:
+    """A guard that gets copies of one attempt and queries of its outcome in any order.
+
+    :ivar runs: how often a copy was sent to the target.
+    :ivar refutations: queries that said that the attempt did not run.
+    """
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.runs = 0
+        self.refutations = 0
+        self.incarnation = 1
+        self.waiting, self.running = [], []
+        self.table = AttemptTable(self.incarnation)
+
+    def head(self):
+        attempt_id = peer_pb2.AttemptId(
+            entry="d1", entry_incarnation=1, guard_incarnation=1, sequence=7
+        )
+        return peer_pb2.CallHead(attempt=attempt_id, low_water_sequence=7)
+
+    def copy(self):
+        with suppress(AttemptRefused):
+            self.waiting.append(self.table.admit(self.head()))
+
+    def send(self):
+        if not self.waiting:
+            return
+        attempt = self.waiting.pop(self.rng.randrange(len(self.waiting)))
+        with suppress(AttemptRefused, AttemptSentTwice):
+            attempt.mark_sent(Deadline.after_ms(1000))
+            self.runs += 1
+            self.running.append(attempt)
+
+    def end(self):
+        if self.running:
+            reply = peer_pb2.CallReply(end=True)
+            reply.head.status = 200
+            self.table.end(self.running.pop(), reply)
+
+    def query(self):
+        verdict = self.table.settle(self.head().attempt).verdict
+        self.refutations += verdict == peer_pb2.SETTLE_VERDICT_NOT_RUN
+
+    def restart(self):
+        self.incarnation += 1
+        self.waiting, self.running = [], []
+        self.table = AttemptTable(self.incarnation)
+
+
+@given(
+    "{count:d} random orders of both copies, queries, ends of runs and restarts of "
+    "the guard"
+)
+def step_run_orders(context, count):
+    context.guards = []
+    for seed in range(count):
+        guard = _GuardModel(random.Random(seed))
+        events = [guard.copy] * 2 + [guard.send] * 3 + [guard.end] * 2
+        events += [guard.query] * guard.rng.randrange(3)
+        events += [guard.restart] * guard.rng.randrange(2)
+        guard.rng.shuffle(events)
+        for event in events:
+            event()
+        context.guards.append(guard)
+
+
+@then("no order runs the attempt twice")
+def step_check_runs(context):
+    runs = Counter(guard.runs for guard in context.guards)
+    assert max(runs) == 1, runs
+    assert runs[1] > len(context.guards) / 10, runs
+
+
+@then("no query says that an attempt did not run which ran before or after it")
+def step_check_queries(context):
+    refuted = [guard for guard in context.guards if guard.refutations]
+    assert refuted, "no query said that an attempt did not run"
+    assert not any(guard.runs for guard in refuted)
--- a/tests/features/steps/settings_lag_steps.py
+++ b/tests/features/steps/settings_lag_steps.py
@@ -1,5 +1,6 @@
 import itertools
 import json
+import threading
 import time
 
 from behave import given, then, when
@@ -140,6 +141,22 @@
     time.sleep(REPORT_TIME_S)
 
 
+@when(
+    "the links of {daemon} are restored {delay_ms:d} ms after a client sent it "
+    "{method} {path}"
+)
+def step_send_and_restore(context, daemon, delay_ms, method, path):
+    def restore():
+        for name, link in context.fleet.links.items():
+            if name.startswith(daemon):
+                link.faults(forward={"cut": False}, backward={"cut": False})
+
+    timer = threading.Timer(delay_ms / 1000, restore)
+    timer.start()
+    send_request(context, method, path, daemon)
+    timer.join()
+
+
 @then("within {limit_s:d} s a {method} {path} to {daemon} gets status {status:d}")
 def step_wait_status(context, limit_s, method, path, daemon, status):
     wait_until(
