Leave new connections for settings more time to be established

Cause: gRPC gave up connecting after 200 ms (the option for the reconnection interval limits it). On a link with a queue of that length no new connection came about at all, so a daemon behind it could ask for settings only over connections that were open, if any.

Change: connections for settings get 1 s, those of path checks the time of the check.

Result: two examples in settings_replication.feature; before, a connection attempt ended after 0.21 s whatever was asked for.

--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -30,13 +30,15 @@
     ("grpc.http2.bdp_probe", 0),
     ("grpc.http2.lookahead_bytes", 1024 * 1024),
 )
+#: The name is that of the option; gRPC gives up connecting after this time, too.
+CONNECT_TIMEOUT_OPTION = "grpc.min_reconnect_backoff_ms"
+MIN_CONNECT_TIMEOUT_MS = 200
 CHANNEL_OPTIONS = (
     *FLOW_CONTROL_OPTIONS,
     ("grpc.enable_http_proxy", 0),
     ("grpc.enable_retries", 0),  # each call is sent once; only the entry retries
     ("grpc.use_local_subchannel_pool", 1),  # a new channel opens its own connection
     ("grpc.initial_reconnect_backoff_ms", 50),
-    ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
 )
@@ -99,7 +101,10 @@
 
     @asynccontextmanager
     async def transient_peer(
-        self, address: str, new_connection: bool = False
+        self,
+        address: str,
+        new_connection: bool = False,
+        connect_timeout_ms: int = MIN_CONNECT_TIMEOUT_MS,
     ) -> AsyncIterator[peer_pb2_grpc.PeerStub]:
         """Yield a stub for infrequent requests.
 
@@ -107,14 +112,13 @@
         opened and closed after use.
 
         :param new_connection: do not use a channel that is open.
+        :param connect_timeout_ms: time in which a new connection must be established.
         """
         resolved_address = self.overrides.get(address, address)
         if resolved_address in self._channels and not new_connection:
             yield self.peer(address)
             return
-        async with grpc.aio.insecure_channel(
-            resolved_address, options=CHANNEL_OPTIONS
-        ) as channel:
+        async with _open(resolved_address, connect_timeout_ms) as channel:
             yield peer_pb2_grpc.PeerStub(self._counted(channel, address))
 
     def replace_channel(self, address: str) -> None:
@@ -165,6 +169,12 @@
         address = self.overrides.get(address, address)
         opened = self._channels.get(address)
         if opened is None:
-            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-            opened = self._channels[address] = _OpenChannel(channel)
+            opened = self._channels[address] = _OpenChannel(_open(address))
         return opened
+
+
+def _open(
+    address: str, connect_timeout_ms: int = MIN_CONNECT_TIMEOUT_MS
+) -> grpc.aio.Channel:
+    options = (*CHANNEL_OPTIONS, (CONNECT_TIMEOUT_OPTION, connect_timeout_ms))
+    return grpc.aio.insecure_channel(address, options=options)
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -113,7 +113,10 @@
             await asyncio.wait(checks, timeout=NEW_CONNECTION_DELAY_S)
             if _has_response(checks[0]):
                 return True
-            async with self._channels.transient_peer(peer_address, True) as stub:
+            connecting = self._channels.transient_peer(
+                peer_address, True, round(CHECK_TIMEOUT_S * MS_PER_S)
+            )
+            async with connecting as stub:
                 checks.append(self._start_request(stub))
                 is_reachable = await _wait_for_any(checks, deadline)
             is_late = _late_s(started_at_s) >= MAX_WAKEUP_DELAY_S
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -47,6 +47,8 @@
 #: requests without a reply never delay the next one. It doubles while no peer
 #: delivers, because the link may be slow.
 FIRST_FETCH_TIMEOUT_S = MAX_CONCURRENT_FETCHES * HEDGE_DELAY_S
+#: On a link with a long queue, a connection takes longer than the default allows.
+CONNECT_TIMEOUT_MS = 1_000
 MAX_CONFIRM_PEERS_PER_DATA_CENTRE = 2
 CONFIRM_RETRY_DELAY_S = 0.1
 LEFT = peer_pb2.MEMBER_STATE_LEFT
@@ -269,7 +271,10 @@
         if is_partner and not new_connection:
             yield self._channels.peer(address)
             return
-        async with self._channels.transient_peer(address, new_connection) as stub:
+        connecting = self._channels.transient_peer(
+            address, new_connection, CONNECT_TIMEOUT_MS
+        )
+        async with connecting as stub:
             yield stub
 
     async def _fetch_from_peers(self) -> None:
--- a/tests/features/settings_replication.feature
+++ b/tests/features/settings_replication.feature
@@ -40,3 +40,13 @@
       | the newest               | 400              | no_such_service |
       | older than a peer's ones | 200              | stale_settings  |
       | not confirmed            | 200              | stale_settings  |
+
+  Scenario Outline: A new connection gets <limit_ms> ms to be established
+    Given a peer address whose connections are not accepted
+    When settings are requested there over a new connection with <limit_ms> ms to connect
+    Then the request fails, but not before <limit_ms> ms have passed
+
+    Examples:
+      | limit_ms |
+      | 400      |
+      | 1000     |
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -723,7 +723,7 @@
         return SimpleNamespace(FetchSettings=partial(self._fetch, self.open_is_silent))
 
     @asynccontextmanager
-    async def transient_peer(self, address, new_connection):
+    async def transient_peer(self, address, new_connection, connect_timeout_ms):
         assert new_connection
         yield SimpleNamespace(FetchSettings=partial(self._fetch, False))
 
--- a/tests/features/steps/settings_replication_steps.py
+++ b/tests/features/steps/settings_replication_steps.py
@@ -1,9 +1,11 @@
 import asyncio
-from contextlib import asynccontextmanager, suppress
+import socket
+from contextlib import ExitStack, asynccontextmanager, suppress
 
 import grpc
 from behave import given, then, when
 
+from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import now_s
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
@@ -83,7 +85,7 @@
         return self.peers[address.partition(":")[0]]
 
     @asynccontextmanager
-    async def transient_peer(self, address, new_connection=False):
+    async def transient_peer(self, address, new_connection, connect_timeout_ms):
         yield self.peer(address)
 
     def replace_channel(self, address):
@@ -275,3 +277,42 @@
     reply = asyncio.run(run_keyed_call(context.feed, service))
     seen = peer_pb2.NotRunReason.Name(reply.not_run.reason)
     assert seen == f"NOT_RUN_REASON_{reason.upper()}", reply
+
+
+@given("a peer address whose connections are not accepted")
+def step_fill_backlog(context):
+    context.sockets = ExitStack()
+    context.add_cleanup(context.sockets.close)
+    listener = context.sockets.enter_context(socket.socket())
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    for _ in range(3):
+        waiting = context.sockets.enter_context(socket.socket())
+        waiting.setblocking(False)
+        with suppress(BlockingIOError):
+            waiting.connect(listener.getsockname())
+    context.peer_address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@when(
+    "settings are requested there over a new connection with {limit_ms:d} ms to connect"
+)
+def step_request_over_new_connection(context, limit_ms):
+    async def request():
+        channels = PeerChannels({})
+        connecting = channels.transient_peer(context.peer_address, True, limit_ms)
+        async with connecting as stub:
+            await stub.FetchSettings(peer_pb2.SettingsRequest(), timeout=WAIT_LIMIT_S)
+
+    started_at_s = now_s()
+    try:
+        asyncio.run(request())
+    except grpc.RpcError as error:
+        context.failure = error.code()
+    context.failed_after_s = now_s() - started_at_s
+
+
+@then("the request fails, but not before {limit_ms:d} ms have passed")
+def step_check_connect_time(context, limit_ms):
+    assert context.failure is grpc.StatusCode.UNAVAILABLE, context.failure
+    assert context.failed_after_s >= limit_ms / 1000, context.failed_after_s
