Watch repeated attempts for silence, and wait for reported settings only

Cause: an attempt that was sent again was not watched, so a second cut a second later was noticed by its time limit only. A call that waits for settings waited for all reports, also later ones, and could be refused in a storm although its daemon was up to date with what was known at its arrival.

Change: each copy of an attempt is watched; a call waits for the revision that was known when it arrived.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
-from contextlib import aclosing, asynccontextmanager, contextmanager
+from contextlib import ExitStack, aclosing, asynccontextmanager, contextmanager
 from typing import Any
 
 import attrs
@@ -178,14 +178,17 @@
         The attempt is cancelled on exit from the context unless it has ended.
         """
         with self._sequences.allocate_id(view) as attempt_id:
-            reader = self._start_attempt(view, request, attempt_id)
-            readers = [reader]
+            readers: list[ReplyReader] = []
             try:
-                with self._await_first_reply(view, reader):
-                    first = await reader.read_first(request.reply_deadline)
-                    if first is None and reader.is_silent and _can_repeat(request):
-                        readers.append(self._start_attempt(view, request, attempt_id))
-                        first, reader = await _read_repeated(request, *readers)
+                with ExitStack() as unanswered:
+
+                    def start() -> ReplyReader:
+                        reader = self._start_attempt(view, request, attempt_id)
+                        readers.append(reader)
+                        unanswered.enter_context(self._watch_silence(view, reader))
+                        return reader
+
+                    first, reader = await _read_first(request, start)
                     if first is None and request.settle_if_lost:
                         first = await self._settle_attempt(
                             view, request, attempt_id, reader
@@ -207,9 +210,7 @@
         return ReplyReader(self._send_to_guard(view, request, head))
 
     @contextmanager
-    def _await_first_reply(
-        self, view: EndpointView, reader: ReplyReader
-    ) -> Iterator[None]:
+    def _watch_silence(self, view: EndpointView, reader: ReplyReader) -> Iterator[None]:
         """Let the reader know if its connection turns out to be silent."""
         readers = self._unanswered.setdefault(view.peer_address, set())
         readers.add(reader)
@@ -368,24 +369,33 @@
 
 def _can_repeat(request: AttemptRequest) -> bool:
     """Return whether an attempt can be sent again under the same ID."""
-    return isinstance(request.body, bytes) and not request.answer_started()
+    is_late = request.reply_deadline.has_passed()
+    return isinstance(request.body, bytes) and not is_late
 
 
-async def _read_repeated(
-    request: AttemptRequest, original: ReplyReader, repeated: ReplyReader
+async def _read_first(
+    request: AttemptRequest, start: Callable[[], ReplyReader]
 ) -> tuple[peer_pb2.CallReply | None, ReplyReader]:
-    """Return the first reply of an attempt that was sent again, and its reader.
+    """Return the first reply of an attempt, or None, and the reader of the attempt.
+
+    While its connection turns out to be silent, the attempt is sent again. The guard
+    runs the copy that arrives first and refuses the others. If it refuses the last one,
+    only the guard can tell the outcome of a call that must not run twice; any other
+    call can be retried.
 
-    The guard runs the copy that arrives first and refuses the other one. If that is the
-    repeated one, only the guard can tell the outcome of a call that must not run twice;
-    any other call can be retried.
+    :param start: sends the attempt under its ID.
     """
-    first = await repeated.read_first(request.reply_deadline)
-    if first is None or first.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED:
-        return first, repeated
-    if request.settle_if_lost:
-        return None, original
-    return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST), original
+    reader = start()
+    first = await reader.read_first(request.reply_deadline)
+    while first is None and reader.is_silent and _can_repeat(request):
+        previous, reader = reader, start()
+        first = await reader.read_first(request.reply_deadline)
+        if first is None or first.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED:
+            continue
+        if request.settle_if_lost:
+            return None, previous
+        return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST), previous
+    return first, reader
 
 
 def _missing_reply(reader: ReplyReader) -> peer_pb2.CallReply:
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -241,8 +241,9 @@
     async def _run_operation(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
         if head.service not in self._feed.tree.services():
-            await self._feed.wait_until_current(head.time_left_ms)
-            if not self._feed.is_current():
+            wanted_revision = self._feed.lag.wanted_revision
+            await self._feed.wait_until_current(wanted_revision, head.time_left_ms)
+            if not self._feed.is_current(wanted_revision):
                 return not_run_reply(
                     peer_pb2.NOT_RUN_REASON_STALE_SETTINGS, BEHIND_RETRY_AFTER_MS
                 )
--- a/packages/laburnumscale/src/laburnumscale/routelookup.py
+++ b/packages/laburnumscale/src/laburnumscale/routelookup.py
@@ -60,26 +60,30 @@
 
         :param time_left_ms: how long the caller waits at most, in milliseconds.
         """
+        feed = self._feed
+        wanted_revision = feed.lag.wanted_revision
         found = self._find_now(host, path_and_query)
-        if not self._is_final(found) and self._feed.may_become_current():
-            await self._feed.wait_until_current(time_left_ms)
+        if not self._is_final(found, wanted_revision) and feed.may_become_current():
+            await feed.wait_until_current(wanted_revision, time_left_ms)
             found = self._find_now(host, path_and_query)
-        if self._is_final(found):
+        if self._is_final(found, wanted_revision):
             return found
-        if self._feed.lag.is_behind:
+        if feed.tree.revision < wanted_revision:
             return NotRun(STALE_SETTINGS, BEHIND_RETRY_AFTER_MS)
         if isinstance(found, NotRun):
             return NotRun(STALE_SETTINGS, UNCONFIRMED_RETRY_AFTER_MS)
         return found
 
-    def _is_final(self, found: Routed | NotRun) -> bool:
+    def _is_final(self, found: Routed | NotRun, wanted_revision: int) -> bool:
         """Return whether the settings are young enough for this result.
 
-        Until a newer revision that is known has to be in force, routes that exist may
-        be used; a missing route may have been added by it.
+        Until a newer revision has to be in force, routes that exist may be used; a
+        missing route may have been added by it.
+
+        :param wanted_revision: newest revision that was known when the call arrived.
         """
         if isinstance(found, NotRun):
-            return self._feed.is_current()
+            return self._feed.is_current(wanted_revision)
         return self._feed.confirmation.is_valid()
 
     def _find_now(self, host: str, path_and_query: str) -> Routed | NotRun:
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -107,9 +107,12 @@
         limit_s = self.confirmation.apply_limit_ms / MS_PER_S
         return self.contacts.confirmation_age_s() <= ANSWERED_SHARE * limit_s
 
-    def is_current(self) -> bool:
-        """Return whether the tree is the newest as far as this daemon has to know."""
-        return not self.lag.is_behind and self.confirmation.is_valid()
+    def is_current(self, wanted_revision: int) -> bool:
+        """Return whether the tree is the newest as far as this daemon has to know.
+
+        :param wanted_revision: newest revision that peers have reported; 0 for none.
+        """
+        return self.tree.revision >= wanted_revision and self.confirmation.is_valid()
 
     def may_become_current(self) -> bool:
         """Return whether it is worth waiting until the tree is the newest.
@@ -194,13 +197,16 @@
         while self.tree.revision <= revision:
             await self._tree_changed.wait()
 
-    async def wait_until_current(self, time_left_ms: float) -> None:
+    async def wait_until_current(
+        self, wanted_revision: int, time_left_ms: float
+    ) -> None:
         """Wait until the tree is the newest, at most ``CATCH_UP_WAIT_MS``.
 
+        :param wanted_revision: as in :meth:`is_current`; later reports do not count.
         :param time_left_ms: how long the caller waits at most, in milliseconds.
         """
         deadline = Deadline.after_ms(min(CATCH_UP_WAIT_MS, time_left_ms))
-        while not self.is_current() and not deadline.has_passed():
+        while not self.is_current(wanted_revision) and not deadline.has_passed():
             await self._wait_for_change(deadline)
 
     async def wait_for_tree(self, deadline: Deadline) -> None:
@@ -219,7 +225,7 @@
 
         Without a tree, or while it may not be the newest, any service may be.
         """
-        if not self.has_tree or not self.is_current():
+        if not self.has_tree or not self.is_current(self.lag.wanted_revision):
             return True
         return service in self.tree.services()
 
