Check that silent connections are replaced without excluding their targets

The scenario waited until the target behind silent connections was excluded, and then until it was back. The check of paths without any response is unchanged (the scenario before it).

--- a/tests/features/steps/health_steps.py
+++ b/tests/features/steps/health_steps.py
@@ -22,6 +22,8 @@
     "slow_excess_ms": 200,
 }
 SLOTS_PER_TARGET = 5
+#: More than a minute of path checks, and less than a hundred calls.
+CARRIED_BYTES = 20_000
 
 
 @given("health targets {endpoints} of {service} spread over the daemons")
@@ -268,6 +270,30 @@
     )
 
 
+@then("daemon {daemon} replaces a connection within {limit_s:d} s")
+def step_wait_replaced(context, daemon, limit_s):
+    address = context.fleet.daemons[daemon].operator_address
+
+    def has_replaced():
+        metrics = request("GET", f"http://{address}/metrics").body.decode()
+        return "laburnumscale_connections_replaced_total" in metrics
+
+    wait_until(has_replaced, "a connection is replaced", limit_s)
+
+
+@then("calls of {source} reach {destination} and are answered over new connections")
+def step_wait_carried(context, source, destination):
+    """Wait until both directions carry more than the checks of a path do."""
+    link = context.fleet.links[f"{source}>{destination}"]
+    before = link.faults()
+
+    def has_carried():
+        carried = link.faults()
+        return all(carried[each] - before[each] > CARRIED_BYTES for each in carried)
+
+    wait_until(has_carried, "the link carries calls again")
+
+
 @then("every daemon excludes {endpoint}")
 def step_wait_excluded_everywhere(context, endpoint):
     for daemon in context.fleet.daemons:
