Let calls that would wait for a slot serve as trials

Hypothesis: targets that work again stay unused for up to 2 s after an ejection, because a trial call reserves a retry, and under overload the retry budget is used up.

Change: an idempotent call that finds no free slot goes to an idle target on trial with the probability of its even share, without a reserved retry.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -237,6 +237,9 @@
             view = self._pick_untried(call)
         if view is None and call.accept_doubt():
             view = self._pick_untried(call)
+        if call.waits and not call.at_most_once:
+            # While no slot is free, a target that works again is worth the risk.
+            return self._router.pick_trial(call.service, call.tried_endpoints) or view
         return view
 
     def _pick_untried(self, call: Call) -> EndpointView | None:
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -140,6 +140,17 @@
             found = self._find_in_selection(service, tried, idempotent)
         return self._choose(policy, settings, found, route, avoid_doubt, answer_bytes)
 
+    def pick_trial(self, service: str, tried: set[str]) -> EndpointView | None:
+        """Return an endpoint on trial for a call that would wait for a slot, or None.
+
+        :param tried: names of endpoints that this call has tried.
+        """
+        settings = self._settings(service)
+        if settings.ejection_policy != EVIDENCE or self._policy(settings).needs_all:
+            return None
+        trial = self._pick_trial(self._pools.get(service), settings)
+        return trial if trial is not None and trial.endpoint not in tried else None
+
     def _choose(
         self,
         policy: RoutingPolicy,
