Take the refusal of a repeated attempt for the outcome only if its guard admitted it

Cause: the repeated copy could not be sent (not_connected), which its daemon took for the outcome of the attempt; the first copy had reached the target. A refusal that names another process of the guard has the same fault.

Change: such refusals settle a call that must not run twice, and leave any other unknown, as the refusal of a duplicate already did. Refusals of a guard that admitted the copy remain final: the guard refuses the other copies from then on.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -25,7 +25,13 @@
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["AttemptClient", "AttemptRequest", "ReplyReader", "race_failover"]
+__all__ = [
+    "AttemptClient",
+    "AttemptRequest",
+    "ReplyReader",
+    "race_failover",
+    "read_first_reply",
+]
 
 CONNECT_TIMEOUT_SHARE = 0.25
 PATH_CHECK_INTERVAL_MS = 100  # detecting a broken path takes about 0.5 s
@@ -36,6 +42,10 @@
 SETTLE_TIMEOUT_MS = 300
 MAX_QUEUED_REPLIES = 2
 SERVER_ERROR = 500
+#: Refusals of a copy that its guard did not get, or that names another process of it.
+NOT_ADMITTED_REASONS = frozenset(
+    {peer_pb2.NOT_RUN_REASON_NOT_CONNECTED, peer_pb2.NOT_RUN_REASON_FENCED}
+)
 
 ReplyStream = AsyncIterator[peer_pb2.CallReply]
 
@@ -188,7 +198,7 @@
                         unanswered.enter_context(self._watch_silence(view, reader))
                         return reader
 
-                    first, reader = await _read_first(request, start)
+                    first, reader = await read_first_reply(request, start)
                     if first is None and request.settle_if_lost:
                         first = await self._settle_attempt(
                             view, request, attempt_id, reader
@@ -373,15 +383,15 @@
     return isinstance(request.body, bytes) and not is_late
 
 
-async def _read_first(
+async def read_first_reply(
     request: AttemptRequest, start: Callable[[], ReplyReader]
 ) -> tuple[peer_pb2.CallReply | None, ReplyReader]:
     """Return the first reply of an attempt, or None, and the reader of the attempt.
 
     While its connection turns out to be silent, the attempt is sent again. The guard
     runs the copy that arrives first and refuses the others. If it refuses the last one,
-    only the guard can tell the outcome of a call that must not run twice; any other
-    call can be retried.
+    or did not get it, an earlier one may have run: only the guard can tell the outcome
+    of a call that must not run twice; any other call can be retried.
 
     :param start: sends the attempt under its ID.
     """
@@ -390,7 +400,7 @@
     while first is None and reader.is_silent and _can_repeat(request):
         previous, reader = reader, start()
         first = await reader.read_first(request.reply_deadline)
-        if first is None or first.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED:
+        if first is None or _covers_all_copies(first):
             continue
         if request.settle_if_lost:
             return None, previous
@@ -398,6 +408,16 @@
     return first, reader
 
 
+def _covers_all_copies(reply: peer_pb2.CallReply) -> bool:
+    """Return whether the reply to one copy of an attempt is the outcome of all of them.
+
+    It is if the guard has admitted this copy.
+    """
+    if reply.HasField("not_run"):
+        return reply.not_run.reason not in NOT_ADMITTED_REASONS
+    return reply.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED
+
+
 def _missing_reply(reader: ReplyReader) -> peer_pb2.CallReply:
     if reader.connection_lost:
         return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
--- a/tests/features/attemptclient.feature
+++ b/tests/features/attemptclient.feature
@@ -17,3 +17,15 @@
     Given 2000 random orders of both copies, queries, ends of runs and restarts of the guard
     Then no order runs the attempt twice
     And no query says that an attempt did not run which ran before or after it
+
+  Scenario Outline: A repeated attempt is not run only if the guard of the first copy says so: <reply>
+    Given an attempt on a silent connection whose repetition is answered with <reply>
+    Then a call that must not run twice is <at most once>
+    And any other call is <other>
+
+    Examples:
+      | reply                 | at most once     | other            |
+      | not_run not_connected | settled          | unknown          |
+      | not_run fenced        | settled          | unknown          |
+      | unknown fenced        | settled          | unknown          |
+      | not_run overloaded    | not_run          | not_run          |
--- a/tests/features/steps/attemptclient_steps.py
+++ b/tests/features/steps/attemptclient_steps.py
@@ -5,14 +5,19 @@
 import time
 from collections import Counter
 from contextlib import suppress
+from types import SimpleNamespace
 
 from behave import given, then, when
 
-from laburnumscale.attemptclient import ReplyReader
+from laburnumscale.attemptclient import ReplyReader, read_first_reply
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import AttemptSentTwice
-from laburnumscale.failurereplies import AttemptRefused
+from laburnumscale.failurereplies import (
+    AttemptRefused,
+    refused_reply,
+    unknown_reply,
+)
 from laburnumscale_schema import peer_pb2
 
 MAX_READ_S = 3.0
@@ -162,3 +167,54 @@
     refuted = [guard for guard in context.guards if guard.refutations]
     assert refuted, "no query said that an attempt did not run"
     assert not any(guard.runs for guard in refuted)
+
+
+class _CopyReader:
+    """Reader of one copy of an attempt; the first one turns out to be silent."""
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.is_silent = reply is None
+
+    async def read_first(self, deadline):
+        return self.reply
+
+
+@given(
+    "an attempt on a silent connection whose repetition is answered with "
+    "{kind} {reason}"
+)
+def step_repeat_attempt(context, kind, reason):
+    if kind == "not_run":
+        number = peer_pb2.NotRunReason.Value(f"NOT_RUN_REASON_{reason.upper()}")
+        context.copy_reply = refused_reply(number)
+    else:
+        number = peer_pb2.UnknownReason.Value(f"UNKNOWN_REASON_{reason.upper()}")
+        context.copy_reply = unknown_reply(number)
+
+
+def read_repeated(context, settle_if_lost):
+    readers = [_CopyReader(None), _CopyReader(context.copy_reply)]
+    remaining = iter(readers)
+    request = SimpleNamespace(
+        body=b"",
+        reply_deadline=Deadline.after_ms(1000),
+        settle_if_lost=settle_if_lost,
+    )
+    first, reader = asyncio.run(read_first_reply(request, lambda: next(remaining)))
+    if first is None:
+        assert reader is readers[0]
+        return "settled"
+    return "not_run" if first.HasField("not_run") else "unknown"
+
+
+@then("a call that must not run twice is {outcome}")
+def step_check_at_most_once(context, outcome):
+    seen = read_repeated(context, settle_if_lost=True)
+    assert seen == outcome, seen
+
+
+@then("any other call is {outcome}")
+def step_check_other(context, outcome):
+    seen = read_repeated(context, settle_if_lost=False)
+    assert seen == outcome, seen
