--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -107,8 +107,6 @@
             self._metrics.count("calls_quarantined", f'service="{call.service}"')
             return NotRun(peer_pb2.NOT_RUN_REASON_QUARANTINED, refused_for_ms), None
         outcome, response = await self._try_targets(call)
-        if call.may_become_trial(outcome):
-            outcome, response = await self._run_as_trial(call, outcome)
         if not self.quarantine.is_empty and _is_good_answer(outcome):
             self.quarantine.record_answer(self._fingerprint(call))
         return outcome, response
@@ -140,7 +138,14 @@
         answer: tuple[Outcome, HTTPResponse | None] | None = None
         call.deadline = self.drain_state.limit(call.deadline)
         while (view := self._pick_endpoint(call)) is not None:
-            outcome, response = await self._attempt_at(call, view)
+            call.tried_endpoints.add(view.endpoint)
+            started_at_s = time.monotonic()
+            outcome, response = await self._attempt(call, view)
+            elapsed_ms = round((time.monotonic() - started_at_s) * MS_PER_S)
+            result = f"{outcome_name(outcome)} {reason_name(outcome)}"
+            call.attempt_summaries.append(
+                AttemptSummary(view.endpoint, view.daemon, result, elapsed_ms)
+            )
             if call.failover_result is not None:
                 return call.failover_result
             if isinstance(outcome, Answered):
@@ -158,34 +163,6 @@
             call.deadline = self.drain_state.limit(call.deadline)
         return answer or (outcome, None)
 
-    async def _run_as_trial(
-        self, call: Call, refusal: NotRun
-    ) -> tuple[Outcome, HTTPResponse | None]:
-        """Send a call that would be refused to a target on trial, if there is one.
-
-        It has not reached a target yet, so it uses no retry.
-        """
-        view = self._router.pick_trial(call.service, call.tried_endpoints)
-        if view is None:
-            return refusal, None
-        outcome, response = await self._attempt_at(call, view)
-        call.record_outcome(outcome, view.endpoint)
-        return (refusal, None) if isinstance(outcome, NotRun) else (outcome, response)
-
-    async def _attempt_at(
-        self, call: Call, view: EndpointView
-    ) -> tuple[Outcome, HTTPResponse | None]:
-        """Make an attempt at an endpoint and record its summary."""
-        call.tried_endpoints.add(view.endpoint)
-        started_at_s = time.monotonic()
-        outcome, response = await self._attempt(call, view)
-        elapsed_ms = round((time.monotonic() - started_at_s) * MS_PER_S)
-        result = f"{outcome_name(outcome)} {reason_name(outcome)}"
-        call.attempt_summaries.append(
-            AttemptSummary(view.endpoint, view.daemon, result, elapsed_ms)
-        )
-        return outcome, response
-
     def _charge_retry(self, call: Call, outcome: Outcome) -> bool:
         """Charge a retry to the budget and return whether it is allowed.
 
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -233,16 +233,6 @@
         attempts_left = self.settings.attempt_limit - self.counted_attempts - 1
         return attempts_left > 0 and self.deadline.left_ms() > MIN_RETRY_TIME_MS
 
-    def may_become_trial(self, outcome: Outcome) -> bool:
-        """Return whether to try a target on trial before the call is refused.
-
-        :param outcome: outcome of the call at the targets in service.
-        """
-        is_refused = _has_reason(outcome, peer_pb2.NOT_RUN_REASON_OVERLOADED)
-        is_new = self.counted_attempts == 0 and self.last_unknown is None
-        has_time = self.deadline.left_ms() > MIN_RETRY_TIME_MS
-        return is_refused and is_new and has_time and not self.at_most_once
-
     def may_retry(self, outcome: Outcome) -> bool:
         """Return whether another attempt is safe and within the limits."""
         if self.answer_started or not self.replayable or self.deadline.has_passed():
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -140,21 +140,6 @@
             found = self._find_in_selection(service, tried, idempotent)
         return self._choose(policy, settings, found, route, avoid_doubt, answer_bytes)
 
-    def pick_trial(self, service: str, tried: set[str]) -> EndpointView | None:
-        """Return an idle endpoint on trial for a call that would be refused, or None.
-
-        :param tried: names of endpoints that this call has tried.
-        """
-        settings = self._settings(service)
-        if settings.ejection_policy != EVIDENCE or self._policy(settings).needs_all:
-            return None
-        idle = [
-            view
-            for view in self._idle_on_trial(self._pools.get(service))
-            if view.endpoint not in tried
-        ]
-        return random.choice(idle) if idle else None
-
     def _choose(
         self,
         policy: RoutingPolicy,
@@ -282,23 +267,19 @@
         endpoints in the entry's own data centre get trial calls: the size of the
         answer is not known in advance, and traffic between data centres is expensive.
         """
-        idle = self._idle_on_trial(pool)
-        if not idle:
-            return None
         own = self._own_data_centre()
+        on_trial = pool.on_trial_in(own)
+        if not on_trial:
+            return None
+        sampled = islice(on_trial.shuffled(), MAX_SAMPLED_ENDPOINTS)
+        views = [pool.health(name).view for name in sampled]
+        idle = [view for view in views if not self.load_table.count_outstanding(view)]
         kept = pool.kept_by_floor(settings.floor_percent)
         local_kept = sum(each.view.data_centre == own for each in kept)
         in_use = len(pool.healthy_in(own)) + local_kept
         share = len(idle) / max(1, len(idle) + in_use)
         return random.choice(idle) if random.random() < share else None
 
-    def _idle_on_trial(self, pool: EndpointPool) -> list[EndpointView]:
-        """Return the endpoints on trial nearby that run no call of this entry."""
-        on_trial = pool.on_trial_in(self._own_data_centre())
-        sampled = islice(on_trial.shuffled(), MAX_SAMPLED_ENDPOINTS)
-        views = [pool.health(name).view for name in sampled]
-        return [view for view in views if not self.load_table.count_outstanding(view)]
-
     def _rate(self, view: EndpointView) -> EndpointHealth:
         broken = self._paths.is_broken(view.peer_address)
         return self.load_table.endpoint_health(view, broken)
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -87,16 +87,6 @@
     And it fails again right after its return
     Then it is ejected for 1000 ms
 
-  Scenario Outline: <kind> calls that would be refused serve as trials without a retry
-    Given a target in service, a target on trial and an entry with 0 retries left
-    When 100 <kind> calls are made while the target in service has no free slot
-    Then the target on trial gets <trials> of them
-
-    Examples:
-      | kind           | trials |
-      | idempotent     | some   |
-      | non-idempotent | none   |
-
   Scenario Outline: Only calls that can be retried on another target serve as trials
     Given a target in service, a target on trial and an entry with <tokens> retries left
     When 50 calls with an attempt limit of <attempts> are routed and answered
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -506,23 +506,6 @@
         asyncio.run(context.runner.run(call))
 
 
-@when("{count:d} {kind} calls are made while the target in service has no free slot")
-def step_make_calls_without_slots(context, count, kind):
-    context.endpoint_counts = Counter()
-
-    async def answer(call, view):
-        context.endpoint_counts[view.endpoint] += 1
-        if view.endpoint == "e2":
-            return Answered(200), None
-        return NotRun(peer_pb2.NOT_RUN_REASON_OVERLOADED), None
-
-    context.runner._attempt = answer
-    for _ in range(count):
-        call = _make_call(1000, attempt_limit=2)
-        call.idempotent = kind == "idempotent"
-        asyncio.run(context.runner.run(call))
-
-
 @then("the target on trial gets {trials} of them")
 def step_check_trial_calls(context, trials):
     assert (context.endpoint_counts["e2"] > 0) == (trials == "some"), (
