--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -322,6 +322,7 @@
         paths = SimpleNamespace(
             is_broken=lambda address: False,
             on_change=lambda listener: None,
+            on_silence=lambda listener: None,
             schedule_check=lambda address: None,
             start_check=lambda address: None,
         )
