Log which side ended an attempt, at what time left, and why no retry followed

Cause: "call ended" gave 'unknown deadline' both for an attempt that ran to its end and for one that the entry gave up, and neither side logged the end of an attempt that its target may be running. So the hypotheses about a request that was given up while its target ran it could not be told apart.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -87,11 +87,13 @@
         may have been sent to the target.
     :ivar is_silent: whether the connection of the attempt was replaced before the first
         reply, because it delivers nothing any more.
+    :ivar has_ended: whether the last reply has arrived, or the stream has ended.
     """
 
     def __init__(self, replies: ReplyStream) -> None:
         self.connection_lost = False
         self.is_silent = False
+        self.has_ended = False
         self._first_reply_timeout: asyncio.Timeout | None = None
         self._queue: asyncio.Queue[peer_pb2.CallReply | None]
         self._queue = asyncio.Queue(MAX_QUEUED_REPLIES)
@@ -136,6 +138,7 @@
         try:
             async with aclosing(replies):
                 async for reply in replies:
+                    self.has_ended = _is_final(reply)
                     await self._queue.put(reply)
         except grpc.RpcError:
             pass
@@ -144,6 +147,7 @@
         except asyncio.CancelledError:
             self._cut_short()
             raise
+        self.has_ended = True
         await self._queue.put(None)
 
     def _cut_short(self) -> None:
@@ -207,9 +211,27 @@
                         first = await self._wait_for_reply(view, request, reader)
                 yield first or _missing_reply(reader), reader.read_remaining()
             finally:
+                if not any(each.has_ended for each in readers):
+                    self._log_given_up(view, request, readers)
                 for each in readers:
                     await each.close()
 
+    def _log_given_up(
+        self, view: EndpointView, request: AttemptRequest, readers: list[ReplyReader]
+    ) -> None:
+        """Log that an attempt is given up although its target may be running it."""
+        get_logger().info(
+            "attempt given up",
+            request_id=request.head.request_id,
+            endpoint=view.endpoint,
+            daemon=view.daemon,
+            left_ms=request.deadline.left_ms(),
+            reply_left_ms=request.reply_deadline.left_ms(),
+            path_broken=self._paths.is_broken(view.peer_address),
+            copies=len(readers),
+            silent=[each.is_silent for each in readers],
+        )
+
     def _start_attempt(
         self,
         view: EndpointView,
@@ -364,6 +386,11 @@
         await asyncio.wait(tasks)
 
 
+def _is_final(reply: peer_pb2.CallReply) -> bool:
+    """Return whether no reply follows this one."""
+    return reply.end or reply.HasField("not_run") or reply.HasField("unknown")
+
+
 def _is_success(reply: peer_pb2.CallReply | None) -> bool:
     has_answer = reply is not None and reply.HasField("head")
     return has_answer and reply.head.status < SERVER_ERROR
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -154,15 +154,25 @@
                     return outcome, response
                 answer = outcome, response
             call.record_outcome(outcome, view.endpoint)
-            if not (
-                call.may_retry(outcome)
-                and self._may_run_again(call, outcome)
-                and self._charge_retry(call, outcome)
-            ):
+            call.stop_reason = self._charge_next_attempt(call, outcome)
+            if call.stop_reason:
                 break
             call.deadline = self.drain_state.limit(call.deadline)
+        else:
+            call.stop_reason = "no endpoint left"
         return answer or (outcome, None)
 
+    def _charge_next_attempt(self, call: Call, outcome: Outcome) -> str:
+        """Charge another attempt of a call, and return why it is not allowed.
+
+        :param outcome: outcome of the last attempt.
+        """
+        if obstacle := call.retry_obstacle(outcome):
+            return obstacle
+        if not self._may_run_again(call, outcome):
+            return "quarantined"
+        return "" if self._charge_retry(call, outcome) else "retry budget"
+
     def _charge_retry(self, call: Call, outcome: Outcome) -> bool:
         """Charge a retry to the budget and return whether it is allowed.
 
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -85,6 +85,7 @@
     :ivar fingerprint: identifies the call and its repeats; empty if not computed yet.
     :ivar route_hash: hash by which daemons refer to the route.
     :ivar attempt_summaries: results of the attempts so far, for the log.
+    :ivar stop_reason: why no further attempt was made after the last one, for the log.
     """
 
     request: Request
@@ -112,6 +113,7 @@
     doubtful_endpoints: set[str] = attrs.field(factory=set)
     accepts_doubt: bool = False
     fingerprint: bytes = b""
+    stop_reason: str = ""
     route_hash: int = attrs.field(init=False)
 
     @route_hash.default
@@ -235,17 +237,26 @@
 
     def may_retry(self, outcome: Outcome) -> bool:
         """Return whether another attempt is safe and within the limits."""
-        if self.answer_started or not self.replayable or self.deadline.has_passed():
-            return False
-        if isinstance(outcome, Unknown) and not self.idempotent:
-            return False
-        if _has_reason(outcome, peer_pb2.NOT_RUN_REASON_QUARANTINED):
-            return False
-        if self.exempt_attempts >= MAX_EXEMPT_ATTEMPTS:
-            return False
-        if self.queue_refusals >= MAX_QUEUE_REFUSALS:
-            return False
-        return self.counted_attempts < self.settings.attempt_limit
+        return not self.retry_obstacle(outcome)
+
+    def retry_obstacle(self, outcome: Outcome) -> str:
+        """Return why no other attempt is safe and within the limits; empty if one is.
+
+        :param outcome: outcome of the last attempt.
+        """
+        is_unsafe = isinstance(outcome, Unknown) and not self.idempotent
+        is_quarantined = _has_reason(outcome, peer_pb2.NOT_RUN_REASON_QUARANTINED)
+        obstacles = (
+            (self.answer_started, "answer started"),
+            (not self.replayable, "body cannot be sent again"),
+            (self.deadline.has_passed(), "deadline"),
+            (is_unsafe, "may have run"),
+            (is_quarantined, "quarantined"),
+            (self.exempt_attempts >= MAX_EXEMPT_ATTEMPTS, "refusals"),
+            (self.queue_refusals >= MAX_QUEUE_REFUSALS, "queues full"),
+            (self.counted_attempts >= self.settings.attempt_limit, "attempt limit"),
+        )
+        return next((reason for applies, reason in obstacles if applies), "")
 
 
 def is_exempt(outcome: Outcome) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -15,7 +15,7 @@
 from laburnumscale.attempttable import Attempt, AttemptState, AttemptTable
 from laburnumscale.callfingerprint import call_fingerprint
 from laburnumscale.daemonsettings import DEFAULT_ANSWER_LIMIT_BYTES
-from laburnumscale.deadlines import Deadline, now_s
+from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.drainstate import DrainState
 from laburnumscale.errors import (
     AnswerMismatched,
@@ -105,6 +105,7 @@
             yield _with_guard_time(refusal.reply)
             return
         last_reply = None
+        admitted_at_s = now_s()
         with self.in_flight.track():
             try:
                 async with aclosing(
@@ -115,6 +116,8 @@
                         self._record_final_reply(attempt, head, reply)
                         yield _with_guard_time(reply)
             finally:
+                if attempt.state is AttemptState.SENT:
+                    _log_cut(head, admitted_at_s, last_reply is not None)
                 self.attempts.end(attempt, _cacheable_reply(head, last_reply))
 
     def refuse_waiting_attempts(self) -> None:
@@ -452,6 +455,20 @@
     )
 
 
+def _log_cut(head: peer_pb2.CallHead, admitted_at_s: float, has_replied: bool) -> None:
+    """Log that an attempt ended before the complete answer of its target."""
+    get_logger().info(
+        "attempt cut at its target",
+        request_id=head.request_id,
+        endpoint=head.endpoint,
+        entry=head.attempt.entry,
+        sequence=head.attempt.sequence,
+        admitted_ms=round((now_s() - admitted_at_s) * MS_PER_S),
+        time_left_ms=head.time_left_ms,
+        has_replied=has_replied,
+    )
+
+
 def _message_age_ms(head: peer_pb2.CallHead) -> float:
     """Return an upper bound on the age of a message; 0 if the age is unknown."""
     if not head.guard_time_us:
