Let links keep or reset the open connections, and targets record when a run is cut

Cause: a link could silence its open connections for good or cut all of them, but not deliver late on the open ones while new ones work; and it could reset a connection only after a number of bytes. A ledger did not say when a run was cancelled.

--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from tests.standins.serving import port_parser, serve
+from tests.standins.streams import reset_on_close
 
 __all__ = ["FaultyLink"]
 
@@ -25,6 +26,10 @@
     :ivar silence: setting it discards all further data of the TCP connections that
         are open at that time, without a reset; new connections work.
     :ivar silence_count: number of times that ``silence`` was set.
+    :ivar hold: setting it keeps all further data of the TCP connections that are open
+        at that time, and forwards it once it is unset; new connections work.
+    :ivar hold_count: number of times that ``hold`` was set.
+    :ivar reset: setting it resets the TCP connections that are open at that time.
     :ivar delay_ms: delay of each TCP chunk and datagram in milliseconds.
     :ivar reset_after_bytes: reset the TCP connection that reaches this total of
         forwarded bytes; happens once, 0 for never.
@@ -37,6 +42,9 @@
     cut: bool = False
     silence: bool = False
     silence_count: int = 0
+    hold: bool = False
+    hold_count: int = 0
+    reset: bool = False
     delay_ms: float = 0
     reset_after_bytes: int = 0
     double: bool = False
@@ -45,7 +53,9 @@
     faults_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def set(self, faults: dict) -> None:
-        """Set the named faults and wake the tasks that wait for the end of a cut."""
+        """Set the named faults and wake the tasks that wait for the end of one."""
+        if faults.get("hold"):
+            self.hold_count += 1
         for name, value in faults.items():
             setattr(self, name, value)
         if self.silence:
@@ -54,9 +64,12 @@
         self.faults_changed.set()
         self.faults_changed = asyncio.Event()
 
-    async def wait_while_cut(self) -> None:
-        """Wait until the direction is no longer cut."""
-        while self.cut:
+    async def wait_until_open(self, initial_hold_count: int) -> None:
+        """Wait until data of a connection is neither cut off nor kept.
+
+        :param initial_hold_count: ``hold_count`` when the connection was opened.
+        """
+        while self.cut or (self.hold and self.hold_count > initial_hold_count):
             await self.faults_changed.wait()
 
 
@@ -78,6 +91,18 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._delayed_datagram: bytes | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._open_writers: set[asyncio.StreamWriter] = set()
+
+    def set_faults(self, directions: dict[str, dict]) -> None:
+        """Set the faults of the named directions."""
+        for name, faults in directions.items():
+            direction: Direction = getattr(self, name)
+            direction.set(faults)
+            if direction.reset:
+                direction.reset = False
+                for writer in self._open_writers:
+                    reset_on_close(writer.transport)
+                    writer.transport.abort()
 
     async def start(self) -> None:
         """Listen for connections and datagrams."""
@@ -97,10 +122,14 @@
             writer.transport.abort()
             return
         writers = (writer, to_writer)
-        await asyncio.gather(
-            self._forward_stream(reader, to_writer, self.forward, writers),
-            self._forward_stream(to_reader, writer, self.backward, writers),
-        )
+        self._open_writers.update(writers)
+        try:
+            await asyncio.gather(
+                self._forward_stream(reader, to_writer, self.forward, writers),
+                self._forward_stream(to_reader, writer, self.backward, writers),
+            )
+        finally:
+            self._open_writers.difference_update(writers)
 
     async def _forward_stream(
         self,
@@ -110,16 +139,17 @@
         writers: tuple[asyncio.StreamWriter, ...],
     ) -> None:
         initial_silence_count = direction.silence_count
+        initial_hold_count = direction.hold_count
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 if direction.silence_count > initial_silence_count:
                     continue
                 if direction.delay_ms:
                     await asyncio.sleep(direction.delay_ms / 1000)
-                await direction.wait_while_cut()
+                await direction.wait_until_open(initial_hold_count)
                 writer.write(self._reset_at_limit(chunk, direction, writers))
                 await writer.drain()
-            await direction.wait_while_cut()
+            await direction.wait_until_open(initial_hold_count)
             writer.write_eof()
         except (OSError, RuntimeError):
             for each in writers:
@@ -197,8 +227,7 @@
     async def faults(self, request: web.Request) -> web.Response:
         """Set the faults of ``forward`` and ``backward``; return the byte counts."""
         link = self.links[request.match_info["name"]]
-        for name, faults in (await request.json()).items():
-            getattr(link, name).set(faults)
+        link.set_faults(await request.json())
         return web.json_response(
             {
                 "forward_bytes": link.forward.forwarded_bytes,
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -134,6 +134,7 @@
             await asyncio.sleep(self._call_duration_s())
         except asyncio.CancelledError:
             entry["cancelled"] = True
+            entry["cancelled_at_s"] = asyncio.get_running_loop().time()
             raise
         if self._call_count * self.error_percent % 100 < self.error_percent:
             return web.Response(status=500, text="failed")
