Add scenarios of lookups that are given up while their target runs them

Cause: doubt about the path ends an attempt. After the reply deadline the entry gives up an attempt whose path is marked as broken; and it takes the refusal of a repeated attempt, which its guard runs, for the loss of both copies. With no other target, the caller gets 504 with time left, in a drain and without one.

--- /dev/null
+++ b/tests/features/running_attempts.feature
@@ -0,0 +1,37 @@
+Feature: An attempt that its guard may be running is not ended by doubt about the path
+
+  Background:
+    Given a fault-injecting link from d1 to d2
+    And a fleet of 2 daemons that drain for at most 8000 ms
+    And target p1 of proof-vault beside d2 that responds after 20 ms
+    And target e1 of slot-desk beside d2 that responds after 20 ms
+    And the fleet is ready with 2 attempts of each call
+    And a caller of d1 has used its connection, and keeps it
+
+  Scenario: A draining entry does not give up a lookup because its path is broken for a moment
+    When d1 begins to drain
+    And the caller sends a lookup that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 800 ms later the path from d1 to d2 is broken for 900 ms
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+  Scenario: A draining entry does not give up a lookup because its repeat is refused
+    When d1 begins to drain
+    And the open connections from d2 to d1 deliver late
+    And the caller sends a lookup that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 800 ms later the open connections deliver again
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+  Scenario: An entry does not give up a lookup because its path is broken for a moment
+    When the caller sends a lookup that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 800 ms later the path from d1 to d2 is broken for 900 ms
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+  Scenario: An entry does not give up a lookup because its repeat is refused
+    When the open connections from d2 to d1 deliver late
+    And the caller sends a lookup that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 800 ms later the open connections deliver again
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
