Let runs outlast the streams that deliver their replies

What callers saw: 504 with up to half of the time limit left, from a draining daemon and from others, while the target of the request was at work; the run was cut. Cause: the run of an attempt was tied to the life of one stream, and doubt about a connection was treated like an answer. The entry gave an attempt up after its reply deadline as soon as the path was marked as broken, and as soon as the guard refused a repeat because it was running the first copy; the guard then cut the run with its stream. Change: the guard owns the run; streams attach to it, so a repeat under the same ID gets the replies of the run. The entry reads all copies and gives the attempt up only by its reply, its deadline, its caller or the guard's own word. It tells the guard by a request of its own which attempts have ended, also when their connection is silent; the low-water mark and a new process of the entry say the same. A run without a stream ends when its entry is no member any more.

--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -0,0 +1,226 @@
+"""Attempt copies.
+
+Reads the replies to the copies of one attempt. A copy is sent when the connection of
+the former ones is in doubt; the guard runs the attempt once.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+
+import grpc
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.logs import get_logger
+from laburnumscale_schema import peer_pb2
+
+__all__ = ["AttemptCopies", "ReplyReader", "ReplyStream"]
+
+MAX_QUEUED_REPLIES = 2
+#: Copies of one attempt. The guard deals with each one, and a connection that is
+#: replaced more often than this within one call is no better than the former ones.
+MAX_COPIES = 8
+#: Refusals of a copy that its guard did not get, or that names another process of it.
+NOT_ADMITTED_REASONS = frozenset(
+    {peer_pb2.NOT_RUN_REASON_NOT_CONNECTED, peer_pb2.NOT_RUN_REASON_FENCED}
+)
+
+ReplyStream = AsyncIterator[peer_pb2.CallReply]
+
+
+class ReplyReader:
+    """Reads the replies to one copy of an attempt in a background task.
+
+    :param replies: sends the copy and yields the replies.
+    :param on_reply: called when a reply, or the end of the stream, can be taken.
+    :ivar has_ended: whether the last reply has arrived.
+    """
+
+    def __init__(
+        self, replies: ReplyStream, on_reply: Callable[[], None] = lambda: None
+    ) -> None:
+        self.has_ended = False
+        self._on_reply = on_reply
+        self._queue: asyncio.Queue[peer_pb2.CallReply | None]
+        self._queue = asyncio.Queue(MAX_QUEUED_REPLIES)
+        self._task = asyncio.create_task(self._read_replies(replies))
+
+    def has_reply(self) -> bool:
+        """Return whether a reply, or the end of the stream, can be taken."""
+        return not self._queue.empty()
+
+    def take_reply(self) -> peer_pb2.CallReply | None:
+        """Return the next reply that has arrived; None at the end of the stream."""
+        return self._queue.get_nowait()
+
+    async def read_remaining(self) -> ReplyStream:
+        """Yield the replies that were not taken yet."""
+        while (reply := await self._queue.get()) is not None:
+            yield reply
+
+    async def close(self) -> None:
+        """End the stream of the replies."""
+        self._task.cancel()
+        await asyncio.wait({self._task})
+
+    async def _read_replies(self, replies: ReplyStream) -> None:
+        try:
+            async with aclosing(replies):
+                async for reply in replies:
+                    self.has_ended = _is_last(reply)
+                    await self._put(reply)
+        except grpc.RpcError:
+            pass
+        except Exception as error:
+            get_logger().error("reading attempt replies failed", reason=repr(error))
+        except asyncio.CancelledError:
+            self._cut_short()
+            raise
+        await self._put(None)
+
+    async def _put(self, reply: peer_pb2.CallReply | None) -> None:
+        await self._queue.put(reply)
+        self._on_reply()
+
+    def _cut_short(self) -> None:
+        """Replace the replies that were not read yet by the end of the stream.
+
+        The timeout of an attempt at this daemon's own guard cancels the task while it
+        waits for room in the queue.
+        """
+        while not self._queue.empty():
+            self._queue.get_nowait()
+        self._queue.put_nowait(None)
+        self._on_reply()
+
+
+class AttemptCopies:
+    """The copies of one attempt, which were sent under the same ID.
+
+    A copy replaces none of the others: the guard runs the first one that arrives, and
+    each of them may deliver the replies.
+
+    :param send: sends a copy; gets the function to call when a reply can be taken.
+    :param is_repeatable: whether the attempt can be sent more than once.
+    :ivar readers: the readers of all copies that were sent.
+    :ivar answered: the reader of the copy whose reply states the outcome, or None.
+    :ivar is_over: the guard has said that no reply is to come.
+    """
+
+    def __init__(
+        self,
+        send: Callable[[Callable[[], None]], ReplyReader],
+        is_repeatable: bool = False,
+    ) -> None:
+        self.readers: list[ReplyReader] = []
+        self.answered: ReplyReader | None = None
+        self.is_over = False
+        self._send = send
+        self._is_repeatable = is_repeatable
+        self._open: list[ReplyReader] = []
+        self._news = asyncio.Event()
+        self._is_repeat_due = False
+        self.send()
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether no copy can deliver a reply any more."""
+        return not self._open
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the guard has given its last reply, or none is to come."""
+        return self.is_over or (self.answered is not None and self.answered.has_ended)
+
+    @property
+    def can_repeat(self) -> bool:
+        """Return whether another copy can be sent."""
+        is_unsettled = self.answered is None and not self.is_over
+        return self._is_repeatable and is_unsettled and len(self.readers) < MAX_COPIES
+
+    def send(self) -> None:
+        """Send a copy."""
+        reader = self._send(self._news.set)
+        self.readers.append(reader)
+        self._open.append(reader)
+
+    def repeat(self) -> None:
+        """Send another copy if the attempt can be repeated."""
+        self._is_repeat_due = True
+        self._news.set()
+
+    async def read_first(self, deadline: Deadline) -> peer_pb2.CallReply | None:
+        """Return the first reply that states the outcome of all copies.
+
+        :returns: None if there is none by the deadline, or if all copies are lost.
+        """
+        while True:
+            self._news.clear()
+            reply = self._take_reply()
+            self._send_due_copy()
+            is_undecided = reply is None and not (self.is_over or self.is_lost)
+            if not is_undecided or deadline.has_passed():
+                return reply
+            try:
+                async with asyncio.timeout(deadline.left_s()):
+                    await self._news.wait()
+            except TimeoutError:
+                return self._take_reply()
+
+    async def read_remaining(self) -> ReplyStream:
+        """Yield the replies after the first one."""
+        if self.answered is not None:
+            async for reply in self.answered.read_remaining():
+                yield reply
+
+    async def close(self) -> None:
+        """End the streams of all copies."""
+        for reader in self.readers:
+            await reader.close()
+
+    def _send_due_copy(self) -> None:
+        is_due, self._is_repeat_due = self._is_repeat_due, False
+        if is_due and self.can_repeat:
+            self.send()
+
+    def _take_reply(self) -> peer_pb2.CallReply | None:
+        for reader in tuple(self._open):
+            if not reader.has_reply():
+                continue
+            reply = reader.take_reply()
+            if reply is not None and self._states_outcome(reply):
+                self.answered = reader
+                return reply
+            self._open.remove(reader)
+            self._record_loss(reader, reply)
+        return None
+
+    def _states_outcome(self, reply: peer_pb2.CallReply) -> bool:
+        """Return whether the reply to a copy is the outcome of all of them.
+
+        It is if there are no others, or if the guard has admitted this one.
+        """
+        if len(self.readers) == 1:
+            return True
+        if reply.HasField("not_run"):
+            return reply.not_run.reason not in NOT_ADMITTED_REASONS
+        return reply.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED
+
+    def _record_loss(
+        self, reader: ReplyReader, reply: peer_pb2.CallReply | None
+    ) -> None:
+        """Record that a copy will not deliver the outcome.
+
+        :param reply: the refusal of the copy; None if its connection was lost.
+        """
+        if reply is None:
+            self._is_repeat_due = True
+        elif reply.not_run.reason == peer_pb2.NOT_RUN_REASON_NOT_CONNECTED:
+            self.readers.remove(reader)
+        elif reply.not_run.reason == peer_pb2.NOT_RUN_REASON_FENCED:
+            self.is_over = True
+
+
+def _is_last(reply: peer_pb2.CallReply) -> bool:
+    """Return whether no reply follows this one."""
+    return reply.end or reply.HasField("not_run") or reply.HasField("unknown")
--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from laburnumscale.attemptruns import AttemptRun
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import AttemptSentTwice
 from laburnumscale.failurereplies import AttemptRefused, refused_reply, unknown_reply
@@ -44,10 +45,15 @@
 
     :ivar state: progress of the attempt.
     :ivar reply: the refusal or the cached response of an attempt that has ended.
+    :ivar run: the run that repeats of the attempt attach to; None if it has ended, or
+        if the attempt ends with its stream.
+    :ivar is_cancelled: the entry has ended the attempt.
     """
 
     state: AttemptState = AttemptState.WAITING
     reply: peer_pb2.CallReply | None = None
+    run: AttemptRun | None = None
+    is_cancelled: bool = False
 
     @property
     def is_sent(self) -> bool:
@@ -77,6 +83,21 @@
         if self.state is AttemptState.WAITING:
             self.state = AttemptState.FENCED
 
+    def cancel(self) -> None:
+        """End the attempt at the request of its entry."""
+        self.fence()
+        self.is_cancelled = True
+        if self.run is not None:
+            self.run.cancel()
+
+    def repeat_reply(self) -> peer_pb2.CallReply:
+        """Return the reply to a repeat that cannot attach to a run."""
+        if self.state is AttemptState.FENCED:
+            return refused_reply(peer_pb2.NOT_RUN_REASON_FENCED)
+        if self.state is not AttemptState.ENDED:
+            return unknown_reply(peer_pb2.UNKNOWN_REASON_FENCED)
+        return self.reply or unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+
     def settle(self) -> peer_pb2.SettleReply:
         """Return the outcome of the attempt; fence it if it is still waiting."""
         self.fence()
@@ -114,18 +135,22 @@
     low_water: int = 0
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
 
-    def advance_low_water(self, sequence: int) -> None:
+    def advance_low_water(self, sequence: int) -> list[Attempt]:
         """Advance the low-water mark and remove the attempts below it.
 
         Attempts already sent to a target continue; waiting ones are fenced.
 
         :param sequence: the new mark; a mark that is not higher has no effect.
+        :returns: the removed attempts.
         """
         if sequence <= self.low_water:
-            return
+            return []
         self.low_water = sequence
-        for number in [n for n in self.attempts if n < sequence]:
-            self.attempts.pop(number).fence()
+        numbers = [number for number in self.attempts if number < sequence]
+        removed = [self.attempts.pop(number) for number in numbers]
+        for attempt in removed:
+            attempt.fence()
+        return removed
 
     def evict_older_half(self) -> None:
         """Advance the low-water mark past the older half of the attempts."""
@@ -166,7 +191,7 @@
         record = self._entry_record(attempt_id)
         if attempt_id.entry_incarnation < record.incarnation:
             raise AttemptRefused(unknown_reply(peer_pb2.UNKNOWN_REASON_FENCED))
-        record.advance_low_water(head.low_water_sequence)
+        self._end_attempts(record.advance_low_water(head.low_water_sequence))
         known = record.attempts.get(attempt_id.sequence)
         if known is not None and known.state is AttemptState.FENCED:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_FENCED)
@@ -174,6 +199,27 @@
             raise AttemptRefused(unknown_reply(peer_pb2.UNKNOWN_REASON_FENCED))
         return self._add_attempt(record, attempt_id.sequence)
 
+    def find(self, attempt_id: peer_pb2.AttemptId) -> Attempt | None:
+        """Return the record of an attempt, or None if there is none."""
+        record = self._entries.get(attempt_id.entry)
+        if (
+            record is None
+            or attempt_id.guard_incarnation != self._guard_incarnation
+            or attempt_id.entry_incarnation != record.incarnation
+        ):
+            return None
+        return record.attempts.get(attempt_id.sequence)
+
+    def cancel(self, attempt_id: peer_pb2.AttemptId) -> None:
+        """End an attempt at the request of its entry.
+
+        An attempt that has not arrived yet is registered as fenced.
+        """
+        self.settle(attempt_id)
+        attempt = self.find(attempt_id)
+        if attempt is not None:
+            self._end_attempts([attempt])
+
     def settle(self, attempt_id: peer_pb2.AttemptId) -> peer_pb2.SettleReply:
         """Return the outcome of an attempt, and fence it if it was not sent.
 
@@ -224,7 +270,8 @@
         record = self._entries.get(attempt_id.entry)
         if record is None or record.incarnation < attempt_id.entry_incarnation:
             if record is not None:
-                record.advance_low_water(max(record.attempts, default=0) + 1)
+                last_sequence = max(record.attempts, default=0)
+                self._end_attempts(record.advance_low_water(last_sequence + 1))
             record = _EntryRecord(attempt_id.entry_incarnation)
             self._entries[attempt_id.entry] = record
         self._entries.move_to_end(attempt_id.entry)
@@ -240,6 +287,13 @@
             record.evict_older_half()
         return attempt
 
+    def _end_attempts(self, attempts: list[Attempt]) -> None:
+        """End attempts whose outcome their entry no longer needs."""
+        for attempt in attempts:
+            attempt.cancel()
+            if id(attempt) in self._attempts_with_reply:
+                self._evict_reply(attempt)
+
     def _evict_reply(self, attempt: Attempt) -> None:
         self._attempts_with_reply.pop(id(attempt))
         self.cached_reply_bytes -= _reply_size_bytes(attempt.reply)
--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -11,7 +11,7 @@
 import attrs
 import grpc
 
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.peertraffic import CountedChannel, PeerTraffic
 from laburnumscale_schema import peer_pb2_grpc
 
@@ -95,6 +95,22 @@
             return False
         return True
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether the host of a peer refuses connections to its address.
+
+        No process listens there then. A host that cannot be reached refuses nothing.
+        """
+        host, _, port = self.overrides.get(address, address).rpartition(":")
+        try:
+            async with asyncio.timeout(MIN_CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
         """Return the stub for calls with operation keys."""
         return self._get_stub(address, peer_pb2_grpc.OperationKeysStub)
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -203,6 +203,7 @@
             guard_role.stalls.watch(),
             guard_role.targets.watch_leases(),
             guard_role.guard.prune_attempts(shared.members),
+            guard_role.guard.runs.watch_orphans(shared.members),
             entry_role.key_table.delete_expired_records(),
         )
         return [self._start_background_task(coroutine) for coroutine in coroutines]
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from laburnumscale.attemptmonitor import AttemptMonitor
+from laburnumscale.attemptruns import AttemptRun, AttemptRuns
 from laburnumscale.attempttable import Attempt, AttemptState, AttemptTable
 from laburnumscale.callfingerprint import call_fingerprint
 from laburnumscale.daemonsettings import DEFAULT_ANSWER_LIMIT_BYTES
@@ -61,6 +62,7 @@
     :ivar in_flight: counter of the attempts in progress.
     :ivar drain_state: whether and until when attempts are run.
     :ivar quarantine: the calls that are refused because their targets ended.
+    :ivar runs: the runs in progress of the attempts of other daemons.
     :ivar answer_limit_bytes: maximum size of the body of a target's response.
     """
 
@@ -88,6 +90,7 @@
         self._session = session
         self._metrics = metrics
         self.quarantine = Quarantine(metrics)
+        self.runs = AttemptRuns()
         self._target_ends = TargetEnds()
 
     async def run_attempt(
@@ -104,6 +107,58 @@
             self._metrics.count("attempts_fenced")
             yield _with_guard_time(refusal.reply)
             return
+        async with aclosing(self._run_recorded(attempt, head, body)) as replies:
+            async for reply in replies:
+                yield _with_guard_time(reply)
+
+    async def serve_attempt(
+        self, head: peer_pb2.CallHead, body: bytes | AsyncIterator[bytes]
+    ) -> AsyncIterator[peer_pb2.CallReply]:
+        """Yield the replies of an attempt of another daemon, which is run only once.
+
+        The run goes on after the end of the stream if its entry asks for that.
+
+        :param head: as for :meth:`run_attempt`.
+        :param body: as for :meth:`run_attempt`.
+        """
+        if not head.outlives_stream:
+            replies = self.run_attempt(head, body)
+        else:
+            try:
+                replies = self._find_or_start_run(head, body).stream()
+            except AttemptRefused as refusal:
+                self._metrics.count("attempts_fenced")
+                yield _with_guard_time(refusal.reply)
+                return
+        async with aclosing(replies):
+            async for reply in replies:
+                yield _with_guard_time(reply)
+
+    def _find_or_start_run(
+        self, head: peer_pb2.CallHead, body: bytes | AsyncIterator[bytes]
+    ) -> AttemptRun:
+        """Return the run of an attempt, which is started unless the guard knows it.
+
+        :raises AttemptRefused: the attempt may not run, or no stream can attach to it.
+        """
+        attempt = self.attempts.find(head.attempt)
+        if attempt is None:
+            attempt = self.attempts.admit(head)
+            replies = self._run_recorded(attempt, head, body)
+            attempt.run = self.runs.start(head.attempt, replies)
+            return attempt.run
+        if attempt.run is None or not attempt.run.can_attach:
+            raise AttemptRefused(attempt.repeat_reply())
+        self._metrics.count("attempts_attached")
+        return attempt.run
+
+    async def _run_recorded(
+        self,
+        attempt: Attempt,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
+    ) -> AsyncIterator[peer_pb2.CallReply]:
+        """Run an admitted attempt and record its end."""
         last_reply = None
         admitted_at_s = now_s()
         with self.in_flight.track():
@@ -114,11 +169,12 @@
                     async for reply in replies:
                         last_reply = reply
                         self._record_final_reply(attempt, head, reply)
-                        yield _with_guard_time(reply)
+                        yield reply
             finally:
                 if attempt.state is AttemptState.SENT:
-                    _log_cut(head, admitted_at_s, last_reply is not None)
+                    _log_cut(attempt, head, admitted_at_s, last_reply is not None)
                 self.attempts.end(attempt, _cacheable_reply(head, last_reply))
+                attempt.run = None
 
     def refuse_waiting_attempts(self) -> None:
         """Refuse the attempts that wait for a slot; they can run elsewhere."""
@@ -455,7 +511,12 @@
     )
 
 
-def _log_cut(head: peer_pb2.CallHead, admitted_at_s: float, has_replied: bool) -> None:
+def _log_cut(
+    attempt: Attempt,
+    head: peer_pb2.CallHead,
+    admitted_at_s: float,
+    has_replied: bool,
+) -> None:
     """Log that an attempt ended before the complete answer of its target."""
     get_logger().info(
         "attempt cut at its target",
@@ -466,6 +527,7 @@
         admitted_ms=round((now_s() - admitted_at_s) * MS_PER_S),
         time_left_ms=head.time_left_ms,
         has_replied=has_replied,
+        ended_by_entry=attempt.is_cancelled,
     )
 
 
@@ -492,10 +554,11 @@
 ) -> peer_pb2.CallReply | None:
     """Return the reply to cache for settling an attempt, or None.
 
-    It is a refusal, or a complete response in one message to a call that is not
-    idempotent.
+    It is a refusal, or a complete response in one message. The response to a call that
+    may run again is needed only if the entry may repeat the attempt.
     """
     if reply is None or reply.HasField("not_run"):
         return reply
     complete = reply.end and reply.HasField("head")
-    return reply if complete and not head.idempotent else None
+    is_needed = head.outlives_stream or not head.idempotent
+    return reply if complete and is_needed else None
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -82,7 +82,9 @@
                 self._set_broken(peer_address)
                 self._channels.replace_channel(peer_address)
                 await asyncio.sleep(CHECK_INTERVAL_S)
-            self._set_recovered(peer_address)
+            if peer_address in self._broken:
+                self._set_recovered(peer_address)
+                self._notify_replaced(peer_address)
         finally:
             del self._checks[peer_address]
 
@@ -134,8 +136,7 @@
         self._metrics.count("connections_replaced")
         get_logger().info("silent connection replaced", peer_address=peer_address)
         self._channels.replace_channel(peer_address)
-        for listener in self._silence_listeners:
-            listener(peer_address)
+        self._notify_replaced(peer_address)
 
     def _set_broken(self, peer_address: str) -> None:
         if peer_address not in self._broken:
@@ -145,10 +146,13 @@
             self._notify(peer_address)
 
     def _set_recovered(self, peer_address: str) -> None:
-        if peer_address in self._broken:
-            self._broken.discard(peer_address)
-            get_logger().info("path recovered", peer_address=peer_address)
-            self._notify(peer_address)
+        self._broken.discard(peer_address)
+        get_logger().info("path recovered", peer_address=peer_address)
+        self._notify(peer_address)
+
+    def _notify_replaced(self, peer_address: str) -> None:
+        for listener in self._silence_listeners:
+            listener(peer_address)
 
     def _notify(self, peer_address: str) -> None:
         for listener in self._listeners:
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 
 import grpc
 
@@ -40,8 +40,10 @@
     async def Call(  # noqa: N802
         self, request: peer_pb2.CallRequest, context: grpc.aio.ServicerContext
     ) -> AsyncIterator[peer_pb2.CallReply]:
-        async for reply in self._guard.run_attempt(request.head, request.body):
-            yield reply
+        replies = self._guard.serve_attempt(request.head, request.body)
+        async with aclosing(replies):
+            async for reply in replies:
+                yield reply
 
     async def Upload(  # noqa: N802
         self,
@@ -50,14 +52,23 @@
     ) -> AsyncIterator[peer_pb2.CallReply]:
         first = await anext(requests)
         body = _upload_body(first, requests)
-        async for reply in self._guard.run_attempt(first.head, body):
-            yield reply
+        replies = self._guard.serve_attempt(first.head, body)
+        async with aclosing(replies):
+            async for reply in replies:
+                yield reply
 
     async def Settle(  # noqa: N802
         self, request: peer_pb2.SettleRequest, context: grpc.aio.ServicerContext
     ) -> peer_pb2.SettleReply:
         return await self._settler.handle_settle_request(request)
 
+    async def End(  # noqa: N802
+        self, request: peer_pb2.EndRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.EndReply:
+        for attempt_id in request.attempts:
+            self._guard.attempts.cancel(attempt_id)
+        return peer_pb2.EndReply()
+
 
 async def _upload_body(
     first: peer_pb2.CallRequest, requests: AsyncIterator[peer_pb2.CallRequest]
--- a/packages/laburnumscale/src/laburnumscale/peertraffic.py
+++ b/packages/laburnumscale/src/laburnumscale/peertraffic.py
@@ -22,6 +22,7 @@
     "Call": ("call", ""),
     "Upload": ("call", ""),
     "Settle": ("settlement", "settlement"),
+    "End": ("settlement", "settlement"),
     "ExchangeMembers": ("membership", "membership"),
     "FetchSettings": ("settings", "settings"),
     "PushSettings": ("settings", "settings"),
--- /dev/null
+++ b/tests/features/attempt_runs.feature
@@ -0,0 +1,57 @@
+Feature: The run of an attempt does not depend on the connections of its entry
+
+  Scenario: No run is cut whose entry lives, whose caller waits and whose deadline has not passed
+    Given 400 random orders of repeats, lost and silent connections, late replies and queries
+    Then no run was cut before the entry or its guard ended the attempt
+    And no order ran the attempt twice
+    And each caller that waited got the answer of the target
+
+  Scenario: A caller that leaves ends the run, whatever happened to its connections
+    Given 400 random orders in which the caller leaves
+    Then each run ended within 500 ms after the guard was told
+    And no order ran the attempt twice
+
+  Scenario: A download continues on the connection that its entry opened last
+    Given a run with 40 replies of 64 kB whose first stream takes only 3 of them
+    When another stream attaches before any reply was dropped
+    Then the other stream gets all 40 replies
+    And the run kept at most 1 MB of them
+
+  Scenario: A run whose entry has left the membership ends
+    Given a run without a stream whose entry has left the membership
+    Then the run is cut within 2500 ms
+
+  Scenario: A run whose entry is only suspected goes on
+    Given a run without a stream whose entry is only suspected
+    Then the run is not cut within 2500 ms
+
+  Scenario: A new process of an entry ends the runs of its former process
+    Given a run of an entry that starts again
+    When an attempt of its new process arrives
+    Then the run is cut within 500 ms
+
+  Scenario: The low-water mark of an entry ends the runs below it
+    Given a run of an entry
+    When an attempt arrives whose low-water mark is higher
+    Then the run is cut within 500 ms
+
+  Scenario Outline: An end of attempts that the guard does not run changes nothing: <attempt>
+    Given a run of an entry
+    When the guard is told that <attempt> has ended
+    Then the run is not cut within 300 ms
+
+    Examples:
+      | attempt                                 |
+      | an attempt that never arrived           |
+      | an attempt at another process of it     |
+      | an attempt of a former process of entry |
+
+  Scenario: An attempt that arrives after its end never runs
+    Given a guard that is told of the end of an attempt
+    When the attempt arrives
+    Then it is refused and does not run
+
+  Scenario: An attempt of an older daemon ends with its stream
+    Given a run of an entry that ends attempts by their streams
+    When its stream ends
+    Then the run is cut within 500 ms
--- /dev/null
+++ b/tests/features/steps/attempt_runs_steps.py
@@ -0,0 +1,427 @@
+import asyncio
+import random
+from contextlib import aclosing
+
+from behave import given, then, when
+
+from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
+from laburnumscale.attemptruns import AttemptRuns
+from laburnumscale.attempttable import AttemptTable
+from laburnumscale.deadlines import Deadline
+from laburnumscale.guard import Guard
+from laburnumscale.inflight import InFlightCounter
+from laburnumscale.metrics import Metrics
+from laburnumscale_schema import peer_pb2
+
+ENTRY = "d1"
+GUARD_INCARNATION = 3
+ENTRY_INCARNATION = 5
+SEQUENCE = 7
+STATUS_OK = 200
+STEP_S = 0.002
+WORK_S = 0.06
+WAIT_MS = 2_000
+TOLD_MS = 500
+REPLY_BYTES = 64 * 1024
+
+
+def attempt_head(sequence=SEQUENCE, entry_incarnation=ENTRY_INCARNATION, low_water=0):
+    attempt_id = peer_pb2.AttemptId(
+        entry=ENTRY,
+        entry_incarnation=entry_incarnation,
+        guard_incarnation=GUARD_INCARNATION,
+        sequence=sequence,
+    )
+    return peer_pb2.CallHead(
+        attempt=attempt_id, low_water_sequence=low_water, outlives_stream=True
+    )
+
+
+class _ModelGuard(Guard):
+    """A guard whose target answers after a time.
+
+    :ivar runs_started: how often the target began to run the attempt.
+    :ivar cut: the run ended before the answer.
+    """
+
+    def __init__(self, work_s=WORK_S, reply_count=1):
+        self.attempts = AttemptTable(GUARD_INCARNATION)
+        self.runs = AttemptRuns()
+        self.in_flight = InFlightCounter()
+        self._metrics = Metrics()
+        self.work_s = work_s
+        self.reply_count = reply_count
+        self.runs_started = 0
+        self.started = asyncio.Event()
+        self.cut = asyncio.Event()
+
+    async def _run_admitted_attempt(self, attempt, head, body):
+        attempt.mark_sent(Deadline.after_ms(WAIT_MS))
+        self.runs_started += 1
+        self.started.set()
+        has_answered = False
+        try:
+            await asyncio.sleep(self.work_s)
+            for number in range(self.reply_count):
+                reply = peer_pb2.CallReply(end=number == self.reply_count - 1)
+                if number == 0:
+                    reply.head.status = STATUS_OK
+                if self.reply_count > 1:
+                    reply.body = bytes(REPLY_BYTES)
+                has_answered = reply.end
+                yield reply
+        finally:
+            if not has_answered:
+                self.cut.set()
+
+
+class _Connection:
+    """A connection that carries the streams of copies.
+
+    :ivar is_silent: it delivers nothing any more, in either direction.
+    :ivar delay_s: delay of each message.
+    """
+
+    def __init__(self, delay_s):
+        self.is_silent = False
+        self.delay_s = delay_s
+        self.lost = asyncio.Event()
+        self.streams = set()
+
+    async def carry(self, guard, head):
+        queue = asyncio.Queue()
+        stream = asyncio.create_task(self._pump(guard, head, queue))
+        self.streams.add(stream)
+        try:
+            while (reply := await queue.get()) is not None:
+                yield reply
+        finally:
+            if not self.is_silent:
+                stream.cancel()
+
+    async def _pump(self, guard, head, queue):
+        """Pass replies on until the connection is lost; keep the stream if silent."""
+        reading = asyncio.create_task(self._read(guard, head, queue))
+        lost = asyncio.create_task(self.lost.wait())
+        try:
+            await asyncio.wait({reading, lost}, return_when=asyncio.FIRST_COMPLETED)
+            if lost.done() and not self.is_silent:
+                queue.put_nowait(None)
+        finally:
+            for task in (reading, lost):
+                task.cancel()
+            await asyncio.wait({reading, lost})
+
+    async def _read(self, guard, head, queue):
+        await asyncio.sleep(self.delay_s)
+        if self.is_silent:
+            return await asyncio.Event().wait()
+        async with aclosing(guard.serve_attempt(head, b"")) as replies:
+            async for reply in replies:
+                await asyncio.sleep(self.delay_s)
+                if self.is_silent:
+                    await asyncio.Event().wait()
+                queue.put_nowait(reply)
+        queue.put_nowait(None)
+        return None
+
+
+class _Order:
+    """A random order of events around one attempt."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.guard = _ModelGuard()
+        self.connections = []
+        self.first = None
+
+    def _connect(self):
+        self.connections.append(_Connection(self.rng.choice((0, STEP_S, 5 * STEP_S))))
+
+    def _send(self, on_reply):
+        carried = self.connections[-1].carry(self.guard, attempt_head())
+        return ReplyReader(carried, on_reply)
+
+    def _replace(self):
+        """The connection is taken for silent, rightly or not."""
+        self.connections[-1].is_silent |= self.rng.random() < 0.5
+        self._connect()
+        self.copies.repeat()
+
+    def _lose(self):
+        self._connect()
+        self.connections[-2].lost.set()
+
+    def _query(self):
+        """A query of the outcome, which may also fence what has not begun."""
+        if self.guard.runs_started:
+            self.guard.attempts.settle(attempt_head().attempt)
+
+    async def run(self, leaves=False):
+        self._connect()
+        self.copies = AttemptCopies(self._send, is_repeatable=True)
+        reading = asyncio.create_task(self._read())
+        events = [self._replace] * self.rng.randrange(3)
+        events += [self._lose] * self.rng.randrange(3)
+        events += [self._query] * self.rng.randrange(2)
+        self.rng.shuffle(events)
+        for event in events:
+            await asyncio.sleep(self.rng.random() * WORK_S / 2)
+            event()
+        if leaves:
+            await self._leave(reading)
+            return
+        self.first = await reading
+        await self.copies.close()
+
+    async def _read(self):
+        """Read the first reply, and repeat the attempt while all copies are lost."""
+        deadline = Deadline.after_ms(WAIT_MS)
+        while (first := await self.copies.read_first(deadline)) is None:
+            if not self.copies.can_repeat or deadline.has_passed():
+                return None
+            await asyncio.sleep(STEP_S)
+            self.copies.repeat()
+        return first
+
+    async def _leave(self, reading):
+        reading.cancel()
+        await self.copies.close()
+        self.guard.attempts.cancel(attempt_head().attempt)
+        await self.guard.in_flight.wait_until_idle(Deadline.after_ms(TOLD_MS))
+
+
+def run_orders(count, **options):
+    async def run_all():
+        orders = [_Order(seed) for seed in range(count)]
+        for start in range(0, count, 50):
+            await asyncio.gather(
+                *(each.run(**options) for each in orders[start : start + 50])
+            )
+        return [
+            (order.guard.runs_started, order.guard.cut.is_set(), order)
+            for order in orders
+        ]
+
+    return asyncio.run(run_all())
+
+
+@given(
+    "{count:d} random orders of repeats, lost and silent connections, late replies "
+    "and queries"
+)
+def step_run_orders(context, count):
+    context.orders = run_orders(count)
+
+
+@given("{count:d} random orders in which the caller leaves")
+def step_run_leaving_orders(context, count):
+    context.orders = run_orders(count, leaves=True)
+
+
+@then("no run was cut before the entry or its guard ended the attempt")
+def step_check_not_cut(context):
+    cut = [order for _, was_cut, order in context.orders if was_cut]
+    assert not cut, len(cut)
+
+
+@then("no order ran the attempt twice")
+def step_check_run_once(context):
+    counts = [started for started, _, _ in context.orders]
+    assert max(counts) == 1, max(counts)
+    assert sum(counts) > len(counts) / 2, sum(counts)
+
+
+@then("each caller that waited got the answer of the target")
+def step_check_answers(context):
+    missing = [
+        (seed, order.first)
+        for seed, (_, _, order) in enumerate(context.orders)
+        if order.first is None or order.first.head.status != STATUS_OK
+    ]
+    assert not missing, missing
+
+
+@then("each run ended within 500 ms after the guard was told")
+def step_check_runs_ended(context):
+    running = [order for _, _, order in context.orders if order.guard.in_flight.count]
+    assert not running, len(running)
+
+
+@given("a run with {count:d} replies of 64 kB whose first stream takes only 3 of them")
+def step_create_download(context, count):
+    context.reply_count = count
+
+
+@when("another stream attaches before any reply was dropped")
+def step_attach_second_stream(context):
+    async def read():
+        guard = _ModelGuard(work_s=0, reply_count=context.reply_count)
+        old = guard.serve_attempt(attempt_head(), b"")
+        for _ in range(3):
+            await anext(old)
+        run = guard.attempts.find(attempt_head().attempt).run
+        kept_bytes, taken = 0, 0
+        async with aclosing(guard.serve_attempt(attempt_head(), b"")) as replies:
+            async for _ in replies:
+                taken += 1
+                kept_bytes = max(kept_bytes, run.kept_bytes)
+        await old.aclose()
+        return taken, kept_bytes
+
+    context.taken, context.kept_bytes = asyncio.run(read())
+
+
+@then("the other stream gets all {count:d} replies")
+def step_check_taken(context, count):
+    assert context.taken == count, context.taken
+
+
+@then("the run kept at most 1 MB of them")
+def step_check_kept(context):
+    assert 0 < context.kept_bytes <= 1024 * 1024, context.kept_bytes
+
+
+class _Members:
+    """The members as a guard knows them."""
+
+    def __init__(self, state):
+        self.state = state
+
+    def get(self, daemon):
+        return peer_pb2.Member(
+            daemon=daemon, incarnation=ENTRY_INCARNATION, state=self.state
+        )
+
+
+@given("a run without a stream whose entry has left the membership")
+def step_run_of_departed_entry(context):
+    context.members = _Members(peer_pb2.MEMBER_STATE_LEFT)
+    context.act = detach
+
+
+@given("a run without a stream whose entry is only suspected")
+def step_run_of_suspected_entry(context):
+    context.members = _Members(peer_pb2.MEMBER_STATE_SUSPECT)
+    context.act = detach
+
+
+@given("a run of an entry")
+@given("a run of an entry that starts again")
+def step_run_of_entry(context):
+    context.members = _Members(peer_pb2.MEMBER_STATE_ALIVE)
+    context.head = attempt_head()
+
+
+@given("a run of an entry that ends attempts by their streams")
+def step_run_of_older_entry(context):
+    context.members = _Members(peer_pb2.MEMBER_STATE_ALIVE)
+    context.head = attempt_head()
+    context.head.outlives_stream = False
+
+
+async def detach(guard, reading):
+    reading.cancel()
+    await asyncio.wait({reading})
+
+
+@when("its stream ends")
+def step_end_stream(context):
+    context.act = detach
+
+
+@when("an attempt of its new process arrives")
+def step_new_process(context):
+    async def arrive(guard, reading):
+        guard.attempts.admit(attempt_head(entry_incarnation=ENTRY_INCARNATION + 1))
+
+    context.act = arrive
+
+
+@when("an attempt arrives whose low-water mark is higher")
+def step_higher_low_water(context):
+    async def arrive(guard, reading):
+        guard.attempts.admit(attempt_head(SEQUENCE + 1, low_water=SEQUENCE + 1))
+
+    context.act = arrive
+
+
+OTHER_ATTEMPTS = {
+    "an attempt that never arrived": {"sequence": SEQUENCE + 1},
+    "an attempt at another process of it": {"guard_incarnation": GUARD_INCARNATION - 1},
+    "an attempt of a former process of entry": {
+        "entry_incarnation": ENTRY_INCARNATION - 1
+    },
+}
+
+
+@when("the guard is told that {attempt} has ended")
+def step_end_other_attempt(context, attempt):
+    async def end(guard, reading):
+        attempt_id = attempt_head().attempt
+        for name, value in OTHER_ATTEMPTS[attempt].items():
+            setattr(attempt_id, name, value)
+        guard.attempts.cancel(attempt_id)
+
+    context.act = end
+
+
+def is_cut_within(context, limit_ms):
+    async def run():
+        guard = _ModelGuard(work_s=10)
+        watching = asyncio.create_task(guard.runs.watch_orphans(context.members))
+        head = getattr(context, "head", attempt_head())
+
+        async def read():
+            async with aclosing(guard.serve_attempt(head, b"")) as replies:
+                async for _ in replies:
+                    pass
+
+        reading = asyncio.create_task(read())
+        await guard.started.wait()
+        await context.act(guard, reading)
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                await guard.cut.wait()
+        except TimeoutError:
+            return False
+        finally:
+            for task in (watching, reading):
+                task.cancel()
+        return True
+
+    return asyncio.run(run())
+
+
+@then("the run is cut within {limit_ms:d} ms")
+def step_check_cut(context, limit_ms):
+    assert is_cut_within(context, limit_ms)
+
+
+@then("the run is not cut within {limit_ms:d} ms")
+def step_check_goes_on(context, limit_ms):
+    assert not is_cut_within(context, limit_ms)
+
+
+@given("a guard that is told of the end of an attempt")
+def step_end_unknown_attempt(context):
+    context.ends_first = True
+
+
+@when("the attempt arrives")
+def step_late_attempt(context):
+    async def run():
+        guard = _ModelGuard(work_s=0)
+        guard.attempts.cancel(attempt_head().attempt)
+        replies = [each async for each in guard.serve_attempt(attempt_head(), b"")]
+        return guard.runs_started, replies
+
+    context.runs_started, context.replies = asyncio.run(run())
+
+
+@then("it is refused and does not run")
+def step_check_refused(context):
+    assert context.runs_started == 0
+    assert [each.not_run.reason for each in context.replies] == [
+        peer_pb2.NOT_RUN_REASON_FENCED
+    ]
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -34,6 +34,9 @@
     "answers_too_large": "responses of targets above the size limit, by service",
     "answers_mismatched": "responses of targets that did not match the request",
     "attempts": "results of attempts at targets, by service and whether they were bad",
+    "attempts_attached": (
+        "repeated attempts that got the replies of the run of an earlier copy"
+    ),
     "attempts_fenced": (
         "attempts refused as late, duplicate or meant for another "
         "incarnation of the guard"
