Stop reading the other copies of an attempt once one has answered

Cause: found on reading the run's design again. The guard waits for the newest stream; if an older copy delivers the first reply, nobody reads the newer one, and a download stalls when its buffers are full. Change: the entry cancels the streams of the other copies with the first reply.

--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -58,6 +58,10 @@
         while (reply := await self._queue.get()) is not None:
             yield reply
 
+    def cancel(self) -> None:
+        """Begin to end the stream of the replies."""
+        self._task.cancel()
+
     async def close(self) -> None:
         """End the stream of the replies."""
         self._task.cancel()
@@ -189,12 +193,19 @@
                 continue
             reply = reader.take_reply()
             if reply is not None and self._states_outcome(reply):
-                self.answered = reader
+                self._choose(reader)
                 return reply
             self._open.remove(reader)
             self._record_loss(reader, reply)
         return None
 
+    def _choose(self, reader: ReplyReader) -> None:
+        """Read only one copy from now on; the guard waits for streams that lag."""
+        self.answered = reader
+        for other in self.readers:
+            if other is not reader:
+                other.cancel()
+
     def _states_outcome(self, reply: peer_pb2.CallReply) -> bool:
         """Return whether the reply to a copy is the outcome of all of them.
 
--- a/tests/features/attempt_runs.feature
+++ b/tests/features/attempt_runs.feature
@@ -17,6 +17,11 @@
     Then the other stream gets all 40 replies
     And the run kept at most 1 MB of them
 
+  Scenario: A copy whose replies the entry does not read holds up no download
+    Given a run with 40 replies of 64 kB and a repeat that delivers them later
+    When the caller reads the replies of the copy that delivers first
+    Then the caller gets all 40 replies
+
   Scenario: A run whose entry has left the membership ends
     Given a run without a stream whose entry has left the membership
     Then the run is cut within 2500 ms
--- a/tests/features/steps/attempt_runs_steps.py
+++ b/tests/features/steps/attempt_runs_steps.py
@@ -1,6 +1,6 @@
 import asyncio
 import random
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 
 from behave import given, then, when
 
@@ -23,6 +23,7 @@
 WAIT_MS = 2_000
 TOLD_MS = 500
 REPLY_BYTES = 64 * 1024
+MAX_UNREAD = 2  # replies on their way in a connection
 
 
 def attempt_head(sequence=SEQUENCE, entry_incarnation=ENTRY_INCARNATION, low_water=0):
@@ -89,7 +90,7 @@
         self.streams = set()
 
     async def carry(self, guard, head):
-        queue = asyncio.Queue()
+        queue = asyncio.Queue(MAX_UNREAD)
         stream = asyncio.create_task(self._pump(guard, head, queue))
         self.streams.add(stream)
         try:
@@ -106,7 +107,7 @@
         try:
             await asyncio.wait({reading, lost}, return_when=asyncio.FIRST_COMPLETED)
             if lost.done() and not self.is_silent:
-                queue.put_nowait(None)
+                await queue.put(None)
         finally:
             for task in (reading, lost):
                 task.cancel()
@@ -121,8 +122,8 @@
                 await asyncio.sleep(self.delay_s)
                 if self.is_silent:
                     await asyncio.Event().wait()
-                queue.put_nowait(reply)
-        queue.put_nowait(None)
+                await queue.put(reply)
+        await queue.put(None)
         return None
 
 
@@ -282,6 +283,41 @@
     assert 0 < context.kept_bytes <= 1024 * 1024, context.kept_bytes
 
 
+@given("a run with {count:d} replies of 64 kB and a repeat that delivers them later")
+def step_repeat_download(context, count):
+    context.reply_count = count
+
+
+@when("the caller reads the replies of the copy that delivers first")
+def step_read_first_copy(context):
+    async def read():
+        guard = _ModelGuard(reply_count=context.reply_count)
+        connections = [_Connection(0), _Connection(5 * STEP_S)]
+        remaining = iter(connections)
+
+        def send(on_reply):
+            carried = next(remaining).carry(guard, attempt_head())
+            return ReplyReader(carried, on_reply)
+
+        copies = AttemptCopies(send, is_repeatable=True)
+        copies.repeat()
+        taken = 0
+        with suppress(TimeoutError):
+            async with asyncio.timeout(WAIT_MS / 1000):
+                taken += await copies.read_first(Deadline.after_ms(WAIT_MS)) is not None
+                async for _ in copies.read_remaining():
+                    taken += 1
+        await copies.close()
+        return taken
+
+    context.taken = asyncio.run(read())
+
+
+@then("the caller gets all {count:d} replies")
+def step_check_caller_replies(context, count):
+    assert context.taken == count, context.taken
+
+
 class _Members:
     """The members as a guard knows them."""
 
