--- a/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
@@ -166,10 +166,12 @@
             f" {attempt['elapsed_ms']} ms",
         )
     status = f" with status {fields['status']}" if fields.get("status") else ""
+    reason = fields.get("stop_reason")
+    obstacle = f" (no further attempt: {reason})" if reason else ""
     yield (
         line.at_s,
         f"ended: {fields['outcome']} {fields['reason']}{status},"
-        f" {fields['left_ms']} ms left",
+        f" {fields['left_ms']} ms left{obstacle}",
     )
 
 
