End a lost attempt at once when the host of its guard refuses connections

Cause: the entry took 'no reply' for doubt, also where the host of the guard says that no process listens there. Change: when all copies are lost and nobody reaches the guard, the entry asks its host; a refused connection, or another process in the membership, ends the attempt as unknown. An attempt that may run again ends the same way before a failover beside it is tried.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -219,6 +219,10 @@
         :returns: None also if the answer of a failover replaces that of this attempt.
         """
         while not (copies.is_over or request.deadline.has_passed()):
+            if copies.is_lost and (
+                not copies.can_repeat or await self._has_ended(view)
+            ):
+                return None
             if request.reserve_failover():
                 first, is_replaced = await race_failover(request, copies)
                 if is_replaced or first is not None:
@@ -228,8 +232,6 @@
                 Deadline.after_ms(PATH_CHECK_INTERVAL_MS), request.deadline
             )
             if copies.is_lost:
-                if not copies.can_repeat or await self._has_ended(view):
-                    return None
                 await asyncio.sleep(pause.left_s())
                 copies.repeat()
             first = await copies.read_first(pause)
@@ -269,7 +271,10 @@
                 attempt_id, view, query_deadline, use_relays=not is_reachable
             )
             is_reachable = verdict.verdict != peer_pb2.SETTLE_VERDICT_UNREACHABLE
-            reply = _settled_reply(verdict, copies)
+            is_gone = (
+                copies.is_lost and not is_reachable and await self._has_ended(view)
+            )
+            reply = _settled_reply(verdict, copies, is_gone)
             if reply is not None:
                 copies.is_over = True
                 return reply
@@ -353,12 +358,15 @@
 
 
 def _settled_reply(
-    verdict: peer_pb2.SettleReply, copies: AttemptCopies
+    verdict: peer_pb2.SettleReply, copies: AttemptCopies, is_gone: bool
 ) -> peer_pb2.CallReply | None:
-    """Return the outcome of an attempt that a verdict states, or None."""
+    """Return the outcome of an attempt that a verdict states, or None.
+
+    :param is_gone: whether the process of the guard has ended.
+    """
     if verdict.HasField("reply"):
         return verdict.reply
-    is_gone = verdict.verdict == peer_pb2.SETTLE_VERDICT_GUARD_GONE
+    is_gone = is_gone or verdict.verdict == peer_pb2.SETTLE_VERDICT_GUARD_GONE
     has_run = verdict.verdict == peer_pb2.SETTLE_VERDICT_STARTED
     if is_gone or (has_run and copies.is_lost):
         return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
--- a/tests/features/draining.feature
+++ b/tests/features/draining.feature
@@ -100,6 +100,14 @@
     Then the hold has status 504 and the outcome unknown
     And the hold ends within 2500 ms of the signal
 
+  Scenario: A hold whose guard is killed gets its final answer before its time limit
+    Given a fleet of 2 daemons that drain for at most 2000 ms
+    And target p1 of proof-vault beside d2 that responds after 60000 ms
+    And the fleet is ready with the settings of bantayog
+    When d2 gets SIGKILL while p1 runs a hold from d1, and the hold ends
+    Then the hold has status 504 and the outcome unknown
+    And the hold ends within 2500 ms of the signal
+
   Scenario: The target of an attempt that a draining guard admits is told when the drain ends
     Given a fleet of 1 daemons that drain for at most 3000 ms
     And target e1 of slot-desk beside d1 that responds after 300 ms
--- a/tests/features/steps/draining_steps.py
+++ b/tests/features/steps/draining_steps.py
@@ -219,11 +219,11 @@
     assert not {hold.content_id for hold in context.holds} & context.ran
 
 
-@when("{daemon} gets SIGTERM while p1 runs a hold from d1, and the hold ends")
-def step_hold_outlasts_drain(context, daemon):
+@when("{daemon} gets {name} while p1 runs a hold from d1, and the hold ends")
+def step_hold_outlasts_daemon(context, daemon, name):
     caller, replies = start_running_hold(context)
     terminated_at_s = time.monotonic()
-    context.fleet.daemons[daemon].process.send_signal(signal.SIGTERM)
+    context.fleet.daemons[daemon].process.send_signal(signal.Signals[name])
     caller.join()
     context.hold_ms = (time.monotonic() - terminated_at_s) * 1000
     context.hold = replies[0]
