Add scenarios of runs that end with a connection, or outlive their caller

Cause: the run of an attempt is tied to the life of one stream. A reset of the connection cancels it at the guard, for holds too; the streams of a replaced connection are cancelled after RETIRED_CHANNEL_GRACE_S, answers in progress included; and the word that the caller has left is lost on a silent connection.

--- a/tests/features/running_attempts.feature
+++ b/tests/features/running_attempts.feature
@@ -35,3 +35,53 @@
     And 800 ms later the open connections deliver again
     Then the call has the answer of p1
     And p1 ran the call once, to its end
+
+  Scenario: A draining entry does not give up a lookup because the other target is full
+    Given d3 joins with target p2 of proof-vault, which is full
+    When d1 begins to drain
+    And the caller sends a lookup that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 800 ms later the path from d1 to d2 is broken for 900 ms
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+  Scenario: An entry does not give up a lookup because the other target is full
+    Given d3 joins with target p2 of proof-vault, which is full
+    When the caller sends a lookup that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 800 ms later the path from d1 to d2 is broken for 900 ms
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+  Scenario Outline: The reset of its connection does not end a <kind> that its target runs
+    When the caller sends a <kind> that p1 runs for 2000 ms, with a limit of 3000 ms
+    And 500 ms later the open connections from d1 to d2 are reset
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+    Examples:
+      | kind   |
+      | hold   |
+      | lookup |
+
+  Scenario: A download goes on to its end after its connection was taken for silent
+    When the caller downloads 60000000 bytes from d1 in 15000 ms
+    And after 500 ms the open connections from d2 to d1 deliver late for 600 ms
+    Then the log of d1 has the line "silent connection replaced"
+    And the download is complete
+
+  Scenario: A run ends soon after its caller has left
+    When the caller sends a lookup that p1 runs for 20000 ms, with a limit of 30000 ms
+    And 400 ms later the caller leaves
+    Then the run at p1 ends within 500 ms of that
+
+  Scenario: A run whose connection has just fallen silent ends soon after its caller has left
+    When the caller sends a lookup that p1 runs for 20000 ms, with a limit of 30000 ms
+    And 300 ms later the open connections between d1 and d2 fall silent for good
+    And 400 ms later the caller leaves
+    Then the run at p1 ends within 500 ms of that
+
+  Scenario: A run whose silent connection was replaced ends soon after its caller has left
+    When the caller sends a lookup that p1 runs for 20000 ms, with a limit of 30000 ms
+    And 300 ms later the open connections between d1 and d2 fall silent for good
+    And d1 replaces its connection to d2
+    And 1500 ms later the caller leaves
+    Then the run at p1 ends within 500 ms of that
--- a/tests/features/steps/running_attempts_steps.py
+++ b/tests/features/steps/running_attempts_steps.py
@@ -1,19 +1,34 @@
+import hashlib
 import http.client
 import json
 import signal
+import socket
 import threading
 import time
 import uuid
 
 import attrs
+import grpc
 from behave import given, then, when
 
+from laburnumscale_schema import peer_pb2_grpc
+from tests.features.steps.outcomes_steps import (
+    GRPC_OPTIONS,
+    hold_request,
+    simulated_attempt_id,
+)
 from tests.standins.fleet import wait_until
+from tests.standins.target import DOWNLOAD_CHUNK_BYTES
 
 STATUS_OK = 200
 READ_TIMEOUT_S = 30.0
 TIME_LIMIT_MS = 60_000
+DRAIN_MS = 8_000
+QUEUE_LIMIT = 1
+END_TIMEOUT_S = 3.0  # for a run to end, to tell a late end from none
+REPLACEMENT_TIMEOUT_S = 2.0
 CANCEL_S = 0.5  # for a call that has ended to be cancelled at its target
+QUEUEING_S = 0.3  # for one more call to reach the queue of its target
 NOTICE_S = 0.3  # a part of the notice period of the drain
 
 
@@ -72,6 +87,7 @@
     settings = {
         "time_limit_ms": TIME_LIMIT_MS,
         "attempt_limit": count,
+        "queue_limit": QUEUE_LIMIT,
         "idempotent": {"methods": ["GET"]},
     }
     services = {target.service: settings for target in context.fleet.targets.values()}
@@ -79,12 +95,39 @@
     path.write_text(json.dumps({"services": services}))
     completed = context.fleet.run_cli("d1", "publish", str(path))
     assert completed.returncode == 0, completed
+    wait_for_settings(context)
+
+
+def wait_for_settings(context):
     for daemon in context.fleet.daemons.values():
         wait_until(
             lambda d=daemon: d.status()["revision"] == 1, "the daemon has the settings"
         )
 
 
+@given("{daemon} joins with target {endpoint} of {service}, which is full")
+def step_add_full_target(context, daemon, endpoint, service):
+    fleet = context.fleet
+    process = fleet.start_daemon(daemon, "makati", drain_ms=DRAIN_MS)
+    target = fleet.start_target(
+        service, endpoint, daemon, slots=1, latency_ms=TIME_LIMIT_MS
+    )
+    fleet.wait_ready()
+    wait_for_settings(context)
+    address = f"127.0.0.1:{process.ports['peer']}"
+    channel = grpc.insecure_channel(address, GRPC_OPTIONS)
+    context.add_cleanup(channel.close)
+    stub = peer_pb2_grpc.GuardStub(channel)
+    context.filling_calls = []  # gRPC cancels a call that nothing refers to
+    for sequence in range(1 + QUEUE_LIMIT):
+        request = hold_request(simulated_attempt_id(context, daemon, sequence + 1))
+        request.head.service, request.head.endpoint = service, endpoint
+        request.head.time_left_ms = request.head.send_left_ms = TIME_LIMIT_MS
+        context.filling_calls.append(stub.Call(request))
+    wait_until(target.ledger, "the target runs a call")
+    time.sleep(QUEUEING_S)
+
+
 @given("a caller of {daemon} has used its connection, and keeps it")
 def step_keep_connection(context, daemon):
     port = context.fleet.daemons[daemon].ports["caller"]
@@ -175,3 +218,119 @@
 def step_check_run(context, endpoint):
     runs = runs_of(context, context.call.content_id)
     assert len(runs) == 1 and "cancelled" not in runs[0], runs
+
+
+@when("{after_ms:d} ms later the open connections from {source} to {to} are reset")
+def step_reset_connections(context, after_ms, source, to):
+    wait_after_call(context, after_ms)
+    link_of(context, source, to).faults(forward={"reset": True})
+
+
+@when(
+    "{after_ms:d} ms later the open connections between {one} and {other} fall silent "
+    "for good"
+)
+def step_silence_connections(context, after_ms, one, other):
+    wait_after_call(context, after_ms)
+    silence = {"silence": True}
+    link_of(context, one, other).faults(forward=silence, backward=silence)
+
+
+@when("{source} replaces its connection to {destination}")
+def step_wait_for_replacement(context, source, destination):
+    start_path_check(context, source)
+    wait_until(
+        lambda: "silent connection replaced" in log_of(context, source),
+        "the connection is replaced",
+        REPLACEMENT_TIMEOUT_S,
+    )
+
+
+def log_of(context, daemon):
+    return (context.fleet.directory / f"{daemon}.log").read_text()
+
+
+@then('the log of {daemon} has the line "{event}"')
+def step_check_log_line(context, daemon, event):
+    assert event in log_of(context, daemon)
+
+
+@when("{after_ms:d} ms later the caller leaves")
+def step_leave(context, after_ms):
+    wait_after_call(context, after_ms)
+    call = context.call
+    assert call.thread.is_alive(), f"status {call.status} before it left: {call.body}"
+    context.left_at_s = time.monotonic()
+    context.connection.sock.shutdown(socket.SHUT_RDWR)
+    call.thread.join()
+
+
+@then("the run at {endpoint} ends within {limit_ms:d} ms of that")
+def step_check_run_end(context, endpoint, limit_ms):
+    call = context.call
+
+    def end_s():
+        return runs_of(context, call.content_id)[0].get("cancelled_at_s")
+
+    wait_until(end_s, "the run is cancelled", END_TIMEOUT_S)
+    ended_after_ms = (end_s() - context.left_at_s) * 1000
+    assert 0 < ended_after_ms <= limit_ms, ended_after_ms
+
+
+def download(context, size, duration_s):
+    """Read a download at an even pace, and record the digest of what has arrived."""
+    started_at_s = time.monotonic()
+    context.download_bytes = 0
+    digest = hashlib.sha256()
+    try:
+        context.connection.request("GET", f"/proof-vault/download/{size}")
+        with context.connection.getresponse() as response:
+            while chunk := response.read(DOWNLOAD_CHUNK_BYTES):
+                digest.update(chunk)
+                context.download_bytes += len(chunk)
+                due_s = started_at_s + context.download_bytes / size * duration_s
+                time.sleep(max(0.0, due_s - time.monotonic()))
+    except (OSError, http.client.HTTPException) as error:
+        context.download_error = repr(error)
+    context.download_s = time.monotonic() - started_at_s
+    context.download_digest = digest.hexdigest()
+
+
+def expected_digest(size):
+    digest = hashlib.sha256()
+    for sent in range(0, size, DOWNLOAD_CHUNK_BYTES):
+        value = sent // DOWNLOAD_CHUNK_BYTES % 251
+        digest.update(bytes([value]) * min(DOWNLOAD_CHUNK_BYTES, size - sent))
+    return digest.hexdigest()
+
+
+@when("the caller downloads {size:d} bytes from {daemon} in {duration_ms:d} ms")
+def step_download(context, size, daemon, duration_ms):
+    context.download_size = size
+    context.download_error = ""
+    context.downloading = threading.Thread(
+        target=download, args=(context, size, duration_ms / 1000)
+    )
+    context.downloading.start()
+
+
+@when(
+    "after {after_ms:d} ms the open connections from {destination} to {source} deliver "
+    "late for {late_ms:d} ms"
+)
+def step_deliver_late(context, after_ms, source, destination, late_ms):
+    time.sleep(after_ms / 1000)
+    step_hold_replies(context, source, destination)
+    start_path_check(context, source)
+    time.sleep(late_ms / 1000)
+    context.late_link.faults(backward={"hold": False})
+
+
+@then("the download is complete")
+def step_check_download(context):
+    context.downloading.join()
+    assert context.download_bytes == context.download_size, (
+        f"{context.download_bytes} of {context.download_size} bytes after "
+        f"{context.download_s:.1f} s: {context.download_error}"
+    )
+    assert context.download_digest == expected_digest(context.download_size)
