--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -18,8 +18,9 @@
 __all__ = ["FLOW_CONTROL_OPTIONS", "PeerChannels"]
 
 READY = grpc.ChannelConnectivity.READY
-#: Longer than the calls of the current services take.
-RETIRED_CHANNEL_GRACE_S = 10.0
+#: The calls on a retired channel end by their own deadlines. This bounds the time for
+#: which a channel is kept if one of them has none.
+RETIRED_CHANNEL_GRACE_S = 3_600.0
 FAILED_STATES = (
     grpc.ChannelConnectivity.TRANSIENT_FAILURE,
     grpc.ChannelConnectivity.SHUTDOWN,
