Leave the connection to a target open after a long answer was delivered

Cause: found on reading. A run whose first replies are no longer kept was cancelled when its stream ended, also when the last reply had just been taken; the connection to the target was then closed instead of reused. Change: a complete run ends by itself. Waiting streams use futures, without an event for each change.

--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -47,10 +47,11 @@
         self._kept: deque[peer_pb2.CallReply] = deque()
         self.kept_bytes = 0
         self._dropped = 0
+        self._is_complete = False
         self._has_ended = False
         self._positions: dict[int, int] = {}
         self._stream_count = 0
-        self._changed = asyncio.Event()
+        self._waiters: list[asyncio.Future] = []
         self._task = asyncio.create_task(self._collect(replies))
 
     @property
@@ -75,13 +76,16 @@
         try:
             while (position := self._positions[number]) >= self._dropped:
                 if position < self._dropped + len(self._kept):
-                    yield self._kept[position - self._dropped]
+                    reply = self._kept[position - self._dropped]
+                    yield reply
                     self._positions[number] = position + 1
+                    if _is_last(reply):
+                        return
                     self._notify()
                 elif self._has_ended:
                     return
                 else:
-                    await self._changed.wait()
+                    await self._wait_for_change()
         finally:
             del self._positions[number]
             self._notify()
@@ -91,7 +95,7 @@
     def _handle_detached(self) -> None:
         """Wait for another stream, unless it would miss the first replies."""
         self.orphan_deadline = Deadline.after_ms(ORPHAN_GRACE_MS)
-        if not self.can_attach:
+        if not (self.can_attach or self._is_complete):
             self.cancel()
 
     async def _collect(self, replies: ReplyStream) -> None:
@@ -99,7 +103,7 @@
             async with aclosing(replies):
                 async for reply in replies:
                     self._keep(reply)
-                    await self._wait_until_taken(_is_last(reply))
+                    await self._wait_until_taken()
         except Exception as error:
             get_logger().error("running an attempt failed", reason=repr(error))
         finally:
@@ -109,17 +113,18 @@
     def _keep(self, reply: peer_pb2.CallReply) -> None:
         self._kept.append(reply)
         self.kept_bytes += reply.ByteSize()
+        self._is_complete = _is_last(reply)
         self._notify()
 
-    async def _wait_until_taken(self, is_last: bool) -> None:
+    async def _wait_until_taken(self) -> None:
         """Wait until the newest stream has taken all replies.
 
         The last reply need not be taken if no stream is attached.
         """
         while self._newest_position() < self._dropped + len(self._kept):
-            if is_last and not self._positions:
+            if self._is_complete and not self._positions:
                 return
-            await self._changed.wait()
+            await self._wait_for_change()
         self._drop_taken()
 
     def _newest_position(self) -> int:
@@ -132,9 +137,16 @@
             self.kept_bytes -= self._kept.popleft().ByteSize()
             self._dropped += 1
 
+    async def _wait_for_change(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        await waiter
+
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
 
 class AttemptRuns:
