--- a/packages/laburnumscale/src/laburnumscale/attemptender.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptender.py
@@ -41,18 +41,21 @@
 
 
 class AttemptEnder:
-    """Ends attempts at their guards, with one task for each guard."""
+    """Ends attempts at their guards, with one task for each guard.
+
+    :ivar requests: what the guards are still to be told, by their peer addresses.
+    """
 
     def __init__(self, channels: PeerChannels, paths: PathHealth) -> None:
         self._channels = channels
         self._paths = paths
-        self._requests: dict[str, _PeerRequests] = {}
+        self.requests: dict[str, _PeerRequests] = {}
 
     def end(self, peer_address: str, attempt_id: peer_pb2.AttemptId) -> None:
         """Tell a guard to end an attempt, without waiting for its reply."""
-        requests = self._requests.get(peer_address)
+        requests = self.requests.get(peer_address)
         if requests is None:
-            requests = self._requests[peer_address] = _PeerRequests()
+            requests = self.requests[peer_address] = _PeerRequests()
             requests.task = asyncio.create_task(self._send(peer_address, requests))
         requests.pending[attempt_id.sequence] = attempt_id
         requests.deadline = Deadline.after_ms(GIVE_UP_MS)
@@ -70,7 +73,7 @@
                     attempts=len(requests.pending),
                 )
         finally:
-            del self._requests[peer_address]
+            del self.requests[peer_address]
 
     async def _send_once(self, peer_address: str, requests: _PeerRequests) -> bool:
         """Send one request and return whether the guard has replied."""
--- a/tests/features/attempt_runs.feature
+++ b/tests/features/attempt_runs.feature
@@ -60,3 +60,28 @@
     Given a run of an entry that ends attempts by their streams
     When its stream ends
     Then the run is cut within 500 ms
+
+  Scenario Outline: A guard is told of ended attempts until it replies: <replies>
+    Given a guard whose replies to the ends of attempts are <replies>
+    When an entry ends 3 attempts at it
+    Then it was told <times> times, at last of no attempt twice
+    And the path to it was checked <checks> times
+    And nothing is left to be told
+
+    Examples:
+      | replies            | times | checks |
+      | ok                 | 1     | 0      |
+      | lost ok            | 2     | 1      |
+      | lost lost ok       | 3     | 2      |
+      | unimplemented      | 1     | 0      |
+
+  Scenario: An entry tells a guard of many ended attempts in few messages
+    Given a guard whose replies to the ends of attempts are ok ok ok
+    When an entry ends 600 attempts at it
+    Then it was told 3 times, at last of no attempt twice
+    And nothing is left to be told
+
+  Scenario: An entry stops telling a guard that does not reply
+    Given a guard that never replies to the ends of attempts
+    When an entry ends 3 attempts at it
+    Then nothing is left to be told
--- a/tests/features/steps/attempt_runs_steps.py
+++ b/tests/features/steps/attempt_runs_steps.py
@@ -2,9 +2,11 @@
 import random
 from contextlib import aclosing, suppress
 
+import grpc
 from behave import given, then, when
 
 from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
+from laburnumscale.attemptender import AttemptEnder
 from laburnumscale.attemptruns import AttemptRuns
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
@@ -461,3 +463,78 @@
     assert [each.not_run.reason for each in context.replies] == [
         peer_pb2.NOT_RUN_REASON_FENCED
     ]
+
+
+class _EndedAttempts:
+    """The peer channels and paths of an entry, to a guard with given replies.
+
+    :ivar replies: replies to come; the last one repeats.
+    :ivar told: the sequence numbers in each request.
+    :ivar checks: how often the path was checked.
+    """
+
+    def __init__(self, replies):
+        self.replies = replies
+        self.told = []
+        self.checks = 0
+
+    def guard(self, address):
+        return self
+
+    def start_check(self, address):
+        self.checks += 1
+
+    async def End(self, message, timeout):  # noqa: N802, ASYNC109
+        self.told.append([each.sequence for each in message.attempts])
+        reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+        if reply == "lost":
+            await asyncio.sleep(timeout)
+        if reply != "ok":
+            raise grpc.aio.AioRpcError(END_CODES[reply], (), ())
+
+
+END_CODES = {
+    "lost": grpc.StatusCode.DEADLINE_EXCEEDED,
+    "unimplemented": grpc.StatusCode.UNIMPLEMENTED,
+}
+
+
+@given("a guard whose replies to the ends of attempts are {replies}")
+def step_create_told_guard(context, replies):
+    context.ended = _EndedAttempts(replies.split())
+
+
+@given("a guard that never replies to the ends of attempts")
+def step_create_mute_guard(context):
+    context.ended = _EndedAttempts(["lost"])
+
+
+@when("an entry ends {count:d} attempts at it")
+def step_end_attempts(context, count):
+    async def end():
+        ender = AttemptEnder(context.ended, context.ended)
+        for sequence in range(count):
+            ender.end("peer", attempt_head(sequence).attempt)
+        async with asyncio.timeout(2 * WAIT_MS / 1000):
+            await asyncio.gather(*(each.task for each in ender.requests.values()))
+        return len(ender.requests)
+
+    context.left = asyncio.run(end())
+
+
+@then("it was told {count:d} times, at last of no attempt twice")
+def step_check_told(context, count):
+    told = context.ended.told
+    assert len(told) == count, told
+    settled = told[-1] if context.ended.checks else sum(told, [])
+    assert len(settled) == len(set(settled)), told
+
+
+@then("the path to it was checked {count:d} times")
+def step_check_path_checks(context, count):
+    assert context.ended.checks == count, context.ended.checks
+
+
+@then("nothing is left to be told")
+def step_check_nothing_left(context):
+    assert context.left == 0, context.left
