Add a scenario of a failover whose answer is followed by that of the replaced attempt

Cause: _wait_for_reply returns the first reply of an attempt also when the answer of a failover replaces it (before it returned none). CallRunner streams it to the caller, and then returns the result of the failover on the same connection.

--- /dev/null
+++ b/tests/features/attempt_end_races.feature
@@ -0,0 +1,6 @@
+Feature: Attempts end by their reply, deadline, caller or guard in any order of events
+
+  Scenario: The answer of a failover is not followed by that of the attempt it replaces
+    Given an attempt without a reply that a failover replaces
+    When a streamed reply with status 503 arrives before the failover is answered
+    Then the attempt does not deliver that reply to the caller
--- /dev/null
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -0,0 +1,170 @@
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from laburnumscale.attemptclient import AttemptClient, AttemptRequest
+from laburnumscale.attemptruns import AttemptRuns
+from laburnumscale.attempttable import AttemptTable
+from laburnumscale.deadlines import Deadline
+from laburnumscale.guard import Guard
+from laburnumscale.inflight import InFlightCounter
+from laburnumscale.metrics import Metrics
+from laburnumscale_schema import peer_pb2
+
+GUARD_INCARNATION = 3
+ENTRY_INCARNATION = 5
+SEQUENCE = 7
+WAIT_S = 2.0
+TICK_S = 0.02
+
+
+def attempt_head(sequence=SEQUENCE, entry_incarnation=ENTRY_INCARNATION):
+    attempt_id = peer_pb2.AttemptId(
+        entry="d1",
+        entry_incarnation=entry_incarnation,
+        guard_incarnation=GUARD_INCARNATION,
+        sequence=sequence,
+    )
+    return peer_pb2.CallHead(attempt=attempt_id, outlives_stream=True)
+
+
+def answer_message(status=200, end=False, body=b"part"):
+    reply = peer_pb2.CallReply(end=end, body=body)
+    reply.head.status = status
+    return reply
+
+
+class _ModelGuard(Guard):
+    def __init__(self, replies=(), work_s=0):
+        self.attempts = AttemptTable(GUARD_INCARNATION)
+        self.runs = AttemptRuns()
+        self.in_flight = InFlightCounter()
+        self._metrics = Metrics()
+        self.replies = replies
+        self.work_s = work_s
+        self.started = asyncio.Event()
+
+    async def _run_admitted_attempt(self, attempt, head, body):
+        self.started.set()
+        if not any(reply.HasField("not_run") for reply in self.replies):
+            attempt.mark_sent(Deadline.after_ms(WAIT_S * 1000))
+        await asyncio.sleep(self.work_s)
+        for reply in self.replies:
+            yield reply
+
+
+def download(count):
+    messages = [answer_message(body=bytes(64 * 1024)) for _ in range(count)]
+    for message in messages[1:]:
+        message.ClearField("head")
+    messages[-1].end = True
+    return messages
+
+
+class _Paths:
+    def __init__(self):
+        self.checks = 0
+
+    def on_silence(self, listener):
+        pass
+
+    def is_broken(self, address):
+        return False
+
+    def start_check(self, address):
+        self.checks += 1
+
+    def schedule_check(self, address):
+        self.checks += 1
+        return asyncio.get_running_loop().call_later(0, lambda: None)
+
+
+class _Channels:
+    def __init__(self, messages):
+        self.messages = messages
+
+    async def connect(self, address, deadline):
+        return True
+
+    def guard(self, address):
+        return self
+
+    def Call(self, message, timeout):  # noqa: N802
+        return self.messages()
+
+    async def End(self, message, timeout):  # noqa: N802, ASYNC109
+        return peer_pb2.EndReply()
+
+
+class _Stream:
+    def __init__(self, messages):
+        self._messages = messages
+
+    def __aiter__(self):
+        return self._messages
+
+    def cancel(self):
+        pass
+
+
+def build_client(messages):
+    members = SimpleNamespace(
+        own=peer_pb2.Member(daemon="d1", incarnation=ENTRY_INCARNATION)
+    )
+    paths = _Paths()
+    channels = _Channels(lambda: _Stream(messages()))
+    return AttemptClient(members, None, channels, None, paths), paths
+
+
+def attempt_request(reserve_failover, fail_over, limit_ms=WAIT_S * 1000):
+    return AttemptRequest(
+        head=peer_pb2.CallHead(),
+        body=b"",
+        send_deadline=Deadline.after_ms(limit_ms),
+        reply_deadline=Deadline.after_ms(10),
+        deadline=Deadline.after_ms(limit_ms),
+        settle_if_lost=False,
+        reserve_failover=reserve_failover,
+        fail_over=fail_over,
+        answer_started=lambda: False,
+    )
+
+
+def guard_view():
+    return SimpleNamespace(
+        endpoint="i-1",
+        daemon="d2",
+        incarnation=GUARD_INCARNATION,
+        peer_address="127.0.0.1:1",
+    )
+
+
+@given("an attempt without a reply that a failover replaces")
+def step_failover(context):
+    pass
+
+
+@when("a streamed reply with status {status:d} arrives before the failover is answered")
+def step_late_streamed_reply(context, status):
+    async def messages():
+        await asyncio.sleep(3 * TICK_S)
+        yield answer_message(status)
+        await asyncio.sleep(WAIT_S)
+
+    async def fail_over():
+        await asyncio.sleep(6 * TICK_S)
+        return True
+
+    async def run():
+        client, _ = build_client(messages)
+        request = attempt_request(lambda: True, fail_over)
+        async with client.send(guard_view(), request) as (first, _):
+            return first
+
+    context.first = asyncio.run(run())
+
+
+@then("the attempt does not deliver that reply to the caller")
+def step_check_not_delivered(context):
+    assert not context.first.HasField("head"), context.first
