Add a scenario of a repeat whose refusal replaces an answer on its way

Cause: the guard answers a repeat of an attempt that has ended, and whose answer is not stored (more than one message), with 'unknown connection_lost'. The entry takes this for the outcome although the former copy is still delivering the answer.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -4,3 +4,8 @@
     Given an attempt without a reply that a failover replaces
     When a streamed reply with status 503 arrives before the failover is answered
     Then the attempt does not deliver that reply to the caller
+
+  Scenario: The refusal of a repeat does not replace an answer that is still on its way
+    Given a run whose answer of 2 messages is on its way over a slow connection
+    When a repeat arrives after the end of the run
+    Then the caller gets the answer of the target
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -1,9 +1,11 @@
 import asyncio
+from contextlib import aclosing
 from types import SimpleNamespace
 
 from behave import given, then, when
 
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
+from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
 from laburnumscale.attemptruns import AttemptRuns
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
@@ -168,3 +170,43 @@
 @then("the attempt does not deliver that reply to the caller")
 def step_check_not_delivered(context):
     assert not context.first.HasField("head"), context.first
+
+
+@given("a run whose answer of 2 messages is on its way over a slow connection")
+def step_slow_answer(context):
+    context.messages = download(2)
+
+
+@when("a repeat arrives after the end of the run")
+def step_repeat_after_end(context):
+    async def run():
+        guard = _ModelGuard(context.messages)
+
+        async def slow():
+            stream = guard.serve_attempt(attempt_head(), b"")
+            messages = [each async for each in stream]
+            await asyncio.sleep(10 * TICK_S)
+            for message in messages:
+                yield message
+
+        async def fast():
+            async with aclosing(guard.serve_attempt(attempt_head(), b"")) as stream:
+                async for message in stream:
+                    yield message
+
+        streams = iter((slow, fast))
+        copies = AttemptCopies(
+            lambda on_reply: ReplyReader(next(streams)(), on_reply), is_repeatable=True
+        )
+        asyncio.get_running_loop().call_later(2 * TICK_S, copies.repeat)
+        first = await copies.read_first(Deadline.after_ms(WAIT_S * 1000))
+        await copies.close()
+        return first
+
+    context.first = asyncio.run(run())
+
+
+@then("the caller gets the answer of the target")
+def step_check_answer(context):
+    assert context.first is not None
+    assert context.first.HasField("head"), context.first
