Add a scenario of a download held up by a copy on a silent connection

Cause: a run waits for its newest stream only. If that one is on a connection that has fallen silent, the entry cannot cancel it there, and the copy that the entry reads gets nothing more than the first messages.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -9,3 +9,8 @@
     Given a run whose answer of 2 messages is on its way over a slow connection
     When a repeat arrives after the end of the run
     Then the caller gets the answer of the target
+
+  Scenario: A copy on a silent connection does not hold up the download of another copy
+    Given a run with 40 replies whose newest stream is on a silent connection
+    When the caller reads the replies over the former connection
+    Then the caller gets all 40 messages
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -1,5 +1,5 @@
 import asyncio
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -210,3 +210,37 @@
 def step_check_answer(context):
     assert context.first is not None
     assert context.first.HasField("head"), context.first
+
+
+@given("a run with {count:d} replies whose newest stream is on a silent connection")
+def step_silent_newest(context, count):
+    context.messages = download(count)
+
+
+@when("the caller reads the replies over the former connection")
+def step_read_former(context):
+    async def run():
+        guard = _ModelGuard(context.messages, work_s=TICK_S)
+        former = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(former))
+        await guard.started.wait()
+        newest = guard.serve_attempt(attempt_head(), b"")
+        # The first reply is written to the silent connection; nothing is taken after.
+        await anext(newest)
+        taken = 0
+        with suppress(TimeoutError):
+            async with asyncio.timeout(WAIT_S):
+                await reading
+                taken = 1
+                async for _ in former:
+                    taken += 1
+        await newest.aclose()
+        await former.aclose()
+        return taken
+
+    context.taken = asyncio.run(run())
+
+
+@then("the caller gets all {count:d} messages")
+def step_check_messages(context, count):
+    assert context.taken == count, context.taken
