Add a scenario of an attempt that is evicted before it is ended

Cause: a guard keeps 4,096 attempts of an entry. The run of an evicted one goes on, and End and the low-water mark do not find it any more; before it ended with its stream.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -14,3 +14,8 @@
     Given a run with 40 replies whose newest stream is on a silent connection
     When the caller reads the replies over the former connection
     Then the caller gets all 40 messages
+
+  Scenario: An attempt is ended although its entry has made many attempts since
+    Given a run of an entry that has made 5000 attempts since
+    When the entry ends the attempt
+    Then the run is ended
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -244,3 +244,34 @@
 @then("the caller gets all {count:d} messages")
 def step_check_messages(context, count):
     assert context.taken == count, context.taken
+
+
+@given("a run of an entry that has made {count:d} attempts since")
+def step_many_attempts(context, count):
+    context.count = count
+
+
+@when("the entry ends the attempt")
+def step_end_attempt(context):
+    async def run():
+        guard = _ModelGuard(work_s=WAIT_S)
+        stream = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(stream))
+        await guard.started.wait()
+        for number in range(context.count):
+            head = attempt_head(SEQUENCE + 1 + number)
+            head.low_water_sequence = SEQUENCE
+            guard.attempts.end(guard.attempts.admit(head), None)
+        guard.attempts.cancel(attempt_head().attempt)
+        context.has_ended = await guard.in_flight.wait_until_idle(
+            Deadline.after_ms(500)
+        )
+        reading.cancel()
+        await asyncio.wait({reading})
+
+    asyncio.run(run())
+
+
+@then("the run is ended")
+def step_check_run_ended(context):
+    assert context.has_ended
