Add a scenario of an end that reaches an attempt of another incarnation

Cause: AttemptTable.settle, which cancel calls first, does not compare the incarnation of the entry, and fences the attempt of the new process that has the same number.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -19,3 +19,8 @@
     Given a run of an entry that has made 5000 attempts since
     When the entry ends the attempt
     Then the run is ended
+
+  Scenario: The end of an attempt of a former process does not refuse that of the new one
+    Given an attempt of a new process of an entry that waits for a slot
+    When the end of the attempt with its number of the former process arrives
+    Then the waiting attempt can be sent
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -9,6 +9,7 @@
 from laburnumscale.attemptruns import AttemptRuns
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
+from laburnumscale.failurereplies import AttemptRefused
 from laburnumscale.guard import Guard
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.metrics import Metrics
@@ -275,3 +276,23 @@
 @then("the run is ended")
 def step_check_run_ended(context):
     assert context.has_ended
+
+
+@given("an attempt of a new process of an entry that waits for a slot")
+def step_waiting_attempt(context):
+    context.attempt_table = AttemptTable(GUARD_INCARNATION)
+    context.attempt = context.attempt_table.admit(attempt_head())
+
+
+@when("the end of the attempt with its number of the former process arrives")
+def step_former_end(context):
+    former = attempt_head(entry_incarnation=ENTRY_INCARNATION - 1)
+    context.attempt_table.cancel(former.attempt)
+
+
+@then("the waiting attempt can be sent")
+def step_check_can_be_sent(context):
+    try:
+        context.attempt.mark_sent(Deadline.after_ms(1000))
+    except AttemptRefused as refusal:
+        raise AssertionError(refusal.reply) from None
