Add a scenario of a run that is ended before its task has begun

Cause: a task that is cancelled before its first step runs no finally clause: the run never counts as ended, its streams wait until the deadline of gRPC, and Attempt.run is kept.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -24,3 +24,8 @@
     Given an attempt of a new process of an entry that waits for a slot
     When the end of the attempt with its number of the former process arrives
     Then the waiting attempt can be sent
+
+  Scenario: A run that is ended before it has begun ends its streams
+    Given an attempt that is ended in the moment in which it arrives
+    Then its stream ends
+    And a repeat of it gets a reply
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -296,3 +296,38 @@
         context.attempt.mark_sent(Deadline.after_ms(1000))
     except AttemptRefused as refusal:
         raise AssertionError(refusal.reply) from None
+
+
+@given("an attempt that is ended in the moment in which it arrives")
+def step_end_at_arrival(context):
+    async def run():
+        guard = _ModelGuard(work_s=WAIT_S)
+
+        async def read():
+            return [each async for each in guard.serve_attempt(attempt_head(), b"")]
+
+        async def end():
+            guard.attempts.cancel(attempt_head().attempt)
+
+        reading = asyncio.create_task(read())
+        await asyncio.create_task(end())
+        done, _ = await asyncio.wait({reading}, timeout=0.5)
+        context.has_stream_ended = bool(done)
+        repeat = asyncio.create_task(read())
+        done, _ = await asyncio.wait({repeat}, timeout=0.5)
+        context.repeat_replies = repeat.result() if done else None
+        for task in (reading, repeat):
+            task.cancel()
+        await asyncio.wait({reading, repeat})
+
+    asyncio.run(run())
+
+
+@then("its stream ends")
+def step_check_stream_ended(context):
+    assert context.has_stream_ended
+
+
+@then("a repeat of it gets a reply")
+def step_check_repeat(context):
+    assert context.repeat_replies, context.repeat_replies
