Add a scenario of a run taken for an orphan before the members know its entry

Cause: _is_orphan takes any other incarnation for a later one. A guard that has not learned yet that the entry has restarted ends the runs of the new process.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -29,3 +29,7 @@
     Given an attempt that is ended in the moment in which it arrives
     Then its stream ends
     And a repeat of it gets a reply
+
+  Scenario: A run of an entry whose restart is not known yet goes on
+    Given a run without a stream of a process that the members do not know yet
+    Then the run is not ended as an orphan
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -331,3 +331,34 @@
 @then("a repeat of it gets a reply")
 def step_check_repeat(context):
     assert context.repeat_replies, context.repeat_replies
+
+
+@given("a run without a stream of a process that the members do not know yet")
+def step_unknown_process(context):
+    class Members:
+        def get(self, daemon):
+            return peer_pb2.Member(
+                daemon=daemon,
+                incarnation=ENTRY_INCARNATION - 1,
+                state=peer_pb2.MEMBER_STATE_ALIVE,
+            )
+
+    async def run():
+        guard = _ModelGuard(work_s=10)
+        watching = asyncio.create_task(guard.runs.watch_orphans(Members()))
+        stream = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(stream))
+        await guard.started.wait()
+        reading.cancel()
+        await asyncio.wait({reading})
+        context.was_ended = await guard.in_flight.wait_until_idle(
+            Deadline.after_ms(2500)
+        )
+        watching.cancel()
+
+    asyncio.run(run())
+
+
+@then("the run is not ended as an orphan")
+def step_check_no_orphan(context):
+    assert not context.was_ended
