Add a scenario of a repeated refusal that loses its reason

Cause: a refusal before the request is sent is not kept. A repeat gets 'fenced', for which the entry reports an attempt of unknown outcome instead of 'overloaded'.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -33,3 +33,8 @@
   Scenario: A run of an entry whose restart is not known yet goes on
     Given a run without a stream of a process that the members do not know yet
     Then the run is not ended as an orphan
+
+  Scenario: The reason of a refusal is repeated
+    Given an attempt that its guard refused as overloaded
+    When its repeat arrives
+    Then the repeat is refused as overloaded
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -9,7 +9,7 @@
 from laburnumscale.attemptruns import AttemptRuns
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
-from laburnumscale.failurereplies import AttemptRefused
+from laburnumscale.failurereplies import AttemptRefused, refused_reply
 from laburnumscale.guard import Guard
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.metrics import Metrics
@@ -362,3 +362,26 @@
 @then("the run is not ended as an orphan")
 def step_check_no_orphan(context):
     assert not context.was_ended
+
+
+@given("an attempt that its guard refused as overloaded")
+def step_refused_attempt(context):
+    context.refusal = refused_reply(peer_pb2.NOT_RUN_REASON_OVERLOADED)
+
+
+@when("its repeat arrives")
+def step_repeat_refused(context):
+    async def run():
+        guard = _ModelGuard([context.refusal])
+        for _ in range(2):
+            stream = guard.serve_attempt(attempt_head(), b"")
+            context.replies = [each async for each in stream]
+            await asyncio.sleep(TICK_S)
+
+    asyncio.run(run())
+
+
+@then("the repeat is refused as overloaded")
+def step_check_refusal(context):
+    reasons = [each.not_run.reason for each in context.replies]
+    assert reasons == [peer_pb2.NOT_RUN_REASON_OVERLOADED], context.replies
