Add a scenario of an attempt whose path is not checked while it is waited for

Cause: the only check of a path is made 0.1 s after an attempt begins. A connection that falls silent later is not noticed without other calls to the same guard.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -38,3 +38,7 @@
     Given an attempt that its guard refused as overloaded
     When its repeat arrives
     Then the repeat is refused as overloaded
+
+  Scenario: A connection that goes silent during a run is noticed
+    Given an attempt that is waited for beyond its reply deadline
+    Then its path is checked meanwhile
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -385,3 +385,27 @@
 def step_check_refusal(context):
     reasons = [each.not_run.reason for each in context.replies]
     assert reasons == [peer_pb2.NOT_RUN_REASON_OVERLOADED], context.replies
+
+
+@given("an attempt that is waited for beyond its reply deadline")
+def step_wait_long(context):
+    async def messages():
+        await asyncio.sleep(WAIT_S)
+        yield answer_message(end=True)
+
+    async def fail_over():
+        return False
+
+    async def run():
+        client, paths = build_client(messages)
+        request = attempt_request(lambda: False, fail_over, 1000)
+        async with client.send(guard_view(), request):
+            pass
+        context.checks = paths.checks
+
+    asyncio.run(run())
+
+
+@then("its path is checked meanwhile")
+def step_check_path_checks(context):
+    assert context.checks, context.checks
