Add a scenario of a keyed call that ends when its channel is closed

Cause: grpc.aio raises CancelledError in the calls of a channel that is closed, which happens 10 s after its replacement or when its peer is no member any more. KeyedCalls._send and AttemptSettler._send catch RpcError only, so the call of the caller is cancelled. That grpc.aio 1.85.3 raises it was seen with a server on the loopback interface.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -42,3 +42,7 @@
   Scenario: A connection that goes silent during a run is noticed
     Given an attempt that is waited for beyond its reply deadline
     Then its path is checked meanwhile
+
+  Scenario: A keyed call goes on when its channel is closed
+    Given a keyed call whose channel to the holder is closed after its grace time
+    Then it is sent again and answered
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -12,6 +12,7 @@
 from laburnumscale.failurereplies import AttemptRefused, refused_reply
 from laburnumscale.guard import Guard
 from laburnumscale.inflight import InFlightCounter
+from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.metrics import Metrics
 from laburnumscale_schema import peer_pb2
 
@@ -409,3 +410,55 @@
 @then("its path is checked meanwhile")
 def step_check_path_checks(context):
     assert context.checks, context.checks
+
+
+@given("a keyed call whose channel to the holder is closed after its grace time")
+def step_keyed_call(context):
+    class Channels:
+        sent = 0
+
+        def operation_keys(self, address):
+            return self
+
+        async def Run(self, message, timeout):  # noqa: N802, ASYNC109
+            self.sent += 1
+            if self.sent == 1:
+                await asyncio.sleep(TICK_S)
+                # As grpc.aio does for the calls of a channel that is closed.
+                raise asyncio.CancelledError
+            return answer_message(end=True)
+
+    holder = peer_pb2.Member(daemon="d2", peer_address="127.0.0.1:1", incarnation=1)
+    members = SimpleNamespace(
+        own=peer_pb2.Member(daemon="d1"), peers=lambda: [holder], get=lambda _: holder
+    )
+    keyed = object.__new__(KeyedCalls)
+    keyed._channels, keyed._members, keyed._metrics = Channels(), members, Metrics()
+    request = SimpleNamespace(method="POST", headers={})
+    call = SimpleNamespace(
+        request_id="r",
+        service="s",
+        path_and_query="/",
+        request=request,
+        body=b"",
+        deadline=Deadline.after_ms(WAIT_S * 1000),
+    )
+
+    async def run():
+        replies = []
+        for _ in range(2):
+            replies.append(await keyed._call_holder(holder, "key", call))
+        return replies
+
+    async def outer():
+        task = asyncio.create_task(run())
+        await asyncio.wait({task})
+        context.replies = None if task.cancelled() else task.result()
+
+    asyncio.run(outer())
+
+
+@then("it is sent again and answered")
+def step_check_keyed(context):
+    assert context.replies is not None, "the call was cancelled"
+    assert any(reply is not None for reply in context.replies)
