Add a scenario of lost copies that are not repeated while a failover runs

Cause: race_failover stops reading the copies once all of them are lost, and then waits for the failover alone. A repeat that is due when the path works again is not sent.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -46,3 +46,7 @@
   Scenario: A keyed call goes on when its channel is closed
     Given a keyed call whose channel to the holder is closed after its grace time
     Then it is sent again and answered
+
+  Scenario: An attempt whose copies are lost is repeated while a failover runs
+    Given an attempt whose connection is lost during a failover that is not answered
+    Then the caller gets the answer of the target
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -462,3 +462,36 @@
 def step_check_keyed(context):
     assert context.replies is not None, "the call was cancelled"
     assert any(reply is not None for reply in context.replies)
+
+
+@given("an attempt whose connection is lost during a failover that is not answered")
+def step_lost_in_failover(context):
+    sent = []
+
+    async def messages():
+        sent.append(None)
+        await asyncio.sleep(3 * TICK_S)
+        if len(sent) > 1:
+            yield answer_message(end=True)
+
+    async def fail_over():
+        await asyncio.sleep(WAIT_S)
+        return False
+
+    async def run():
+        client, _ = build_client(messages)
+        connected = iter((True, False))
+
+        async def connect(address, deadline):
+            return next(connected, True)
+
+        client._channels.connect = connect
+        # The path works again 200 ms after the loss.
+        loop = asyncio.get_running_loop()
+        address = guard_view().peer_address
+        loop.call_later(10 * TICK_S, client._repeat_unanswered, address)
+        request = attempt_request(lambda: True, fail_over)
+        async with client.send(guard_view(), request) as (first, _):
+            return first
+
+    context.first = asyncio.run(run())
