Add a scenario of a guard that cannot be told of an end within 2 s

Cause: AttemptEnder gives up 2 s after the latest end. A guard that was suspended or cut off for longer runs the attempt until its deadline; before the end of the stream, or of the connection, ended it.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -50,3 +50,7 @@
   Scenario: An attempt whose copies are lost is repeated while a failover runs
     Given an attempt whose connection is lost during a failover that is not answered
     Then the caller gets the answer of the target
+
+  Scenario: A guard that cannot be reached for a moment is told of ended attempts later
+    Given a guard that responds again 2500 ms after the end of an attempt
+    Then it is told of the end
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -2,10 +2,12 @@
 from contextlib import aclosing, suppress
 from types import SimpleNamespace
 
+import grpc
 from behave import given, then, when
 
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
 from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
+from laburnumscale.attemptender import AttemptEnder
 from laburnumscale.attemptruns import AttemptRuns
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
@@ -495,3 +497,37 @@
             return first
 
     context.first = asyncio.run(run())
+
+
+@given("a guard that responds again {pause_ms:d} ms after the end of an attempt")
+def step_unreachable_guard(context, pause_ms):
+    class Channels:
+        told = False
+
+        def guard(self, address):
+            return self
+
+        async def End(self, message, timeout):  # noqa: N802, ASYNC109
+            if not back.has_passed():
+                await asyncio.sleep(timeout)
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.DEADLINE_EXCEEDED,
+                    grpc.aio.Metadata(),
+                    grpc.aio.Metadata(),
+                )
+            self.told = True
+
+    async def run():
+        channels = Channels()
+        ender = AttemptEnder(channels, _Paths())
+        ender.end("127.0.0.1:1", attempt_head().attempt)
+        await asyncio.sleep(pause_ms / 1000 + 1)
+        return channels.told
+
+    back = Deadline.after_ms(pause_ms)
+    context.told = asyncio.run(run())
+
+
+@then("it is told of the end")
+def step_check_told(context):
+    assert context.told
