--- a/tests/features/running_attempts.feature
+++ b/tests/features/running_attempts.feature
@@ -35,3 +35,9 @@
     And 800 ms later the open connections deliver again
     Then the call has the answer of p1
     And p1 ran the call once, to its end
+
+  Scenario: An entry notices that a connection falls silent while a lookup runs
+    When the caller sends a lookup that p1 runs for 1500 ms, with a limit of 3000 ms
+    And 600 ms later the open connections from d2 to d1 fall silent
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
--- a/tests/features/steps/running_attempts_steps.py
+++ b/tests/features/steps/running_attempts_steps.py
@@ -152,6 +152,15 @@
     context.late_link.faults(backward={"hold": True})
 
 
+@when(
+    "{after_ms:d} ms later the open connections from {destination} to {source} fall "
+    "silent"
+)
+def step_silence_replies(context, after_ms, source, destination):
+    wait_after_call(context, after_ms)
+    link_of(context, source, destination).faults(backward={"hold": True})
+
+
 @when("{after_ms:d} ms later the open connections deliver again")
 def step_release_replies(context, after_ms):
     wait_after_call(context, after_ms)
