Add a scenario of stored answers that displace that of a call that may run once

Cause: since a guard also stores the answers to calls that may run again, in the same 1 MiB, and evicts the oldest answer first. One attempt in progress keeps the low-water mark, so 128 answers of 8 kB displace the answer to a hold that is yet to be settled.

--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -54,3 +54,8 @@
   Scenario: A guard that cannot be reached for a moment is told of ended attempts later
     Given a guard that responds again 2500 ms after the end of an attempt
     Then it is told of the end
+
+  Scenario: Answers to calls that may run again do not displace that of a call that may not
+    Given a hold that was answered, and 400 lookups since with answers of 8 kB
+    When the outcome of the hold is queried
+    Then the guard still has its answer
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -531,3 +531,29 @@
 @then("it is told of the end")
 def step_check_told(context):
     assert context.told
+
+
+@given("a hold that was answered, and {count:d} lookups since with answers of 8 kB")
+def step_answered_hold(context, count):
+    async def run():
+        guard = _ModelGuard([answer_message(end=True, body=bytes(8 * 1024))])
+        for number in range(count + 1):
+            head = attempt_head(SEQUENCE + number)
+            head.low_water_sequence = SEQUENCE
+            head.idempotent = number > 0
+            async with aclosing(guard.serve_attempt(head, b"")) as replies:
+                async for _ in replies:
+                    pass
+        return guard
+
+    context.guard = asyncio.run(run())
+
+
+@when("the outcome of the hold is queried")
+def step_query_hold(context):
+    context.settled = context.guard.attempts.settle(attempt_head().attempt)
+
+
+@then("the guard still has its answer")
+def step_check_settled(context):
+    assert context.settled.HasField("reply"), context.settled
