--- /dev/null
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -0,0 +1,559 @@
+import asyncio
+from contextlib import aclosing, suppress
+from types import SimpleNamespace
+
+import grpc
+from behave import given, then, when
+
+from laburnumscale.attemptclient import AttemptClient, AttemptRequest
+from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
+from laburnumscale.attemptender import AttemptEnder
+from laburnumscale.attemptruns import AttemptRuns
+from laburnumscale.attempttable import AttemptTable
+from laburnumscale.deadlines import Deadline
+from laburnumscale.failurereplies import AttemptRefused, refused_reply
+from laburnumscale.guard import Guard
+from laburnumscale.inflight import InFlightCounter
+from laburnumscale.keyedcalls import KeyedCalls
+from laburnumscale.metrics import Metrics
+from laburnumscale_schema import peer_pb2
+
+GUARD_INCARNATION = 3
+ENTRY_INCARNATION = 5
+SEQUENCE = 7
+WAIT_S = 2.0
+TICK_S = 0.02
+
+
+def attempt_head(sequence=SEQUENCE, entry_incarnation=ENTRY_INCARNATION):
+    attempt_id = peer_pb2.AttemptId(
+        entry="d1",
+        entry_incarnation=entry_incarnation,
+        guard_incarnation=GUARD_INCARNATION,
+        sequence=sequence,
+    )
+    return peer_pb2.CallHead(attempt=attempt_id, outlives_stream=True)
+
+
+def answer_message(status=200, end=False, body=b"part"):
+    reply = peer_pb2.CallReply(end=end, body=body)
+    reply.head.status = status
+    return reply
+
+
+class _ModelGuard(Guard):
+    def __init__(self, replies=(), work_s=0):
+        self.attempts = AttemptTable(GUARD_INCARNATION)
+        self.runs = AttemptRuns()
+        self.in_flight = InFlightCounter()
+        self._metrics = Metrics()
+        self.replies = replies
+        self.work_s = work_s
+        self.started = asyncio.Event()
+
+    async def _run_admitted_attempt(self, attempt, head, body):
+        self.started.set()
+        if not any(reply.HasField("not_run") for reply in self.replies):
+            attempt.mark_sent(Deadline.after_ms(WAIT_S * 1000))
+        await asyncio.sleep(self.work_s)
+        for reply in self.replies:
+            yield reply
+
+
+def download(count):
+    messages = [answer_message(body=bytes(64 * 1024)) for _ in range(count)]
+    for message in messages[1:]:
+        message.ClearField("head")
+    messages[-1].end = True
+    return messages
+
+
+class _Paths:
+    def __init__(self):
+        self.checks = 0
+
+    def on_silence(self, listener):
+        pass
+
+    def is_broken(self, address):
+        return False
+
+    def start_check(self, address):
+        self.checks += 1
+
+    def schedule_check(self, address):
+        self.checks += 1
+        return asyncio.get_running_loop().call_later(0, lambda: None)
+
+
+class _Channels:
+    def __init__(self, messages):
+        self.messages = messages
+
+    async def connect(self, address, deadline):
+        return True
+
+    def guard(self, address):
+        return self
+
+    def Call(self, message, timeout):  # noqa: N802
+        return self.messages()
+
+    async def End(self, message, timeout):  # noqa: N802, ASYNC109
+        return peer_pb2.EndReply()
+
+
+class _Stream:
+    def __init__(self, messages):
+        self._messages = messages
+
+    def __aiter__(self):
+        return self._messages
+
+    def cancel(self):
+        pass
+
+
+def build_client(messages):
+    members = SimpleNamespace(
+        own=peer_pb2.Member(daemon="d1", incarnation=ENTRY_INCARNATION)
+    )
+    paths = _Paths()
+    channels = _Channels(lambda: _Stream(messages()))
+    return AttemptClient(members, None, channels, None, paths), paths
+
+
+def attempt_request(reserve_failover, fail_over, limit_ms=WAIT_S * 1000):
+    return AttemptRequest(
+        head=peer_pb2.CallHead(),
+        body=b"",
+        send_deadline=Deadline.after_ms(limit_ms),
+        reply_deadline=Deadline.after_ms(10),
+        deadline=Deadline.after_ms(limit_ms),
+        settle_if_lost=False,
+        reserve_failover=reserve_failover,
+        fail_over=fail_over,
+        answer_started=lambda: False,
+    )
+
+
+def guard_view():
+    return SimpleNamespace(
+        endpoint="i-1",
+        daemon="d2",
+        incarnation=GUARD_INCARNATION,
+        peer_address="127.0.0.1:1",
+    )
+
+
+@given("an attempt without a reply that a failover replaces")
+def step_failover(context):
+    pass
+
+
+@when("a streamed reply with status {status:d} arrives before the failover is answered")
+def step_late_streamed_reply(context, status):
+    async def messages():
+        await asyncio.sleep(3 * TICK_S)
+        yield answer_message(status)
+        await asyncio.sleep(WAIT_S)
+
+    async def fail_over():
+        await asyncio.sleep(6 * TICK_S)
+        return True
+
+    async def run():
+        client, _ = build_client(messages)
+        request = attempt_request(lambda: True, fail_over)
+        async with client.send(guard_view(), request) as (first, _):
+            return first
+
+    context.first = asyncio.run(run())
+
+
+@then("the attempt does not deliver that reply to the caller")
+def step_check_not_delivered(context):
+    assert not context.first.HasField("head"), context.first
+
+
+@given("a run whose answer of 2 messages is on its way over a slow connection")
+def step_slow_answer(context):
+    context.messages = download(2)
+
+
+@when("a repeat arrives after the end of the run")
+def step_repeat_after_end(context):
+    async def run():
+        guard = _ModelGuard(context.messages)
+
+        async def slow():
+            stream = guard.serve_attempt(attempt_head(), b"")
+            messages = [each async for each in stream]
+            await asyncio.sleep(10 * TICK_S)
+            for message in messages:
+                yield message
+
+        async def fast():
+            async with aclosing(guard.serve_attempt(attempt_head(), b"")) as stream:
+                async for message in stream:
+                    yield message
+
+        streams = iter((slow, fast))
+        copies = AttemptCopies(
+            lambda on_reply: ReplyReader(next(streams)(), on_reply), is_repeatable=True
+        )
+        asyncio.get_running_loop().call_later(2 * TICK_S, copies.repeat)
+        first = await copies.read_first(Deadline.after_ms(WAIT_S * 1000))
+        await copies.close()
+        return first
+
+    context.first = asyncio.run(run())
+
+
+@then("the caller gets the answer of the target")
+def step_check_answer(context):
+    assert context.first is not None
+    assert context.first.HasField("head"), context.first
+
+
+@given("a run with {count:d} replies whose newest stream is on a silent connection")
+def step_silent_newest(context, count):
+    context.messages = download(count)
+
+
+@when("the caller reads the replies over the former connection")
+def step_read_former(context):
+    async def run():
+        guard = _ModelGuard(context.messages, work_s=TICK_S)
+        former = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(former))
+        await guard.started.wait()
+        newest = guard.serve_attempt(attempt_head(), b"")
+        # The first reply is written to the silent connection; nothing is taken after.
+        await anext(newest)
+        taken = 0
+        with suppress(TimeoutError):
+            async with asyncio.timeout(WAIT_S):
+                await reading
+                taken = 1
+                async for _ in former:
+                    taken += 1
+        await newest.aclose()
+        await former.aclose()
+        return taken
+
+    context.taken = asyncio.run(run())
+
+
+@then("the caller gets all {count:d} messages")
+def step_check_messages(context, count):
+    assert context.taken == count, context.taken
+
+
+@given("a run of an entry that has made {count:d} attempts since")
+def step_many_attempts(context, count):
+    context.count = count
+
+
+@when("the entry ends the attempt")
+def step_end_attempt(context):
+    async def run():
+        guard = _ModelGuard(work_s=WAIT_S)
+        stream = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(stream))
+        await guard.started.wait()
+        for number in range(context.count):
+            head = attempt_head(SEQUENCE + 1 + number)
+            head.low_water_sequence = SEQUENCE
+            guard.attempts.end(guard.attempts.admit(head), None)
+        guard.attempts.cancel(attempt_head().attempt)
+        context.has_ended = await guard.in_flight.wait_until_idle(
+            Deadline.after_ms(500)
+        )
+        reading.cancel()
+        await asyncio.wait({reading})
+
+    asyncio.run(run())
+
+
+@then("the run is ended")
+def step_check_run_ended(context):
+    assert context.has_ended
+
+
+@given("an attempt of a new process of an entry that waits for a slot")
+def step_waiting_attempt(context):
+    context.attempt_table = AttemptTable(GUARD_INCARNATION)
+    context.attempt = context.attempt_table.admit(attempt_head())
+
+
+@when("the end of the attempt with its number of the former process arrives")
+def step_former_end(context):
+    former = attempt_head(entry_incarnation=ENTRY_INCARNATION - 1)
+    context.attempt_table.cancel(former.attempt)
+
+
+@then("the waiting attempt can be sent")
+def step_check_can_be_sent(context):
+    try:
+        context.attempt.mark_sent(Deadline.after_ms(1000))
+    except AttemptRefused as refusal:
+        raise AssertionError(refusal.reply) from None
+
+
+@given("an attempt that is ended in the moment in which it arrives")
+def step_end_at_arrival(context):
+    async def run():
+        guard = _ModelGuard(work_s=WAIT_S)
+
+        async def read():
+            return [each async for each in guard.serve_attempt(attempt_head(), b"")]
+
+        async def end():
+            guard.attempts.cancel(attempt_head().attempt)
+
+        reading = asyncio.create_task(read())
+        await asyncio.create_task(end())
+        done, _ = await asyncio.wait({reading}, timeout=0.5)
+        context.has_stream_ended = bool(done)
+        repeat = asyncio.create_task(read())
+        done, _ = await asyncio.wait({repeat}, timeout=0.5)
+        context.repeat_replies = repeat.result() if done else None
+        for task in (reading, repeat):
+            task.cancel()
+        await asyncio.wait({reading, repeat})
+
+    asyncio.run(run())
+
+
+@then("its stream ends")
+def step_check_stream_ended(context):
+    assert context.has_stream_ended
+
+
+@then("a repeat of it gets a reply")
+def step_check_repeat(context):
+    assert context.repeat_replies, context.repeat_replies
+
+
+@given("a run without a stream of a process that the members do not know yet")
+def step_unknown_process(context):
+    class Members:
+        def get(self, daemon):
+            return peer_pb2.Member(
+                daemon=daemon,
+                incarnation=ENTRY_INCARNATION - 1,
+                state=peer_pb2.MEMBER_STATE_ALIVE,
+            )
+
+    async def run():
+        guard = _ModelGuard(work_s=10)
+        watching = asyncio.create_task(guard.runs.watch_orphans(Members()))
+        stream = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(stream))
+        await guard.started.wait()
+        reading.cancel()
+        await asyncio.wait({reading})
+        context.was_ended = await guard.in_flight.wait_until_idle(
+            Deadline.after_ms(2500)
+        )
+        watching.cancel()
+
+    asyncio.run(run())
+
+
+@then("the run is not ended as an orphan")
+def step_check_no_orphan(context):
+    assert not context.was_ended
+
+
+@given("an attempt that its guard refused as overloaded")
+def step_refused_attempt(context):
+    context.refusal = refused_reply(peer_pb2.NOT_RUN_REASON_OVERLOADED)
+
+
+@when("its repeat arrives")
+def step_repeat_refused(context):
+    async def run():
+        guard = _ModelGuard([context.refusal])
+        for _ in range(2):
+            stream = guard.serve_attempt(attempt_head(), b"")
+            context.replies = [each async for each in stream]
+            await asyncio.sleep(TICK_S)
+
+    asyncio.run(run())
+
+
+@then("the repeat is refused as overloaded")
+def step_check_refusal(context):
+    reasons = [each.not_run.reason for each in context.replies]
+    assert reasons == [peer_pb2.NOT_RUN_REASON_OVERLOADED], context.replies
+
+
+@given("an attempt that is waited for beyond its reply deadline")
+def step_wait_long(context):
+    async def messages():
+        await asyncio.sleep(WAIT_S)
+        yield answer_message(end=True)
+
+    async def fail_over():
+        return False
+
+    async def run():
+        client, paths = build_client(messages)
+        request = attempt_request(lambda: False, fail_over, 1000)
+        async with client.send(guard_view(), request):
+            pass
+        context.checks = paths.checks
+
+    asyncio.run(run())
+
+
+@then("its path is checked meanwhile")
+def step_check_path_checks(context):
+    assert context.checks, context.checks
+
+
+@given("a keyed call whose channel to the holder is closed after its grace time")
+def step_keyed_call(context):
+    class Channels:
+        sent = 0
+
+        def operation_keys(self, address):
+            return self
+
+        async def Run(self, message, timeout):  # noqa: N802, ASYNC109
+            self.sent += 1
+            if self.sent == 1:
+                await asyncio.sleep(TICK_S)
+                # As grpc.aio does for the calls of a channel that is closed.
+                raise asyncio.CancelledError
+            return answer_message(end=True)
+
+    holder = peer_pb2.Member(daemon="d2", peer_address="127.0.0.1:1", incarnation=1)
+    members = SimpleNamespace(
+        own=peer_pb2.Member(daemon="d1"), peers=lambda: [holder], get=lambda _: holder
+    )
+    keyed = object.__new__(KeyedCalls)
+    keyed._channels, keyed._members, keyed._metrics = Channels(), members, Metrics()
+    request = SimpleNamespace(method="POST", headers={})
+    call = SimpleNamespace(
+        request_id="r",
+        service="s",
+        path_and_query="/",
+        request=request,
+        body=b"",
+        deadline=Deadline.after_ms(WAIT_S * 1000),
+    )
+
+    async def run():
+        replies = []
+        for _ in range(2):
+            replies.append(await keyed._call_holder(holder, "key", call))
+        return replies
+
+    async def outer():
+        task = asyncio.create_task(run())
+        await asyncio.wait({task})
+        context.replies = None if task.cancelled() else task.result()
+
+    asyncio.run(outer())
+
+
+@then("it is sent again and answered")
+def step_check_keyed(context):
+    assert context.replies is not None, "the call was cancelled"
+    assert any(reply is not None for reply in context.replies)
+
+
+@given("an attempt whose connection is lost during a failover that is not answered")
+def step_lost_in_failover(context):
+    sent = []
+
+    async def messages():
+        sent.append(None)
+        await asyncio.sleep(3 * TICK_S)
+        if len(sent) > 1:
+            yield answer_message(end=True)
+
+    async def fail_over():
+        await asyncio.sleep(WAIT_S)
+        return False
+
+    async def run():
+        client, _ = build_client(messages)
+        connected = iter((True, False))
+
+        async def connect(address, deadline):
+            return next(connected, True)
+
+        client._channels.connect = connect
+        # The path works again 200 ms after the loss.
+        loop = asyncio.get_running_loop()
+        address = guard_view().peer_address
+        loop.call_later(10 * TICK_S, client._repeat_unanswered, address)
+        request = attempt_request(lambda: True, fail_over)
+        async with client.send(guard_view(), request) as (first, _):
+            return first
+
+    context.first = asyncio.run(run())
+
+
+@given("a guard that responds again {pause_ms:d} ms after the end of an attempt")
+def step_unreachable_guard(context, pause_ms):
+    class Channels:
+        told = False
+
+        def guard(self, address):
+            return self
+
+        async def End(self, message, timeout):  # noqa: N802, ASYNC109
+            if not back.has_passed():
+                await asyncio.sleep(timeout)
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.DEADLINE_EXCEEDED,
+                    grpc.aio.Metadata(),
+                    grpc.aio.Metadata(),
+                )
+            self.told = True
+
+    async def run():
+        channels = Channels()
+        ender = AttemptEnder(channels, _Paths())
+        ender.end("127.0.0.1:1", attempt_head().attempt)
+        await asyncio.sleep(pause_ms / 1000 + 1)
+        return channels.told
+
+    back = Deadline.after_ms(pause_ms)
+    context.told = asyncio.run(run())
+
+
+@then("it is told of the end")
+def step_check_told(context):
+    assert context.told
+
+
+@given("a hold that was answered, and {count:d} lookups since with answers of 8 kB")
+def step_answered_hold(context, count):
+    async def run():
+        guard = _ModelGuard([answer_message(end=True, body=bytes(8 * 1024))])
+        for number in range(count + 1):
+            head = attempt_head(SEQUENCE + number)
+            head.low_water_sequence = SEQUENCE
+            head.idempotent = number > 0
+            async with aclosing(guard.serve_attempt(head, b"")) as replies:
+                async for _ in replies:
+                    pass
+        return guard
+
+    context.guard = asyncio.run(run())
+
+
+@when("the outcome of the hold is queried")
+def step_query_hold(context):
+    context.settled = context.guard.attempts.settle(attempt_head().attempt)
+
+
+@then("the guard still has its answer")
+def step_check_settled(context):
+    assert context.settled.HasField("reply"), context.settled
