Drop the reply of an attempt that a failover has replaced

What a caller could see: two answers on one connection, the streamed reply of the replaced attempt and then that of the failover. Cause: found in review; since the reply of a replaced attempt was returned. Result: 'The answer of a failover is not followed by that of the attempt it replaces' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -225,7 +225,9 @@
                 return None
             if request.reserve_failover():
                 first, is_replaced = await race_failover(request, copies)
-                if is_replaced or first is not None:
+                if is_replaced:
+                    return None
+                if first is not None:
                     return first
                 continue
             pause = _earlier(
