Settle and end only attempts of the same process of the entry

Cause: found in review. A query or an end that a former process of an entry had sent, and that arrived late, was applied to the attempt with the same number of the new process and fenced it while it waited for a slot. Result: 'The end of an attempt of a former process does not refuse that of the new one' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -228,10 +228,11 @@
         if attempt_id.guard_incarnation != self._guard_incarnation:
             return peer_pb2.SettleReply(verdict=peer_pb2.SETTLE_VERDICT_GUARD_GONE)
         record = self._entry_record(attempt_id)
+        if attempt_id.entry_incarnation < record.incarnation:
+            return peer_pb2.SettleReply(verdict=peer_pb2.SETTLE_VERDICT_STARTED)
         attempt = record.attempts.get(attempt_id.sequence)
         if attempt is None:
-            ended = attempt_id.sequence < record.low_water
-            if ended or attempt_id.entry_incarnation < record.incarnation:
+            if attempt_id.sequence < record.low_water:
                 return peer_pb2.SettleReply(verdict=peer_pb2.SETTLE_VERDICT_STARTED)
             attempt = self._add_attempt(record, attempt_id.sequence)
         return attempt.settle()
