End the streams of a run that is ended before it has begun

Cause: found in review. A task that is cancelled before its first step runs none of its code, so the run never recorded its end: its stream waited until its deadline, and repeats attached to the ended run. Result: 'A run that is ended before it has begun ends its streams' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -53,6 +53,8 @@
         self._stream_count = 0
         self._waiters: list[asyncio.Future] = []
         self._task = asyncio.create_task(self._collect(replies))
+        # A task that is cancelled before its first step runs none of its code.
+        self._task.add_done_callback(self._handle_end)
 
     @property
     def can_attach(self) -> bool:
@@ -106,9 +108,10 @@
                     await self._wait_until_taken()
         except Exception as error:
             get_logger().error("running an attempt failed", reason=repr(error))
-        finally:
-            self._has_ended = True
-            self._notify()
+
+    def _handle_end(self, _: asyncio.Task) -> None:
+        self._has_ended = True
+        self._notify()
 
     def _keep(self, reply: peer_pb2.CallReply) -> None:
         self._kept.append(reply)
--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -254,6 +254,11 @@
         while self.cached_reply_bytes > MAX_CACHED_REPLY_BYTES:
             self._evict_reply(next(iter(self._attempts_with_reply.values())))
 
+    def end_run(self, attempt: Attempt) -> None:
+        """Record that the run of an attempt has ended, with or without a reply."""
+        attempt.run = None
+        self.end(attempt, None)
+
     def prune_departed_entries(self, present: Container[str]) -> None:
         """Remove the attempts of departed entries, keeping their low-water marks.
 
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -146,6 +146,7 @@
             attempt = self.attempts.admit(head)
             replies = self._run_recorded(attempt, head, body)
             attempt.run = self.runs.start(head.attempt, replies)
+            attempt.run.on_end(lambda _: self.attempts.end_run(attempt))
             return attempt.run
         if attempt.run is None or not attempt.run.can_attach:
             raise AttemptRefused(attempt.repeat_reply())
@@ -174,7 +175,6 @@
                 if attempt.state is AttemptState.SENT:
                     _log_cut(attempt, head, admitted_at_s, last_reply is not None)
                 self.attempts.end(attempt, _cacheable_reply(head, last_reply))
-                attempt.run = None
 
     def refuse_waiting_attempts(self) -> None:
         """Refuse the attempts that wait for a slot; they can run elsewhere."""
