Keep the runs of an entry whose restart the members do not know yet

A guard that knew only the former process of an entry ended the runs of the new one after a second without a stream. Result: 'A run of an entry whose restart is not known yet goes on' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -182,12 +182,14 @@
     deadline = run.orphan_deadline
     if deadline is None or not deadline.has_passed():
         return False
-    entry = members.get(run.attempt_id.entry)
-    return (
-        entry is None
-        or entry.incarnation != run.attempt_id.entry_incarnation
-        or not is_present(entry)
+    entry, incarnation = (
+        members.get(run.attempt_id.entry),
+        run.attempt_id.entry_incarnation,
     )
+    if entry is None or entry.incarnation > incarnation:
+        return True
+    # The members may not know a new process yet.
+    return entry.incarnation == incarnation and not is_present(entry)
 
 
 def _is_last(reply: peer_pb2.CallReply) -> bool:
