Keep the answers of calls that may run once apart from those that may run again

What callers could see: 504 for a hold that had been answered, since the guard no longer had its answer when the entry settled it. Cause: found in review. Since the guard stores the answers of all calls, and 128 answers of 8 kB displaced that of a hold. Change: answers that only a repeat needs have a store of their own, of 256 KiB. Result: 'Answers to calls that may run again do not displace that of a call that may not' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -20,6 +20,9 @@
 __all__ = ["Attempt", "AttemptState", "AttemptTable"]
 
 MAX_CACHED_REPLY_BYTES = 1024 * 1024
+#: For replies that only a repeat of their attempt needs, some round trips later:
+#: refusals, and responses to calls that may run again.
+MAX_REPEATABLE_REPLY_BYTES = 256 * 1024
 MAX_ATTEMPTS_PER_ENTRY = 4096
 MAX_ENTRIES = 10_000
 OBJECT_OVERHEAD_BYTES = 512
@@ -93,7 +96,7 @@
     def repeat_reply(self) -> peer_pb2.CallReply:
         """Return the reply to a repeat that cannot attach to a run."""
         if self.state is AttemptState.FENCED:
-            return refused_reply(peer_pb2.NOT_RUN_REASON_FENCED)
+            return self.reply or refused_reply(peer_pb2.NOT_RUN_REASON_FENCED)
         if self.state is not AttemptState.ENDED:
             return unknown_reply(peer_pb2.UNKNOWN_REASON_FENCED)
         return self.reply or unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
@@ -104,7 +107,8 @@
         if self.state is AttemptState.SENT:
             return peer_pb2.SettleReply(verdict=peer_pb2.SETTLE_VERDICT_RUNNING)
         if self.state is AttemptState.FENCED:
-            return _not_run_verdict(refused_reply(peer_pb2.NOT_RUN_REASON_FENCED))
+            fenced = refused_reply(peer_pb2.NOT_RUN_REASON_FENCED)
+            return _not_run_verdict(self.reply or fenced)
         if self.reply is None:
             return peer_pb2.SettleReply(verdict=peer_pb2.SETTLE_VERDICT_STARTED)
         if self.reply.HasField("not_run"):
@@ -122,6 +126,32 @@
     return reply.ByteSize() + OBJECT_OVERHEAD_BYTES
 
 
+class _ReplyStore:
+    """The replies of attempts that have ended, up to a total size.
+
+    :ivar size_bytes: total size of the replies.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.size_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._attempts: OrderedDict[int, Attempt] = OrderedDict()
+
+    def add(self, attempt: Attempt, reply: peer_pb2.CallReply) -> None:
+        """Store the reply of an attempt, and remove the oldest above the limit."""
+        attempt.reply = reply
+        self._attempts[id(attempt)] = attempt
+        self.size_bytes += _reply_size_bytes(reply)
+        while self.size_bytes > self._limit_bytes:
+            self.remove(next(iter(self._attempts.values())))
+
+    def remove(self, attempt: Attempt) -> None:
+        """Remove the reply of an attempt, if it is stored here."""
+        if self._attempts.pop(id(attempt), None) is not None:
+            self.size_bytes -= _reply_size_bytes(attempt.reply)
+            attempt.reply = None
+
+
 @attrs.define(eq=False)
 class _EntryRecord:
     """The attempts of one incarnation of an entry.
@@ -170,14 +200,18 @@
     """The attempts that a guard has received, in bounded memory.
 
     :param guard_incarnation: incarnation of this guard, which attempts must name.
-    :ivar cached_reply_bytes: total size in bytes of the replies cached for settling.
     """
 
     def __init__(self, guard_incarnation: int) -> None:
         self._guard_incarnation = guard_incarnation
         self._entries: OrderedDict[str, _EntryRecord] = OrderedDict()
-        self._attempts_with_reply: OrderedDict[int, Attempt] = OrderedDict()
-        self.cached_reply_bytes = 0
+        self._replies = _ReplyStore(MAX_CACHED_REPLY_BYTES)
+        self._repeatable_replies = _ReplyStore(MAX_REPEATABLE_REPLY_BYTES)
+
+    @property
+    def cached_reply_bytes(self) -> int:
+        """Return the total size in bytes of the stored replies."""
+        return self._replies.size_bytes + self._repeatable_replies.size_bytes
 
     def admit(self, head: peer_pb2.CallHead) -> Attempt:
         """Register a new attempt.
@@ -237,22 +271,28 @@
             attempt = self._add_attempt(record, attempt_id.sequence)
         return attempt.settle()
 
-    def end(self, attempt: Attempt, reply: peer_pb2.CallReply | None) -> None:
-        """Record the end of an attempt and cache its reply.
+    def end(
+        self,
+        attempt: Attempt,
+        reply: peer_pb2.CallReply | None,
+        may_run_again: bool = False,
+    ) -> None:
+        """Record the end of an attempt and store its reply.
 
         :param reply: its refusal or small complete response; None if it has neither.
+        :param may_run_again: the entry can do without the reply.
         """
         attempt.fence()
-        if attempt.state is not AttemptState.SENT:
+        if attempt.state is AttemptState.SENT:
+            attempt.state = AttemptState.ENDED
+        is_kept = reply is not None and not reply.HasField("unknown")
+        if not is_kept or attempt.reply is not None:
             return
-        attempt.state = AttemptState.ENDED
-        if reply is None or reply.HasField("unknown"):
-            return
-        attempt.reply = reply
-        self._attempts_with_reply[id(attempt)] = attempt
-        self.cached_reply_bytes += _reply_size_bytes(reply)
-        while self.cached_reply_bytes > MAX_CACHED_REPLY_BYTES:
-            self._evict_reply(next(iter(self._attempts_with_reply.values())))
+        is_refusal = attempt.state is AttemptState.FENCED
+        store = self._repeatable_replies
+        if not (is_refusal or may_run_again):
+            store = self._replies
+        store.add(attempt, reply)
 
     def end_run(self, attempt: Attempt) -> None:
         """Record that the run of an attempt has ended, with or without a reply."""
@@ -297,10 +337,5 @@
         """End attempts whose outcome their entry no longer needs."""
         for attempt in attempts:
             attempt.cancel()
-            if id(attempt) in self._attempts_with_reply:
-                self._evict_reply(attempt)
-
-    def _evict_reply(self, attempt: Attempt) -> None:
-        self._attempts_with_reply.pop(id(attempt))
-        self.cached_reply_bytes -= _reply_size_bytes(attempt.reply)
-        attempt.reply = None
+            self._replies.remove(attempt)
+            self._repeatable_replies.remove(attempt)
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -174,7 +174,7 @@
             finally:
                 if attempt.state is AttemptState.SENT:
                     _log_cut(attempt, head, admitted_at_s, last_reply is not None)
-                self.attempts.end(attempt, _cacheable_reply(head, last_reply))
+                self._store_reply(attempt, head, last_reply)
 
     def refuse_waiting_attempts(self) -> None:
         """Refuse the attempts that wait for a slot; they can run elsewhere."""
@@ -324,7 +324,15 @@
     ) -> None:
         """Record the end of the attempt before the entry reads its last reply."""
         if reply.end or reply.HasField("not_run") or reply.HasField("unknown"):
-            self.attempts.end(attempt, _cacheable_reply(head, reply))
+            self._store_reply(attempt, head, reply)
+
+    def _store_reply(
+        self,
+        attempt: Attempt,
+        head: peer_pb2.CallHead,
+        reply: peer_pb2.CallReply | None,
+    ) -> None:
+        self.attempts.end(attempt, _cacheable_reply(head, reply), head.idempotent)
 
     def _get_available_target(self, head: peer_pb2.CallHead) -> LocalTarget:
         """Return the target of an attempt.
