Let an entry end runs that its guard has too many attempts on record to remember

Cause: found in review. A guard keeps 4,096 attempts of an entry; older ones were removed from the record with their runs, which neither the end of the attempt nor the low-water mark reached any more, so they ran on after their callers had left. Change: runs in progress stay on record; their number is bounded by slots and queues. Result: 'An attempt is ended although its entry has made many attempts since' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -158,11 +158,13 @@
 
     :ivar incarnation: incarnation number of the entry's process.
     :ivar low_water: low-water mark; lower sequence numbers are treated as ended.
+    :ivar entry_mark: the mark that the entry has given; the other one may be higher.
     :ivar attempts: recorded attempts by sequence number.
     """
 
     incarnation: int
     low_water: int = 0
+    entry_mark: int = 0
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
 
     def advance_low_water(self, sequence: int) -> list[Attempt]:
@@ -173,19 +175,31 @@
         :param sequence: the new mark; a mark that is not higher has no effect.
         :returns: the removed attempts.
         """
-        if sequence <= self.low_water:
+        if sequence <= self.entry_mark:
             return []
-        self.low_water = sequence
-        numbers = [number for number in self.attempts if number < sequence]
+        self.entry_mark = sequence
+        self.low_water = max(self.low_water, sequence)
+        return self._remove_below(sequence)
+
+    def _remove_below(self, sequence: int, keep_runs: bool = False) -> list[Attempt]:
+        numbers = [
+            number
+            for number, attempt in self.attempts.items()
+            if number < sequence and not (keep_runs and attempt.run is not None)
+        ]
         removed = [self.attempts.pop(number) for number in numbers]
         for attempt in removed:
             attempt.fence()
         return removed
 
     def evict_older_half(self) -> None:
-        """Advance the low-water mark past the older half of the attempts."""
+        """Advance the low-water mark past the older half of the attempts.
+
+        Runs in progress stay on record, so that their entry can end them.
+        """
         numbers = sorted(self.attempts)
-        self.advance_low_water(numbers[len(numbers) // 2])
+        self.low_water = max(self.low_water, numbers[len(numbers) // 2])
+        self._remove_below(self.low_water, keep_runs=True)
 
     def prune_if_idle(self) -> None:
         """Remove all attempts but keep the low-water mark, if none is in flight."""
