Keep reading the former copies when a guard no longer has the answer of a run

What callers could see: 504 for a call whose answer was on its way over a slow connection. A repeat that arrived after the end of a run whose answer is not stored (over 64 KiB, or displaced) got 'unknown connection_lost', which the entry took for the outcome although the former copy still delivered. Change: the guard names the reason 'answer not kept'; it ends the attempt only when no other copy can deliver. Result: 'The refusal of a repeat does not replace an answer that is still on its way' failed before and passes; attemptclient.feature has rows for this reply.

--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -25,6 +25,12 @@
     {peer_pb2.NOT_RUN_REASON_NOT_CONNECTED, peer_pb2.NOT_RUN_REASON_FENCED}
 )
 
+#: The guard runs the attempt, or has run it, for another copy, which may still deliver
+#: the replies.
+RUN_FOR_ANOTHER_REASONS = frozenset(
+    {peer_pb2.UNKNOWN_REASON_FENCED, peer_pb2.UNKNOWN_REASON_ANSWER_NOT_KEPT}
+)
+
 ReplyStream = AsyncIterator[peer_pb2.CallReply]
 
 
@@ -124,6 +130,7 @@
         self._open: list[ReplyReader] = []
         self._news = asyncio.Event()
         self._is_repeat_due = False
+        self._has_run_ended = False
         self.send()
 
     @property
@@ -139,8 +146,9 @@
     @property
     def can_repeat(self) -> bool:
         """Return whether another copy can be sent."""
-        is_unsettled = self.answered is None and not self.is_over
-        return self._is_repeatable and is_unsettled and len(self.readers) < MAX_COPIES
+        is_unsettled = self.answered is None and not self._has_run_ended
+        is_repeatable = self._is_repeatable and not self.is_over
+        return is_repeatable and is_unsettled and len(self.readers) < MAX_COPIES
 
     def send(self) -> None:
         """Send a copy."""
@@ -215,7 +223,7 @@
             return True
         if reply.HasField("not_run"):
             return reply.not_run.reason not in NOT_ADMITTED_REASONS
-        return reply.unknown.reason != peer_pb2.UNKNOWN_REASON_FENCED
+        return reply.unknown.reason not in RUN_FOR_ANOTHER_REASONS
 
     def _record_loss(
         self, reader: ReplyReader, reply: peer_pb2.CallReply | None
@@ -230,6 +238,10 @@
             self.readers.remove(reader)
         elif reply.not_run.reason == peer_pb2.NOT_RUN_REASON_FENCED:
             self.is_over = True
+        elif reply.unknown.reason == peer_pb2.UNKNOWN_REASON_ANSWER_NOT_KEPT:
+            self._has_run_ended = True
+        if self._has_run_ended and self.is_lost:
+            self.is_over = True
 
 
 def _is_last(reply: peer_pb2.CallReply) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/attempttable.py
+++ b/packages/laburnumscale/src/laburnumscale/attempttable.py
@@ -99,7 +99,7 @@
             return self.reply or refused_reply(peer_pb2.NOT_RUN_REASON_FENCED)
         if self.state is not AttemptState.ENDED:
             return unknown_reply(peer_pb2.UNKNOWN_REASON_FENCED)
-        return self.reply or unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+        return self.reply or unknown_reply(peer_pb2.UNKNOWN_REASON_ANSWER_NOT_KEPT)
 
     def settle(self) -> peer_pb2.SettleReply:
         """Return the outcome of the attempt; fence it if it is still waiting."""
--- a/tests/features/attemptclient.feature
+++ b/tests/features/attemptclient.feature
@@ -23,19 +23,21 @@
     Then the outcome of the attempt is <outcome>
 
     Examples:
-      | reply                 | outcome  |
-      | not_run not_connected | answered |
-      | unknown fenced        | answered |
-      | not_run fenced        | refuted  |
-      | not_run overloaded    | refused  |
+      | reply                   | outcome  |
+      | not_run not_connected   | answered |
+      | unknown fenced          | answered |
+      | unknown answer_not_kept | answered |
+      | not_run fenced          | refuted  |
+      | not_run overloaded      | refused  |
 
   Scenario Outline: A repeated attempt is not run only if the guard of the first copy says so: <reply>
     Given an attempt whose connection is lost, and a repeat answered with <reply>
     Then the outcome of the attempt is <outcome>
 
     Examples:
-      | reply                 | outcome |
-      | not_run not_connected | lost    |
-      | unknown fenced        | lost    |
-      | not_run fenced        | refuted |
-      | not_run overloaded    | refused |
+      | reply                   | outcome |
+      | not_run not_connected   | lost    |
+      | unknown fenced          | lost    |
+      | unknown answer_not_kept | refuted |
+      | not_run fenced          | refuted |
+      | not_run overloaded      | refused |
