Let any stream of a run carry it on, not only the newest

What callers could see: a download that stalls after 64 kB until its deadline. Cause: found in review. The run waited for the newest stream, which may be the one on a silent connection; the cancellation by the entry does not reach the guard there. Change: the run waits until one stream has taken each reply. A stream that falls behind is kept up for 1.25 MiB, as a silent connection takes up to 1 MiB (flow control) ahead of one that delivers; a single stream needs 256 KiB as before.

--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -19,6 +19,9 @@
 
 #: Replies of a run that are kept, so that a stream that attaches later gets them, too.
 MAX_KEPT_BYTES = 256 * 1024
+#: Replies that are kept for a stream that falls behind the others. A connection that
+#: delivers nothing any more takes as much as its flow control allows, which is 1 MiB.
+MAX_LAG_BYTES = 1280 * 1024
 #: How often runs are checked for an entry that has left the membership.
 ORPHAN_CHECK_INTERVAL_S = 0.5
 #: Time without a stream after which the run of an absent entry is ended. The entry may
@@ -31,8 +34,8 @@
 class AttemptRun:
     """The run of one attempt, to which the streams that deliver its replies attach.
 
-    The run waits until the newest stream has taken each reply. An older stream may
-    belong to a connection that delivers nothing any more; it ends if it falls behind.
+    The run waits until one stream has taken each reply. The others may belong to
+    connections that deliver nothing any more; they end if they fall far behind.
 
     :param attempt_id: ID of the attempt, which names its entry.
     :param replies: runs the attempt and yields its replies.
@@ -120,23 +123,24 @@
         self._notify()
 
     async def _wait_until_taken(self) -> None:
-        """Wait until the newest stream has taken all replies.
+        """Wait until one of the streams has taken all replies.
 
         The last reply need not be taken if no stream is attached.
         """
-        while self._newest_position() < self._dropped + len(self._kept):
+        while self._furthest_position() < self._dropped + len(self._kept):
             if self._is_complete and not self._positions:
                 return
             await self._wait_for_change()
         self._drop_taken()
 
-    def _newest_position(self) -> int:
-        if not self._positions:
-            return self._dropped
-        return self._positions[max(self._positions)]
+    def _furthest_position(self) -> int:
+        return max(self._positions.values(), default=self._dropped)
 
     def _drop_taken(self) -> None:
-        while self.kept_bytes > MAX_KEPT_BYTES:
+        last_position = min(self._positions.values(), default=self._dropped)
+        while self.kept_bytes > MAX_LAG_BYTES or (
+            self.kept_bytes > MAX_KEPT_BYTES and self._dropped < last_position
+        ):
             self.kept_bytes -= self._kept.popleft().ByteSize()
             self._dropped += 1
 
