Check the path of an attempt as long as it has no reply

Cause: the path was checked once, 0.1 s after the start of an attempt. Change: it is checked again 0.4 s after the start and then after twice the time each, so a silent connection is replaced and the attempt sent again while its target works. Result: 'A connection that goes silent during a run is noticed' and, with real daemons, 'An entry notices that a connection falls silent while a lookup runs' failed before and pass.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -31,7 +31,10 @@
 __all__ = ["AttemptClient", "AttemptRequest", "race_failover"]
 
 CONNECT_TIMEOUT_SHARE = 0.25
-PATH_CHECK_INTERVAL_MS = 100  # detecting a broken path takes about 0.5 s
+REPLY_WAIT_MS = 100  # between looks at the path, the budget and other endpoints
+#: Time after which the path of an unanswered attempt is checked again. A further check
+#: follows after twice that time, and so on.
+FIRST_RECHECK_S = 0.4
 SETTLE_INTERVAL_MS = 100
 #: Interval while the attempt runs and the path to its guard works: the reply then
 #: arrives by itself.
@@ -70,6 +73,32 @@
     answer_started: Callable[[], bool]
 
 
+class _PathChecks:
+    """Checks of the path to a guard while an attempt has no reply.
+
+    :param peer_address: address of the guard's daemon.
+    """
+
+    def __init__(self, paths: PathHealth, peer_address: str) -> None:
+        self._paths = paths
+        self._peer_address = peer_address
+        self._timer: asyncio.TimerHandle | None = None
+
+    def schedule(self, delay_s: float) -> None:
+        """Check the path after a delay, and then after twice the delay each time."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._check, delay_s)
+
+    def cancel(self) -> None:
+        """Make no further checks."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check(self, delay_s: float) -> None:
+        self._paths.start_check(self._peer_address)
+        self.schedule(2 * delay_s)
+
+
 class AttemptClient:
     """Sends the attempts of one entry to guards."""
 
@@ -163,12 +192,16 @@
     def _watch_connection(
         self, view: EndpointView, copies: AttemptCopies
     ) -> Iterator[None]:
-        """Repeat the attempt if its connection is replaced meanwhile."""
+        """Check the path meanwhile, and repeat the attempt on a new connection."""
         unanswered = self._unanswered.setdefault(view.peer_address, set())
         unanswered.add(copies)
+        checks = _PathChecks(self._paths, view.peer_address)
+        if not self._is_own(view):
+            checks.schedule(FIRST_RECHECK_S)
         try:
             yield
         finally:
+            checks.cancel()
             unanswered.discard(copies)
             if not unanswered:
                 self._unanswered.pop(view.peer_address, None)
@@ -230,9 +263,7 @@
                 if first is not None:
                     return first
                 continue
-            pause = _earlier(
-                Deadline.after_ms(PATH_CHECK_INTERVAL_MS), request.deadline
-            )
+            pause = _earlier(Deadline.after_ms(REPLY_WAIT_MS), request.deadline)
             if copies.is_lost:
                 await asyncio.sleep(pause.left_s())
                 copies.repeat()
