Send an attempt again whose copies are lost while a failover runs

Cause: found in review. Once all copies of an attempt were lost, only the failover was awaited, although the guard may have been running the attempt and be reachable again. And an attempt whose copies were lost ended when other members took its guard for dead, which is doubt; only what the guard or its host says ends it now. Result: 'An attempt whose copies are lost is repeated while a failover runs' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -23,7 +23,6 @@
 from laburnumscale.guard import Guard
 from laburnumscale.guardclocks import GuardClocks
 from laburnumscale.logs import get_logger
-from laburnumscale.memberentries import is_present
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
@@ -275,13 +274,14 @@
     async def _has_ended(self, view: EndpointView) -> bool:
         """Return whether the process of a guard has ended, whose connection was lost.
 
-        Its host refuses connections then, or the members know another process of it.
+        Its host refuses connections then, or it has said itself that it leaves, or that
+        it has started again. A suspicion of other members says nothing.
         """
         guard = self._members.get(view.daemon)
         if (
             guard is None
-            or guard.incarnation != view.incarnation
-            or not is_present(guard)
+            or guard.incarnation > view.incarnation
+            or guard.state == peer_pb2.MEMBER_STATE_LEFT
         ):
             return True
         return await self._channels.is_refused(view.peer_address)
@@ -360,7 +360,7 @@
 
     :returns: the reply if one has arrived, and whether the failover was answered first.
     """
-    reading = asyncio.create_task(copies.read_first(request.deadline))
+    reading = asyncio.create_task(_read_with_repeats(copies, request.deadline))
     failing_over = asyncio.create_task(request.fail_over())
     tasks = {reading, failing_over}
     try:
@@ -377,6 +377,20 @@
         await asyncio.wait(tasks)
 
 
+async def _read_with_repeats(
+    copies: AttemptCopies, deadline: Deadline
+) -> peer_pb2.CallReply | None:
+    """Return the first reply; send the attempt again when all copies are lost."""
+    first = await copies.read_first(deadline)
+    while first is None and copies.can_repeat and not deadline.has_passed():
+        await asyncio.sleep(
+            _earlier(Deadline.after_ms(REPLY_WAIT_MS), deadline).left_s()
+        )
+        copies.repeat()
+        first = await copies.read_first(deadline)
+    return first
+
+
 def _is_success(reply: peer_pb2.CallReply | None) -> bool:
     has_answer = reply is not None and reply.HasField("head")
     return has_answer and reply.head.status < SERVER_ERROR
