Limit the checks of one path that unanswered attempts ask for

Each attempt without a reply asks for checks of its own; a path that was found to work less than 0.3 s ago is not checked again for them. Result: 40 attempts within 200 ms cause one check ('Many attempts without a reply cause few checks of one path').

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -325,6 +325,7 @@
             on_silence=lambda listener: None,
             schedule_check=lambda address: None,
             start_check=lambda address: None,
+            recheck=lambda address: None,
         )
         settler = _ModelSettler()
         settler.guards = self._guards
--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -94,7 +94,7 @@
             self._timer.cancel()
 
     def _check(self, delay_s: float) -> None:
-        self._paths.start_check(self._peer_address)
+        self._paths.recheck(self._peer_address)
         self.schedule(2 * delay_s)
 
 
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -11,7 +11,7 @@
 import grpc
 
 from laburnumscale.channels import PeerChannels
-from laburnumscale.deadlines import MS_PER_S, Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
@@ -26,6 +26,9 @@
 NEW_CONNECTION_DELAY_S = 0.08
 CHECK_INTERVAL_S = 0.5
 MAX_INCONCLUSIVE_CHECKS = 2
+#: However many attempts wait for replies of a peer.
+MIN_RECHECK_INTERVAL_S = 0.3
+MAX_CONFIRMED_PATHS = 256
 #: Higher than any revision, so that the reply to a check carries no settings.
 FUTURE_REVISION = 2**63
 
@@ -43,6 +46,7 @@
         self._metrics = metrics
         self._broken: set[str] = set()
         self._checks: dict[str, asyncio.Task] = {}
+        self._confirmed_at_s: dict[str, float] = {}
         self._listeners: list[Callable[[str], None]] = []
         self._silence_listeners: list[Callable[[str], None]] = []
 
@@ -76,12 +80,23 @@
             task = asyncio.create_task(self._check(peer_address))
             self._checks[peer_address] = task
 
+    def recheck(self, peer_address: str) -> None:
+        """Check a path, unless a check has found it to work a moment ago."""
+        if now_s() - self._confirmed_at_s.get(peer_address, 0) > MIN_RECHECK_INTERVAL_S:
+            self.start_check(peer_address)
+
+    def _record_confirmed(self, peer_address: str) -> None:
+        if len(self._confirmed_at_s) >= MAX_CONFIRMED_PATHS:
+            self._confirmed_at_s.clear()
+        self._confirmed_at_s[peer_address] = now_s()
+
     async def _check(self, peer_address: str) -> None:
         try:
             while not await self._is_reachable(peer_address):
                 self._set_broken(peer_address)
                 self._channels.replace_channel(peer_address)
                 await asyncio.sleep(CHECK_INTERVAL_S)
+            self._record_confirmed(peer_address)
             if peer_address in self._broken:
                 self._set_recovered(peer_address)
                 self._notify_replaced(peer_address)
--- a/tests/features/attempt_runs.feature
+++ b/tests/features/attempt_runs.feature
@@ -85,3 +85,9 @@
     Given a guard that never replies to the ends of attempts
     When an entry ends 3 attempts at it
     Then nothing is left to be told
+
+  Scenario: Many attempts without a reply cause few checks of one path
+    Given a guard that responds to checks of its path
+    When 40 attempts ask for another check of it within 200 ms
+    Then it gets 1 check
+    And one more when an attempt asks 400 ms later
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -81,6 +81,9 @@
     def start_check(self, address):
         self.checks += 1
 
+    def recheck(self, address):
+        self.checks += 1
+
     def schedule_check(self, address):
         self.checks += 1
         return asyncio.get_running_loop().call_later(0, lambda: None)
--- a/tests/features/steps/attempt_runs_steps.py
+++ b/tests/features/steps/attempt_runs_steps.py
@@ -13,6 +13,7 @@
 from laburnumscale.guard import Guard
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.metrics import Metrics
+from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
 
 ENTRY = "d1"
@@ -538,3 +539,48 @@
 @then("nothing is left to be told")
 def step_check_nothing_left(context):
     assert context.left == 0, context.left
+
+
+class _CountedChecks:
+    """Channels to a guard that responds to checks of its path."""
+
+    def __init__(self):
+        self.count = 0
+
+    def peer(self, address):
+        return self
+
+    async def FetchSettings(self, request, timeout):  # noqa: N802, ASYNC109
+        self.count += 1
+
+
+@given("a guard that responds to checks of its path")
+def step_create_responding_guard(context):
+    context.counted_checks = _CountedChecks()
+
+
+@when("{count:d} attempts ask for another check of it within {span_ms:d} ms")
+def step_ask_for_checks(context, count, span_ms):
+    async def ask():
+        paths = PathHealth(context.counted_checks, Metrics())
+        for _ in range(count):
+            paths.recheck("peer")
+            await asyncio.sleep(span_ms / count / 1000)
+        first_count = context.counted_checks.count
+        await asyncio.sleep(0.4)
+        paths.recheck("peer")
+        await asyncio.sleep(STEP_S)
+        return first_count, context.counted_checks.count
+
+    context.check_counts = asyncio.run(ask())
+
+
+@then("it gets {count:d} check")
+def step_check_first_count(context, count):
+    assert context.check_counts[0] == count, context.check_counts
+
+
+@then("one more when an attempt asks 400 ms later")
+def step_check_second_count(context):
+    first, second = context.check_counts
+    assert second == first + 1, context.check_counts
