Take a call on a closed channel for lost, not for given up by its caller

What callers could see: a keyed call that ended without an answer, and with it all repeats that waited for the same operation. Cause: found in review. gRPC raises CancelledError in the calls of a channel that is closed, as if the waiting task had been cancelled. Change: keyed calls, hand-overs, queries, checks and ends of attempts turn it into the error of an unavailable peer, unless their own task is cancelled. Result: 'A keyed call goes on when its channel is closed' failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/attemptender.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptender.py
@@ -10,7 +10,7 @@
 import attrs
 import grpc
 
-from laburnumscale.channels import PeerChannels
+from laburnumscale.channels import PeerChannels, closed_as_unavailable
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.logs import get_logger
 from laburnumscale.pathhealth import PathHealth
@@ -136,7 +136,8 @@
             attempts=[requests.pending[number].attempt_id for number in sequences]
         )
         try:
-            await stub.End(message, timeout=timeout_s)
+            with closed_as_unavailable():
+                await stub.End(message, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
             # An older guard ends its runs with their streams.
             if error.code() != grpc.StatusCode.UNIMPLEMENTED:
--- a/packages/laburnumscale/src/laburnumscale/attemptsettler.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptsettler.py
@@ -9,7 +9,7 @@
 import grpc
 
 from laburnumscale.attempttable import AttemptTable
-from laburnumscale.channels import PeerChannels
+from laburnumscale.channels import PeerChannels, closed_as_unavailable
 from laburnumscale.deadlines import Deadline
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.metrics import Metrics
@@ -107,6 +107,7 @@
         message.time_left_ms = deadline.left_ms()
         stub = self._channels.guard(address)
         try:
-            return await stub.Settle(message, timeout=deadline.left_s())
+            with closed_as_unavailable():
+                return await stub.Settle(message, timeout=deadline.left_s())
         except grpc.RpcError:
             return UNREACHABLE
--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -4,8 +4,8 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any, TypeVar
 
 import attrs
@@ -15,7 +15,7 @@
 from laburnumscale.peertraffic import CountedChannel, PeerTraffic
 from laburnumscale_schema import peer_pb2_grpc
 
-__all__ = ["FLOW_CONTROL_OPTIONS", "PeerChannels"]
+__all__ = ["FLOW_CONTROL_OPTIONS", "PeerChannels", "closed_as_unavailable"]
 
 READY = grpc.ChannelConnectivity.READY
 #: The calls on a retired channel end by their own deadlines. This bounds the time for
@@ -202,6 +202,27 @@
         return opened
 
 
+@contextmanager
+def closed_as_unavailable() -> Iterator[None]:
+    """Raise an error of the RPC if its channel is closed.
+
+    gRPC cancels the calls on a channel that is closed, as if the task were cancelled
+    that awaits them.
+
+    :raises grpc.aio.AioRpcError: the channel was closed; the call may have run.
+    """
+    try:
+        yield
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        empty = grpc.aio.Metadata()
+        raise grpc.aio.AioRpcError(
+            grpc.StatusCode.UNAVAILABLE, empty, empty, "the channel was closed"
+        ) from None
+
+
 def _open(
     address: str, connect_timeout_ms: int = MIN_CONNECT_TIMEOUT_MS
 ) -> grpc.aio.Channel:
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -11,7 +11,7 @@
 
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
-from laburnumscale.channels import PeerChannels
+from laburnumscale.channels import PeerChannels, closed_as_unavailable
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import HandOverRefused
 from laburnumscale.failurereplies import not_run_reply, unknown_reply
@@ -127,7 +127,8 @@
             message = peer_pb2.KeyHandOver(tables=self._table.export_tables(holder))
             stub = self._channels.operation_keys(successor.peer_address)
             try:
-                await stub.HandOver(message, timeout=HAND_OVER_TIMEOUT_S)
+                with closed_as_unavailable():
+                    await stub.HandOver(message, timeout=HAND_OVER_TIMEOUT_S)
             except grpc.aio.AioRpcError as error:
                 self._metrics.count("key_hand_over_failures")
                 if not (_is_connect_failure(error) or _is_refusal(error)):
@@ -233,7 +234,8 @@
         timeout_s = message.head.time_left_ms / 1000
         stub = self._channels.operation_keys(address)
         try:
-            reply = await stub.Run(message, timeout=timeout_s)
+            with closed_as_unavailable():
+                reply = await stub.Run(message, timeout=timeout_s)
         except grpc.aio.AioRpcError:
             return None
         return None if reply == NO_REPLY else reply
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -10,7 +10,7 @@
 
 import grpc
 
-from laburnumscale.channels import PeerChannels
+from laburnumscale.channels import PeerChannels, closed_as_unavailable
 from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S
 from laburnumscale.logs import get_logger
@@ -178,7 +178,8 @@
     """Return whether a peer responds to a request that changes nothing."""
     request = peer_pb2.SettingsRequest(after_revision=FUTURE_REVISION)
     try:
-        await stub.FetchSettings(request, timeout=CHECK_TIMEOUT_S)
+        with closed_as_unavailable():
+            await stub.FetchSettings(request, timeout=CHECK_TIMEOUT_S)
     except grpc.RpcError:
         return False
     return True
