Treat closed channels alike in exchanges and fetches, and end all copies at once

The same fault as in keyed calls, in the exchanges of tables and in pushes and fetches of settings (by reading). The streams of all copies are cancelled before the first is awaited, so that a second cancellation leaves none open.

--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -187,6 +187,8 @@
 
     async def close(self) -> None:
         """End the streams of all copies."""
+        for reader in self.readers:
+            reader.cancel()
         for reader in self.readers:
             await reader.close()
 
--- a/packages/laburnumscale/src/laburnumscale/settingsreplication.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsreplication.py
@@ -11,7 +11,7 @@
 
 import grpc
 
-from laburnumscale.channels import PeerChannels
+from laburnumscale.channels import PeerChannels, closed_as_unavailable
 from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
@@ -202,8 +202,9 @@
         self._metrics.count("settings_pushes")
         started_at_s = now_s()
         try:
-            async with self._stub(address) as stub:
-                held = await stub.PushSettings(message, timeout=timeout_s)
+            with closed_as_unavailable():
+                async with self._stub(address) as stub:
+                    held = await stub.PushSettings(message, timeout=timeout_s)
         except grpc.RpcError as error:
             self._metrics.count("settings_push_failures")
             self._handle_failure("push", address, error, started_at_s)
@@ -229,8 +230,9 @@
         self._metrics.count("settings_fetches")
         started_at_s = now_s()
         try:
-            async with self._stub(address, new_connection) as stub:
-                reply = await stub.FetchSettings(request, timeout=timeout_s)
+            with closed_as_unavailable():
+                async with self._stub(address, new_connection) as stub:
+                    reply = await stub.FetchSettings(request, timeout=timeout_s)
         except grpc.RpcError as error:
             self._metrics.count("settings_fetch_failures")
             self._handle_failure("fetch", address, error, started_at_s)
--- a/packages/laburnumscale/src/laburnumscale/tableexchange.py
+++ b/packages/laburnumscale/src/laburnumscale/tableexchange.py
@@ -9,7 +9,7 @@
 import grpc
 import xxhash
 
-from laburnumscale.channels import PeerChannels
+from laburnumscale.channels import PeerChannels, closed_as_unavailable
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
 from laburnumscale.merger import EntryMerger
@@ -84,8 +84,9 @@
         self.last_started_at_s = time.monotonic()
         self._metrics.count("exchanges")
         try:
-            async with self._channels.transient_peer(address) as stub:
-                await self._run_exchange(stub, announce_self)
+            with closed_as_unavailable():
+                async with self._channels.transient_peer(address) as stub:
+                    await self._run_exchange(stub, announce_self)
         except grpc.RpcError:
             self._metrics.count("exchange_failures")
             return False
