Count the time that a share of a limit waits for a call towards the next one

Callers left capacity unused: of 120 calls that a target allowed, 73 to 83 were admitted, where at least 75 must be (target_limit_decisions.feature, 25 entries).

Cause: an entry began the interval to its next share when it sent a call, not when its share was due. With 4 calls a second, of which one in 24 goes to the target, a share waits for 6 s on average beside an interval of 21 s, so the entries together offered about three quarters of the limit. The time that a refused call had waited was lost in the same way.

Ruled out: that some endpoints are preferred, since the order is shuffled for each choice.

Change: the interval begins when the share was due, at most one interval ago. A refused call gives its share back, and the entry stays late by at most an eighth of an interval.

--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -242,9 +242,11 @@
             self._consecutive_errors.record_reply(view, reply)
         if reply.HasField("load"):
             self.load_table.record_report(view, route, reply.load)
-            self._notices.record(view, reply.load, self._count_sharers(view))
+            sharers = self._count_sharers(view)
+            self._notices.record(view, reply.load, sharers)
             if _is_overloaded(reply):
-                self._notices.record_refusal(view, reply.not_run.retry_after_ms)
+                retry_after_ms = reply.not_run.retry_after_ms
+                self._notices.record_refusal(view, retry_after_ms, sharers)
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.start_check(view.peer_address)
 
--- a/tests/features/target_limit_decisions.feature
+++ b/tests/features/target_limit_decisions.feature
@@ -38,6 +38,11 @@
     When each of them chooses a target for 4 calls a second for 60 s
     Then they choose the limited target between 36 and 144 times
 
+  Scenario: The time that a share of a limit waits for a call does not delay later shares
+    Given 1 entries that know that a target names a limit of 1.2 calls a second
+    When each of them chooses a target for 2 calls a second for 60 s
+    Then they choose the limited target between 66 and 78 times
+
   Scenario: An entry forgets a limit when the guard publishes that it has ended
     Given 1 entries that know that a target names a limit of 1.2 calls a second
     When the guard publishes a later verdict without a limit
