--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -90,7 +90,12 @@
         shared = self._build_shared_parts(target_session, log_session)
         gossip = build_gossip(shared)
         await gossip.join()
-        get_logger().info("daemon started", incarnation=shared.members.own.incarnation)
+        own = shared.members.own
+        get_logger().info(
+            "daemon started",
+            incarnation=own.incarnation,
+            peer_address=own.peer_address,
+        )
         guard_role = build_guard_role(shared)
         settings_role = build_settings_role(shared)
         entry_role = build_entry_role(shared, guard_role)
