--- a/bench/attemptends.py
+++ b/bench/attemptends.py
@@ -262,8 +262,7 @@
     results = [(each["endpoint"], each["result"]) for each in call.fields["attempts"]]
     own = [index for index, result in enumerate(results) if result[0] == endpoint]
     if not own:
-        is_cut_off = call.fields["reason"] == "draining"
-        return END_OF_DRAIN if is_cut_off else OTHER
+        return _find_cause_of_cancellation(call)
     own_result = results[own[-1]][1]
     # An attempt is listed when it has ended: a racing one that was answered is first.
     is_replaced = any(result.startswith("answered") for _, result in results[: own[-1]])
@@ -277,6 +276,13 @@
     return next((cause for applies, cause in candidates if applies), OTHER)
 
 
+def _find_cause_of_cancellation(call: LogLine) -> str:
+    """Return why an attempt that is not listed with its call was cancelled."""
+    if call.fields["outcome"] == "answered":
+        return REPLACED
+    return END_OF_DRAIN if call.fields["reason"] == "draining" else OTHER
+
+
 def _describe_result(call: LogLine | None) -> str:
     if call is None:
         return ""
