--- a/bench/attemptends.py
+++ b/bench/attemptends.py
@@ -46,6 +46,7 @@
 SILENT_CONNECTION = "silent connection"
 BROKEN_PATH = "path broken"
 CONNECTION_LOST = "connection lost"
+GUARD_ENDED = "guard ended"
 ANSWER_UNFINISHED = "answer not finished"
 OTHER = "other"
 #: Ends that need no other answer: nobody waits for it any more, or it exists.
@@ -269,7 +270,8 @@
     candidates = (
         (is_replaced, REPLACED),
         (own_result.startswith("answered"), ANSWER_UNFINISHED),
-        (given_up and any(given_up.fields["silent"]), SILENT_CONNECTION),
+        (given_up and given_up.fields.get("cause") == GUARD_ENDED, GUARD_ENDED),
+        (given_up and any(given_up.fields.get("silent", ())), SILENT_CONNECTION),
         (given_up and given_up.fields["path_broken"], BROKEN_PATH),
         (own_result == "unknown connection_lost", CONNECTION_LOST),
     )
--- a/tests/features/attemptends.feature
+++ b/tests/features/attemptends.feature
@@ -21,6 +21,8 @@
       {"event": "call ended", "request_id": "second", "service": "slot-desk", "outcome": "answered", "reason": "none", "status": 200, "elapsed_ms": 1800, "left_ms": 1200, "stop_reason": "", "attempts": [{"endpoint": "e3", "daemon": "d3", "result": "answered none", "elapsed_ms": 1800}], "stands_for": 1, "daemon": "d3", "timestamp": "2026-12-03T10:00:04.5Z"}
       {"event": "attempt given up", "request_id": "left", "endpoint": "e2", "left_ms": 1500, "reply_left_ms": 500, "path_broken": false, "copies": 1, "silent": [false], "daemon": "d2", "timestamp": "2026-12-03T10:00:05Z"}
       {"event": "attempt cut at its target", "request_id": "left", "endpoint": "e2", "entry": "d3", "sequence": 5, "admitted_ms": 1500, "time_left_ms": 2990, "has_replied": false, "daemon": "d2", "timestamp": "2026-12-03T10:00:05.002Z"}
+      {"event": "attempt given up", "request_id": "gone", "cause": "guard ended", "endpoint": "e2", "left_ms": 1500, "reply_left_ms": 500, "path_broken": true, "copies": 2, "has_replied": false, "daemon": "d2", "timestamp": "2026-12-03T10:00:05.5Z"}
+      {"event": "call ended", "request_id": "gone", "service": "slot-desk", "outcome": "answered", "reason": "none", "status": 200, "elapsed_ms": 1800, "left_ms": 1200, "stop_reason": "", "attempts": [{"endpoint": "e2", "daemon": "d2", "result": "unknown connection_lost", "elapsed_ms": 1500}, {"endpoint": "e3", "daemon": "d3", "result": "answered none", "elapsed_ms": 300}], "stands_for": 1, "daemon": "d3", "timestamp": "2026-12-03T10:00:05.8Z"}
       {"event": "attempt given up", "request_id": "late", "endpoint": "e2", "left_ms": 0, "reply_left_ms": -1500, "path_broken": true, "copies": 1, "silent": [false], "daemon": "d2", "timestamp": "2026-12-03T10:00:06Z"}
       """
     When the attempt ends are computed from the logs of d1
@@ -31,6 +33,7 @@
       | connection lost | 1 | 0 | 0 | 0 |
       | replaced by another answer | 2 | 0 | 0 | 0 |
       | caller left | 1 | 0 | 0 | 0 |
+      | guard ended | 0 | 0 | 1 | 0 |
       | deadline | 0 | 0 | 1 | 0 |
       Ended while the target ran, without an answer in their place: 3 (1 of their calls were answered later)
       Log lines that are missing: 3
