--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -11,15 +11,16 @@
 import attrs
 import grpc
 
-from laburnumscale.deadlines import Deadline
+from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.peertraffic import CountedChannel, PeerTraffic
 from laburnumscale_schema import peer_pb2_grpc
 
 __all__ = ["FLOW_CONTROL_OPTIONS", "PeerChannels"]
 
 READY = grpc.ChannelConnectivity.READY
-#: Longer than the calls of the current services take.
-RETIRED_CHANNEL_GRACE_S = 10.0
+#: The calls on a retired channel end by their own deadlines. This bounds the time for
+#: which a channel is kept if one of them has none.
+RETIRED_CHANNEL_GRACE_S = 3_600.0
 FAILED_STATES = (
     grpc.ChannelConnectivity.TRANSIENT_FAILURE,
     grpc.ChannelConnectivity.SHUTDOWN,
@@ -95,6 +96,22 @@
             return False
         return True
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether the host of a peer refuses connections to its address.
+
+        No process listens there then. A host that cannot be reached refuses nothing.
+        """
+        host, _, port = self.overrides.get(address, address).rpartition(":")
+        try:
+            async with asyncio.timeout(MIN_CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     def operation_keys(self, address: str) -> peer_pb2_grpc.OperationKeysStub:
         """Return the stub for calls with operation keys."""
         return self._get_stub(address, peer_pb2_grpc.OperationKeysStub)
