Ask targets beside daemons in their notice period before a call waits

Hypothesis: an entry takes a target out of use as soon as it hears that its daemon drains, although the guard accepts calls for the rest of the notice period. Ruled out: that these guards refuse calls; they ran what was sent to them until the notice period was over.

Change: a call that finds no free slot in service asks one such target of its data centre for a free slot, for 1.5 s after its entry has heard of the drain and until its guard refuses as draining. It never waits there.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -239,6 +239,16 @@
             self._budget.release_retry(call.service)
 
     def _pick_endpoint(self, call: Call) -> EndpointView | None:
+        view = self._pick_in_service(call)
+        call.asks_leaving = False
+        if call.waits and not call.has_asked_leaving:
+            call.has_asked_leaving = True
+            leaving = self._router.pick_leaving(call.service, call.tried_endpoints)
+            call.asks_leaving = leaving is not None
+            return leaving or view
+        return view
+
+    def _pick_in_service(self, call: Call) -> EndpointView | None:
         view = self._pick_untried(call)
         while view and not call.waits and self._router.load_table.has_queue(view):
             call.record_queue(view.endpoint)
@@ -300,7 +310,7 @@
             headers=self._target_headers(call.request),
             idempotent=call.idempotent,
             priority=call.priority,
-            no_wait=not call.waits,
+            no_wait=not call.may_queue,
             objective_left_ms=call.objective_left_ms(),
             route=call.route_hash,
             avoid_doubt=call.avoids_doubt,
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -72,7 +72,9 @@
     :ivar tried_endpoints: names of the endpoints that were tried.
     :ivar busy_endpoints: names of the tried endpoints that had no free slot.
     :ivar retry_reserved: the retry budget was already charged for the next attempt.
-    :ivar waits: the next attempt waits for a slot.
+    :ivar waits: further attempts wait for a slot.
+    :ivar has_asked_leaving: an endpoint whose daemon drains was looked for.
+    :ivar asks_leaving: the next attempt asks such an endpoint for a free slot.
     :ivar queue_refusals: attempts that were refused because the queue was too long.
     :ivar doubtful_endpoints: names of the tried endpoints that were in doubt.
     :ivar accepts_doubt: attempts may go to endpoints in doubt.
@@ -109,6 +111,8 @@
     retry_reserved: bool = False
     busy_endpoints: set[str] = attrs.field(factory=set)
     waits: bool = False
+    has_asked_leaving: bool = False
+    asks_leaving: bool = False
     queue_refusals: int = 0
     doubtful_endpoints: set[str] = attrs.field(factory=set)
     accepts_doubt: bool = False
@@ -155,11 +159,16 @@
         left_ms = self.deadline.left_ms()
         if self.at_most_once:
             return Deadline.after_ms(left_ms * REPLY_TIME_SHARE)
-        queue_ms = left_ms * SEND_TIME_SHARE if self.waits else 0
+        queue_ms = left_ms * SEND_TIME_SHARE if self.may_queue else 0
         attempts_left = self.settings.attempt_limit - self.counted_attempts
         reply_ms = (left_ms - queue_ms) / max(1, attempts_left)
         return Deadline.after_ms(queue_ms + reply_ms)
 
+    @property
+    def may_queue(self) -> bool:
+        """Return whether the next attempt waits if its target has no free slot."""
+        return self.waits and not self.asks_leaving
+
     def start_waiting(self) -> bool:
         """Let further attempts wait for slots, and retry the busy endpoints.
 
@@ -216,6 +225,8 @@
             self.accept_doubt()
 
     def _record_overload(self, endpoint: str) -> None:
+        if self.asks_leaving:
+            return
         if self.waits:
             self.queue_refusals += 1
             if self.queue_refusals >= MAX_QUEUE_REFUSALS and self.accept_doubt():
--- a/packages/laburnumscale/src/laburnumscale/endpointpool.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointpool.py
@@ -8,15 +8,21 @@
 import math
 import random
 from collections.abc import Callable, Iterator
+from itertools import islice
 
 import attrs
 
+from laburnumscale.deadlines import Deadline
 from laburnumscale.ejection import DRAINING, PERCENT, READY, severity
 from laburnumscale.endpointindex import EndpointView
 from laburnumscale.loadtable import EndpointHealth
 
 __all__ = ["EndpointPool", "SampledSet"]
 
+#: Time for which the guard of a draining daemon is taken to accept calls after the
+#: entry has heard of the drain. The notice period is longer, but the news takes time.
+NOTICE_MS = 1_500
+
 
 class SampledSet:
     """A set of names from which random members can be taken in constant time."""
@@ -102,6 +108,7 @@
         self._unhealthy = _Group()
         self._on_trial = _Group()
         self._leaving = _Group()
+        self._notice_deadlines: dict[str, Deadline] = {}
         self._kept: tuple[int, list[EndpointHealth]] | None = None
 
     def __len__(self) -> int:
@@ -143,6 +150,24 @@
         """Return the names of the endpoints on trial in a data centre."""
         return self._on_trial.local(data_centre)
 
+    def in_notice(self, data_centre: str, max_sampled: int) -> Iterator[EndpointView]:
+        """Yield endpoints of a data centre whose draining daemon accepts calls.
+
+        They come in random order, without those that are unhealthy.
+
+        :param max_sampled: endpoints beside draining daemons to look at.
+        """
+        names = self._leaving.local(data_centre).shuffled()
+        for name in islice(names, max_sampled):
+            health = self._health[name]
+            if not health.unhealthy and not self._notice_deadlines[name].has_passed():
+                yield health.view
+
+    def end_notice(self, endpoint: str) -> None:
+        """Record that the daemon of an endpoint accepts no more calls."""
+        if endpoint in self._notice_deadlines:
+            self._notice_deadlines[endpoint] = Deadline.after_ms(0)
+
     def kept_by_floor(self, floor_percent: int) -> list[EndpointHealth]:
         """Return the unhealthy endpoints in use, the least unhealthy ones first.
 
@@ -187,6 +212,10 @@
             self._remove(before)
         if health is not None:
             self._add(health)
+        if health is None or not health.view.daemon_draining:
+            self._notice_deadlines.pop(endpoint, None)
+        elif endpoint not in self._notice_deadlines:
+            self._notice_deadlines[endpoint] = Deadline.after_ms(NOTICE_MS)
 
     def _add(self, health: EndpointHealth) -> None:
         view = health.view
--- a/packages/laburnumscale/src/laburnumscale/policies.py
+++ b/packages/laburnumscale/src/laburnumscale/policies.py
@@ -9,7 +9,7 @@
 
 from laburnumscale.loadtable import EndpointLoad
 
-__all__ = ["CHOICES", "RoutingPolicy", "get_policy_by_name"]
+__all__ = ["CHOICES", "SPILLOVER_UTILISATION", "RoutingPolicy", "get_policy_by_name"]
 
 CHOICES = 2  # random endpoints that are compared
 SPILLOVER_UTILISATION = 1.0  # below 1, an endpoint has a free slot
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -31,7 +31,12 @@
 )
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
-from laburnumscale.policies import CHOICES, RoutingPolicy, get_policy_by_name
+from laburnumscale.policies import (
+    CHOICES,
+    SPILLOVER_UTILISATION,
+    RoutingPolicy,
+    get_policy_by_name,
+)
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.targetnotices import TargetNotices
@@ -140,6 +145,23 @@
             found = self._find_in_selection(service, tried, idempotent)
         return self._choose(policy, settings, found, route, avoid_doubt, answer_bytes)
 
+    def pick_leaving(self, service: str, tried: set[str]) -> EndpointView | None:
+        """Return an endpoint that may have a free slot although its daemon drains.
+
+        The guard of such a daemon accepts calls during its notice period, and its
+        target is idle, as entries that have heard of the drain use others. Only
+        endpoints in the entry's own data centre are returned.
+
+        :param tried: names of endpoints that the call has tried.
+        """
+        pool = self._pools.get(service)
+        for view in pool.in_notice(self._own_data_centre(), MAX_SAMPLED_ENDPOINTS):
+            load = self._endpoint_load(view, route=0)
+            is_free = load.utilisation < SPILLOVER_UTILISATION
+            if is_free and not load.is_limited and view.endpoint not in tried:
+                return view
+        return None
+
     def _choose(
         self,
         policy: RoutingPolicy,
@@ -240,6 +262,8 @@
         """Record the first reply of an attempt."""
         if self._settings(view.service).ejection_policy == CONSECUTIVE_ERRORS:
             self._consecutive_errors.record_reply(view, reply)
+        if _is_draining(reply):
+            self._pools.get(view.service).end_notice(view.endpoint)
         if reply.HasField("load"):
             self.load_table.record_report(view, route, reply.load)
             self._notices.record(view, reply.load, self._count_sharers(view))
@@ -316,6 +340,11 @@
         return self._members.own.data_centre
 
 
+def _is_draining(reply: peer_pb2.CallReply) -> bool:
+    reason = peer_pb2.NOT_RUN_REASON_DRAINING
+    return reply.HasField("not_run") and reply.not_run.reason == reason
+
+
 def _is_overloaded(reply: peer_pb2.CallReply) -> bool:
     reason = peer_pb2.NOT_RUN_REASON_OVERLOADED
     return reply.HasField("not_run") and reply.not_run.reason == reason
