--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -157,6 +157,9 @@
             await asyncio.sleep(HOP_S)
             yield reply
 
+    def _end_attempt(self, view, attempt_id, deadline) -> None:
+        """Do nothing; the guards of the model end attempts with their streams."""
+
 
 class _ModelSettler:
     """Settles attempts with the guards of the model."""
