--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -23,6 +23,8 @@
 class EndpointStandIn:
     """One endpoint: ``/ledger`` lists the requests it ran, ``/faults`` sets its faults.
 
+    The parameter ``bytes`` of a request sets the size of its answer.
+
     :ivar state: state that the heartbeats report.
     :ivar beating: whether heartbeats are sent.
     :ivar shed: whether every request is rejected with 503 and marked as not run.
@@ -124,7 +126,8 @@
             headers["X-Attempt-Id"] = "another"
         if self.open_ended:
             return await self._send_open_ended(request, headers)
-        return web.Response(text=self.options.service, headers=headers)
+        text = "x" * int(request.query.get("bytes", 0)) or self.options.service
+        return web.Response(text=text, headers=headers)
 
     async def _send_open_ended(
         self, request: web.Request, headers
