Check the paths of other attempts at once when connections were cut

Cause: each daemon found out its silent connections one at a time, each by an attempt that stayed unanswered for 100 ms and a check that waits 80 ms for the open connection.

Change: once open connections to two peers were replaced within 1 s, the paths of the other attempts that are unanswered for 20 ms are checked, oldest first, one in 20 ms, and the new connection is tried after 20 ms in place of 80 ms. This goes on for 1 s after the latest silent connection; each peer is checked once because of a cut. A connection that is taken for silent wrongly costs a connection and a copy of its attempts.

Ruled out: checks of all peers, also without attempts (1,899 connections for each daemon of a large fleet that were not needed), and shorter delays at rest (more checks).

Measured: the new decisions fail on the code before in 3 of 4 cases (the fourth says that one silent connection is no cut) and pass now.

Conclusion: at rest nothing is sent; the bound for each daemon does not grow with the fleet. The gain on large fleets is not measured yet.

--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/connectioncuts.py
@@ -0,0 +1,54 @@
+"""Connection cuts.
+
+Tells when open connections to several peers fell silent within a moment, and which of
+the other peers are still to be checked. It answers the load of calls that would
+otherwise find out the silent connections one at a time.
+"""
+
+from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
+
+__all__ = ["ConnectionCuts"]
+
+#: Peers whose connections fell silent within ``WINDOW_S``, from which on it is news
+#: about the connections to others.
+MIN_SILENT_PEERS = 2
+WINDOW_S = 1.0
+#: How long a cut is suspected after the latest silent connection was found.
+SUSPICION_S = 1.0
+
+
+class ConnectionCuts:
+    """The state of a suspected cut of many connections at once."""
+
+    def __init__(self) -> None:
+        self._silent_at_s: dict[str, float] = {}
+        self._proven: set[str] = set()
+        self._deadline = Deadline.after_ms(0)
+
+    @property
+    def is_suspected(self) -> bool:
+        """Return whether several connections fell silent a moment ago."""
+        return not self._deadline.has_passed()
+
+    def record_silence(self, peer_address: str) -> None:
+        """Record that an open connection was silent while a new one delivered."""
+        was_suspected = self.is_suspected
+        at_s = now_s()
+        recent = self._silent_at_s.items()
+        recent = {key: value for key, value in recent if at_s - value < WINDOW_S}
+        self._silent_at_s = {**recent, peer_address: at_s}
+        if len(self._silent_at_s) < MIN_SILENT_PEERS:
+            return
+        if not was_suspected:
+            self._proven = set(self._silent_at_s)
+        self._proven.add(peer_address)
+        self._deadline = Deadline.after_ms(SUSPICION_S * MS_PER_S)
+
+    def record_delivery(self, peer_address: str) -> None:
+        """Record that a peer responded over the connection that is in use."""
+        if self.is_suspected:
+            self._proven.add(peer_address)
+
+    def is_doubtful(self, peer_address: str) -> bool:
+        """Return whether a peer is to be checked because of a cut."""
+        return self.is_suspected and peer_address not in self._proven
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -8,34 +8,62 @@
 import time
 from collections.abc import Callable
 
+import attrs
 import grpc
 
 from laburnumscale.channels import PeerChannels
+from laburnumscale.connectioncuts import ConnectionCuts
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
 
-__all__ = ["PathHealth"]
+__all__ = ["PathHealth", "ScheduledCheck"]
 
 CHECK_DELAY_S = 0.1
 CHECK_TIMEOUT_S = 0.4
 #: Time without a response after which a check is repeated over a new connection: the
 #: open one may deliver nothing any more although the peer is reachable.
 NEW_CONNECTION_DELAY_S = 0.08
+#: The same after a cut: silence is likely then, and a connection that is replaced for
+#: no reason costs a connection and one copy of each of its attempts.
+NEW_CONNECTION_DELAY_IN_CUT_S = 0.02
+#: Time from one check that follows a cut to the next.
+CUT_CHECK_INTERVAL_S = 0.02
+#: Age of an unanswered attempt from which on a cut is news about its connection.
+CUT_CHECK_DELAY_S = 0.02
 CHECK_INTERVAL_S = 0.5
 MAX_INCONCLUSIVE_CHECKS = 2
 #: Higher than any revision, so that the reply to a check carries no settings.
 FUTURE_REVISION = 2**63
 
 
+@attrs.frozen(eq=False)
+class ScheduledCheck:
+    """A check of the path of an attempt, to be cancelled when a reply arrives.
+
+    :ivar sent_at_s: loop time at which the attempt was sent.
+    """
+
+    peer_address: str
+    sent_at_s: float
+    _timer: asyncio.TimerHandle
+    _unanswered: dict["ScheduledCheck", None]
+
+    def cancel(self) -> None:
+        """Record that the attempt is waited for no more."""
+        self._timer.cancel()
+        self._unanswered.pop(self, None)
+
+
 class PathHealth:
     """The state of the network paths from this entry to guards.
 
     A path is checked only when an attempt gets no reply in time or its connection
     fails, so healthy paths cause no extra traffic. The check calls the guard's
-    daemon, not the target.
+    daemon, not the target. When open connections to several peers were found silent
+    within a moment, the paths of the other unanswered attempts are checked at once.
     """
 
     def __init__(self, channels: PeerChannels, metrics: Metrics) -> None:
@@ -43,6 +71,9 @@
         self._metrics = metrics
         self._broken: set[str] = set()
         self._checks: dict[str, asyncio.Task] = {}
+        self._cuts = ConnectionCuts()
+        self._cut_task: asyncio.Task | None = None
+        self._unanswered: dict[ScheduledCheck, None] = {}
         self._listeners: list[Callable[[str], None]] = []
         self._silence_listeners: list[Callable[[str], None]] = []
 
@@ -62,13 +93,13 @@
         """Return whether the guard at an address is unreachable."""
         return peer_address in self._broken
 
-    def schedule_check(self, peer_address: str) -> asyncio.TimerHandle:
-        """Schedule a check of the path in case an attempt gets no reply.
-
-        :returns: the timer, to be cancelled when a reply arrives.
-        """
+    def schedule_check(self, peer_address: str) -> ScheduledCheck:
+        """Schedule a check of the path in case an attempt gets no reply."""
         loop = asyncio.get_running_loop()
-        return loop.call_later(CHECK_DELAY_S, self.start_check, peer_address)
+        timer = loop.call_later(CHECK_DELAY_S, self.start_check, peer_address)
+        check = ScheduledCheck(peer_address, loop.time(), timer, self._unanswered)
+        self._unanswered[check] = None
+        return check
 
     def start_check(self, peer_address: str) -> None:
         """Check a path now, unless a check is already running."""
@@ -88,6 +119,29 @@
         finally:
             del self._checks[peer_address]
 
+    async def _check_others(self) -> None:
+        """Check the paths of unanswered attempts, one at a time, after a cut."""
+        try:
+            while self._cuts.is_suspected:
+                peer_address = self._next_doubtful()
+                if peer_address is not None:
+                    self._metrics.count("path_checks_after_cut")
+                    self.start_check(peer_address)
+                await asyncio.sleep(CUT_CHECK_INTERVAL_S)
+        finally:
+            self._cut_task = None
+
+    def _next_doubtful(self) -> str | None:
+        """Return the peer with the oldest unanswered attempt that a cut concerns."""
+        latest_s = asyncio.get_running_loop().time() - CUT_CHECK_DELAY_S
+        for check in self._unanswered:
+            if check.sent_at_s > latest_s:
+                return None
+            address = check.peer_address
+            if self._cuts.is_doubtful(address) and address not in self._checks:
+                return address
+        return None
+
     async def _is_reachable(self, peer_address: str) -> bool:
         """Check a path, up to ``MAX_INCONCLUSIVE_CHECKS`` times more if this is late.
 
@@ -112,8 +166,13 @@
         started_at_s = time.monotonic()
         deadline = Deadline.after_ms(CHECK_TIMEOUT_S * MS_PER_S)
         try:
-            await asyncio.wait(checks, timeout=NEW_CONNECTION_DELAY_S)
+            is_doubtful = self._cuts.is_doubtful(peer_address)
+            delay_s = (
+                NEW_CONNECTION_DELAY_IN_CUT_S if is_doubtful else NEW_CONNECTION_DELAY_S
+            )
+            await asyncio.wait(checks, timeout=delay_s)
             if _has_response(checks[0]):
+                self._cuts.record_delivery(peer_address)
                 return True
             connecting = self._channels.transient_peer(
                 peer_address, True, round(CHECK_TIMEOUT_S * MS_PER_S)
@@ -124,6 +183,8 @@
             is_late = _late_s(started_at_s) >= MAX_WAKEUP_DELAY_S
             if is_reachable and not (is_late or _has_response(checks[0])):
                 self._replace_connection(peer_address)
+            elif is_reachable:
+                self._cuts.record_delivery(peer_address)
             return is_reachable
         finally:
             for check in checks:
@@ -137,6 +198,17 @@
         get_logger().info("silent connection replaced", peer_address=peer_address)
         self._channels.replace_channel(peer_address)
         self._notify_replaced(peer_address)
+        self._record_silence(peer_address)
+
+    def _record_silence(self, peer_address: str) -> None:
+        was_suspected = self._cuts.is_suspected
+        self._cuts.record_silence(peer_address)
+        if not self._cuts.is_suspected:
+            return
+        if not was_suspected:
+            get_logger().info("connections cut", peer_address=peer_address)
+        if self._cut_task is None:
+            self._cut_task = asyncio.create_task(self._check_others())
 
     def _set_broken(self, peer_address: str) -> None:
         if peer_address not in self._broken:
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -3,7 +3,6 @@
 Picks the endpoint for each attempt, and records the replies for later choices.
 """
 
-import asyncio
 import random
 import sys
 from collections.abc import Callable
@@ -30,7 +29,7 @@
     OutstandingAttempt,
 )
 from laburnumscale.members import EndpointView, Members
-from laburnumscale.pathhealth import PathHealth
+from laburnumscale.pathhealth import PathHealth, ScheduledCheck
 from laburnumscale.policies import CHOICES, RoutingPolicy, get_policy_by_name
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
@@ -61,7 +60,7 @@
     view: EndpointView
     route: int
     outstanding: OutstandingAttempt
-    path_timer: asyncio.TimerHandle | None
+    path_timer: ScheduledCheck | None
 
     def record_reply(self, reply: peer_pb2.CallReply) -> None:
         """Record the first reply."""
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -260,6 +260,24 @@
       | are missed once by a paused daemon    | not broken | not replaced |
       | arrive                                | not broken | not replaced |
 
+  Scenario Outline: Connections that fall silent are news about those of other attempts
+    Given <silent> peers with silent connections that are found out
+    When <others> attempts to other peers, of which each second one is silent, wait for 70 ms
+    Then at least <least> and at most <most> of their connections were replaced
+    And no connection that delivers was replaced
+
+    Examples:
+      | silent | others | least | most |
+      | 1      | 10     | 0     | 0    |
+      | 2      | 4      | 2     | 2    |
+      | 2      | 100    | 1     | 3    |
+
+  Scenario: Checks after a cut of connections begin at a bounded rate
+    Given 2 peers with silent connections that are found out
+    When 100 attempts to other peers, of which each second one is silent, wait for 500 ms
+    Then at most 26 paths were checked because of the others
+    And each peer was checked at most 2 times
+
   Scenario: Silent hosts do not delay the contact with a daemon that responds
     Given presence records of 3 daemons, of which the 2 newest are on silent hosts
     When a daemon that is alone contacts them
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -778,6 +778,96 @@
     assert (replacements > 0) == (state == "replaced"), replacements
 
 
+class _SilentPeers:
+    """Channels to peers of which some deliver only over new connections.
+
+    :ivar silent: addresses of the peers whose open connection is silent.
+    :ivar replaced: addresses of the peers whose connection was replaced, in order.
+    :ivar checked: addresses to which a check was sent over the open connection.
+    """
+
+    def __init__(self, silent):
+        self.silent = silent
+        self.replaced = []
+        self.checked = []
+
+    def peer(self, address):
+        self.checked.append(address)
+        return SimpleNamespace(FetchSettings=partial(self._fetch, address))
+
+    @asynccontextmanager
+    async def transient_peer(self, address, new_connection, connect_timeout_ms):
+        yield SimpleNamespace(FetchSettings=partial(self._fetch, None))
+
+    def replace_channel(self, address):
+        self.replaced.append(address)
+        self.silent.discard(address)
+
+    async def _fetch(self, address, request, timeout):  # noqa: ASYNC109
+        if address in self.silent:
+            await asyncio.sleep(timeout)
+            raise grpc.RpcError
+
+
+@given("{count:d} peers with silent connections that are found out")
+def step_create_silent_peers(context, count):
+    context.found = [f"found-{number}" for number in range(count)]
+
+
+@when(
+    "{count:d} attempts to other peers, of which each second one is silent, "
+    "wait for {wait_ms:d} ms"
+)
+def step_wait_for_others(context, count, wait_ms):
+    others = [f"other-{number}" for number in range(count)]
+    context.other_silent = set(others[::2])
+    context.peers = _SilentPeers(set(context.found) | context.other_silent)
+
+    async def wait():
+        paths = PathHealth(context.peers, context.metrics)
+        are_found = asyncio.Event()
+
+        def on_silence(address):
+            if set(context.found) <= set(context.peers.replaced):
+                are_found.set()
+
+        paths.on_silence(on_silence)
+        for address in context.found:
+            paths.start_check(address)
+        await asyncio.sleep(0.05)
+        for address in others:
+            paths.schedule_check(address)
+        await are_found.wait()
+        await asyncio.sleep(wait_ms / 1000)
+
+    context.metrics = Metrics()
+    asyncio.run(wait())
+
+
+@then("at least {least:d} and at most {most:d} of their connections were replaced")
+def step_check_replaced_others(context, least, most):
+    replaced = context.other_silent & set(context.peers.replaced)
+    assert least <= len(replaced) <= most, replaced
+
+
+@then("no connection that delivers was replaced")
+def step_check_sound_others(context):
+    silent = context.other_silent | set(context.found)
+    assert set(context.peers.replaced) <= silent, context.peers.replaced
+
+
+@then("at most {count:d} paths were checked because of the others")
+def step_check_cut_checks(context, count):
+    checks = context.metrics.counters["path_checks_after_cut", ""]
+    assert 0 < checks <= count, checks
+
+
+@then("each peer was checked at most {count:d} times")
+def step_check_each_peer(context, count):
+    most = Counter(context.peers.checked).most_common(1)
+    assert most[0][1] <= count, most
+
+
 class _SilentHosts:
     """Exchanges of tables of which some get no reply."""
 
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -89,6 +89,9 @@
     "operation_keys_minted": "operation keys issued",
     "operation_keys_repeated": "calls with an operation key that had been used before",
     "path_checks": "requests to a peer that check whether it is reachable",
+    "path_checks_after_cut": (
+        "path checks because connections to several other peers fell silent"
+    ),
     "paths_broken": (
         "network paths to peers found broken, not used until a check succeeds"
     ),
