Let a connection over which replies arrive count as neither broken nor silent

A broken path takes its targets out of use. Cause: a check waits behind downloads on the same connection or a full link, or for the processor of a busy peer; its 0.4 s (80 ms on a new connection) say nothing then. Change: the time of the latest reply over each connection is known in one place. A path over which a reply has arrived since the check began is not broken; the open connection is silent only if none arrived over it. Result: 'A connection that delivers replies is neither broken nor silent, however late these are' cannot run on the code before, which has no such place; on this code it passes, and the rows without replies are broken and replaced as before.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -339,6 +339,7 @@
             yield refused_reply(peer_pb2.NOT_RUN_REASON_NOT_CONNECTED)
             return
         stub = self._channels.guard(view.peer_address)
+        record_delivery = self._paths.watch_deliveries(view.peer_address)
         timeout_s = request.deadline.left_s()
         if isinstance(request.body, bytes):
             message = peer_pb2.CallRequest(head=head, body=request.body, end=True)
@@ -349,6 +350,7 @@
             )
         try:
             async for reply in stream:
+                record_delivery()
                 self._clocks.record_sample(view, reply.guard_time_us)
                 yield reply
         finally:
--- a/packages/laburnumscale/src/laburnumscale/pathhealth.py
+++ b/packages/laburnumscale/src/laburnumscale/pathhealth.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import grpc
@@ -60,12 +61,34 @@
         self._unanswered.pop(self, None)
 
 
+@attrs.define(eq=False)
+class _Deliveries:
+    """When replies last arrived from a peer.
+
+    :ivar connection: number of the connection that is open to the peer.
+    :ivar latest_s: time of the latest reply over any connection.
+    :ivar open_latest_s: time of the latest reply over the one that is open.
+    """
+
+    connection: int = 0
+    latest_s: float = 0.0
+    open_latest_s: float = 0.0
+
+    def record(self, connection: int) -> None:
+        """Record a reply over a connection."""
+        self.latest_s = now_s()
+        if connection == self.connection:
+            self.open_latest_s = self.latest_s
+
+
 class PathHealth:
     """The state of the network paths from this entry to guards.
 
     A path is checked only when an attempt gets no reply in time or its connection
     fails, so healthy paths cause no extra traffic. The check calls the guard's
-    daemon, not the target. When open connections to several peers were found silent
+    daemon, not the target. A connection over which replies arrive is neither broken nor
+    silent, even if the check itself is late: it may wait behind a download, or for the
+    processor of the peer. When open connections to several peers were found silent
     within a moment, the paths of the other unanswered attempts are checked at once.
     """
 
@@ -75,6 +98,7 @@
         self._broken: set[str] = set()
         self._checks: dict[str, asyncio.Task] = {}
         self._confirmed_at_s: dict[str, float] = {}
+        self._deliveries: dict[str, _Deliveries] = {}
         self._cuts = ConnectionCuts()
         self._cut_task: asyncio.Task | None = None
         self._unanswered: dict[ScheduledCheck, None] = {}
@@ -97,6 +121,15 @@
         """Return whether the guard at an address is unreachable."""
         return peer_address in self._broken
 
+    def watch_deliveries(self, peer_address: str) -> Callable[[], None]:
+        """Return the function to call for each reply over the connection now open."""
+        deliveries = self._deliveries.setdefault(peer_address, _Deliveries())
+        return partial(deliveries.record, deliveries.connection)
+
+    def record_replacement(self, peer_address: str) -> None:
+        """Record that the next attempts use another connection."""
+        self._deliveries.setdefault(peer_address, _Deliveries()).connection += 1
+
     def schedule_check(self, peer_address: str) -> ScheduledCheck:
         """Schedule a check of the path in case an attempt gets no reply."""
         loop = asyncio.get_running_loop()
@@ -125,7 +158,7 @@
         try:
             while not await self._is_reachable(peer_address):
                 self._set_broken(peer_address)
-                self._channels.replace_channel(peer_address)
+                self._open_another(peer_address)
                 await asyncio.sleep(CHECK_INTERVAL_S)
             self._record_confirmed(peer_address)
             if peer_address in self._broken:
@@ -178,7 +211,8 @@
         """
         self._metrics.count("path_checks")
         checks = [self._start_request(self._channels.peer(peer_address))]
-        started_at_s = time.monotonic()
+        deliveries = self._deliveries.setdefault(peer_address, _Deliveries())
+        started_at_s, sent_at_s = time.monotonic(), now_s()
         deadline = Deadline.after_ms(CHECK_TIMEOUT_S * MS_PER_S)
         try:
             is_doubtful = self._cuts.is_doubtful(peer_address)
@@ -196,11 +230,14 @@
                 checks.append(self._start_request(stub))
                 is_reachable = await _wait_for_any(checks, deadline)
             is_late = _late_s(started_at_s) >= MAX_WAKEUP_DELAY_S
-            if is_reachable and not (is_late or _has_response(checks[0])):
+            open_delivers = (
+                _has_response(checks[0]) or deliveries.open_latest_s > sent_at_s
+            )
+            if is_reachable and not (is_late or open_delivers):
                 self._replace_connection(peer_address)
-            elif is_reachable:
+            elif open_delivers:
                 self._cuts.record_delivery(peer_address)
-            return is_reachable
+            return is_reachable or deliveries.latest_s > sent_at_s
         finally:
             for check in checks:
                 check.cancel()
@@ -211,10 +248,14 @@
     def _replace_connection(self, peer_address: str) -> None:
         self._metrics.count("connections_replaced")
         get_logger().info("silent connection replaced", peer_address=peer_address)
-        self._channels.replace_channel(peer_address)
+        self._open_another(peer_address)
         self._notify_replaced(peer_address)
         self._record_silence(peer_address)
 
+    def _open_another(self, peer_address: str) -> None:
+        self._channels.replace_channel(peer_address)
+        self.record_replacement(peer_address)
+
     def _record_silence(self, peer_address: str) -> None:
         was_suspected = self._cuts.is_suspected
         self._cuts.record_silence(peer_address)
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -260,6 +260,20 @@
       | are missed once by a paused daemon    | not broken | not replaced |
       | arrive                                | not broken | not replaced |
 
+  Scenario Outline: A connection that delivers replies is neither broken nor silent, however late these are
+    Given a guard whose replies to path checks <checks>
+    When its path is checked while replies arrive over <arrival>
+    Then its path was <state>
+    And its open connection was <connection>
+
+    Examples:
+      | checks                             | arrival                             | state      | connection   |
+      | are missing                        | the connection that is open         | not broken | not replaced |
+      | are missing on the open connection | the connection that is open         | not broken | not replaced |
+      | are missing                        | a connection that was replaced then | not broken | not replaced |
+      | are missing on the open connection | a connection that was replaced then | not broken | replaced     |
+      | are missing                        | none                                | broken     | replaced     |
+
   Scenario Outline: Connections that fall silent are news about those of other attempts
     Given <silent> peers with silent connections that are found out
     When <others> attempts to other peers, of which each second one is silent, wait for 70 ms
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -81,6 +81,9 @@
     def start_check(self, address):
         self.checks += 1
 
+    def watch_deliveries(self, address):
+        return lambda: None
+
     def recheck(self, address):
         self.checks += 1
 
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -767,6 +767,26 @@
     asyncio.run(check())
 
 
+@when("its path is checked while replies arrive over {arrival}")
+def step_check_path_in_use(context, arrival):
+    async def check():
+        paths = PathHealth(context.checked_guard, Metrics())
+        context.path_changes = []
+        paths.on_change(
+            lambda address: context.path_changes.append(paths.is_broken(address))
+        )
+        record_delivery = paths.watch_deliveries("127.0.0.1:1")
+        if "replaced" in arrival:
+            paths.record_replacement("127.0.0.1:1")
+        paths.start_check("127.0.0.1:1")
+        for _ in range(20):
+            if arrival != "none":
+                record_delivery()
+            await asyncio.sleep(0.05)
+
+    asyncio.run(check())
+
+
 @then("its path was {state}")
 def step_check_path_state(context, state):
     assert (True in context.path_changes) == (state == "broken"), context.path_changes
