Let daemons that start know each other before they decide who reads presence again

Cause: after a start, 4 daemons on average read the presence records a second time, each with the chance 4 / group size. Each drew once, 0.2 to 0.5 s after its own record. Beside load the daemons start over more than a second, so the first ones knew 2 to 4 others and all of them read.

Ruled out: reads of settings that are given up and repeated (all ended answered).

Change: a daemon pauses again while the group that it knows grows, six times at most. A daemon that is alone pauses once, as before.

--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -30,6 +30,8 @@
 MAX_REANNOUNCE_DELAY_S = 2.0
 #: Time in which daemons that start at once append their records, before they read.
 ANNOUNCED_PAUSE_S = (0.2, 0.5)
+#: Pauses that a daemon makes at most while the group that it knows grows.
+MAX_ANNOUNCED_PAUSES = 6
 
 
 class PeerDiscovery:
@@ -103,7 +105,7 @@
         if time.monotonic() >= announce_at_s:
             await self._presence.announce()
             announce_at_s = time.monotonic() + self._announce_interval_s()
-            await asyncio.sleep(random.uniform(*ANNOUNCED_PAUSE_S))
+            await self._pause_while_group_grows()
             group_size = self._members.group_size
             if group_size > 1 and not reads_presence_after_start(group_size):
                 return announce_at_s
@@ -115,6 +117,18 @@
             await self._presence.announce()
         return announce_at_s
 
+    async def _pause_while_group_grows(self) -> None:
+        """Wait until the daemons that start at once know each other.
+
+        Few of them have to read again. Each would, if it took the part of the fleet
+        that it knows at first for all of it.
+        """
+        for _ in range(MAX_ANNOUNCED_PAUSES):
+            known = self._members.group_size
+            await asyncio.sleep(random.uniform(*ANNOUNCED_PAUSE_S))
+            if self._members.group_size <= known:
+                return
+
     async def _sleep_until_next_poll(self) -> None:
         if not self._members.peers():
             has_log = self._presence is not None
--- a/tests/features/log_calls.feature
+++ b/tests/features/log_calls.feature
@@ -38,6 +38,17 @@
     Then 3 of them read the log continuously
     And 1 of them lead, 1 in each data centre
 
+  Scenario Outline: <daemons> daemons that start within <start_ms> ms read few presence records
+    Given <daemons> daemons that start within <start_ms> ms and know each other 100 ms later
+    When 12 s pass in each of 50 fleets
+    Then they read presence records at most <reads> times on average
+
+    Examples:
+      | daemons | start_ms | reads |
+      | 12      | 300      | 5     |
+      | 12      | 1500     | 5     |
+      | 40      | 1500     | 5     |
+
   Scenario: A fleet that starts before its first configuration makes few calls
     Given a platform fleet of 12 daemons in makati
     And the platform daemons accept calls
