Draw the time of the next presence poll from the group as it is then

Daemons that started first read the presence records again after a few seconds.

Cause: the interval grows with the group, so that the fleet polls about once in 2 s, but a daemon computed it before it slept. One that knew 2 or 3 daemons then slept for 2.5 to 7.5 s, although the group had 12 a second later.

Change: a daemon that wakes up compares the time with the interval of the group that it knows by then, and goes on sleeping if that is longer.

--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -135,11 +135,18 @@
             pause_s = random.uniform(*ANNOUNCED_PAUSE_S) if has_log else ALONE_PAUSE_S
             await asyncio.sleep(pause_s)
         if self._members.peers():
-            mean_interval_s = max(
-                MIN_POLL_INTERVAL_S,
-                self._members.group_size * POLL_INTERVAL_S_PER_MEMBER,
-            )
-            await asyncio.sleep(mean_interval_s * random.uniform(0.5, 1.5))
+            await self._sleep_between_polls(random.uniform(0.5, 1.5))
+
+    async def _sleep_between_polls(self, share: float) -> None:
+        """Sleep for a share of the mean interval, which grows with the group."""
+        slept_s = 0.0
+        while (left_s := share * self._mean_poll_interval_s() - slept_s) > 0:
+            await asyncio.sleep(left_s)
+            slept_s += left_s
+
+    def _mean_poll_interval_s(self) -> float:
+        interval_s = self._members.group_size * POLL_INTERVAL_S_PER_MEMBER
+        return max(MIN_POLL_INTERVAL_S, interval_s)
 
     async def _contact_unknown_daemons(self) -> None:
         addresses = self._contact_addresses()
--- a/tests/features/log_calls.feature
+++ b/tests/features/log_calls.feature
@@ -49,6 +49,11 @@
       | 12      | 1500     | 5     |
       | 40      | 1500     | 5     |
 
+  Scenario: Daemons poll at the interval of a group that has grown since their last poll
+    Given 3 daemons, and 9 more that start 3000 ms later
+    When 12 s pass in each of 50 fleets
+    Then they read presence records at most 7 times on average
+
   Scenario: A fleet that starts before its first configuration makes few calls
     Given a platform fleet of 12 daemons in makati
     And the platform daemons accept calls
