Append the presence record once, also if the read after it fails

Cause: the time of the next announcement was the result of the step that announces and reads. If the read failed, the result was lost, and the next round appended the record again.

Change: the time is kept once the record is appended.

--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -56,6 +56,7 @@
         self._presence = presence
         self._exchange = exchange
         self._metrics = metrics
+        self._announce_at_s = 0.0
         self._seeds = [
             str(seed) for seed in seeds if str(seed) != members.own.peer_address
         ]
@@ -81,12 +82,11 @@
 
     async def discover_forever(self) -> None:
         """Announce this daemon in the log and contact unknown daemons, repeatedly."""
-        announce_at_s = 0.0
         attempt = 0
         while True:
             try:
                 if self._presence is not None:
-                    announce_at_s = await self._announce_and_read(announce_at_s)
+                    await self._announce_and_read()
                 attempt = 0
             except LaburnumscaleError:
                 self._metrics.count("presence_failures")
@@ -96,26 +96,21 @@
                 await asyncio.sleep(draw_retry_delay_s(attempt, 1))
             await self._sleep_until_next_poll()
 
-    async def _announce_and_read(self, announce_at_s: float) -> float:
-        """Announce this daemon if an announcement is due, then read new records.
-
-        :param announce_at_s: monotonic time at which the announcement is due.
-        :returns: monotonic time of the next announcement, in seconds.
-        """
-        if time.monotonic() >= announce_at_s:
+    async def _announce_and_read(self) -> None:
+        """Announce this daemon if an announcement is due, then read new records."""
+        if time.monotonic() >= self._announce_at_s:
             await self._presence.announce()
-            announce_at_s = time.monotonic() + self._announce_interval_s()
+            self._announce_at_s = time.monotonic() + self._announce_interval_s()
             await self._pause_while_group_grows()
             group_size = self._members.group_size
             if group_size > 1 and not reads_presence_after_start(group_size):
-                return announce_at_s
+                return
         await self._presence.read(
             0 if self._members.peers() else ALONE_POLL_INTERVAL_MS
         )
         if self._presence.is_announcement_lost():
             await asyncio.sleep(random.uniform(0, MAX_REANNOUNCE_DELAY_S))
             await self._presence.announce()
-        return announce_at_s
 
     async def _pause_while_group_grows(self) -> None:
         """Wait until the daemons that start at once know each other.
--- a/tests/features/log_calls.feature
+++ b/tests/features/log_calls.feature
@@ -54,6 +54,11 @@
     When 12 s pass in each of 50 fleets
     Then they read presence records at most 7 times on average
 
+  Scenario: A daemon whose reads of presence records fail appends its own record once
+    Given 12 daemons that start within 300 ms and know each other 100 ms later
+    When 40 s pass in a fleet whose first 8 reads of presence records fail
+    Then 12 presence records were appended
+
   Scenario: A fleet that starts before its first configuration makes few calls
     Given a platform fleet of 12 daemons in makati
     And the platform daemons accept calls
