--- a/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
+++ b/packages/laburnumscale/src/laburnumscale/peerdiscovery.py
@@ -30,6 +30,8 @@
 MAX_REANNOUNCE_DELAY_S = 2.0
 #: Time in which daemons that start at once append their records, before they read.
 ANNOUNCED_PAUSE_S = (0.2, 0.5)
+#: Pauses that a daemon makes at most while the group that it knows grows.
+MAX_ANNOUNCED_PAUSES = 6
 
 
 class PeerDiscovery:
@@ -54,6 +56,7 @@
         self._presence = presence
         self._exchange = exchange
         self._metrics = metrics
+        self._announce_at_s = 0.0
         self._seeds = [
             str(seed) for seed in seeds if str(seed) != members.own.peer_address
         ]
@@ -79,12 +82,11 @@
 
     async def discover_forever(self) -> None:
         """Announce this daemon in the log and contact unknown daemons, repeatedly."""
-        announce_at_s = 0.0
         attempt = 0
         while True:
             try:
                 if self._presence is not None:
-                    announce_at_s = await self._announce_and_read(announce_at_s)
+                    await self._announce_and_read()
                 attempt = 0
             except LaburnumscaleError:
                 self._metrics.count("presence_failures")
@@ -94,26 +96,33 @@
                 await asyncio.sleep(draw_retry_delay_s(attempt, 1))
             await self._sleep_until_next_poll()
 
-    async def _announce_and_read(self, announce_at_s: float) -> float:
-        """Announce this daemon if an announcement is due, then read new records.
-
-        :param announce_at_s: monotonic time at which the announcement is due.
-        :returns: monotonic time of the next announcement, in seconds.
-        """
-        if time.monotonic() >= announce_at_s:
+    async def _announce_and_read(self) -> None:
+        """Announce this daemon if an announcement is due, then read new records."""
+        if time.monotonic() >= self._announce_at_s:
             await self._presence.announce()
-            announce_at_s = time.monotonic() + self._announce_interval_s()
-            await asyncio.sleep(random.uniform(*ANNOUNCED_PAUSE_S))
+            self._announce_at_s = time.monotonic() + self._announce_interval_s()
+            await self._pause_while_group_grows()
             group_size = self._members.group_size
             if group_size > 1 and not reads_presence_after_start(group_size):
-                return announce_at_s
+                return
         await self._presence.read(
             0 if self._members.peers() else ALONE_POLL_INTERVAL_MS
         )
         if self._presence.is_announcement_lost():
             await asyncio.sleep(random.uniform(0, MAX_REANNOUNCE_DELAY_S))
             await self._presence.announce()
-        return announce_at_s
+
+    async def _pause_while_group_grows(self) -> None:
+        """Wait until the daemons that start at once know each other.
+
+        Few of them have to read again. Each would, if it took the part of the fleet
+        that it knows at first for all of it.
+        """
+        for _ in range(MAX_ANNOUNCED_PAUSES):
+            known = self._members.group_size
+            await asyncio.sleep(random.uniform(*ANNOUNCED_PAUSE_S))
+            if self._members.group_size <= known:
+                return
 
     async def _sleep_until_next_poll(self) -> None:
         if not self._members.peers():
@@ -121,11 +130,18 @@
             pause_s = random.uniform(*ANNOUNCED_PAUSE_S) if has_log else ALONE_PAUSE_S
             await asyncio.sleep(pause_s)
         if self._members.peers():
-            mean_interval_s = max(
-                MIN_POLL_INTERVAL_S,
-                self._members.group_size * POLL_INTERVAL_S_PER_MEMBER,
-            )
-            await asyncio.sleep(mean_interval_s * random.uniform(0.5, 1.5))
+            await self._sleep_between_polls(random.uniform(0.5, 1.5))
+
+    async def _sleep_between_polls(self, share: float) -> None:
+        """Sleep for a share of the mean interval, which grows with the group."""
+        slept_s = 0.0
+        while (left_s := share * self._mean_poll_interval_s() - slept_s) > 0:
+            await asyncio.sleep(left_s)
+            slept_s += left_s
+
+    def _mean_poll_interval_s(self) -> float:
+        interval_s = self._members.group_size * POLL_INTERVAL_S_PER_MEMBER
+        return max(MIN_POLL_INTERVAL_S, interval_s)
 
     async def _contact_unknown_daemons(self) -> None:
         addresses = self._contact_addresses()
