Do not count refusals of targets beside draining daemons as doubt

Cause: a call that may run only once accepts targets in doubt after three of them have refused it.

Change: such a refusal does not count, and a target that has recently reported doubt is not asked by a call that it would refuse.

Result: two scenarios of leaving_targets.feature that fail on the code before.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -243,7 +243,9 @@
         call.asks_leaving = False
         if call.waits and not call.has_asked_leaving:
             call.has_asked_leaving = True
-            leaving = self._router.pick_leaving(call.service, call.tried_endpoints)
+            leaving = self._router.pick_leaving(
+                call.service, call.tried_endpoints, call.avoids_doubt
+            )
             call.asks_leaving = leaving is not None
             return leaving or view
         return view
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -220,6 +220,8 @@
         self._record_overload(endpoint)
 
     def _record_doubt(self, endpoint: str) -> None:
+        if self.asks_leaving:
+            return
         self.doubtful_endpoints.add(endpoint)
         if not self.avoids_doubt:
             self.accept_doubt()
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -145,7 +145,9 @@
             found = self._find_in_selection(service, tried, idempotent)
         return self._choose(policy, settings, found, route, avoid_doubt, answer_bytes)
 
-    def pick_leaving(self, service: str, tried: set[str]) -> EndpointView | None:
+    def pick_leaving(
+        self, service: str, tried: set[str], avoid_doubt: bool = False
+    ) -> EndpointView | None:
         """Return an endpoint that may have a free slot although its daemon drains.
 
         The guard of such a daemon accepts calls during its notice period, and its
@@ -153,12 +155,14 @@
         endpoints in the entry's own data centre are returned.
 
         :param tried: names of endpoints that the call has tried.
+        :param avoid_doubt: whether an endpoint would refuse the call while in doubt.
         """
         pool = self._pools.get(service)
         for view in pool.in_notice(self._own_data_centre(), MAX_SAMPLED_ENDPOINTS):
             load = self._endpoint_load(view, route=0)
-            is_free = load.utilisation < SPILLOVER_UTILISATION
-            if is_free and not load.is_limited and view.endpoint not in tried:
+            is_full = load.utilisation >= SPILLOVER_UTILISATION
+            refuses = load.is_limited or (avoid_doubt and load.in_doubt)
+            if not (is_full or refuses or view.endpoint in tried):
                 return view
         return None
 
--- a/tests/features/leaving_targets.feature
+++ b/tests/features/leaving_targets.feature
@@ -45,3 +45,20 @@
     When the daemon of e2 is in service again and drains once more
     And it makes a call that both targets in service refuse as overloaded
     Then it has asked the targets e0, e1 and e2 for a free slot
+
+  Scenario: A call that may run only once does not ask a target that is known to be in doubt
+    Given an entry with 2 targets in service and one whose daemon drains
+    And e2 has reported that it is in doubt
+    When it makes a call that may run only once and that both targets in service refuse
+    Then e2 was not asked
+
+  Scenario: A call that may be repeated asks a target that is known to be in doubt
+    Given an entry with 2 targets in service and one whose daemon drains
+    And e2 has reported that it is in doubt
+    When it makes a call that both targets in service refuse as overloaded
+    Then it has asked the targets e0, e1 and e2 for a free slot
+
+  Scenario: A refusal beside a daemon that drains does not let a call accept doubt earlier
+    Given an entry with 2 targets in service and one whose daemon drains
+    When it makes a call that may run only once, which e2 refuses as in doubt
+    Then the refusal is not counted as one of a target in doubt
--- a/tests/features/steps/leaving_targets_steps.py
+++ b/tests/features/steps/leaving_targets_steps.py
@@ -18,6 +18,7 @@
 
 LEAVING = 2
 OVERLOADED = peer_pb2.NOT_RUN_REASON_OVERLOADED
+IN_DOUBT = peer_pb2.NOT_RUN_REASON_IN_DOUBT
 REFUSALS = {
     "overloaded": OVERLOADED,
     "draining": peer_pb2.NOT_RUN_REASON_DRAINING,
@@ -88,6 +89,11 @@
     context.entry.merge(LEAVING, LEAVING + 1, draining=True)
 
 
+@given("e2 has reported that it is in doubt")
+def step_report_doubt(context):
+    context.entry.report(LEAVING, open_slots=4, in_doubt=True)
+
+
 @when("the daemon of e2 is in service again and drains once more")
 def step_drain_again(context):
     context.entry.merge(LEAVING, 1)
@@ -110,7 +116,18 @@
     _make_calls(context, {}, count)
 
 
-def _make_calls(context, refusals, count=1):
+@when("it makes a call that may run only once and that both targets in service refuse")
+def step_make_hold(context):
+    _make_calls(context, {"e0": OVERLOADED, "e1": OVERLOADED}, idempotent=False)
+
+
+@when("it makes a call that may run only once, which e2 refuses as in doubt")
+def step_make_hold_in_doubt(context):
+    refusals = {"e0": OVERLOADED, "e1": OVERLOADED, "e2": IN_DOUBT}
+    _make_calls(context, refusals, idempotent=False)
+
+
+def _make_calls(context, refusals, count=1, idempotent=True):
     """Make calls that targets answer, except those that refuse for a reason."""
     runner = CallRunner(
         None, context.entry.router, Metrics(), RetryBudget(), HeaderNames()
@@ -125,13 +142,13 @@
 
     runner._attempt = reply
     for _ in range(count):
-        call = Call(
+        context.call = call = Call(
             request=None,
             request_id="a",
             service=SERVICE,
             path_and_query="/",
             settings=EffectiveSettings(),
-            idempotent=True,
+            idempotent=idempotent,
             deadline=Deadline.after_ms(TIME_LIMIT_MS),
             body=b"",
         )
@@ -156,6 +173,13 @@
     assert "e2" not in [endpoint for endpoint, _ in context.attempts], context.attempts
 
 
+@then("the refusal is not counted as one of a target in doubt")
+def step_check_doubt_count(context):
+    asked = [endpoint for endpoint, may_queue in context.attempts if not may_queue]
+    assert asked[-1] == "e2", context.attempts
+    assert not context.call.doubtful_endpoints, context.call.doubtful_endpoints
+
+
 @then("the call is answered")
 def step_check_answered(context):
     assert isinstance(context.outcome, Answered), context.outcome
