Send streamed bodies again when a connection is silent

Cause: a body above 64 KiB was sent once. An upload that was sent over a silent connection, before this was known, was settled at its reply deadline: 503 "not run fenced" after 1.15 s.

Change: the entry keeps what it reads of a streamed body, up to 2 MiB for each and 16 MiB in all; what is larger is sent once, as before. A copy reads it from the start and then goes on with the source. One task reads the source for all copies, since the end of a copy that reads would look like the end of the body to the others. A copy that would miss a part ends without the end message, by which the guard knows that it is incomplete.

Ruled out: asking the guard at once after the silence (the call would fail sooner, but fail, and an upload on a slow connection would be fenced), and an acknowledgement before the body is sent (a round trip for each upload).

Cost: memory of at most 16 MiB for each daemon while uploads run, at any size of the fleet; a copy sends at most one window (1 MiB) again if its run is found.

Not mended: an upload of which the guard has the beginning waits until its deadline, as the run does not take the rest from another copy.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -22,6 +22,7 @@
 from laburnumscale.failurereplies import refused_reply, unknown_reply
 from laburnumscale.guard import Guard
 from laburnumscale.guardclocks import GuardClocks
+from laburnumscale.keptbodies import BodyMemory, KeptBody
 from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import EndpointView, Members
@@ -91,6 +92,7 @@
         self._sequences = AttemptSequences(own.daemon, own.incarnation)
         self._ender = AttemptEnder(channels, paths)
         self._unanswered: dict[str, set[AttemptCopies]] = {}
+        self._body_memory = BodyMemory()
         paths.on_silence(self._repeat_unanswered)
 
     @asynccontextmanager
@@ -101,8 +103,11 @@
 
         The attempt is cancelled on exit from the context unless it has ended.
         """
-        with self._sequences.allocate_id(view) as attempt_id:
-            copies = self._send_first_copy(view, request, attempt_id)
+        with (
+            self._sequences.allocate_id(view) as attempt_id,
+            self._keep_body(view, request) as body,
+        ):
+            copies = self._send_first_copy(view, request, attempt_id, body)
             cause = "cancelled"
             try:
                 with self._watch_connection(view, copies):
@@ -138,18 +143,35 @@
             has_replied=copies.answered is not None,
         )
 
+    @contextmanager
+    def _keep_body(
+        self, view: EndpointView, request: AttemptRequest
+    ) -> Iterator[bytes | AsyncIterator[bytes] | KeptBody]:
+        """Yield the body of an attempt, so that it can be sent again if possible."""
+        if isinstance(request.body, bytes) or self._is_own(view):
+            yield request.body
+            return
+        body = KeptBody(request.body, self._body_memory, request.head.request_id)
+        try:
+            yield body
+        finally:
+            body.close()
+
     def _send_first_copy(
         self,
         view: EndpointView,
         request: AttemptRequest,
         attempt_id: peer_pb2.AttemptId,
+        body: bytes | AsyncIterator[bytes] | KeptBody,
     ) -> AttemptCopies:
         def send(on_reply: Callable[[], None]) -> ReplyReader:
             head = self._build_head(view, request, attempt_id)
-            return ReplyReader(self._send_to_guard(view, request, head), on_reply)
+            replies = self._send_to_guard(view, request, head, body)
+            return ReplyReader(replies, on_reply)
 
-        is_repeatable = isinstance(request.body, bytes) and not self._is_own(view)
-        return AttemptCopies(send, is_repeatable)
+        if isinstance(body, KeptBody):
+            return _UploadCopies(send, body)
+        return AttemptCopies(send, is_repeatable=not self._is_own(view))
 
     def _end_attempt(self, view: EndpointView, attempt_id: peer_pb2.AttemptId) -> None:
         """Tell the guard that the attempt has ended, unless its stream says so."""
@@ -293,10 +315,14 @@
         return unknown_reply(peer_pb2.UNKNOWN_REASON_DEADLINE)
 
     async def _send_to_guard(
-        self, view: EndpointView, request: AttemptRequest, head: peer_pb2.CallHead
+        self,
+        view: EndpointView,
+        request: AttemptRequest,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes] | KeptBody,
     ) -> ReplyStream:
         if self._is_own(view):
-            async with aclosing(self._guard.run_attempt(head, request.body)) as replies:
+            async with aclosing(self._guard.run_attempt(head, body)) as replies:
                 async for reply in replies:
                     yield reply
             return
@@ -307,13 +333,12 @@
             return
         stub = self._channels.guard(view.peer_address)
         timeout_s = request.deadline.left_s()
-        if isinstance(request.body, bytes):
-            message = peer_pb2.CallRequest(head=head, body=request.body, end=True)
+        if isinstance(body, bytes):
+            message = peer_pb2.CallRequest(head=head, body=body, end=True)
             stream = stub.Call(message, timeout=timeout_s)
         else:
-            stream = stub.Upload(
-                _upload_messages(head, request.body), timeout=timeout_s
-            )
+            messages = _upload_messages(head, body.read())
+            stream = stub.Upload(messages, timeout=timeout_s)
         try:
             async for reply in stream:
                 self._clocks.record_sample(view, reply.guard_time_us)
@@ -322,6 +347,21 @@
             stream.cancel()
 
 
+class _UploadCopies(AttemptCopies):
+    """The copies of an attempt with a streamed body."""
+
+    def __init__(
+        self, send: Callable[[Callable[[], None]], ReplyReader], body: KeptBody
+    ) -> None:
+        self._body = body
+        super().__init__(send, is_repeatable=True)
+
+    @property
+    def can_repeat(self) -> bool:
+        """Return whether another copy can be sent."""
+        return self._body.can_repeat and super().can_repeat
+
+
 async def race_failover(
     request: AttemptRequest, copies: AttemptCopies
 ) -> tuple[peer_pb2.CallReply | None, bool]:
