--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -157,6 +157,9 @@
             await asyncio.sleep(HOP_S)
             yield reply
 
+    def _end_attempt(self, view, attempt_id, deadline) -> None:
+        """Do nothing; the guards of the model end attempts with their streams."""
+
 
 class _ModelSettler:
     """Settles attempts with the guards of the model."""
@@ -325,6 +328,7 @@
             on_silence=lambda listener: None,
             schedule_check=lambda address: None,
             start_check=lambda address: None,
+            recheck=lambda address: None,
         )
         settler = _ModelSettler()
         settler.guards = self._guards
--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -24,7 +24,6 @@
 from laburnumscale.guardclocks import GuardClocks
 from laburnumscale.keptbodies import BodyMemory, KeptBody
 from laburnumscale.logs import get_logger
-from laburnumscale.memberentries import is_present
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
@@ -32,7 +31,10 @@
 __all__ = ["AttemptClient", "AttemptRequest", "race_failover"]
 
 CONNECT_TIMEOUT_SHARE = 0.25
-PATH_CHECK_INTERVAL_MS = 100  # detecting a broken path takes about 0.5 s
+REPLY_WAIT_MS = 100  # between looks at the path, the budget and other endpoints
+#: Time after which the path of an unanswered attempt is checked again. A further check
+#: follows after twice that time, and so on.
+FIRST_RECHECK_S = 0.4
 SETTLE_INTERVAL_MS = 100
 #: Interval while the attempt runs and the path to its guard works: the reply then
 #: arrives by itself.
@@ -71,6 +73,32 @@
     answer_started: Callable[[], bool]
 
 
+class _PathChecks:
+    """Checks of the path to a guard while an attempt has no reply.
+
+    :param peer_address: address of the guard's daemon.
+    """
+
+    def __init__(self, paths: PathHealth, peer_address: str) -> None:
+        self._paths = paths
+        self._peer_address = peer_address
+        self._timer: asyncio.TimerHandle | None = None
+
+    def schedule(self, delay_s: float) -> None:
+        """Check the path after a delay, and then after twice the delay each time."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._check, delay_s)
+
+    def cancel(self) -> None:
+        """Make no further checks."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check(self, delay_s: float) -> None:
+        self._paths.recheck(self._peer_address)
+        self.schedule(2 * delay_s)
+
+
 class AttemptClient:
     """Sends the attempts of one entry to guards."""
 
@@ -119,7 +147,7 @@
             finally:
                 if not copies.has_ended:
                     self._log_given_up(view, request, copies, cause)
-                    self._end_attempt(view, attempt_id)
+                    self._end_attempt(view, attempt_id, request.deadline)
                 await copies.close()
 
     def _log_given_up(
@@ -173,10 +201,12 @@
             return _UploadCopies(send, body)
         return AttemptCopies(send, is_repeatable=not self._is_own(view))
 
-    def _end_attempt(self, view: EndpointView, attempt_id: peer_pb2.AttemptId) -> None:
+    def _end_attempt(
+        self, view: EndpointView, attempt_id: peer_pb2.AttemptId, deadline: Deadline
+    ) -> None:
         """Tell the guard that the attempt has ended, unless its stream says so."""
         if not self._is_own(view):
-            self._ender.end(view.peer_address, attempt_id)
+            self._ender.end(view.peer_address, attempt_id, deadline)
 
     def _is_own(self, view: EndpointView) -> bool:
         return view.daemon == self._members.own.daemon
@@ -185,12 +215,16 @@
     def _watch_connection(
         self, view: EndpointView, copies: AttemptCopies
     ) -> Iterator[None]:
-        """Repeat the attempt if its connection is replaced meanwhile."""
+        """Check the path meanwhile, and repeat the attempt on a new connection."""
         unanswered = self._unanswered.setdefault(view.peer_address, set())
         unanswered.add(copies)
+        checks = _PathChecks(self._paths, view.peer_address)
+        if not self._is_own(view):
+            checks.schedule(FIRST_RECHECK_S)
         try:
             yield
         finally:
+            checks.cancel()
             unanswered.discard(copies)
             if not unanswered:
                 self._unanswered.pop(view.peer_address, None)
@@ -252,9 +286,7 @@
                 if first is not None:
                     return first
                 continue
-            pause = _earlier(
-                Deadline.after_ms(PATH_CHECK_INTERVAL_MS), request.deadline
-            )
+            pause = _earlier(Deadline.after_ms(REPLY_WAIT_MS), request.deadline)
             if copies.is_lost:
                 await asyncio.sleep(pause.left_s())
                 copies.repeat()
@@ -266,13 +298,14 @@
     async def _has_ended(self, view: EndpointView) -> bool:
         """Return whether the process of a guard has ended, whose connection was lost.
 
-        Its host refuses connections then, or the members know another process of it.
+        Its host refuses connections then, or it has said itself that it leaves, or that
+        it has started again. A suspicion of other members says nothing.
         """
         guard = self._members.get(view.daemon)
         if (
             guard is None
-            or guard.incarnation != view.incarnation
-            or not is_present(guard)
+            or guard.incarnation > view.incarnation
+            or guard.state == peer_pb2.MEMBER_STATE_LEFT
         ):
             return True
         return await self._channels.is_refused(view.peer_address)
@@ -369,7 +402,7 @@
 
     :returns: the reply if one has arrived, and whether the failover was answered first.
     """
-    reading = asyncio.create_task(copies.read_first(request.deadline))
+    reading = asyncio.create_task(_read_with_repeats(copies, request.deadline))
     failing_over = asyncio.create_task(request.fail_over())
     tasks = {reading, failing_over}
     try:
@@ -386,6 +419,20 @@
         await asyncio.wait(tasks)
 
 
+async def _read_with_repeats(
+    copies: AttemptCopies, deadline: Deadline
+) -> peer_pb2.CallReply | None:
+    """Return the first reply; send the attempt again when all copies are lost."""
+    first = await copies.read_first(deadline)
+    while first is None and copies.can_repeat and not deadline.has_passed():
+        await asyncio.sleep(
+            _earlier(Deadline.after_ms(REPLY_WAIT_MS), deadline).left_s()
+        )
+        copies.repeat()
+        first = await copies.read_first(deadline)
+    return first
+
+
 def _is_success(reply: peer_pb2.CallReply | None) -> bool:
     has_answer = reply is not None and reply.HasField("head")
     return has_answer and reply.head.status < SERVER_ERROR
