Race a second target only once an attempt is late or lost

Cause: found on reading. After a connection was lost and the attempt had attached to its run again, the entry raced a second target at once, before the reply deadline; this uses the retry budget for a run that is known. Result: load, attempt_end_races and running_attempts features pass.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -149,11 +149,15 @@
     guards: dict[str, Guard]
 
     async def _send_to_guard(
-        self, view: EndpointView, request: AttemptRequest, head: peer_pb2.CallHead
+        self,
+        view: EndpointView,
+        request: AttemptRequest,
+        head: peer_pb2.CallHead,
+        body: bytes | AsyncIterator[bytes],
     ) -> AsyncIterator[peer_pb2.CallReply]:
         await asyncio.sleep(HOP_S)
         head.guard_time_us = 0
-        async for reply in self.guards[view.daemon].run_attempt(head, request.body):
+        async for reply in self.guards[view.daemon].run_attempt(head, body):
             await asyncio.sleep(HOP_S)
             yield reply
 
--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -55,8 +55,8 @@
     :ivar deadline: deadline for the complete answer.
     :ivar settle_if_lost: whether a lost attempt is settled, because the call must not
         run twice.
-    :ivar reserve_failover: called from the reply deadline on; reserves an attempt at
-        another endpoint, and returns whether to make it.
+    :ivar reserve_failover: called from the reply deadline on, or when the connection is
+        lost; reserves an attempt at another endpoint, and returns whether to make it.
     :ivar fail_over: makes the reserved attempt, and returns whether it was answered, so
         that its answer replaces that of this attempt.
     :ivar answer_started: returns whether the caller has received a part of the answer.
@@ -279,7 +279,8 @@
                 not copies.can_repeat or await self._has_ended(view)
             ):
                 return None
-            if request.reserve_failover():
+            is_late = request.reply_deadline.has_passed()
+            if (is_late or copies.is_lost) and request.reserve_failover():
                 first, is_replaced = await race_failover(request, copies)
                 if is_replaced:
                     return None
