--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -19,6 +19,9 @@
 
 #: Replies of a run that are kept, so that a stream that attaches later gets them, too.
 MAX_KEPT_BYTES = 256 * 1024
+#: Replies that are kept for a stream that falls behind the others. A connection that
+#: delivers nothing any more takes as much as its flow control allows, which is 1 MiB.
+MAX_LAG_BYTES = 1280 * 1024
 #: How often runs are checked for an entry that has left the membership.
 ORPHAN_CHECK_INTERVAL_S = 0.5
 #: Time without a stream after which the run of an absent entry is ended. The entry may
@@ -31,8 +34,8 @@
 class AttemptRun:
     """The run of one attempt, to which the streams that deliver its replies attach.
 
-    The run waits until the newest stream has taken each reply. An older stream may
-    belong to a connection that delivers nothing any more; it ends if it falls behind.
+    The run waits until one stream has taken each reply. The others may belong to
+    connections that deliver nothing any more; they end if they fall far behind.
 
     :param attempt_id: ID of the attempt, which names its entry.
     :param replies: runs the attempt and yields its replies.
@@ -47,11 +50,14 @@
         self._kept: deque[peer_pb2.CallReply] = deque()
         self.kept_bytes = 0
         self._dropped = 0
+        self._is_complete = False
         self._has_ended = False
         self._positions: dict[int, int] = {}
         self._stream_count = 0
-        self._changed = asyncio.Event()
+        self._waiters: list[asyncio.Future] = []
         self._task = asyncio.create_task(self._collect(replies))
+        # A task that is cancelled before its first step runs none of its code.
+        self._task.add_done_callback(self._handle_end)
 
     @property
     def can_attach(self) -> bool:
@@ -75,13 +81,16 @@
         try:
             while (position := self._positions[number]) >= self._dropped:
                 if position < self._dropped + len(self._kept):
-                    yield self._kept[position - self._dropped]
+                    reply = self._kept[position - self._dropped]
+                    yield reply
                     self._positions[number] = position + 1
+                    if _is_last(reply):
+                        return
                     self._notify()
                 elif self._has_ended:
                     return
                 else:
-                    await self._changed.wait()
+                    await self._wait_for_change()
         finally:
             del self._positions[number]
             self._notify()
@@ -91,7 +100,7 @@
     def _handle_detached(self) -> None:
         """Wait for another stream, unless it would miss the first replies."""
         self.orphan_deadline = Deadline.after_ms(ORPHAN_GRACE_MS)
-        if not self.can_attach:
+        if not (self.can_attach or self._is_complete):
             self.cancel()
 
     async def _collect(self, replies: ReplyStream) -> None:
@@ -99,42 +108,52 @@
             async with aclosing(replies):
                 async for reply in replies:
                     self._keep(reply)
-                    await self._wait_until_taken(_is_last(reply))
+                    await self._wait_until_taken()
         except Exception as error:
             get_logger().error("running an attempt failed", reason=repr(error))
-        finally:
-            self._has_ended = True
-            self._notify()
+
+    def _handle_end(self, _: asyncio.Task) -> None:
+        self._has_ended = True
+        self._notify()
 
     def _keep(self, reply: peer_pb2.CallReply) -> None:
         self._kept.append(reply)
         self.kept_bytes += reply.ByteSize()
+        self._is_complete = _is_last(reply)
         self._notify()
 
-    async def _wait_until_taken(self, is_last: bool) -> None:
-        """Wait until the newest stream has taken all replies.
+    async def _wait_until_taken(self) -> None:
+        """Wait until one of the streams has taken all replies.
 
         The last reply need not be taken if no stream is attached.
         """
-        while self._newest_position() < self._dropped + len(self._kept):
-            if is_last and not self._positions:
+        while self._furthest_position() < self._dropped + len(self._kept):
+            if self._is_complete and not self._positions:
                 return
-            await self._changed.wait()
+            await self._wait_for_change()
         self._drop_taken()
 
-    def _newest_position(self) -> int:
-        if not self._positions:
-            return self._dropped
-        return self._positions[max(self._positions)]
+    def _furthest_position(self) -> int:
+        return max(self._positions.values(), default=self._dropped)
 
     def _drop_taken(self) -> None:
-        while self.kept_bytes > MAX_KEPT_BYTES:
+        last_position = min(self._positions.values(), default=self._dropped)
+        while self.kept_bytes > MAX_LAG_BYTES or (
+            self.kept_bytes > MAX_KEPT_BYTES and self._dropped < last_position
+        ):
             self.kept_bytes -= self._kept.popleft().ByteSize()
             self._dropped += 1
 
+    async def _wait_for_change(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        await waiter
+
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
 
 class AttemptRuns:
@@ -167,12 +186,14 @@
     deadline = run.orphan_deadline
     if deadline is None or not deadline.has_passed():
         return False
-    entry = members.get(run.attempt_id.entry)
-    return (
-        entry is None
-        or entry.incarnation != run.attempt_id.entry_incarnation
-        or not is_present(entry)
+    entry, incarnation = (
+        members.get(run.attempt_id.entry),
+        run.attempt_id.entry_incarnation,
     )
+    if entry is None or entry.incarnation > incarnation:
+        return True
+    # The members may not know a new process yet.
+    return entry.incarnation == incarnation and not is_present(entry)
 
 
 def _is_last(reply: peer_pb2.CallReply) -> bool:
