--- a/bench/attemptends.py
+++ b/bench/attemptends.py
@@ -261,7 +261,11 @@
     if call is None:
         return CALLER_LEFT
     results = [(each["endpoint"], each["result"]) for each in call.fields["attempts"]]
-    own = [index for index, result in enumerate(results) if result[0] == endpoint]
+    own = [
+        index
+        for index, (each, result) in enumerate(results)
+        if each == endpoint and not result.startswith("not_run")
+    ]
     if not own:
         return _find_cause_of_cancellation(call)
     own_result = results[own[-1]][1]
--- a/tests/features/attemptends.feature
+++ b/tests/features/attemptends.feature
@@ -23,6 +23,8 @@
       {"event": "attempt cut at its target", "request_id": "left", "endpoint": "e2", "entry": "d3", "sequence": 5, "admitted_ms": 1500, "time_left_ms": 2990, "has_replied": false, "daemon": "d2", "timestamp": "2026-12-03T10:00:05.002Z"}
       {"event": "attempt given up", "request_id": "gone", "cause": "guard ended", "endpoint": "e2", "left_ms": 1500, "reply_left_ms": 500, "path_broken": true, "copies": 2, "has_replied": false, "daemon": "d2", "timestamp": "2026-12-03T10:00:05.5Z"}
       {"event": "call ended", "request_id": "gone", "service": "slot-desk", "outcome": "answered", "reason": "none", "status": 200, "elapsed_ms": 1800, "left_ms": 1200, "stop_reason": "", "attempts": [{"endpoint": "e2", "daemon": "d2", "result": "unknown connection_lost", "elapsed_ms": 1500}, {"endpoint": "e3", "daemon": "d3", "result": "answered none", "elapsed_ms": 300}], "stands_for": 1, "daemon": "d3", "timestamp": "2026-12-03T10:00:05.8Z"}
+      {"event": "attempt cut at its target", "request_id": "drained", "endpoint": "e2", "entry": "d1", "sequence": 7, "admitted_ms": 2000, "time_left_ms": 2990, "has_replied": false, "daemon": "d2", "timestamp": "2026-12-03T10:00:05.9Z"}
+      {"event": "call ended", "request_id": "drained", "service": "slot-desk", "outcome": "unknown", "reason": "draining", "status": null, "elapsed_ms": 2450, "left_ms": 550, "stop_reason": "", "attempts": [{"endpoint": "e2", "daemon": "d2", "result": "not_run in_doubt", "elapsed_ms": 2}], "stands_for": 1, "daemon": "d1", "timestamp": "2026-12-03T10:00:05.9Z"}
       {"event": "attempt given up", "request_id": "late", "endpoint": "e2", "left_ms": 0, "reply_left_ms": -1500, "path_broken": true, "copies": 1, "silent": [false], "daemon": "d2", "timestamp": "2026-12-03T10:00:06Z"}
       """
     When the attempt ends are computed from the logs of d1
@@ -33,9 +35,10 @@
       | connection lost | 1 | 0 | 0 | 0 |
       | replaced by another answer | 2 | 0 | 0 | 0 |
       | caller left | 1 | 0 | 0 | 0 |
+      | end of the drain | 1 | 0 | 0 | 1 |
       | guard ended | 0 | 0 | 1 | 0 |
       | deadline | 0 | 0 | 1 | 0 |
-      Ended while the target ran, without an answer in their place: 3 (1 of their calls were answered later)
+      Ended while the target ran, without an answer in their place: 4 (1 of their calls were answered later)
       Log lines that are missing: 3
       | deadline | queues full | draining | 1 |
       | connection_lost | may have run | serving | 1 |
