--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -260,6 +260,38 @@
       | are missed once by a paused daemon    | not broken | not replaced |
       | arrive                                | not broken | not replaced |
 
+  Scenario Outline: A connection that delivers replies is neither broken nor silent, however late these are
+    Given a guard whose replies to path checks <checks>
+    When its path is checked while replies arrive over <arrival>
+    Then its path was <state>
+    And its open connection was <connection>
+
+    Examples:
+      | checks                             | arrival                             | state      | connection   |
+      | are missing                        | the connection that is open         | not broken | not replaced |
+      | are missing on the open connection | the connection that is open         | not broken | not replaced |
+      | are missing                        | a connection that was replaced then | not broken | not replaced |
+      | are missing on the open connection | a connection that was replaced then | not broken | replaced     |
+      | are missing                        | none                                | broken     | replaced     |
+
+  Scenario Outline: Connections that fall silent are news about those of other attempts
+    Given <silent> peers with silent connections that are found out
+    When <others> attempts to other peers, of which each second one is silent, wait for 60 ms
+    Then at least <least> and at most <most> of their connections were replaced
+    And no connection that delivers was replaced
+
+    Examples:
+      | silent | others | least | most |
+      | 1      | 10     | 0     | 0    |
+      | 2      | 2      | 1     | 1    |
+      | 2      | 100    | 1     | 3    |
+
+  Scenario: Checks after a cut of connections begin at a bounded rate
+    Given 2 peers with silent connections that are found out
+    When 100 attempts to other peers, of which each second one is silent, wait for 500 ms
+    Then at most 26 paths were checked because of the others
+    And each peer was checked at most 2 times
+
   Scenario: Silent hosts do not delay the contact with a daemon that responds
     Given presence records of 3 daemons, of which the 2 newest are on silent hosts
     When a daemon that is alone contacts them
--- a/tests/features/log_calls.feature
+++ b/tests/features/log_calls.feature
@@ -38,6 +38,27 @@
     Then 3 of them read the log continuously
     And 1 of them lead, 1 in each data centre
 
+  Scenario Outline: <daemons> daemons that start within <start_ms> ms read few presence records
+    Given <daemons> daemons that start within <start_ms> ms and know each other 100 ms later
+    When 12 s pass in each of 50 fleets
+    Then they read presence records at most <reads> times on average
+
+    Examples:
+      | daemons | start_ms | reads |
+      | 12      | 300      | 5     |
+      | 12      | 1500     | 5     |
+      | 40      | 1500     | 5     |
+
+  Scenario: Daemons poll at the interval of a group that has grown since their last poll
+    Given 3 daemons, and 9 more that start 3000 ms later
+    When 12 s pass in each of 50 fleets
+    Then they read presence records at most 7 times on average
+
+  Scenario: A daemon whose reads of presence records fail appends its own record once
+    Given 12 daemons that start within 300 ms and know each other 100 ms later
+    When 40 s pass in a fleet whose first 8 reads of presence records fail
+    Then 12 presence records were appended
+
   Scenario: A fleet that starts before its first configuration makes few calls
     Given a platform fleet of 12 daemons in makati
     And the platform daemons accept calls
