Name the connection on which a load caller lost its request

A scenario about a rolling restart has failed with ServerDisconnectedError of two callers, and the message did not tell a kept connection that the daemon closed from one that the caller had just opened. It now says which of both it was and how long the call had it.

--- a/tests/standins/callers.py
+++ b/tests/standins/callers.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections import Counter
+from functools import partial
 
 import aiohttp
 import attrs
@@ -21,6 +22,35 @@
 CALL_TIMEOUT_S = 20.0
 
 
+@attrs.define
+class ConnectionUse:
+    """The connection that a call was sent on.
+
+    :ivar is_new: whether it was opened for the call.
+    :ivar ready_at_s: monotonic time at which the call got it; 0 if it got none.
+    """
+
+    is_new: bool = False
+    ready_at_s: float = 0.0
+
+    def __str__(self) -> str:
+        kind = "new" if self.is_new else "kept"
+        return f"{kind} connection, {time.monotonic() - self.ready_at_s:.3f} s before"
+
+
+def trace_connections() -> aiohttp.TraceConfig:
+    """Return a trace that fills in the ``ConnectionUse`` of each call."""
+
+    async def record(is_new, session, context, parameters):
+        use = context.trace_request_ctx
+        use.is_new, use.ready_at_s = is_new, time.monotonic()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(partial(record, True))
+    trace.on_connection_reuseconn.append(partial(record, False))
+    return trace
+
+
 @attrs.frozen
 class LoadPlan:
     """Parameters of the load.
@@ -93,7 +123,10 @@
 
     async def _run(self) -> None:
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        traces = [trace_connections()]
+        async with aiohttp.ClientSession(
+            connector=connector, trace_configs=traces
+        ) as session:
             if self.plan.rate_per_s:
                 await self._send_at_rate(session)
                 return
@@ -138,15 +171,21 @@
         method, path = ("POST", "hold") if is_hold else ("GET", "lookup")
         headers = {"X-Content-Id": content_id}
         body = b"{}" if is_hold else None
+        connection = ConnectionUse()
         try:
             async with session.request(
-                method, f"{url}/{self.plan.service}/{path}", headers=headers, data=body
+                method,
+                f"{url}/{self.plan.service}/{path}",
+                headers=headers,
+                data=body,
+                trace_request_ctx=connection,
             ) as response:
                 answer = await response.json(content_type=None)
         except aiohttp.ClientConnectorError:
             return CallRecord(content_id, not is_hold, NOT_SENT)
         except (aiohttp.ClientError, ValueError) as error:
-            self.failure_counts["broken", 0, repr(error)] += 1
+            reason = f"{error!r} on a {connection}"
+            self.failure_counts["broken", 0, reason] += 1
             return CallRecord(content_id, not is_hold, "broken")
         if response.status == 200:
             return CallRecord(content_id, not is_hold, "answered", answer["content_id"])
