Let a connection that was just opened send its first request when listening ends

What callers saw: a caller that connects in the last moment of the notice period, and sends its request some milliseconds later, lost the connection without an answer.

Cause: after listening ends, a drain waits for three iterations of the event loop and then closes each connection that has received nothing. A caller that has just connected has no way to know of the drain; on a busy machine it takes more time to send.

Change: a connection that is younger than 500 ms and has received nothing is not idle. The drain waits for such connections before it closes the idle ones, and for the calls that come after that. Each connection keeps one deadline until its first bytes, and a drain lasts at most 500 ms longer, within its own deadline.

Results: webserver.feature, 20 connections opened 50 ms before the end of the notice period that send 300 ms later: 0 of 20 answered before, all now; one that sends nothing does not delay the end of a drain of 1,000 ms. webserver (7 scenarios), draining (14) and drainstate (9) pass, and two of outcomes_load about daemons that shut down.

--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -67,6 +67,7 @@
         # Targets make calls through this daemon while they run their last attempts.
         attempts_ended = await self.guard.in_flight.wait_until_idle(deadline)
         await self.caller_server.stop_listening()
+        await self.caller_server.wait_for_first_requests(deadline)
         self.caller_server.close_idle_connections()
         calls_ended = await self.runner.in_flight.wait_until_idle(deadline)
         if not (calls_ended and attempts_ended):
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -32,6 +32,8 @@
 MAX_HEADER_BYTES = 16 * 1024
 IDLE_POLL_INTERVAL_S = 0.02
 MIN_CLOSE_POLLS = 3
+#: Time after the opening of a connection in which its caller sends the first request.
+FIRST_REQUEST_TIMEOUT_MS = 500
 KEEP_ALIVE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 1024
 INTERNAL_PATH_PREFIX = b"/_laburnumscale/"
@@ -80,12 +82,19 @@
     The number of connections is limited as well.
     """
 
+    __slots__ = ("_first_request_due",)
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self._first_request_due: Deadline | None = None
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept a connection unless ``MAX_CONNECTIONS`` is reached."""
         if len(self.connections) >= MAX_CONNECTIONS:
             transport.abort()
             return
         super().connection_made(transport)
+        self._first_request_due = Deadline.after_ms(FIRST_REQUEST_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Clean up after a connection unless it was rejected."""
@@ -100,6 +109,7 @@
         """
         if self.transport is None:
             return
+        self._first_request_due = None
         in_header_section = self.http is not None and self.http.stage is Stage.REQUEST
         header_started_at_s = self._time
         super().data_received(data)
@@ -112,12 +122,19 @@
             self.transport.get_write_buffer_size() > 0
         )
 
+    def awaits_first_request(self) -> bool:
+        """Return whether the connection is new and has received nothing yet."""
+        due = self._first_request_due
+        return due is not None and not due.has_passed()
+
     def close_if_idle(self) -> bool:
-        """Close the connection unless it has received a part of a request.
+        """Close the connection unless it has received a part of a request or is new.
 
         :returns: whether the connection was closed.
         """
-        return not self.recv_buffer and super().close_if_idle()
+        if self.recv_buffer or self.awaits_first_request():
+            return False
+        return super().close_if_idle()
 
 
 class App(Sanic):
@@ -205,6 +222,16 @@
         for _ in range(SETUP_LOOP_ITERATIONS):
             await asyncio.sleep(0)
 
+    async def wait_for_first_requests(self, deadline: Deadline) -> None:
+        """Wait until no open connection awaits its first request.
+
+        A caller that has just connected has not learned of the drain.
+        """
+        while any(each.awaits_first_request() for each in self._server.connections):
+            if deadline.has_passed():
+                return
+            await asyncio.sleep(IDLE_POLL_INTERVAL_S)
+
     def _has_pending_connections(self) -> bool:
         pending = select.poll()
         for each in self._server.server.sockets:
--- a/tests/features/steps/webserver_steps.py
+++ b/tests/features/steps/webserver_steps.py
@@ -173,6 +173,34 @@
     )
 
 
+@when(
+    "{count:d} connections opened {lead_ms:d} ms before the end of the notice period "
+    "of a drain of {drain_ms:d} ms send a request {pause_ms:d} ms later"
+)
+def step_connect_before_stop(context, count, lead_ms, drain_ms, pause_ms):
+    def connect_and_send(port, wait_s):
+        time.sleep(wait_s)
+        connections = [connect(port) for _ in range(count)]
+        time.sleep(pause_ms / 1000)
+        with contextlib.suppress(OSError):
+            for connection in connections:
+                connection.sendall(REQUEST)
+        return [read_status(connection) for connection in connections]
+
+    async def run():
+        port = context.fleet.free_port()
+        server = await start_server(context, port)
+        drain = new_drain(server, drain_ms)
+        wait_s = drain.state.notice_deadline.earlier_by_ms(lead_ms).left_s()
+        calling = asyncio.create_task(in_thread(connect_and_send, port, wait_s))
+        began_at_s = time.monotonic()
+        await drain.run()
+        context.drain_ms = (time.monotonic() - began_at_s) * 1000
+        context.statuses = await calling
+
+    run_server(run())
+
+
 def read_late(connection, pause_s):
     time.sleep(pause_s)
     received = 0
