--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -210,7 +210,7 @@
         return None
 
     def _choose(self, reader: ReplyReader) -> None:
-        """Read only one copy from now on; the guard waits for streams that lag."""
+        """Read only one copy from now on, and end the streams of the others."""
         self.answered = reader
         for other in self.readers:
             if other is not reader:
