--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -11,6 +11,7 @@
 import grpc
 
 from laburnumscale.deadlines import Deadline
+from laburnumscale.failurereplies import is_last_reply
 from laburnumscale.logs import get_logger
 from laburnumscale_schema import peer_pb2
 
@@ -77,7 +78,7 @@
         try:
             async with aclosing(replies):
                 async for reply in replies:
-                    self.has_ended = _is_last(reply)
+                    self.has_ended = is_last_reply(reply)
                     await self._put(reply)
         except grpc.RpcError:
             pass
@@ -244,8 +245,3 @@
             self._has_run_ended = True
         if self._has_run_ended and self.is_lost:
             self.is_over = True
-
-
-def _is_last(reply: peer_pb2.CallReply) -> bool:
-    """Return whether no reply follows this one."""
-    return reply.end or reply.HasField("not_run") or reply.HasField("unknown")
--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -10,6 +10,7 @@
 from contextlib import aclosing
 
 from laburnumscale.deadlines import Deadline
+from laburnumscale.failurereplies import is_last_reply
 from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
@@ -84,7 +85,7 @@
                     reply = self._kept[position - self._dropped]
                     yield reply
                     self._positions[number] = position + 1
-                    if _is_last(reply):
+                    if is_last_reply(reply):
                         return
                     self._notify()
                 elif self._has_ended:
@@ -119,7 +120,7 @@
     def _keep(self, reply: peer_pb2.CallReply) -> None:
         self._kept.append(reply)
         self.kept_bytes += reply.ByteSize()
-        self._is_complete = _is_last(reply)
+        self._is_complete = is_last_reply(reply)
         self._notify()
 
     async def _wait_until_taken(self) -> None:
@@ -194,7 +195,3 @@
         return True
     # The members may not know a new process yet.
     return entry.incarnation == incarnation and not is_present(entry)
-
-
-def _is_last(reply: peer_pb2.CallReply) -> bool:
-    return reply.end or reply.HasField("not_run") or reply.HasField("unknown")
--- a/packages/laburnumscale/src/laburnumscale/failurereplies.py
+++ b/packages/laburnumscale/src/laburnumscale/failurereplies.py
@@ -9,6 +9,7 @@
 __all__ = [
     "AttemptRefused",
     "failure_outcome",
+    "is_last_reply",
     "not_run_reply",
     "refused_reply",
     "unknown_reply",
@@ -74,3 +75,8 @@
     if reply.HasField("unknown"):
         return Unknown(reply.unknown.reason)
     return None
+
+
+def is_last_reply(reply: peer_pb2.CallReply) -> bool:
+    """Return whether no reply to the same attempt follows this one."""
+    return reply.end or reply.HasField("not_run") or reply.HasField("unknown")
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -26,7 +26,12 @@
     BodyIncomplete,
     WorkCutOff,
 )
-from laburnumscale.failurereplies import AttemptRefused, refused_reply, unknown_reply
+from laburnumscale.failurereplies import (
+    AttemptRefused,
+    is_last_reply,
+    refused_reply,
+    unknown_reply,
+)
 from laburnumscale.guardclocks import boottime_us
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
@@ -323,7 +328,7 @@
         self, attempt: Attempt, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
     ) -> None:
         """Record the end of the attempt before the entry reads its last reply."""
-        if reply.end or reply.HasField("not_run") or reply.HasField("unknown"):
+        if is_last_reply(reply):
             self._store_reply(attempt, head, reply)
 
     def _store_reply(
