--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -163,7 +163,7 @@
             request_id=request.head.request_id,
             cause=cause,
             endpoint=view.endpoint,
-            daemon=view.daemon,
+            guard=view.daemon,
             left_ms=request.deadline.left_ms(),
             reply_left_ms=request.reply_deadline.left_ms(),
             path_broken=self._paths.is_broken(view.peer_address),
@@ -469,7 +469,9 @@
     """Return why an attempt without a reply is given up, for the log."""
     if request.deadline.has_passed():
         return "deadline"
-    return "guard ended" if copies.is_lost else "answered elsewhere"
+    if not copies.is_lost:
+        return "answered elsewhere"
+    return "guard ended" if copies.can_repeat or copies.is_over else "connection lost"
 
 
 def _missing_reply(copies: AttemptCopies) -> peer_pb2.CallReply:
--- a/tests/features/trace.feature
+++ b/tests/features/trace.feature
@@ -34,14 +34,14 @@
   Scenario: A trace of a request without an answer shows who ended its attempt, and why no other followed
     Given logs of d3
       """
-      {"request_id": "a3", "cause": "deadline", "endpoint": "e2", "daemon": "d3", "left_ms": 0, "path_broken": true, "event": "attempt given up", "timestamp": "2026-12-03T10:00:10.998Z"}
+      {"request_id": "a3", "cause": "deadline", "endpoint": "e2", "guard": "d2", "daemon": "d3", "left_ms": 0, "path_broken": true, "event": "attempt given up", "timestamp": "2026-12-03T10:00:10.998Z"}
       {"request_id": "a3", "service": "slot-desk", "idempotent": true, "outcome": "unknown", "reason": "deadline", "status": null, "elapsed_ms": 1000, "left_ms": 0, "stop_reason": "attempt limit", "attempts": [{"endpoint": "e2", "daemon": "d2", "result": "unknown deadline", "elapsed_ms": 998}], "revision": 7, "event": "call ended", "daemon": "d3", "timestamp": "2026-12-03T10:00:11Z"}
       """
     When request a3 is traced in the logs of d3
     Then the trace contains in this order
       """
       d3 accepted the request for slot-desk (may be repeated, settings revision 7)
-      attempt given up (cause=deadline, endpoint=e2, left_ms=0, path_broken=True)
+      d3: attempt given up (cause=deadline, endpoint=e2, guard=d2, left_ms=0, path_broken=True)
       ended: unknown deadline, 0 ms left (no further attempt: attempt limit)
       """
 
