--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -8,66 +8,26 @@
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
 from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
 from laburnumscale.attemptender import AttemptEnder
-from laburnumscale.attemptruns import AttemptRuns
 from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline
 from laburnumscale.failurereplies import AttemptRefused, refused_reply
-from laburnumscale.guard import Guard
-from laburnumscale.inflight import InFlightCounter
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.metrics import Metrics
 from laburnumscale_schema import peer_pb2
+from tests.standins.modelguard import (
+    ENTRY_INCARNATION,
+    GUARD_INCARNATION,
+    SEQUENCE,
+    ModelGuard,
+    answer_message,
+    attempt_head,
+    download,
+)
 
-GUARD_INCARNATION = 3
-ENTRY_INCARNATION = 5
-SEQUENCE = 7
 WAIT_S = 2.0
 TICK_S = 0.02
 
 
-def attempt_head(sequence=SEQUENCE, entry_incarnation=ENTRY_INCARNATION):
-    attempt_id = peer_pb2.AttemptId(
-        entry="d1",
-        entry_incarnation=entry_incarnation,
-        guard_incarnation=GUARD_INCARNATION,
-        sequence=sequence,
-    )
-    return peer_pb2.CallHead(attempt=attempt_id, outlives_stream=True)
-
-
-def answer_message(status=200, end=False, body=b"part"):
-    reply = peer_pb2.CallReply(end=end, body=body)
-    reply.head.status = status
-    return reply
-
-
-class _ModelGuard(Guard):
-    def __init__(self, replies=(), work_s=0):
-        self.attempts = AttemptTable(GUARD_INCARNATION)
-        self.runs = AttemptRuns()
-        self.in_flight = InFlightCounter()
-        self._metrics = Metrics()
-        self.replies = replies
-        self.work_s = work_s
-        self.started = asyncio.Event()
-
-    async def _run_admitted_attempt(self, attempt, head, body):
-        self.started.set()
-        if not any(reply.HasField("not_run") for reply in self.replies):
-            attempt.mark_sent(Deadline.after_ms(WAIT_S * 1000))
-        await asyncio.sleep(self.work_s)
-        for reply in self.replies:
-            yield reply
-
-
-def download(count):
-    messages = [answer_message(body=bytes(64 * 1024)) for _ in range(count)]
-    for message in messages[1:]:
-        message.ClearField("head")
-    messages[-1].end = True
-    return messages
-
-
 class _Paths:
     def __init__(self):
         self.checks = 0
@@ -190,7 +150,7 @@
 @when("a repeat arrives after the end of the run")
 def step_repeat_after_end(context):
     async def run():
-        guard = _ModelGuard(context.messages)
+        guard = ModelGuard(context.messages)
 
         async def slow():
             stream = guard.serve_attempt(attempt_head(), b"")
@@ -230,7 +190,7 @@
 @when("the caller reads the replies over the former connection")
 def step_read_former(context):
     async def run():
-        guard = _ModelGuard(context.messages, work_s=TICK_S)
+        guard = ModelGuard(context.messages, work_s=TICK_S)
         former = guard.serve_attempt(attempt_head(), b"")
         reading = asyncio.create_task(anext(former))
         await guard.started.wait()
@@ -264,7 +224,7 @@
 @when("the entry ends the attempt")
 def step_end_attempt(context):
     async def run():
-        guard = _ModelGuard(work_s=WAIT_S)
+        guard = ModelGuard(work_s=WAIT_S)
         stream = guard.serve_attempt(attempt_head(), b"")
         reading = asyncio.create_task(anext(stream))
         await guard.started.wait()
@@ -310,7 +270,7 @@
 @given("an attempt that is ended in the moment in which it arrives")
 def step_end_at_arrival(context):
     async def run():
-        guard = _ModelGuard(work_s=WAIT_S)
+        guard = ModelGuard(work_s=WAIT_S)
 
         async def read():
             return [each async for each in guard.serve_attempt(attempt_head(), b"")]
@@ -353,7 +313,7 @@
             )
 
     async def run():
-        guard = _ModelGuard(work_s=10)
+        guard = ModelGuard(work_s=10)
         watching = asyncio.create_task(guard.runs.watch_orphans(Members()))
         stream = guard.serve_attempt(attempt_head(), b"")
         reading = asyncio.create_task(anext(stream))
@@ -381,7 +341,7 @@
 @when("its repeat arrives")
 def step_repeat_refused(context):
     async def run():
-        guard = _ModelGuard([context.refusal])
+        guard = ModelGuard([context.refusal])
         for _ in range(2):
             stream = guard.serve_attempt(attempt_head(), b"")
             context.replies = [each async for each in stream]
@@ -547,7 +507,7 @@
 @given("a hold that was answered, and {count:d} lookups since with answers of 8 kB")
 def step_answered_hold(context, count):
     async def run():
-        guard = _ModelGuard([answer_message(end=True, body=bytes(8 * 1024))])
+        guard = ModelGuard([answer_message(end=True, body=bytes(8 * 1024))])
         for number in range(count + 1):
             head = attempt_head(SEQUENCE + number)
             head.low_water_sequence = SEQUENCE
--- a/tests/features/steps/attempt_runs_steps.py
+++ b/tests/features/steps/attempt_runs_steps.py
@@ -7,77 +7,33 @@
 
 from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
 from laburnumscale.attemptender import AttemptEnder
-from laburnumscale.attemptruns import AttemptRuns
-from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline, now_s
-from laburnumscale.guard import Guard
-from laburnumscale.inflight import InFlightCounter
 from laburnumscale.metrics import Metrics
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
+from tests.standins.modelguard import (
+    ENTRY_INCARNATION,
+    GUARD_INCARNATION,
+    SEQUENCE,
+    ModelGuard,
+    answer_message,
+    attempt_head,
+    download,
+)
 
-ENTRY = "d1"
-GUARD_INCARNATION = 3
-ENTRY_INCARNATION = 5
-SEQUENCE = 7
 STATUS_OK = 200
 STEP_S = 0.002
 WORK_S = 0.06
 WAIT_MS = 2_000
 END_LIMIT_MS = 1_500
 TOLD_MS = 500
-REPLY_BYTES = 64 * 1024
 MAX_UNREAD = 2  # replies on their way in a connection
 
 
-def attempt_head(sequence=SEQUENCE, entry_incarnation=ENTRY_INCARNATION, low_water=0):
-    attempt_id = peer_pb2.AttemptId(
-        entry=ENTRY,
-        entry_incarnation=entry_incarnation,
-        guard_incarnation=GUARD_INCARNATION,
-        sequence=sequence,
-    )
-    return peer_pb2.CallHead(
-        attempt=attempt_id, low_water_sequence=low_water, outlives_stream=True
-    )
-
-
-class _ModelGuard(Guard):
-    """A guard whose target answers after a time.
-
-    :ivar runs_started: how often the target began to run the attempt.
-    :ivar cut: the run ended before the answer.
-    """
-
-    def __init__(self, work_s=WORK_S, reply_count=1):
-        self.attempts = AttemptTable(GUARD_INCARNATION)
-        self.runs = AttemptRuns()
-        self.in_flight = InFlightCounter()
-        self._metrics = Metrics()
-        self.work_s = work_s
-        self.reply_count = reply_count
-        self.runs_started = 0
-        self.started = asyncio.Event()
-        self.cut = asyncio.Event()
-
-    async def _run_admitted_attempt(self, attempt, head, body):
-        attempt.mark_sent(Deadline.after_ms(WAIT_MS))
-        self.runs_started += 1
-        self.started.set()
-        has_answered = False
-        try:
-            await asyncio.sleep(self.work_s)
-            for number in range(self.reply_count):
-                reply = peer_pb2.CallReply(end=number == self.reply_count - 1)
-                if number == 0:
-                    reply.head.status = STATUS_OK
-                if self.reply_count > 1:
-                    reply.body = bytes(REPLY_BYTES)
-                has_answered = reply.end
-                yield reply
-        finally:
-            if not has_answered:
-                self.cut.set()
+def new_guard(work_s=WORK_S, reply_count=1):
+    """Return a guard whose target answers with a number of messages."""
+    replies = download(reply_count) if reply_count > 1 else [answer_message(end=True)]
+    return ModelGuard(replies, work_s)
 
 
 class _Connection:
@@ -136,7 +92,7 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.guard = _ModelGuard()
+        self.guard = new_guard()
         self.connections = []
         self.first = None
 
@@ -261,7 +217,7 @@
 @when("another stream attaches before any reply was dropped")
 def step_attach_second_stream(context):
     async def read():
-        guard = _ModelGuard(work_s=0, reply_count=context.reply_count)
+        guard = new_guard(work_s=0, reply_count=context.reply_count)
         old = guard.serve_attempt(attempt_head(), b"")
         for _ in range(3):
             await anext(old)
@@ -295,7 +251,7 @@
 @when("the caller reads the replies of the copy that delivers first")
 def step_read_first_copy(context):
     async def read():
-        guard = _ModelGuard(reply_count=context.reply_count)
+        guard = new_guard(reply_count=context.reply_count)
         connections = [_Connection(0), _Connection(5 * STEP_S)]
         remaining = iter(connections)
 
@@ -408,7 +364,7 @@
 
 def is_cut_within(context, limit_ms):
     async def run():
-        guard = _ModelGuard(work_s=10)
+        guard = new_guard(work_s=10)
         watching = asyncio.create_task(guard.runs.watch_orphans(context.members))
         head = getattr(context, "head", attempt_head())
 
@@ -451,7 +407,7 @@
 @when("the attempt arrives")
 def step_late_attempt(context):
     async def run():
-        guard = _ModelGuard(work_s=0)
+        guard = new_guard(work_s=0)
         guard.attempts.cancel(attempt_head().attempt)
         replies = [each async for each in guard.serve_attempt(attempt_head(), b"")]
         return guard.runs_started, replies
