Name the scenarios that failed unexpectedly at the end of a run

The results are printed in the order of the features.

Change: scenarios that failed and are not listed in KNOWN-RED.txt are printed again before the counts.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -172,8 +172,12 @@
         if result.key in known_red and result.status == "passed":
             print(f"KNOWN-RED.txt lists a scenario that passes: {result.key}")
     counted = [result for result in results if result.key not in known_red]
-    passed = sum(result.status == "passed" for result in counted)
-    print(f"{passed} passed, {len(counted) - passed} failed")
+    failed = [result for result in counted if result.status != "passed"]
+    passed = len(counted) - len(failed)
+    # Repeated here, because a log that is cut keeps its last lines.
+    for result in failed:
+        print(f"not known as red: {result.status}: {result.key}")
+    print(f"{passed} passed, {len(failed)} failed")
     sys.exit(0 if passed == len(counted) > 0 else 1)
 
 
