Ask the holder of a key that may run a call until its process has ended

A keyed call that had been sent to the home of its key ended as unknown (home_gone) 1.5 s after its start as soon as the home was no present member of this daemon's table. The home may have been running the operation: that other members have declared it dead is doubt about it, not its word.

Ruled out: giving up on the state of the member entry with a longer grace time, which only moves the fault; asking for an exact delivery state from a relay, which would need a reply that an older daemon takes for the outcome.

Once a message may have arrived whose reply is lost, the call is sent again, directly and by relay, with a pause that grows to 0.5 s while the holder is no member. It ends as home_gone when the process of the holder has ended: it has said that it leaves, a newer one is known, or its host refuses connections. This decision was in AttemptClient; it is now ProcessEnds, used by both. If a successor of the home is known, it is asked. A call that reached nobody keeps the grace time.

Not changed: a call whose connection falls silent waits for that reply and is relayed once only.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -26,6 +26,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.pathhealth import PathHealth
+from laburnumscale.processends import ProcessEnds
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["AttemptClient", "AttemptRequest", "race_failover"]
@@ -115,6 +116,7 @@
         self._guard = guard
         self._channels = channels
         self._settler = settler
+        self._process_ends = ProcessEnds(members, channels)
         self._clocks = GuardClocks()
         own = members.own
         self._sequences = AttemptSequences(own.daemon, own.incarnation)
@@ -297,19 +299,10 @@
         return None
 
     async def _has_ended(self, view: EndpointView) -> bool:
-        """Return whether the process of a guard has ended, whose connection was lost.
-
-        Its host refuses connections then, or it has said itself that it leaves, or that
-        it has started again. A suspicion of other members says nothing.
-        """
-        guard = self._members.get(view.daemon)
-        if (
-            guard is None
-            or guard.incarnation > view.incarnation
-            or guard.state == peer_pb2.MEMBER_STATE_LEFT
-        ):
-            return True
-        return await self._channels.is_refused(view.peer_address)
+        """Return whether the process of a guard with a lost connection has ended."""
+        return await self._process_ends.has_ended(
+            view.daemon, view.incarnation, view.peer_address
+        )
 
     async def _settle_attempt(
         self,
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -5,7 +5,9 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
+import attrs
 import grpc
 import xxhash
 
@@ -21,6 +23,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import KeyInvalid, OperationKey, parse_key
+from laburnumscale.processends import ProcessEnds
 from laburnumscale.recordedexchange import RecordedExchange
 from laburnumscale.settingsfeed import BEHIND_RETRY_AFTER_MS, SettingsFeed
 from laburnumscale_schema import peer_pb2
@@ -28,8 +31,10 @@
 __all__ = ["KeyedCalls"]
 
 RETRY_INTERVAL_S = 0.05
-#: How long a call waits for the home of its key to appear in the membership before the
-#: home counts as gone.
+#: Longest pause between repeats of a call to a holder that is no member any more.
+MAX_RETRY_INTERVAL_S = 0.5
+#: How long a call that no holder may be running waits for the home of its key to appear
+#: in the membership before the home counts as gone.
 MISSING_HOME_GRACE_MS = 1_500
 #: Part of the remaining time after which the call is also sent through a third daemon.
 RELAY_DELAY_RATIO = 0.25
@@ -61,6 +66,7 @@
         self._channels = channels
         self._table = table
         self._metrics = metrics
+        self._process_ends = ProcessEnds(members, channels)
 
     async def run_at_holder(self, call: Call, key_text: str) -> peer_pb2.CallReply:
         """Run a caller's call at the daemon that holds its key.
@@ -70,7 +76,8 @@
 
         :param call: the call; it is not run if its body is too large to be sent again.
         :param key_text: the operation key in its text form.
-        :returns: the complete response or a failure; unknown if the home is gone.
+        :returns: the complete response or a failure; unknown if the home is gone. A
+            holder that may be running the call is not given up for doubt about it.
         """
         try:
             key = parse_key(key_text)
@@ -81,16 +88,20 @@
         missing_home_deadline = Deadline.after_ms(
             min(MISSING_HOME_GRACE_MS, call.deadline.left_ms())
         )
+        delivery = _Delivery()
         holder = self._find_holder(key)
         while not call.deadline.has_passed():
             if holder is not None:
-                reply = await self._call_holder(holder, key, call)
+                reply = await self._call_holder(holder, key, call, delivery.record_loss)
                 if reply is not None and not reply.HasField("key_moved_to"):
                     return reply
+                delivery.holder = holder
             elif missing_home_deadline.has_passed():
                 return unknown_reply(peer_pb2.UNKNOWN_REASON_HOME_GONE)
-            await asyncio.sleep(RETRY_INTERVAL_S)
+            await asyncio.sleep(delivery.pause_s)
             holder = self._members.key_holder(*key.home) or self._find_holder(key)
+            delivery.update_pause(holder is not None)
+            holder = holder or await self._find_running_holder(delivery)
         return unknown_reply(peer_pb2.UNKNOWN_REASON_DEADLINE)
 
     async def run_or_relay(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
@@ -160,6 +171,21 @@
             return None
         return home if is_present(home) else None
 
+    async def _find_running_holder(
+        self, delivery: "_Delivery"
+    ) -> peer_pb2.Member | None:
+        """Return the holder that may be running a call, unless its process has ended.
+
+        It need not be present in the membership.
+        """
+        holder = delivery.holder
+        if holder is None or not delivery.may_run:
+            return None
+        has_ended = await self._process_ends.has_ended(
+            holder.daemon, holder.incarnation, holder.peer_address
+        )
+        return None if has_ended else holder
+
     def _successors(self) -> list[peer_pb2.Member]:
         peers = [peer for peer in self._members.peers() if not peer.draining]
         random.shuffle(peers)
@@ -168,7 +194,11 @@
         return peers[:MAX_SUCCESSORS]
 
     async def _call_holder(
-        self, holder: peer_pb2.Member, key: OperationKey, call: Call
+        self,
+        holder: peer_pb2.Member,
+        key: OperationKey,
+        call: Call,
+        on_loss: Callable[[], None] = lambda: None,
     ) -> peer_pb2.CallReply | None:
         """Send a call to the holder of its key.
 
@@ -176,6 +206,8 @@
         daemon, in case the network path is broken in one direction. The holder runs
         the operation once, although it may receive both messages.
 
+        :param on_loss: called when a message may have reached the holder, and its reply
+            is lost.
         :returns: the first reply, or None if there was none.
         """
         message = peer_pb2.KeyedCall(
@@ -183,13 +215,13 @@
         )
         if holder.daemon == self._members.own.daemon:
             return await self.run_or_relay(message)
-        direct = asyncio.create_task(self._send(holder.peer_address, message))
+        direct = asyncio.create_task(self._send(holder.peer_address, message, on_loss))
         tasks = {direct}
         try:
             relay_delay_s = call.deadline.left_s() * RELAY_DELAY_RATIO
             done, _ = await asyncio.wait(tasks, timeout=relay_delay_s)
             if not done or direct.result() is None:
-                tasks |= self._start_relay(holder, message)
+                tasks |= self._start_relay(holder, message, on_loss)
             for finished in asyncio.as_completed(tasks):
                 reply = await finished
                 if reply is not None:
@@ -200,7 +232,10 @@
         return None
 
     def _start_relay(
-        self, holder: peer_pb2.Member, message: peer_pb2.KeyedCall
+        self,
+        holder: peer_pb2.Member,
+        message: peer_pb2.KeyedCall,
+        on_loss: Callable[[], None],
     ) -> set[asyncio.Task]:
         others = [
             peer for peer in self._members.peers() if peer.daemon != holder.daemon
@@ -213,7 +248,7 @@
         relayed.pass_to.incarnation = holder.incarnation
         address = random.choice(others).peer_address
         self._metrics.count("keyed_calls_passed_on")
-        return {asyncio.create_task(self._send(address, relayed))}
+        return {asyncio.create_task(self._send(address, relayed, on_loss))}
 
     async def _relay(
         self, message: peer_pb2.KeyedCall, deadline: Deadline
@@ -229,16 +264,24 @@
         return reply or NO_REPLY
 
     async def _send(
-        self, address: str, message: peer_pb2.KeyedCall
+        self,
+        address: str,
+        message: peer_pb2.KeyedCall,
+        on_loss: Callable[[], None] = lambda: None,
     ) -> peer_pb2.CallReply | None:
         timeout_s = message.head.time_left_ms / 1000
         stub = self._channels.operation_keys(address)
         try:
             with closed_as_unavailable():
                 reply = await stub.Run(message, timeout=timeout_s)
-        except grpc.aio.AioRpcError:
+        except grpc.aio.AioRpcError as error:
+            if not _is_connect_failure(error):
+                on_loss()
+            return None
+        if reply == NO_REPLY:
+            on_loss()  # the relay does not say whether it has sent the message
             return None
-        return None if reply == NO_REPLY else reply
+        return reply
 
     async def _run_operation(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
@@ -280,6 +323,32 @@
         )
 
 
+@attrs.define(eq=False)
+class _Delivery:
+    """What is known of the holder that a call was sent to.
+
+    :ivar holder: the holder that was asked last, or None.
+    :ivar may_run: a holder may be running the call, because a reply was lost.
+    :ivar pause_s: time until the call is sent again.
+    """
+
+    holder: peer_pb2.Member | None = None
+    may_run: bool = False
+    pause_s: float = RETRY_INTERVAL_S
+
+    def record_loss(self) -> None:
+        """Record that a message may have arrived whose reply is lost."""
+        self.may_run = True
+
+    def update_pause(self, is_present: bool) -> None:
+        """Lengthen the pause as long as the holder that was asked is no member."""
+        self.pause_s = (
+            min(2 * self.pause_s, MAX_RETRY_INTERVAL_S)
+            if self.may_run and not is_present
+            else RETRY_INTERVAL_S
+        )
+
+
 def _is_connect_failure(error: grpc.aio.AioRpcError) -> bool:
     connect_failed = "failed to connect" in (error.details() or "").lower()
     return error.code() == grpc.StatusCode.UNAVAILABLE and connect_failed
