Send the outcome of an operation that outlasts its hand-over to the successor

signals.feature (SIGTERM and SIGHUP during startup): an answered keyed request was unknown (home_gone) when it was repeated at the other daemon, which said so after 2 to 5 ms.

Cause, from a trace of hand-overs and of each place that gives home_gone: a draining daemon hands its keys over 500 ms before the end of its drain, and exports each operation that still runs as unknown (home_gone). The operation goes on and its caller gets the answer; the successor never learns of it. All 9 requests that changed to home_gone in two failed runs were in the list of running operations at the export.

Ruled out: lack of a member entry or a holder that does not know the home (no such line in any of the runs); keys that were not handed over.

The daemon now sends the outcome of such an operation to its successor, in a field of its own, before the caller gets it (for at most 200 ms). An older successor ignores the field, so the operation stays unknown there as before. The tables in it have no secret and make no daemon a holder. If the operation turns out not to have run, the key can be used at the successor.

Measured: the two scenarios of keytable.feature about late outcomes failed before (unknown home_gone) and pass.

Left: a repeat that reaches the successor before the late outcome does is still unknown.

--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -42,6 +42,9 @@
 NO_REPLY = peer_pb2.CallReply()
 HAND_OVER_TIMEOUT_S = 2.0
 MAX_SUCCESSORS = 3
+#: How long the outcome of an operation is withheld from its caller until the successor
+#: has it, too.
+LATE_OUTCOME_TIMEOUT_S = 0.2
 
 
 class KeyedCalls:
@@ -67,6 +70,9 @@
         self._table = table
         self._metrics = metrics
         self._process_ends = ProcessEnds(members, channels)
+        self._successor_address = ""
+        self._has_handed_over = asyncio.Event()
+        table.on_late_outcome = self._send_late_outcome
 
     async def run_at_holder(self, call: Call, key_text: str) -> peer_pb2.CallReply:
         """Run a caller's call at the daemon that holds its key.
@@ -146,12 +152,16 @@
                     return False
                 self._table.cancel_export()
                 continue
+            self._successor_address = successor.peer_address
+            self._has_handed_over.set()
             return True
         return False
 
     def accept_hand_over(self, message: peer_pb2.KeyHandOver) -> None:
         """Take over the keys of a draining daemon and announce them by gossip.
 
+        A later message has only the outcomes of operations that were still running.
+
         :raises HandOverRefused: this daemon has handed over its own keys and ends.
         """
         if self._table.successor is not None:
@@ -161,8 +171,27 @@
                 (table.home.daemon, table.home.incarnation)
             ):
                 self._table.import_table(table)
+        for table in message.late_outcomes:
+            self._table.import_late_outcomes(table)
+        if not message.tables:
+            return
         self._members.set_key_homes(self._table.imported_homes())
 
+    async def _send_late_outcome(self, table: peer_pb2.KeyTable) -> None:
+        """Send an outcome to the successor that has the keys since the operation ran.
+
+        A repeat there would otherwise get no outcome although the caller here does.
+        """
+        message = peer_pb2.KeyHandOver(late_outcomes=[table])
+        try:
+            async with asyncio.timeout(LATE_OUTCOME_TIMEOUT_S):
+                await self._has_handed_over.wait()
+                stub = self._channels.operation_keys(self._successor_address)
+                with closed_as_unavailable():
+                    await stub.HandOver(message)
+        except (TimeoutError, grpc.aio.AioRpcError):
+            self._metrics.count("key_hand_over_failures")
+
     def _find_holder(self, key: OperationKey) -> peer_pb2.Member | None:
         if self._table.holds_keys_of(key.home):
             return self._members.own
--- a/packages/laburnumscale/src/laburnumscale/keytable.py
+++ b/packages/laburnumscale/src/laburnumscale/keytable.py
@@ -28,6 +28,8 @@
 FULL_RETRY_AFTER_MS = 1000
 
 StartCall = Callable[[], Awaitable[peer_pb2.CallReply]]
+#: Outcome of an operation that was running when its key was handed over.
+HANDED_OVER = unknown_reply(peer_pb2.UNKNOWN_REASON_HOME_GONE)
 
 
 @attrs.define(eq=False)
@@ -65,6 +67,8 @@
     :param incarnation: incarnation of this daemon.
     :param life_ms: lifetime of a key in milliseconds.
     :ivar successor: the daemon that the keys were handed over to, or None.
+    :ivar on_late_outcome: called with the outcome of an operation that has ended after
+        its key was handed over, before its caller gets the outcome.
     """
 
     def __init__(
@@ -76,6 +80,8 @@
         self._homes = {(daemon, incarnation): self._own_home}
         self._stored_bytes = 0
         self.successor: peer_pb2.KeyHolder | None = None
+        self.on_late_outcome: Callable[[peer_pb2.KeyTable], Awaitable[None]]
+        self.on_late_outcome = _ignore_outcome
 
     def mint(self, count: int) -> list[OperationKey]:
         """Mint new keys with this daemon as their home."""
@@ -164,6 +170,27 @@
         self._homes[home_id] = home
         self._metrics.count("operation_keys_adopted", amount=len(table.records))
 
+    def import_late_outcomes(self, table: peer_pb2.KeyTable) -> None:
+        """Store outcomes of operations that were running when their keys came here.
+
+        An operation that was not run may be run here. Nothing is stored if this daemon
+        does not hold the keys of the home.
+        """
+        home_id = (table.home.daemon, table.home.incarnation)
+        if not self.holds_keys_of(home_id):
+            return
+        home = self._homes[home_id]
+        for message in table.records:
+            record = home.records.get(parse_key(message.key))
+            if record is None or record.reply != HANDED_OVER:
+                continue
+            self._stored_bytes -= record.size_bytes()
+            if message.reply.HasField("not_run"):
+                del home.records[record.key]
+            else:
+                record.reply = message.reply
+                self._stored_bytes += record.size_bytes()
+
     def imported_homes(self) -> list[peer_pb2.KeyHolder]:
         """Return the homes whose keys were taken over from other daemons."""
         return [
@@ -220,6 +247,8 @@
             else:
                 record.reply = reply
                 self._stored_bytes += record.size_bytes()
+        if self.successor is not None:
+            await self.on_late_outcome(_late_outcome(home, record, reply))
         return reply
 
     @staticmethod
@@ -234,17 +263,32 @@
 
     @staticmethod
     def _export_home(home: _Home) -> peer_pb2.KeyTable:
-        home_gone = unknown_reply(peer_pb2.UNKNOWN_REASON_HOME_GONE)
         return peer_pb2.KeyTable(
             home=home.signer.home_message,
             secret=home.signer.secret,
             clock_ms=home.signer.clock_ms(),
             records=[
-                peer_pb2.KeyRecord(
-                    key=str(record.key),
-                    fingerprint=record.fingerprint,
-                    reply=record.reply or home_gone,
-                )
+                _export_record(record, record.reply or HANDED_OVER)
                 for record in home.records.values()
             ],
         )
+
+
+def _export_record(
+    record: _OperationRecord, reply: peer_pb2.CallReply
+) -> peer_pb2.KeyRecord:
+    return peer_pb2.KeyRecord(
+        key=str(record.key), fingerprint=record.fingerprint, reply=reply
+    )
+
+
+def _late_outcome(
+    home: _Home, record: _OperationRecord, reply: peer_pb2.CallReply
+) -> peer_pb2.KeyTable:
+    return peer_pb2.KeyTable(
+        home=home.signer.home_message, records=[_export_record(record, reply)]
+    )
+
+
+async def _ignore_outcome(table: peer_pb2.KeyTable) -> None:
+    """Do nothing with a late outcome."""
--- a/tests/features/keytable.feature
+++ b/tests/features/keytable.feature
@@ -19,3 +19,18 @@
     Given a daemon that has not handed its keys over yet
     When a draining daemon hands its keys over to it
     Then its keys are among those that are handed over next
+
+  Scenario: An outcome that comes after the hand-over is known to the successor
+    Given a draining daemon with an operation that takes 600 ms, and its successor
+    When the keys are handed over after 200 ms and the operation ends as answered
+    Then a repeat at the successor gets the same answer as the caller
+
+  Scenario: An operation that turns out not to have run after the hand-over can be run
+    Given a draining daemon with an operation that takes 600 ms, and its successor
+    When the keys are handed over after 200 ms and the operation ends as not run
+    Then a repeat at the successor runs the operation
+
+  Scenario: A late outcome does not make a daemon the holder of a key
+    Given a daemon that has not handed its keys over yet
+    When the late outcome of an operation of another daemon arrives at it
+    Then it does not hold the keys of the other daemon
--- a/tests/features/steps/keytable_steps.py
+++ b/tests/features/steps/keytable_steps.py
@@ -4,7 +4,9 @@
 from behave import given, then, when
 
 from laburnumscale.addresses import Address
+from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
+from laburnumscale.failurereplies import not_run_reply
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
@@ -16,6 +18,9 @@
 FINGERPRINT = b"hold"
 SUCCESSOR = peer_pb2.KeyHolder(daemon="d3", incarnation=1)
 HAND_OVER_TIMEOUT_S = 5.0
+ANSWERED = peer_pb2.CallReply(head=peer_pb2.ReplyHead(status=200), end=True)
+REPEATED = peer_pb2.CallReply(head=peer_pb2.ReplyHead(status=201), end=True)
+NOT_RUN = not_run_reply(peer_pb2.NOT_RUN_REASON_OVERLOADED)
 
 
 def new_table(daemon="d1"):
@@ -126,3 +131,85 @@
     assert context.code is grpc.StatusCode.OK, context.code
     exported = context.key_table.export_tables(SUCCESSOR)
     assert {table.home.daemon for table in exported} == {"d1", "d2"}, exported
+
+
+@given(
+    "a draining daemon with an operation that takes {call_ms:d} ms, and its successor"
+)
+def step_create_draining(context, call_ms):
+    context.call_ms = call_ms
+    context.draining_table, context.key_table = new_table("d2"), new_table("d1")
+
+
+@when(
+    "the keys are handed over after {wait_ms:d} ms and the operation ends as {outcome}"
+)
+def step_hand_over_during_operation(context, wait_ms, outcome):
+    address = Address("127.0.0.1", context.fleet.free_port())
+    successor = peer_pb2.Member(
+        daemon="d1",
+        incarnation=1,
+        version=1,
+        peer_address=str(address),
+        state=peer_pb2.MEMBER_STATE_ALIVE,
+    )
+    members = Members(peer_pb2.Member(daemon="d2", incarnation=1))
+    members.merge(successor)
+    table = context.draining_table
+    [key] = table.mint(1)
+
+    async def operation():
+        await asyncio.sleep(context.call_ms / 1000)
+        return ANSWERED if outcome == "answered" else NOT_RUN
+
+    async def repeat():
+        return REPEATED
+
+    async def drain(channels):
+        draining = KeyedCalls(members, None, None, channels, table, Metrics())
+        deadline = Deadline.after_ms(LIFE_MS)
+        running = asyncio.create_task(table.run(key, FINGERPRINT, deadline, operation))
+        await asyncio.sleep(0)
+        assert await draining.hand_over(Deadline.after_ms(wait_ms))
+        context.first = await running
+        context.second = await context.key_table.run(key, FINGERPRINT, deadline, repeat)
+
+    async def run():
+        own = Members(successor)
+        keyed_calls = KeyedCalls(own, None, None, None, context.key_table, Metrics())
+        channels = PeerChannels({})
+        async with serve_peers(address, None, None, own, None, None, keyed_calls):
+            await drain(channels)
+            await channels.close()
+
+    asyncio.run(run())
+
+
+@then("a repeat at the successor gets the same answer as the caller")
+def step_check_same_answer(context):
+    assert context.first == ANSWERED, context.first
+    assert context.second == ANSWERED, context.second
+
+
+@then("a repeat at the successor runs the operation")
+def step_check_runs(context):
+    assert context.first == NOT_RUN, context.first
+    assert context.second == REPEATED, context.second
+
+
+@when("the late outcome of an operation of another daemon arrives at it")
+def step_late_outcome(context):
+    home = peer_pb2.KeyHolder(daemon="d2", incarnation=1)
+    [key] = new_table("d2").mint(1)
+    record = peer_pb2.KeyRecord(key=str(key), fingerprint=FINGERPRINT, reply=ANSWERED)
+    table = peer_pb2.KeyTable(home=home, records=[record])
+    members = Members(peer_pb2.Member(daemon="d1", incarnation=1))
+    keyed_calls = KeyedCalls(members, None, None, None, context.key_table, Metrics())
+    keyed_calls.accept_hand_over(peer_pb2.KeyHandOver(late_outcomes=[table]))
+    context.key_homes = members.own.key_homes
+
+
+@then("it does not hold the keys of the other daemon")
+def step_check_not_held(context):
+    assert not context.key_table.holds_keys_of(("d2", 1))
+    assert not context.key_homes, context.key_homes
