Send copies of an attempt without a total limit, with growing pauses

An entry gave up a lookup that its target ran once its connections to the guard had been reset more than 8 times within the call: MAX_COPIES counted all copies that were ever sent, and a lost attempt that can't be repeated ended as unknown (connection_lost). The loss of connections is doubt about the path.

Ruled out: a larger limit, which only moves the fault; settling lookups, since a copy that attaches to the run gets its outcome anyway. Holds are settled and were not affected.

At most 8 copies are open at a time; a further one replaces the oldest but the first, because a guard of an older version may end the run with the stream of its first copy. The first 8 copies are sent at once as before, then the pause doubles from 100 ms to 1 s; a copy that was not connected counts for nothing. Readers of lost copies are dropped, so that their number is bounded, too.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -169,7 +169,7 @@
             left_ms=request.deadline.left_ms(),
             reply_left_ms=request.reply_deadline.left_ms(),
             path_broken=self._paths.is_broken(view.peer_address),
-            copies=len(copies.readers),
+            copies=copies.sent_count,
             has_replied=copies.answered is not None,
         )
 
--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 
 import grpc
 
@@ -18,9 +18,14 @@
 __all__ = ["AttemptCopies", "ReplyReader", "ReplyStream"]
 
 MAX_QUEUED_REPLIES = 2
-#: Copies of one attempt. The guard deals with each one, and a connection that is
-#: replaced more often than this within one call is no better than the former ones.
-MAX_COPIES = 8
+#: Copies of one attempt that are open at a time: what they keep at the entry and at the
+#: guard is bounded.
+MAX_OPEN_COPIES = 8
+#: Copies of one attempt that are sent without a pause. The pause before each further
+#: one is twice the former one: what ends so many connections is likely to last.
+PROMPT_COPIES = 8
+FIRST_PAUSE_MS = 100
+MAX_PAUSE_MS = 1_000
 #: Refusals of a copy that its guard did not get, or that names another process of it.
 NOT_ADMITTED_REASONS = frozenset(
     {peer_pb2.NOT_RUN_REASON_NOT_CONNECTED, peer_pb2.NOT_RUN_REASON_FENCED}
@@ -109,11 +114,13 @@
     """The copies of one attempt, which were sent under the same ID.
 
     A copy replaces none of the others: the guard runs the first one that arrives, and
-    each of them may deliver the replies.
+    each of them may deliver the replies. Their number is not bounded, because the loss
+    of connections does not end an attempt that its guard may be running.
 
     :param send: sends a copy; gets the function to call when a reply can be taken.
     :param is_repeatable: whether the attempt can be sent more than once.
-    :ivar readers: the readers of all copies that were sent.
+    :ivar readers: the readers of the copies that were not lost.
+    :ivar sent_count: number of copies that the guard may have got.
     :ivar answered: the reader of the copy whose reply states the outcome, or None.
     :ivar is_over: the guard has said that no reply is to come.
     """
@@ -124,6 +131,7 @@
         is_repeatable: bool = False,
     ) -> None:
         self.readers: list[ReplyReader] = []
+        self.sent_count = 0
         self.answered: ReplyReader | None = None
         self.is_over = False
         self._send = send
@@ -131,6 +139,7 @@
         self._open: list[ReplyReader] = []
         self._news = asyncio.Event()
         self._is_repeat_due = False
+        self._pause_end = Deadline.after_ms(0)
         self._has_run_ended = False
         self.send()
 
@@ -146,16 +155,19 @@
 
     @property
     def can_repeat(self) -> bool:
-        """Return whether another copy can be sent."""
+        """Return whether another copy can be sent, now or after a pause."""
         is_unsettled = self.answered is None and not self._has_run_ended
-        is_repeatable = self._is_repeatable and not self.is_over
-        return is_repeatable and is_unsettled and len(self.readers) < MAX_COPIES
+        return self._is_repeatable and not self.is_over and is_unsettled
 
     def send(self) -> None:
         """Send a copy."""
         reader = self._send(self._news.set)
         self.readers.append(reader)
         self._open.append(reader)
+        self.sent_count += 1
+        if self.sent_count >= PROMPT_COPIES:
+            pause_ms = FIRST_PAUSE_MS * 2 ** (self.sent_count - PROMPT_COPIES)
+            self._pause_end = Deadline.after_ms(min(pause_ms, MAX_PAUSE_MS))
 
     def repeat(self) -> None:
         """Send another copy if the attempt can be repeated."""
@@ -174,11 +186,9 @@
             is_undecided = reply is None and not (self.is_over or self.is_lost)
             if not is_undecided or deadline.has_passed():
                 return reply
-            try:
-                async with asyncio.timeout(deadline.left_s()):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._wait_s(deadline)):
                     await self._news.wait()
-            except TimeoutError:
-                return self._take_reply()
 
     async def read_remaining(self) -> ReplyStream:
         """Yield the replies after the first one."""
@@ -194,10 +204,29 @@
             await reader.close()
 
     def _send_due_copy(self) -> None:
-        is_due, self._is_repeat_due = self._is_repeat_due, False
-        if is_due and self.can_repeat:
+        if not (self._is_repeat_due and self._pause_end.has_passed()):
+            return
+        self._is_repeat_due = False
+        if self.can_repeat:
+            self._close_one_if_full()
             self.send()
 
+    def _close_one_if_full(self) -> None:
+        """Close the oldest copy but the first, with which an older guard ends a run."""
+        if len(self._open) >= MAX_OPEN_COPIES:
+            self._remove(self._open[1])
+
+    def _remove(self, reader: ReplyReader) -> None:
+        reader.cancel()
+        self._open.remove(reader)
+        self.readers.remove(reader)
+
+    def _wait_s(self, deadline: Deadline) -> float:
+        """Return how long to wait for a reply, or for the end of the pause."""
+        if not self._is_repeat_due:
+            return deadline.left_s()
+        return min(deadline.left_s(), self._pause_end.left_s())
+
     def _take_reply(self) -> peer_pb2.CallReply | None:
         for reader in tuple(self._open):
             if not reader.has_reply():
@@ -206,8 +235,8 @@
             if reply is not None and self._states_outcome(reply):
                 self._choose(reader)
                 return reply
-            self._open.remove(reader)
-            self._record_loss(reader, reply)
+            self._remove(reader)
+            self._record_loss(reply)
         return None
 
     def _choose(self, reader: ReplyReader) -> None:
@@ -222,15 +251,13 @@
 
         It is if there are no others, or if the guard has admitted this one.
         """
-        if len(self.readers) == 1:
+        if self.sent_count == 1:
             return True
         if reply.HasField("not_run"):
             return reply.not_run.reason not in NOT_ADMITTED_REASONS
         return reply.unknown.reason not in RUN_FOR_ANOTHER_REASONS
 
-    def _record_loss(
-        self, reader: ReplyReader, reply: peer_pb2.CallReply | None
-    ) -> None:
+    def _record_loss(self, reply: peer_pb2.CallReply | None) -> None:
         """Record that a copy will not deliver the outcome.
 
         :param reply: the refusal of the copy; None if its connection was lost.
@@ -238,7 +265,8 @@
         if reply is None:
             self._is_repeat_due = True
         elif reply.not_run.reason == peer_pb2.NOT_RUN_REASON_NOT_CONNECTED:
-            self.readers.remove(reader)
+            self.sent_count -= 1
+            self._pause_end = Deadline.after_ms(0)
         elif reply.not_run.reason == peer_pb2.NOT_RUN_REASON_FENCED:
             self.is_over = True
         elif reply.unknown.reason == peer_pb2.UNKNOWN_REASON_ANSWER_NOT_KEPT:
--- a/tests/features/attemptclient.feature
+++ b/tests/features/attemptclient.feature
@@ -41,3 +41,15 @@
       | unknown answer_not_kept | refuted |
       | not_run fenced          | refuted |
       | not_run overloaded      | refused |
+
+  Scenario: Copies that are lost at once are sent less and less often, and without end
+    Given an attempt whose copies are all lost after 1 ms
+    When it is repeated as often as possible for 4000 ms
+    Then between 10 and 16 copies were sent, one of them in the last 1500 ms
+    And at most 2 of its readers are kept
+
+  Scenario: Copies that get no reply are replaced, and few of them are open at a time
+    Given an attempt whose copies get no reply
+    When it is repeated as often as possible for 4000 ms
+    Then between 10 and 16 copies were sent, one of them in the last 1500 ms
+    And at most 8 copies were open at a time, the first one among them
--- a/tests/features/running_attempts.feature
+++ b/tests/features/running_attempts.feature
@@ -62,6 +62,17 @@
       | hold   |
       | lookup |
 
+  Scenario Outline: Many resets of its connections do not end a <kind> that its target runs
+    When the caller sends a <kind> that p1 runs for 4000 ms, with a limit of 6000 ms
+    And 200 ms later the open connections from d1 to d2 are reset 14 times, every 200 ms
+    Then the call has the answer of p1
+    And p1 ran the call once, to its end
+
+    Examples:
+      | kind   |
+      | hold   |
+      | lookup |
+
   Scenario: A download goes on to its end after its connection was taken for silent
     When the caller downloads 60000000 bytes from d1 in 15000 ms
     And after 500 ms the open connections from d2 to d1 deliver late for 600 ms
--- a/tests/features/steps/attemptclient_steps.py
+++ b/tests/features/steps/attemptclient_steps.py
@@ -233,3 +233,78 @@
     seen = asyncio.run(read())
     assert context.copies.sent == 2, context.copies.sent
     assert seen == outcome, seen
+
+
+class _SentCopies:
+    """Copies of an attempt that get no reply.
+
+    :ivar lost_after_s: time after which each copy is lost; None for never.
+    """
+
+    def __init__(self, lost_after_s):
+        self.lost_after_s = lost_after_s
+        self.sent_at_s = []
+        self.open = set()
+        self.most_open = 0
+
+    def send(self, on_reply):
+        self.sent_at_s.append(time.monotonic())
+        return ReplyReader(self._reply(len(self.sent_at_s)), on_reply)
+
+    async def _reply(self, number):
+        self.open.add(number)
+        self.most_open = max(self.most_open, len(self.open))
+        try:
+            await asyncio.sleep(self.lost_after_s or MAX_REPLY_MS)
+        finally:
+            self.open.discard(number)
+        if self.lost_after_s is None:
+            yield
+
+
+@given("an attempt whose copies are all lost after {lost_ms:d} ms")
+def step_lose_copies(context, lost_ms):
+    context.sent = _SentCopies(lost_ms / 1000)
+
+
+@given("an attempt whose copies get no reply")
+def step_leave_copies_open(context):
+    context.sent = _SentCopies(None)
+
+
+@when("it is repeated as often as possible for {duration_ms:d} ms")
+def step_repeat_often(context, duration_ms):
+    async def repeat():
+        copies = AttemptCopies(context.sent.send, is_repeatable=True)
+        end = Deadline.after_ms(duration_ms)
+        while not end.has_passed():
+            copies.repeat()
+            assert await copies.read_first(Deadline.after_ms(20)) is None
+            await asyncio.sleep(0.001)
+        context.last_open = set(context.sent.open)
+        context.reader_count = len(copies.readers)
+        context.ended_at_s = time.monotonic()
+        await copies.close()
+
+    asyncio.run(repeat())
+
+
+@then(
+    "between {least:d} and {most:d} copies were sent, one of them in the last "
+    "{last_ms:d} ms"
+)
+def step_check_sent(context, least, most, last_ms):
+    sent_at_s = context.sent.sent_at_s
+    assert least <= len(sent_at_s) <= most, len(sent_at_s)
+    assert (context.ended_at_s - sent_at_s[-1]) * 1000 <= last_ms, sent_at_s
+
+
+@then("at most {count:d} of its readers are kept")
+def step_check_readers(context, count):
+    assert context.reader_count <= count, context.reader_count
+
+
+@then("at most {count:d} copies were open at a time, the first one among them")
+def step_check_open(context, count):
+    assert context.sent.most_open <= count, context.sent.most_open
+    assert 1 in context.last_open, context.last_open
--- a/tests/features/steps/running_attempts_steps.py
+++ b/tests/features/steps/running_attempts_steps.py
@@ -235,6 +235,16 @@
     link_of(context, source, to).faults(forward={"reset": True})
 
 
+@when(
+    "{after_ms:d} ms later the open connections from {source} to {to} are reset "
+    "{count:d} times, every {interval_ms:d} ms"
+)
+def step_reset_repeatedly(context, after_ms, source, to, count, interval_ms):
+    for number in range(count):
+        wait_after_call(context, after_ms + number * interval_ms)
+        link_of(context, source, to).faults(forward={"reset": True})
+
+
 @when(
     "{after_ms:d} ms later the open connections between {one} and {other} fall silent "
     "for good"
