Take connections that fall silent again after a cut for another cut

Cause: during the second after a cut, each peer that had responded over its new connection counted as proven until the suspicion ended. When the new connections fell silent, too, within that second, the finds were not news about the others: these were checked only after 100 ms and over a new connection only after 80 ms more, one peer at a time.

Ruled out: resetting the suspicion at each find. One peer whose connections fail repeatedly would have all others checked each time.

--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -292,6 +292,20 @@
     Then at most 26 paths were checked because of the others
     And each peer was checked at most 2 times
 
+  Scenario Outline: Connections that were opened after a cut and fall silent are a further cut
+    Given a cut of the connections to a, b, c and d, of which a and b were found silent
+    And d has responded since over a new connection
+    When the connections now open to <silent> are found silent
+    Then the connections to <doubtful> are to be checked
+
+    Examples:
+      | silent            | doubtful |
+      | a                 | c        |
+      | a and once more a | c        |
+      | a and b           | c and d  |
+      | a and c           | none     |
+      | d and a           | b and c  |
+
   Scenario: Silent hosts do not delay the contact with a daemon that responds
     Given presence records of 3 daemons, of which the 2 newest are on silent hosts
     When a daemon that is alone contacts them
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -16,6 +16,7 @@
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
 from laburnumscale.candidates import eligible
+from laburnumscale.connectioncuts import ConnectionCuts
 from laburnumscale.deadlines import Deadline
 from laburnumscale.ejection import select_endpoints
 from laburnumscale.endpointindex import EndpointView
@@ -888,6 +889,31 @@
     assert most[0][1] <= count, most
 
 
+@given("a cut of the connections to a, b, c and d, of which a and b were found silent")
+def step_cut_connections(context):
+    context.cuts = ConnectionCuts()
+    for address in "ab":
+        context.cuts.record_silence(address)
+
+
+@given("{address} has responded since over a new connection")
+def step_respond_after_cut(context, address):
+    context.cuts.record_delivery(address)
+
+
+@when("the connections now open to {addresses} are found silent")
+def step_find_silent_again(context, addresses):
+    for address in addresses.replace("once more ", "").split(" and "):
+        context.cuts.record_silence(address)
+
+
+@then("the connections to {addresses} are to be checked")
+def step_check_doubtful(context, addresses):
+    doubtful = [address for address in "abcd" if context.cuts.is_doubtful(address)]
+    expected = [] if addresses == "none" else addresses.split(" and ")
+    assert doubtful == expected, doubtful
+
+
 class _SilentHosts:
     """Exchanges of tables of which some get no reply."""
 
