Let a target in doubt take a call whose body cannot be sent again

Cause: guards whose target is in doubt refuse calls that may run only once, so that the entry tries another target. A call with a streamed body (more than one message) is not sent a second time, so the first such refusal was its final answer: 503 although it had time. A target is in doubt also while one of its calls takes longer than half of its slow threshold, as calls do after a cut of connections or with little processor time.

Ruled out: that refusals as in doubt end all calls alike.

Change: the head of a call whose body cannot be sent again does not ask for the refusal. The entry still prefers targets that it does not know to be in doubt.

The second example of the new scenario (decisions.feature) failed before and passes with the change; leaving_targets.feature passes. Not measured: how many more uploads end unknown at targets that fail.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -315,7 +315,7 @@
             no_wait=not call.may_queue,
             objective_left_ms=call.objective_left_ms(),
             route=call.route_hash,
-            avoid_doubt=call.avoids_doubt,
+            avoid_doubt=call.is_refused_in_doubt,
         )
         self._router.fill_call_head(head, view)
         return AttemptRequest(
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -180,9 +180,17 @@
         self.tried_endpoints -= self.busy_endpoints
         return True
 
+    @property
+    def is_refused_in_doubt(self) -> bool:
+        """Return whether an endpoint in doubt is to refuse the next attempt.
+
+        The refusal would be final for a call that cannot be sent again.
+        """
+        return self.replayable and self.avoids_doubt
+
     @property
     def avoids_doubt(self) -> bool:
-        """Return whether an endpoint in doubt is to refuse the next attempt."""
+        """Return whether the next attempt prefers endpoints that are not in doubt."""
         return (
             self.at_most_once
             and not self.accepts_doubt
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -306,6 +306,16 @@
       | a and c           | none     |
       | d and a           | b and c  |
 
+  Scenario Outline: Only a call that can be sent again is refused by targets in doubt
+    Given guards that refuse calls which avoid targets in doubt
+    When an entry makes a call that may run only once, with a body that <kind>
+    Then it was answered at attempt <count>
+
+    Examples:
+      | kind                 | count |
+      | can be sent again    | 3     |
+      | cannot be sent again | 1     |
+
   Scenario: Silent hosts do not delay the contact with a daemon that responds
     Given presence records of 3 daemons, of which the 2 newest are on silent hosts
     When a daemon that is alone contacts them
