Test a keyed call whose home is declared dead while it runs, with daemons

The scenario resets the connections between two daemons while the home of a key runs an operation, and cuts the links until the home is declared dead by the other daemon, then restores them.

--- a/tests/features/keyedcalls.feature
+++ b/tests/features/keyedcalls.feature
@@ -44,3 +44,19 @@
     When the home is declared dead and its host is not reachable
     Then the keyed call ends with deadline within 6500 ms
     And it was sent at most 40 times
+
+  Scenario: A keyed call is answered although its home was declared dead meanwhile
+    Given links between daemons d1, d2
+    And a fleet of 2 daemons in makati, pasig
+    And targets e1 of slot-desk beside d2
+    And the fleet is ready with the settings of bantayog
+    And calls of slot-desk have a time limit of 20000 ms
+    And an operation key minted by d2
+    And every target has a latency of 12000 ms
+    When the keyed request is sent to d1 in the background
+    And the open connections between d1 and d2 are reset, and the links are cut
+    Then d2 is dead for all others within 10 s
+    When the links between d1 and d2 are restored
+    And the keyed request in the background ends
+    Then all keyed responses are equal with status 200
+    And the targets ran the keyed request exactly 1 time
--- a/tests/features/steps/operationkeys_steps.py
+++ b/tests/features/steps/operationkeys_steps.py
@@ -113,6 +113,26 @@
         context.keyed_responses.append(pending.result())
 
 
+@when("the keyed request is sent to {daemon} in the background")
+def step_send_in_background(context, daemon):
+    pool = ThreadPoolExecutor(1)
+    context.add_cleanup(pool.shutdown)
+    context.pending = pool.submit(send_keyed_request, context, daemon)
+    wait_until(lambda: recorded_runs(context), "the request has reached a target")
+
+
+@when("the open connections between {one} and {other} are reset, and the links are cut")
+def step_reset_and_cut(context, one, other):
+    cut = {"cut": True, "reset": True}
+    for name in (f"{one}>{other}", f"{other}>{one}"):
+        context.fleet.links[name].faults(forward=cut, backward=cut)
+
+
+@when("the keyed request in the background ends")
+def step_wait_for_background(context):
+    context.keyed_responses.append(context.pending.result())
+
+
 @when("the operation key has expired")
 def step_wait_key_expired(context):
     daemon = context.key.partition("~")[0]
