Store small answers that a target sends in several messages

Cause: a guard stored the answer of an attempt only if it was one message, so only that of a response with a length. A response in chunks is at least two messages, whatever its size. If the connection of the entry was lost, or took both messages without delivering them, the run had ended by the time of the repeat: it was refused (`answer_not_kept`), and the query of a call that may run once gave "started", so the caller got 504 (`connection_lost`) although the answer was ready. Ruled out: the replies that the run keeps for streams that attach later; they are gone when the run has ended.

--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -36,6 +36,7 @@
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
 from laburnumscale.inflight import InFlightCounter
+from laburnumscale.joinedanswers import JoinedAnswer
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
@@ -166,6 +167,7 @@
     ) -> AsyncIterator[peer_pb2.CallReply]:
         """Run an admitted attempt and record its end."""
         last_reply = None
+        answer = JoinedAnswer(_is_answer_needed(head))
         admitted_at_s = now_s()
         with self.in_flight.track():
             try:
@@ -173,8 +175,8 @@
                     self._run_admitted_attempt(attempt, head, body)
                 ) as replies:
                     async for reply in replies:
-                        last_reply = reply
-                        self._record_final_reply(attempt, head, reply)
+                        last_reply = answer.add(reply)
+                        self._record_final_reply(attempt, head, last_reply)
                         yield reply
             finally:
                 if attempt.state is AttemptState.SENT:
@@ -567,11 +569,17 @@
 ) -> peer_pb2.CallReply | None:
     """Return the reply to cache for settling an attempt, or None.
 
-    It is a refusal, or a complete response in one message. The response to a call that
-    may run again is needed only if the entry may repeat the attempt.
+    It is a refusal, or a complete response in one message.
     """
     if reply is None or reply.HasField("not_run"):
         return reply
     complete = reply.end and reply.HasField("head")
-    is_needed = head.outlives_stream or not head.idempotent
-    return reply if complete and is_needed else None
+    return reply if complete and _is_answer_needed(head) else None
+
+
+def _is_answer_needed(head: peer_pb2.CallHead) -> bool:
+    """Return whether the entry may ask for the response to an attempt again.
+
+    It does if the call may run only once, or if it may repeat the attempt.
+    """
+    return head.outlives_stream or not head.idempotent
--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -59,3 +59,13 @@
     Given a hold that was answered, and 400 lookups since with answers of 8 kB
     When the outcome of the hold is queried
     Then the guard still has its answer
+
+  Scenario Outline: A small answer in several messages is not lost with its connection: <call>
+    Given <call> that is answered in 2 small messages over a connection that is lost
+    When its repeat arrives, and its outcome is queried
+    Then both get the whole answer of the target
+
+    Examples:
+      | call     |
+      | a hold   |
+      | a lookup |
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -528,3 +528,40 @@
 @then("the guard still has its answer")
 def step_check_settled(context):
     assert context.settled.HasField("reply"), context.settled
+
+
+@given("{call} that is answered in 2 small messages over a connection that is lost")
+def step_small_messages(context, call):
+    context.head = attempt_head()
+    context.head.idempotent = call == "a lookup"
+    end = peer_pb2.CallReply(body=b" and end", end=True)
+    context.messages = [answer_message(), end]
+
+
+@when("its repeat arrives, and its outcome is queried")
+def step_repeat_and_query(context):
+    async def run():
+        guard = ModelGuard(context.messages, work_s=TICK_S)
+        reading = asyncio.create_task(
+            anext(guard.serve_attempt(context.head, b""), None)
+        )
+        await guard.started.wait()
+        reading.cancel()
+        await asyncio.wait({reading})
+        # A stream over a connection that delivers nothing takes both messages.
+        async for _ in guard.serve_attempt(context.head, b""):
+            pass
+        await asyncio.sleep(TICK_S)
+        repeat = [each async for each in guard.serve_attempt(context.head, b"")]
+        return repeat, guard.attempts.settle(context.head.attempt)
+
+    context.repeat_replies, context.settled = asyncio.run(run())
+
+
+@then("both get the whole answer of the target")
+def step_check_whole_answer(context):
+    (repeated,) = context.repeat_replies
+    for reply in (repeated, context.settled.reply):
+        assert reply.HasField("head"), reply
+        assert reply.end
+        assert reply.body == b"part and end", reply.body
