Tell a guard at once of an attempt that ends while earlier ends are retried

Cause: the ends of attempts that a guard has not confirmed are retried after up to 1 s, and an attempt that ended meanwhile waited for that retry, also if the guard could be reached again: its target worked on for a caller who had left 930 ms ago, where half a second is allowed. Change: an added attempt ends the pause (which lasts at least 50 ms) and begins the retries anew. The step of 'A guard that cannot be reached for a moment ...' shares its guard with the new one and now also checks which attempt the guard was told of. Conclusion: while a guard can be reached, over the open or a new connection, no earlier outage delays the end of an attempt.

--- a/packages/laburnumscale/src/laburnumscale/attemptender.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptender.py
@@ -47,17 +47,33 @@
 
     :ivar pending: the attempts, by sequence number.
     :ivar task: sends the requests.
+    :ivar added: set when an attempt was added since the last request.
     """
 
     pending: OrderedDict[int, _EndedAttempt] = attrs.field(factory=OrderedDict)
     task: asyncio.Task | None = None
+    added: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def add(self, ended: _EndedAttempt) -> None:
         """Add an attempt, and remove the oldest above the limit."""
         self.pending[ended.attempt_id.sequence] = ended
+        self.added.set()
         if len(self.pending) > MAX_PENDING_ATTEMPTS:
             self.pending.popitem(last=False)
 
+    async def wait_for_addition(self, timeout_s: float) -> bool:
+        """Wait until an attempt was added, for at least ``FIRST_RETRY_S``.
+
+        :returns: whether one was added before the timeout.
+        """
+        await asyncio.sleep(FIRST_RETRY_S)
+        try:
+            async with asyncio.timeout(timeout_s - FIRST_RETRY_S):
+                await self.added.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def remove_expired(self) -> int:
         """Remove the attempts whose runs have ended by their deadlines.
 
@@ -103,8 +119,8 @@
                 if await self._send_on_any(peer_address, requests):
                     continue
                 self._paths.start_check(peer_address)
-                await asyncio.sleep(retry_s)
-                retry_s = min(2 * retry_s, MAX_RETRY_S)
+                has_addition = await requests.wait_for_addition(retry_s)
+                retry_s = FIRST_RETRY_S if has_addition else _next_retry_s(retry_s)
                 untold += requests.remove_expired()
             if untold:
                 get_logger().info(
@@ -131,6 +147,7 @@
         self, stub: peer_pb2_grpc.GuardStub, requests: _PeerRequests, timeout_s: float
     ) -> bool:
         """Send one request and return whether the guard has replied."""
+        requests.added.clear()
         sequences = list(requests.pending)[:MAX_ATTEMPTS_PER_REQUEST]
         message = peer_pb2.EndRequest(
             attempts=[requests.pending[number].attempt_id for number in sequences]
@@ -145,3 +162,7 @@
         for number in sequences:
             requests.pending.pop(number, None)
         return True
+
+
+def _next_retry_s(retry_s: float) -> float:
+    return min(2 * retry_s, MAX_RETRY_S)
--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -55,6 +55,11 @@
     Given a guard that responds again 2500 ms after the end of an attempt
     Then it is told of the end
 
+  Scenario: A guard that can be reached again is told at once of an attempt that ends then
+    Given a guard that responds again 3250 ms after the end of an attempt
+    When another attempt ends 50 ms after that
+    Then it is told of both within 500 ms
+
   Scenario: Answers to calls that may run again do not displace that of a call that may not
     Given a hold that was answered, and 400 lookups since with answers of 8 kB
     When the outcome of the hold is queried
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -465,43 +465,74 @@
     context.first = asyncio.run(run())
 
 
+class _UnreachableChannels:
+    """Channels to a guard that does not reply before a deadline.
+
+    :ivar told: the sequence numbers that it was told of.
+    """
+
+    def __init__(self, back):
+        self.back = back
+        self.told = []
+
+    def guard(self, address):
+        return self
+
+    @asynccontextmanager
+    async def transient_guard(self, address, connect_timeout_ms):
+        yield self
+
+    async def End(self, message, timeout):  # noqa: N802, ASYNC109
+        if not self.back.has_passed():
+            await asyncio.sleep(timeout)
+            raise grpc.aio.AioRpcError(
+                grpc.StatusCode.DEADLINE_EXCEEDED,
+                grpc.aio.Metadata(),
+                grpc.aio.Metadata(),
+            )
+        self.told += [each.sequence for each in message.attempts]
+
+
 @given("a guard that responds again {pause_ms:d} ms after the end of an attempt")
 def step_unreachable_guard(context, pause_ms):
-    class Channels:
-        told = False
+    context.pause_ms = pause_ms
 
-        def guard(self, address):
-            return self
 
-        @asynccontextmanager
-        async def transient_guard(self, address, connect_timeout_ms):
-            yield self
+async def end_at_unreachable_guard(pause_ms):
+    channels = _UnreachableChannels(Deadline.after_ms(pause_ms))
+    ender = AttemptEnder(channels, _Paths())
+    deadline = Deadline.after_ms(4 * pause_ms)
+    ender.end("127.0.0.1:1", attempt_head().attempt, deadline)
+    await asyncio.sleep(pause_ms / 1000)
+    return channels, ender
 
-        async def End(self, message, timeout):  # noqa: N802, ASYNC109
-            if not back.has_passed():
-                await asyncio.sleep(timeout)
-                raise grpc.aio.AioRpcError(
-                    grpc.StatusCode.DEADLINE_EXCEEDED,
-                    grpc.aio.Metadata(),
-                    grpc.aio.Metadata(),
-                )
-            self.told = True
 
+@then("it is told of the end")
+def step_check_told(context):
     async def run():
-        channels = Channels()
-        ender = AttemptEnder(channels, _Paths())
-        deadline = Deadline.after_ms(2 * pause_ms)
-        ender.end("127.0.0.1:1", attempt_head().attempt, deadline)
-        await asyncio.sleep(pause_ms / 1000 + 1)
+        channels, _ = await end_at_unreachable_guard(context.pause_ms)
+        await asyncio.sleep(1)
         return channels.told
 
-    back = Deadline.after_ms(pause_ms)
-    context.told = asyncio.run(run())
+    assert asyncio.run(run()) == [SEQUENCE]
 
 
-@then("it is told of the end")
-def step_check_told(context):
-    assert context.told
+@when("another attempt ends {pause_ms:d} ms after that")
+def step_end_another(context, pause_ms):
+    context.other_pause_ms = pause_ms
+
+
+@then("it is told of both within {limit_ms:d} ms")
+def step_check_told_of_both(context, limit_ms):
+    async def run():
+        channels, ender = await end_at_unreachable_guard(context.pause_ms)
+        await asyncio.sleep(context.other_pause_ms / 1000)
+        deadline = Deadline.after_ms(WAIT_S * 1000)
+        ender.end("127.0.0.1:1", attempt_head(SEQUENCE + 1).attempt, deadline)
+        await asyncio.sleep(limit_ms / 1000)
+        return channels.told
+
+    assert sorted(asyncio.run(run())) == [SEQUENCE, SEQUENCE + 1]
 
 
 @given("a hold that was answered, and {count:d} lookups since with answers of 8 kB")
