Let entries fetch answers whose connections were lost before a draining guard exits

Cause: a draining daemon exits as soon as no attempt is in flight, and a run that outlasts its stream is in flight only until it has its answer. If the connection of its entry was lost before, the entry repeats the attempt 100 ms later; by then the guard could have ended, and the caller got 504 although the answer had been ready. Ruled out: the end of the listening itself; the port is closed only after the drain. Change: a draining guard also waits for the repeat of each attempt whose latest stream has not taken its answer, for one second after the end of the run at most and never beyond the drain. An attempt that its entry has ended is not waited for. The simulated guard refuses at once and counts only what its target runs. Conclusion: an answer on a connection that is lost survives the drain of its guard. One that was written to a silent connection before the entry has opened another does not.

--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import AsyncIterator, Callable
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.failurereplies import is_last_reply
@@ -41,12 +41,15 @@
     :param attempt_id: ID of the attempt, which names its entry.
     :param replies: runs the attempt and yields its replies.
     :ivar kept_bytes: size of the replies that are kept.
+    :ivar is_taken: whether the latest stream has taken the last reply; the former ones
+        may belong to connections that deliver nothing any more.
     :ivar orphan_deadline: time until which the run goes on although no stream is
         attached and its entry is absent; None while a stream is attached.
     """
 
     def __init__(self, attempt_id: peer_pb2.AttemptId, replies: ReplyStream) -> None:
         self.attempt_id = attempt_id
+        self.is_taken = False
         self.orphan_deadline: Deadline | None = None
         self._kept: deque[peer_pb2.CallReply] = deque()
         self.kept_bytes = 0
@@ -86,6 +89,7 @@
                     yield reply
                     self._positions[number] = position + 1
                     if is_last_reply(reply):
+                        self.is_taken |= number == self._stream_count
                         return
                     self._notify()
                 elif self._has_ended:
@@ -162,14 +166,29 @@
 
     def __init__(self) -> None:
         self._runs: set[AttemptRun] = set()
+        self._has_ended = asyncio.Event()
 
     def start(self, attempt_id: peer_pb2.AttemptId, replies: ReplyStream) -> AttemptRun:
         """Start the run of an attempt."""
         run = AttemptRun(attempt_id, replies)
         self._runs.add(run)
-        run.on_end(self._runs.discard)
+        run.on_end(self._remove)
         return run
 
+    def _remove(self, run: AttemptRun) -> None:
+        self._runs.discard(run)
+        if not self._runs:
+            self._has_ended.set()
+
+    async def wait_until_ended(self, deadline: Deadline) -> None:
+        """Wait until no run is in progress, or until the deadline."""
+        if not self._runs:
+            return
+        self._has_ended.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(deadline.left_s()):
+                await self._has_ended.wait()
+
     async def watch_orphans(self, members: Members) -> None:
         """End the runs whose entries are gone, until cancelled."""
         while True:
--- a/packages/laburnumscale/src/laburnumscale/draining.py
+++ b/packages/laburnumscale/src/laburnumscale/draining.py
@@ -65,7 +65,7 @@
             self.hand_over_keys(deadline.earlier_by_ms(HAND_OVER_MS))
         )
         # Targets make calls through this daemon while they run their last attempts.
-        attempts_ended = await self.guard.in_flight.wait_until_idle(deadline)
+        attempts_ended = await self.guard.wait_until_idle(deadline)
         await self.caller_server.stop_listening()
         await self.caller_server.wait_for_first_requests(deadline)
         self.caller_server.close_idle_connections()
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -50,6 +50,7 @@
 from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale.targetresponses import iter_replies
 from laburnumscale.transmission import Transmission, send_once
+from laburnumscale.untakenanswers import UntakenAnswers
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["Guard"]
@@ -69,6 +70,7 @@
     :ivar drain_state: whether and until when attempts are run.
     :ivar quarantine: the calls that are refused because their targets ended.
     :ivar runs: the runs in progress of the attempts of other daemons.
+    :ivar untaken_answers: the ended runs whose answers their entries may still fetch.
     :ivar answer_limit_bytes: maximum size of the body of a target's response.
     """
 
@@ -97,6 +99,7 @@
         self._metrics = metrics
         self.quarantine = Quarantine(metrics)
         self.runs = AttemptRuns()
+        self.untaken_answers = UntakenAnswers()
         self._target_ends = TargetEnds()
 
     async def run_attempt(
@@ -152,13 +155,29 @@
             attempt = self.attempts.admit(head)
             replies = self._run_recorded(attempt, head, body)
             attempt.run = self.runs.start(head.attempt, replies)
-            attempt.run.on_end(lambda _: self.attempts.end_run(attempt))
+            attempt.run.on_end(lambda run: self._record_run_end(attempt, run))
             return attempt.run
         if attempt.run is None or not attempt.run.can_attach:
+            self.untaken_answers.remove(attempt)
             raise AttemptRefused(attempt.repeat_reply())
         self._metrics.count("attempts_attached")
         return attempt.run
 
+    def _record_run_end(self, attempt: Attempt, run: AttemptRun) -> None:
+        self.attempts.end_run(attempt)
+        if not (run.is_taken or attempt.is_cancelled):
+            self.untaken_answers.add(attempt)
+
+    async def wait_until_idle(self, deadline: Deadline) -> bool:
+        """Wait until no attempt is in flight and no answer is left to be taken.
+
+        :returns: whether all attempts ended before the deadline.
+        """
+        have_ended = await self.in_flight.wait_until_idle(deadline)
+        await self.runs.wait_until_ended(deadline)
+        await self.untaken_answers.wait_until_taken(deadline)
+        return have_ended
+
     async def _run_recorded(
         self,
         attempt: Attempt,
--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -55,6 +55,16 @@
     Given a guard that responds again 2500 ms after the end of an attempt
     Then it is told of the end
 
+  Scenario: A guard that drains lets an entry fetch the answer whose connection was lost
+    Given a run at a draining guard whose connection is lost
+    When its entry repeats the attempt 100 ms after the end of the run
+    Then the repeat gets the answer, and the guard exits within 200 ms after that
+
+  Scenario: A guard that drains waits for the repeat of an attempt for a second at most
+    Given a run at a draining guard whose connection is lost
+    When its entry does not repeat the attempt
+    Then the guard exits within 1300 ms after that
+
   Scenario: A guard that can be reached again is told at once of an attempt that ends then
     Given a guard that responds again 3250 ms after the end of an attempt
     When another attempt ends 50 ms after that
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -596,3 +596,50 @@
         assert reply.HasField("head"), reply
         assert reply.end
         assert reply.body == b"part and end", reply.body
+
+
+@given("a run at a draining guard whose connection is lost")
+def step_drain_with_lost_connection(context):
+    async def drain():
+        guard = ModelGuard([answer_message(end=True)], work_s=TICK_S)
+        stream = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(stream, None))
+        await guard.started.wait()
+        limit = Deadline.after_ms(2 * WAIT_S * 1000)
+        draining = asyncio.create_task(guard.wait_until_idle(limit))
+        reading.cancel()
+        await asyncio.wait({reading})
+        await guard.in_flight.wait_until_idle(limit)
+        return guard, draining
+
+    context.drain = drain
+
+
+@when("its entry repeats the attempt {pause_ms:d} ms after the end of the run")
+def step_repeat_in_drain(context, pause_ms):
+    context.repeat_pause_s = pause_ms / 1000
+
+
+@when("its entry does not repeat the attempt")
+def step_no_repeat_in_drain(context):
+    context.repeat_pause_s = None
+
+
+@then("the guard exits within {limit_ms:d} ms after that")
+@then(
+    "the repeat gets the answer, and the guard exits within {limit_ms:d} ms after that"
+)
+def step_check_exit(context, limit_ms):
+    async def run():
+        guard, draining = await context.drain()
+        if context.repeat_pause_s is not None:
+            await asyncio.sleep(context.repeat_pause_s)
+            assert not draining.done(), "the guard has exited before the repeat"
+            stream = guard.serve_attempt(attempt_head(), b"")
+            replies = [each async for each in stream]
+            assert [each.HasField("head") for each in replies] == [True], replies
+        done, _ = await asyncio.wait({draining}, timeout=limit_ms / 1000)
+        draining.cancel()
+        return bool(done)
+
+    assert asyncio.run(run())
--- a/tests/standins/modelguard.py
+++ b/tests/standins/modelguard.py
@@ -8,6 +8,7 @@
 from laburnumscale.guard import Guard
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.metrics import Metrics
+from laburnumscale.untakenanswers import UntakenAnswers
 from laburnumscale_schema import peer_pb2
 
 __all__ = [
@@ -78,6 +79,7 @@
     ) -> None:
         self.attempts = AttemptTable(GUARD_INCARNATION)
         self.runs = AttemptRuns()
+        self.untaken_answers = UntakenAnswers()
         self.in_flight = InFlightCounter()
         self._metrics = Metrics()
         self.replies = replies
@@ -87,14 +89,18 @@
         self.cut = asyncio.Event()
 
     async def _run_admitted_attempt(self, attempt, head, body):
-        if not any(reply.HasField("not_run") for reply in self.replies):
-            attempt.mark_sent(Deadline.after_ms(SEND_LIMIT_MS))
+        replies = self.replies
+        if any(reply.HasField("not_run") for reply in replies):
+            for reply in replies:
+                yield reply
+            return
+        attempt.mark_sent(Deadline.after_ms(SEND_LIMIT_MS))
         self.runs_started += 1
         self.started.set()
         has_answered = False
         try:
             await asyncio.sleep(self.work_s)
-            for reply in self.replies:
+            for reply in replies:
                 has_answered = reply.end
                 yield reply
         finally:
