Test random orders of repeats and lost connections with drains and restarts

The random orders of attempt_runs.feature had no drain and no restart, and only the copies of an attempt. The new ones run the client of an entry against the simulated guard while the guard drains, the guard is killed and starts again, or the entry drains: 50 seeded orders each, of a hold and of a lookup. No run is cut and none starts twice, and each caller gets a true outcome without waiting for its deadline: the answer, unless the guard was killed, or refused the attempt in its drain.

--- a/tests/features/attempt_runs.feature
+++ b/tests/features/attempt_runs.feature
@@ -11,6 +11,21 @@
     Then each run ended within 500 ms after the guard was told
     And no order ran the attempt twice
 
+  Scenario Outline: No answer is lost in a drain, and a restart runs nothing twice: <process>, <call>
+    Given 50 random orders of repeats, lost and silent connections and queries of <call> while <process>
+    Then no run was cut before the entry or its guard ended the attempt
+    And no order ran the attempt twice
+    And each caller got a true outcome at once, and the answer unless its guard was killed
+
+    Examples:
+      | process                   | call     |
+      | the guard drains          | a hold   |
+      | the guard drains          | a lookup |
+      | the guard starts again    | a hold   |
+      | the guard starts again    | a lookup |
+      | the entry drains          | a hold   |
+      | the entry drains          | a lookup |
+
   Scenario: A download continues on the connection that its entry opened last
     Given a run with 40 replies of 64 kB whose first stream takes only 3 of them
     When another stream attaches before any reply was dropped
--- a/tests/features/steps/attempt_runs_steps.py
+++ b/tests/features/steps/attempt_runs_steps.py
@@ -1,13 +1,17 @@
 import asyncio
 import random
 from contextlib import aclosing, asynccontextmanager, suppress
+from types import SimpleNamespace
 
 import grpc
 from behave import given, then, when
 
+from laburnumscale.attemptclient import AttemptClient, AttemptRequest
 from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
 from laburnumscale.attemptender import AttemptEnder
+from laburnumscale.attempttable import AttemptTable
 from laburnumscale.deadlines import Deadline, now_s
+from laburnumscale.failurereplies import refused_reply
 from laburnumscale.metrics import Metrics
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale_schema import peer_pb2
@@ -27,6 +31,13 @@
 WAIT_MS = 2_000
 END_LIMIT_MS = 1_500
 TOLD_MS = 500
+GUARD_ADDRESS = "127.0.0.1:1"
+CALL_LIMIT_MS = 8_000
+OUTCOME_LIMIT_MS = 4_000
+EXIT_S = 0.05  # the replies that were written before are delivered meanwhile
+START_S = 0.04
+REPLY_LIMIT_MS = 40
+RUNNING_SHARE = 0.8
 MAX_UNREAD = 2  # replies on their way in a connection
 
 
@@ -209,6 +220,225 @@
     assert not running, len(running)
 
 
+class _CarriedStream:
+    """The replies to one request, as a gRPC stub gives them."""
+
+    def __init__(self, replies):
+        self._replies = replies
+
+    def __aiter__(self):
+        return self._replies
+
+    def cancel(self):
+        asyncio.get_running_loop().create_task(self._replies.aclose())
+
+
+class _ProcessOrder(_Order):
+    """A random order of events, in which a process of the entry or guard changes.
+
+    It is the members, the channels, the paths and the settler of the entry.
+    """
+
+    def __init__(self, seed, is_hold, process):
+        super().__init__(seed)
+        self.is_hold = is_hold
+        self.process = process
+        self.is_refusing = False
+        self.is_entry_draining = False
+        self.was_killed = False
+        self.member_incarnation = GUARD_INCARNATION
+        self.own = peer_pb2.Member(daemon="d1", incarnation=ENTRY_INCARNATION)
+        self.replaced = []
+        self.tasks = []
+        self.elapsed_ms = 0
+
+    def on_silence(self, listener):
+        self.replaced.append(listener)
+
+    def is_broken(self, address):
+        return self.rng.random() < 0.1
+
+    def watch_deliveries(self, address):
+        return lambda: None
+
+    def recheck(self, address):
+        pass
+
+    start_check = recheck
+
+    def get(self, daemon):
+        return peer_pb2.Member(daemon=daemon, incarnation=self.member_incarnation)
+
+    async def connect(self, address, deadline):
+        return not self.is_refusing
+
+    async def is_refused(self, address):
+        return self.is_refusing
+
+    def guard_stub(self, address):
+        return self
+
+    def Call(self, message, timeout):  # noqa: N802
+        carried = self.connections[-1].carry(self.guard, message.head)
+        return _CarriedStream(carried)
+
+    async def End(self, message, timeout):  # noqa: N802, ASYNC109
+        for attempt_id in message.attempts:
+            self.guard.attempts.cancel(attempt_id)
+
+    async def query_verdict(self, attempt_id, view, deadline, use_relays):
+        if self.is_refusing:
+            verdict = peer_pb2.SETTLE_VERDICT_UNREACHABLE
+            return peer_pb2.SettleReply(verdict=verdict)
+        return self.guard.attempts.settle(attempt_id)
+
+    def _replace(self):
+        self.connections[-1].is_silent |= self.rng.random() < 0.5
+        self._connect()
+        for listener in self.replaced:
+            listener(GUARD_ADDRESS)
+
+    def _change_process(self):
+        changes = {
+            "the guard drains": self._drain_guard,
+            "the guard starts again": self._restart_guard,
+            "the entry drains": self._drain_entry,
+        }
+        change = self._change_after_start(changes[self.process])
+        self.tasks.append(asyncio.create_task(change))
+
+    async def _change_after_start(self, change):
+        """Change a process, mostly while the target runs the attempt."""
+        if self.rng.random() < RUNNING_SHARE:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(WAIT_MS / 1000):
+                    await self.guard.started.wait()
+        await change()
+
+    async def _drain_entry(self):
+        self.is_entry_draining = True
+
+    async def _drain_guard(self):
+        self.guard.replies = [refused_reply(peer_pb2.NOT_RUN_REASON_DRAINING)]
+        await self.guard.wait_until_idle(Deadline.after_ms(CALL_LIMIT_MS))
+        await asyncio.sleep(EXIT_S)
+        self._exit_guard()
+
+    async def _restart_guard(self):
+        self.was_killed = True
+        self._exit_guard()
+        former, self.guard = self.guard, new_guard()
+        self.guard.runs_started = former.runs_started
+        self.guard.attempts = AttemptTable(GUARD_INCARNATION + 1)
+        await asyncio.sleep(self.rng.random() * START_S)
+        self.is_refusing = False
+        await asyncio.sleep(self.rng.random() * START_S)
+        self.member_incarnation += 1
+
+    def _exit_guard(self):
+        self.is_refusing = True
+        self._connect()
+        for connection in self.connections[:-1]:
+            connection.is_silent = False
+            connection.lost.set()
+        # The target ends the work whose connection its guard has closed.
+        self.guard.attempts.cancel(attempt_head().attempt)
+
+    async def _fail_over(self):
+        await asyncio.sleep(self.rng.random() * WORK_S)
+        return False
+
+    def _request(self):
+        has_failover = self.rng.random() < 0.5
+        return AttemptRequest(
+            head=peer_pb2.CallHead(idempotent=not self.is_hold),
+            body=b"",
+            send_deadline=Deadline.after_ms(CALL_LIMIT_MS),
+            reply_deadline=Deadline.after_ms(
+                self.rng.choice((REPLY_LIMIT_MS, CALL_LIMIT_MS))
+            ),
+            deadline=Deadline.after_ms(CALL_LIMIT_MS),
+            settle_if_lost=self.is_hold,
+            reserve_failover=lambda: has_failover and not self.is_entry_draining,
+            fail_over=self._fail_over,
+            answer_started=lambda: False,
+        )
+
+    async def run(self):
+        self.connections.append(_Connection(0))
+        channels = SimpleNamespace(
+            connect=self.connect, is_refused=self.is_refused, guard=self.guard_stub
+        )
+        client = AttemptClient(self, None, channels, self, self)
+        view = SimpleNamespace(
+            endpoint="i-1",
+            daemon="d2",
+            incarnation=GUARD_INCARNATION,
+            peer_address=GUARD_ADDRESS,
+        )
+        calling = asyncio.create_task(self._call(client, view))
+        events = [self._replace] * self.rng.randrange(3)
+        events += [self._lose] * self.rng.randrange(3)
+        events += [self._query] * self.rng.randrange(2)
+        events += [self._change_process]
+        self.rng.shuffle(events)
+        for event in events:
+            await asyncio.sleep(self.rng.random() * WORK_S / 2)
+            event()
+        started_at_s = now_s()
+        self.first = await calling
+        self.elapsed_ms = (now_s() - started_at_s) * 1000
+        await asyncio.gather(*self.tasks)
+
+    async def _call(self, client, view):
+        async with client.send(view, self._request()) as (first, _):
+            return first
+
+    @property
+    def has_true_outcome(self):
+        """Whether the caller got the answer, or what is known without it."""
+        if self.elapsed_ms > OUTCOME_LIMIT_MS:
+            return False
+        if self.guard.runs_started == 0:
+            return not self.first.HasField("head")
+        return self.first.HasField("head") or (
+            self.was_killed and self.first.HasField("unknown")
+        )
+
+
+@given(
+    "{count:d} random orders of repeats, lost and silent connections and queries of "
+    "{call} while {process}"
+)
+def step_run_process_orders(context, count, call, process):
+    async def run_all():
+        is_hold = call == "a hold"
+        orders = [_ProcessOrder(seed, is_hold, process) for seed in range(count)]
+        await asyncio.gather(*(order.run() for order in orders))
+        return [
+            (
+                order.guard.runs_started,
+                order.guard.cut.is_set() and not order.was_killed,
+                order,
+            )
+            for order in orders
+        ]
+
+    context.orders = asyncio.run(run_all())
+
+
+@then(
+    "each caller got a true outcome at once, and the answer unless its guard was killed"
+)
+def step_check_outcomes(context):
+    wrong = [
+        (seed, order.elapsed_ms, order.guard.runs_started, order.first)
+        for seed, (_, _, order) in enumerate(context.orders)
+        if not order.has_true_outcome
+    ]
+    assert not wrong, wrong
+
+
 @given("a run with {count:d} replies of 64 kB whose first stream takes only 3 of them")
 def step_create_download(context, count):
     context.reply_count = count
