--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -36,6 +36,7 @@
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
 from laburnumscale.inflight import InFlightCounter
+from laburnumscale.joinedanswers import JoinedAnswer
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
@@ -49,6 +50,7 @@
 from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale.targetresponses import iter_replies
 from laburnumscale.transmission import Transmission, send_once
+from laburnumscale.untakenanswers import UntakenAnswers
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["Guard"]
@@ -68,6 +70,7 @@
     :ivar drain_state: whether and until when attempts are run.
     :ivar quarantine: the calls that are refused because their targets ended.
     :ivar runs: the runs in progress of the attempts of other daemons.
+    :ivar untaken_answers: the ended runs whose answers their entries may still fetch.
     :ivar answer_limit_bytes: maximum size of the body of a target's response.
     """
 
@@ -96,6 +99,7 @@
         self._metrics = metrics
         self.quarantine = Quarantine(metrics)
         self.runs = AttemptRuns()
+        self.untaken_answers = UntakenAnswers()
         self._target_ends = TargetEnds()
 
     async def run_attempt(
@@ -151,13 +155,29 @@
             attempt = self.attempts.admit(head)
             replies = self._run_recorded(attempt, head, body)
             attempt.run = self.runs.start(head.attempt, replies)
-            attempt.run.on_end(lambda _: self.attempts.end_run(attempt))
+            attempt.run.on_end(lambda run: self._record_run_end(attempt, run))
             return attempt.run
         if attempt.run is None or not attempt.run.can_attach:
+            self.untaken_answers.remove(attempt)
             raise AttemptRefused(attempt.repeat_reply())
         self._metrics.count("attempts_attached")
         return attempt.run
 
+    def _record_run_end(self, attempt: Attempt, run: AttemptRun) -> None:
+        self.attempts.end_run(attempt)
+        if not (run.is_taken or attempt.is_cancelled):
+            self.untaken_answers.add(attempt)
+
+    async def wait_until_idle(self, deadline: Deadline) -> bool:
+        """Wait until no attempt is in flight and no answer is left to be taken.
+
+        :returns: whether all attempts ended before the deadline.
+        """
+        have_ended = await self.in_flight.wait_until_idle(deadline)
+        await self.runs.wait_until_ended(deadline)
+        await self.untaken_answers.wait_until_taken(deadline)
+        return have_ended
+
     async def _run_recorded(
         self,
         attempt: Attempt,
@@ -166,6 +186,7 @@
     ) -> AsyncIterator[peer_pb2.CallReply]:
         """Run an admitted attempt and record its end."""
         last_reply = None
+        answer = JoinedAnswer(_is_answer_needed(head))
         admitted_at_s = now_s()
         with self.in_flight.track():
             try:
@@ -173,8 +194,8 @@
                     self._run_admitted_attempt(attempt, head, body)
                 ) as replies:
                     async for reply in replies:
-                        last_reply = reply
-                        self._record_final_reply(attempt, head, reply)
+                        last_reply = answer.add(reply)
+                        self._record_final_reply(attempt, head, last_reply)
                         yield reply
             finally:
                 if attempt.state is AttemptState.SENT:
@@ -567,11 +588,17 @@
 ) -> peer_pb2.CallReply | None:
     """Return the reply to cache for settling an attempt, or None.
 
-    It is a refusal, or a complete response in one message. The response to a call that
-    may run again is needed only if the entry may repeat the attempt.
+    It is a refusal, or a complete response in one message.
     """
     if reply is None or reply.HasField("not_run"):
         return reply
     complete = reply.end and reply.HasField("head")
-    is_needed = head.outlives_stream or not head.idempotent
-    return reply if complete and is_needed else None
+    return reply if complete and _is_answer_needed(head) else None
+
+
+def _is_answer_needed(head: peer_pb2.CallHead) -> bool:
+    """Return whether the entry may ask for the response to an attempt again.
+
+    It does if the call may run only once, or if it may repeat the attempt.
+    """
+    return head.outlives_stream or not head.idempotent
--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -465,43 +465,74 @@
     context.first = asyncio.run(run())
 
 
+class _UnreachableChannels:
+    """Channels to a guard that does not reply before a deadline.
+
+    :ivar told: the sequence numbers that it was told of.
+    """
+
+    def __init__(self, back):
+        self.back = back
+        self.told = []
+
+    def guard(self, address):
+        return self
+
+    @asynccontextmanager
+    async def transient_guard(self, address, connect_timeout_ms):
+        yield self
+
+    async def End(self, message, timeout):  # noqa: N802, ASYNC109
+        if not self.back.has_passed():
+            await asyncio.sleep(timeout)
+            raise grpc.aio.AioRpcError(
+                grpc.StatusCode.DEADLINE_EXCEEDED,
+                grpc.aio.Metadata(),
+                grpc.aio.Metadata(),
+            )
+        self.told += [each.sequence for each in message.attempts]
+
+
 @given("a guard that responds again {pause_ms:d} ms after the end of an attempt")
 def step_unreachable_guard(context, pause_ms):
-    class Channels:
-        told = False
+    context.pause_ms = pause_ms
 
-        def guard(self, address):
-            return self
 
-        @asynccontextmanager
-        async def transient_guard(self, address, connect_timeout_ms):
-            yield self
+async def end_at_unreachable_guard(pause_ms):
+    channels = _UnreachableChannels(Deadline.after_ms(pause_ms))
+    ender = AttemptEnder(channels, _Paths())
+    deadline = Deadline.after_ms(4 * pause_ms)
+    ender.end("127.0.0.1:1", attempt_head().attempt, deadline)
+    await asyncio.sleep(pause_ms / 1000)
+    return channels, ender
 
-        async def End(self, message, timeout):  # noqa: N802, ASYNC109
-            if not back.has_passed():
-                await asyncio.sleep(timeout)
-                raise grpc.aio.AioRpcError(
-                    grpc.StatusCode.DEADLINE_EXCEEDED,
-                    grpc.aio.Metadata(),
-                    grpc.aio.Metadata(),
-                )
-            self.told = True
 
+@then("it is told of the end")
+def step_check_told(context):
     async def run():
-        channels = Channels()
-        ender = AttemptEnder(channels, _Paths())
-        deadline = Deadline.after_ms(2 * pause_ms)
-        ender.end("127.0.0.1:1", attempt_head().attempt, deadline)
-        await asyncio.sleep(pause_ms / 1000 + 1)
+        channels, _ = await end_at_unreachable_guard(context.pause_ms)
+        await asyncio.sleep(1)
         return channels.told
 
-    back = Deadline.after_ms(pause_ms)
-    context.told = asyncio.run(run())
+    assert asyncio.run(run()) == [SEQUENCE]
 
 
-@then("it is told of the end")
-def step_check_told(context):
-    assert context.told
+@when("another attempt ends {pause_ms:d} ms after that")
+def step_end_another(context, pause_ms):
+    context.other_pause_ms = pause_ms
+
+
+@then("it is told of both within {limit_ms:d} ms")
+def step_check_told_of_both(context, limit_ms):
+    async def run():
+        channels, ender = await end_at_unreachable_guard(context.pause_ms)
+        await asyncio.sleep(context.other_pause_ms / 1000)
+        deadline = Deadline.after_ms(WAIT_S * 1000)
+        ender.end("127.0.0.1:1", attempt_head(SEQUENCE + 1).attempt, deadline)
+        await asyncio.sleep(limit_ms / 1000)
+        return channels.told
+
+    assert sorted(asyncio.run(run())) == [SEQUENCE, SEQUENCE + 1]
 
 
 @given("a hold that was answered, and {count:d} lookups since with answers of 8 kB")
@@ -528,3 +559,87 @@
 @then("the guard still has its answer")
 def step_check_settled(context):
     assert context.settled.HasField("reply"), context.settled
+
+
+@given("{call} that is answered in 2 small messages over a connection that is lost")
+def step_small_messages(context, call):
+    context.head = attempt_head()
+    context.head.idempotent = call == "a lookup"
+    end = peer_pb2.CallReply(body=b" and end", end=True)
+    context.messages = [answer_message(), end]
+
+
+@when("its repeat arrives, and its outcome is queried")
+def step_repeat_and_query(context):
+    async def run():
+        guard = ModelGuard(context.messages, work_s=TICK_S)
+        reading = asyncio.create_task(
+            anext(guard.serve_attempt(context.head, b""), None)
+        )
+        await guard.started.wait()
+        reading.cancel()
+        await asyncio.wait({reading})
+        # A stream over a connection that delivers nothing takes both messages.
+        async for _ in guard.serve_attempt(context.head, b""):
+            pass
+        await asyncio.sleep(TICK_S)
+        repeat = [each async for each in guard.serve_attempt(context.head, b"")]
+        return repeat, guard.attempts.settle(context.head.attempt)
+
+    context.repeat_replies, context.settled = asyncio.run(run())
+
+
+@then("both get the whole answer of the target")
+def step_check_whole_answer(context):
+    (repeated,) = context.repeat_replies
+    for reply in (repeated, context.settled.reply):
+        assert reply.HasField("head"), reply
+        assert reply.end
+        assert reply.body == b"part and end", reply.body
+
+
+@given("a run at a draining guard whose connection is lost")
+def step_drain_with_lost_connection(context):
+    async def drain():
+        guard = ModelGuard([answer_message(end=True)], work_s=TICK_S)
+        stream = guard.serve_attempt(attempt_head(), b"")
+        reading = asyncio.create_task(anext(stream, None))
+        await guard.started.wait()
+        limit = Deadline.after_ms(2 * WAIT_S * 1000)
+        draining = asyncio.create_task(guard.wait_until_idle(limit))
+        reading.cancel()
+        await asyncio.wait({reading})
+        await guard.in_flight.wait_until_idle(limit)
+        return guard, draining
+
+    context.drain = drain
+
+
+@when("its entry repeats the attempt {pause_ms:d} ms after the end of the run")
+def step_repeat_in_drain(context, pause_ms):
+    context.repeat_pause_s = pause_ms / 1000
+
+
+@when("its entry does not repeat the attempt")
+def step_no_repeat_in_drain(context):
+    context.repeat_pause_s = None
+
+
+@then("the guard exits within {limit_ms:d} ms after that")
+@then(
+    "the repeat gets the answer, and the guard exits within {limit_ms:d} ms after that"
+)
+def step_check_exit(context, limit_ms):
+    async def run():
+        guard, draining = await context.drain()
+        if context.repeat_pause_s is not None:
+            await asyncio.sleep(context.repeat_pause_s)
+            assert not draining.done(), "the guard has exited before the repeat"
+            stream = guard.serve_attempt(attempt_head(), b"")
+            replies = [each async for each in stream]
+            assert [each.HasField("head") for each in replies] == [True], replies
+        done, _ = await asyncio.wait({draining}, timeout=limit_ms / 1000)
+        draining.cancel()
+        return bool(done)
+
+    assert asyncio.run(run())
