--- a/tests/features/attempt_end_races.feature
+++ b/tests/features/attempt_end_races.feature
@@ -55,7 +55,32 @@
     Given a guard that responds again 2500 ms after the end of an attempt
     Then it is told of the end
 
+  Scenario: A guard that drains lets an entry fetch the answer whose connection was lost
+    Given a run at a draining guard whose connection is lost
+    When its entry repeats the attempt 100 ms after the end of the run
+    Then the repeat gets the answer, and the guard exits within 200 ms after that
+
+  Scenario: A guard that drains waits for the repeat of an attempt for a second at most
+    Given a run at a draining guard whose connection is lost
+    When its entry does not repeat the attempt
+    Then the guard exits within 1300 ms after that
+
+  Scenario: A guard that can be reached again is told at once of an attempt that ends then
+    Given a guard that responds again 3250 ms after the end of an attempt
+    When another attempt ends 50 ms after that
+    Then it is told of both within 500 ms
+
   Scenario: Answers to calls that may run again do not displace that of a call that may not
     Given a hold that was answered, and 400 lookups since with answers of 8 kB
     When the outcome of the hold is queried
     Then the guard still has its answer
+
+  Scenario Outline: A small answer in several messages is not lost with its connection: <call>
+    Given <call> that is answered in 2 small messages over a connection that is lost
+    When its repeat arrives, and its outcome is queried
+    Then both get the whole answer of the target
+
+    Examples:
+      | call     |
+      | a hold   |
+      | a lookup |
