Let refusals for load and doubt not use up the limit of refusals

Cause: a call that may run only once meets up to three refusals as in doubt and those of targets without a free slot before it asks for a place in a queue. With ejected targets among them, these were soon the eight refusals after which a call is given up.

Change: refusals as overloaded or in doubt lead to waiting, to the end of the call or to accepting doubt, and so have limits of their own. They no longer count towards the limit of eight, which is left for other refusals.

Result: the scenario in refusal_limits.feature failed before (8 attempts, not run) and passes now; the calls that all targets refuse still end.

--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -47,6 +47,11 @@
         peer_pb2.NOT_RUN_REASON_IN_DOUBT,
     }
 )
+#: Refusals that are limited by what they lead to: the call waits, ends, or accepts
+#: doubt. The limit of exempt attempts is for the others.
+SELF_LIMITED_REASONS = frozenset(
+    {peer_pb2.NOT_RUN_REASON_OVERLOADED, peer_pb2.NOT_RUN_REASON_IN_DOUBT}
+)
 #: Endpoints in doubt that may refuse a call that may run only once. Such a call is lost
 #: if its target fails, while others can be retried and show which targets work again.
 MAX_DOUBT_REFUSALS = 3
@@ -79,7 +84,8 @@
     :ivar doubtful_endpoints: names of the tried endpoints that were in doubt.
     :ivar accepts_doubt: attempts may go to endpoints in doubt.
     :ivar counted_attempts: attempts that count towards the attempt limit.
-    :ivar exempt_attempts: attempts refused for one of ``EXEMPT_REASONS``.
+    :ivar exempt_attempts: attempts refused for one of ``EXEMPT_REASONS`` that is not
+        limited otherwise.
     :ivar last_unknown: outcome of the last attempt that may have run.
     :ivar answer_started: the first part of an answer was sent to the caller.
     :ivar failover_result: outcome and response of a failover that was answered while
@@ -209,10 +215,10 @@
             self._record_doubt(endpoint)
         if isinstance(outcome, Unknown):
             self.last_unknown = outcome
-        if is_exempt(outcome):
-            self.exempt_attempts += 1
-        else:
+        if not is_exempt(outcome):
             self.counted_attempts += 1
+        elif outcome.reason not in SELF_LIMITED_REASONS:
+            self.exempt_attempts += 1
 
     def record_queue(self, endpoint: str) -> None:
         """Count an endpoint as asked for a free slot, as calls wait for one there."""
--- /dev/null
+++ b/tests/features/steps/refusal_limits_steps.py
@@ -0,0 +1,92 @@
+import asyncio
+
+from behave import given, then, when
+
+from laburnumscale.calls import CallRunner
+from laburnumscale.callstate import Call
+from laburnumscale.deadlines import Deadline
+from laburnumscale.headernames import HeaderNames
+from laburnumscale.metrics import Metrics
+from laburnumscale.outcomes import Answered, NotRun
+from laburnumscale.retrybudget import RetryBudget
+from laburnumscale.settingstree import EffectiveSettings
+from laburnumscale_schema import peer_pb2
+from tests.standins.routingentry import SERVICE, RoutingEntry
+
+TIME_LIMIT_MS = 10_000
+REASONS = {
+    "ejected": peer_pb2.NOT_RUN_REASON_EJECTED,
+    "in_doubt": peer_pb2.NOT_RUN_REASON_IN_DOUBT,
+    "overloaded": peer_pb2.NOT_RUN_REASON_OVERLOADED,
+}
+
+
+@given("an entry with {count:d} targets and a call that may run only once")
+def step_create_entry(context, count):
+    context.entry = RoutingEntry()
+    for index in range(count):
+        context.entry.merge(index, 1)
+    context.call = Call(
+        request=None,
+        request_id="a",
+        service=SERVICE,
+        path_and_query="/",
+        settings=EffectiveSettings(),
+        idempotent=False,
+        deadline=Deadline.after_ms(TIME_LIMIT_MS),
+        body=b"",
+    )
+
+
+@when("its attempts are refused as {reasons}, and the next one is answered")
+def step_refuse_in_turn(context, reasons):
+    left = [REASONS[name] for name in reasons.split(", ")]
+    _run(context, lambda: NotRun(left.pop(0)) if left else Answered(200))
+
+
+@when("all its attempts are refused as {reason}")
+def step_refuse_all(context, reason):
+    _run(context, lambda: NotRun(REASONS[reason]))
+
+
+@when(
+    "its attempts are refused as in_doubt while they avoid doubt, and as overloaded "
+    "after that"
+)
+def step_refuse_doubt(context):
+    def refuse():
+        avoids = context.call.avoids_doubt
+        return NotRun(REASONS["in_doubt" if avoids else "overloaded"])
+
+    _run(context, refuse)
+
+
+def _run(context, end_attempt):
+    """Run the call with attempts that end as a function says."""
+    router = context.entry.router
+    runner = CallRunner(None, router, Metrics(), RetryBudget(), HeaderNames())
+    context.may_queue = []
+
+    async def reply(call, view):
+        context.may_queue.append(call.may_queue)
+        return end_attempt(), None
+
+    runner._attempt = reply
+    context.outcome, _ = asyncio.run(runner.run(context.call))
+
+
+@then("the call has made {count:d} attempts and is answered")
+def step_check_answered(context, count):
+    assert len(context.may_queue) == count, context.may_queue
+    assert isinstance(context.outcome, Answered), context.outcome
+
+
+@then("the call has made {count:d} attempts and is not run")
+def step_check_refused(context, count):
+    assert len(context.may_queue) == count, context.may_queue
+    assert isinstance(context.outcome, NotRun), context.outcome
+
+
+@then("the last attempt asked for a place in a queue")
+def step_check_queue(context):
+    assert context.may_queue[-1], context.may_queue
