Let a call whose body cannot be sent again wait for a slot at its first target

Callers of uploads in more than one message got 429 although they had time.

Cause: the first attempts of a call ask targets for a free slot and do not wait; the call waits only once two targets were full. A call whose body cannot be sent again has one attempt, so the first refusal was its final answer. Refusals by targets in doubt had the same effect.

Ruled out: a call with a small body; it makes three attempts and waits at the third.

Change: such a call waits at its first target, within its time limit as other calls.

Result: the second example of the new scenario in refusal_limits.feature failed before (not run after one attempt) and passes now; decisions, leaving_targets and load.feature pass (103 scenarios in all, one run).

--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -172,8 +172,11 @@
 
     @property
     def may_queue(self) -> bool:
-        """Return whether the next attempt waits if its target has no free slot."""
-        return self.waits and not self.asks_leaving
+        """Return whether the next attempt waits if its target has no free slot.
+
+        The refusal would be final for a call that cannot be sent again.
+        """
+        return (self.waits or not self.replayable) and not self.asks_leaving
 
     def start_waiting(self) -> bool:
         """Let further attempts wait for slots, and retry the busy endpoints.
--- a/tests/features/refusal_limits.feature
+++ b/tests/features/refusal_limits.feature
@@ -24,3 +24,14 @@
     Given an entry with 12 targets and a call that may run only once
     When its attempts are refused as in_doubt while they avoid doubt, and as overloaded after that
     Then the call has made 7 attempts and is not run
+
+  Scenario Outline: Only a call that can be sent again is refused by targets without a free slot
+    Given an entry with 12 targets and a call that may run only once
+    And its body <kind>
+    When its attempts are refused as overloaded unless they wait for a slot
+    Then the call has made <count> attempts and is answered
+
+    Examples:
+      | kind                 | count |
+      | can be sent again    | 3     |
+      | cannot be sent again | 1     |
--- a/tests/features/steps/refusal_limits_steps.py
+++ b/tests/features/steps/refusal_limits_steps.py
@@ -38,6 +38,23 @@
     )
 
 
+@given("its body {kind}")
+def step_set_body(context, kind):
+    async def stream_body():
+        yield b"x"
+
+    context.call.body = b"x" if kind == "can be sent again" else stream_body()
+
+
+@when("its attempts are refused as overloaded unless they wait for a slot")
+def step_refuse_without_slot(context):
+    def end_attempt():
+        waits = context.call.may_queue
+        return Answered(200) if waits else NotRun(REASONS["overloaded"])
+
+    _run(context, end_attempt)
+
+
 @when("its attempts are refused as {reasons}, and the next one is answered")
 def step_refuse_in_turn(context, reasons):
     left = [REASONS[name] for name in reasons.split(", ")]
