--- a/tests/features/steps/doubt_steps.py
+++ b/tests/features/steps/doubt_steps.py
@@ -5,19 +5,15 @@
 from behave import given, then, when
 
 from laburnumscale.calls import CallRunner
-from laburnumscale.callstate import Call
-from laburnumscale.deadlines import Deadline
 from laburnumscale.failurereplies import refused_reply
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered
 from laburnumscale.retrybudget import RetryBudget
-from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
-from tests.standins.routingentry import SERVICE, RoutingEntry
+from tests.standins.routingentry import RoutingEntry, new_call
 
 ENDPOINTS = 2
-TIME_LIMIT_MS = 10_000
 
 
 class _DoubtfulGuards:
@@ -56,16 +52,9 @@
     runner = CallRunner(
         context.guards, entry.router, Metrics(), RetryBudget(), HeaderNames()
     )
-    call = Call(
-        request=SimpleNamespace(method="POST", headers={}),
-        request_id="a",
-        service=SERVICE,
-        path_and_query="/",
-        settings=EffectiveSettings(),
-        idempotent=False,
-        deadline=Deadline.after_ms(TIME_LIMIT_MS),
-        body=b"x" if kind == "can be sent again" else stream_body(),
-    )
+    body = b"x" if kind == "can be sent again" else stream_body()
+    request = SimpleNamespace(method="POST", headers={})
+    call = new_call(body=body, request=request)
     context.outcome, _ = asyncio.run(runner.run(call))
 
 
--- a/tests/features/steps/leaving_targets_steps.py
+++ b/tests/features/steps/leaving_targets_steps.py
@@ -6,15 +6,12 @@
 
 from laburnumscale import deadlines
 from laburnumscale.calls import CallRunner
-from laburnumscale.callstate import Call
-from laburnumscale.deadlines import Deadline
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun
 from laburnumscale.retrybudget import RetryBudget
-from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
-from tests.standins.routingentry import SERVICE, RoutingEntry
+from tests.standins.routingentry import SERVICE, RoutingEntry, new_call
 
 LEAVING = 2
 OVERLOADED = peer_pb2.NOT_RUN_REASON_OVERLOADED
@@ -23,7 +20,6 @@
     "overloaded": OVERLOADED,
     "draining": peer_pb2.NOT_RUN_REASON_DRAINING,
 }
-TIME_LIMIT_MS = 10_000
 
 
 class _Clock:
@@ -142,16 +138,7 @@
 
     runner._attempt = reply
     for _ in range(count):
-        context.call = call = Call(
-            request=None,
-            request_id="a",
-            service=SERVICE,
-            path_and_query="/",
-            settings=EffectiveSettings(),
-            idempotent=idempotent,
-            deadline=Deadline.after_ms(TIME_LIMIT_MS),
-            body=b"",
-        )
+        context.call = call = new_call(idempotent=idempotent)
         context.outcome, _ = asyncio.run(runner.run(call))
 
 
--- a/tests/features/steps/refusal_limits_steps.py
+++ b/tests/features/steps/refusal_limits_steps.py
@@ -3,17 +3,13 @@
 from behave import given, then, when
 
 from laburnumscale.calls import CallRunner
-from laburnumscale.callstate import Call
-from laburnumscale.deadlines import Deadline
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import Answered, NotRun
 from laburnumscale.retrybudget import RetryBudget
-from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
-from tests.standins.routingentry import SERVICE, RoutingEntry
+from tests.standins.routingentry import RoutingEntry, new_call
 
-TIME_LIMIT_MS = 10_000
 REASONS = {
     "ejected": peer_pb2.NOT_RUN_REASON_EJECTED,
     "in_doubt": peer_pb2.NOT_RUN_REASON_IN_DOUBT,
@@ -26,16 +22,7 @@
     context.entry = RoutingEntry()
     for index in range(count):
         context.entry.merge(index, 1)
-    context.call = Call(
-        request=None,
-        request_id="a",
-        service=SERVICE,
-        path_and_query="/",
-        settings=EffectiveSettings(),
-        idempotent=False,
-        deadline=Deadline.after_ms(TIME_LIMIT_MS),
-        body=b"",
-    )
+    context.call = new_call()
 
 
 @given("its body {kind}")
--- a/tests/standins/routingentry.py
+++ b/tests/standins/routingentry.py
@@ -5,6 +5,8 @@
 
 from types import SimpleNamespace
 
+from laburnumscale.callstate import Call
+from laburnumscale.deadlines import Deadline
 from laburnumscale.health import TargetHealth
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
@@ -14,10 +16,25 @@
 from laburnumscale.stalls import LoopStalls
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["FLOOR_PERCENT", "SERVICE", "RoutingEntry", "SwitchedPaths"]
+__all__ = ["FLOOR_PERCENT", "SERVICE", "RoutingEntry", "SwitchedPaths", "new_call"]
 
 SERVICE = "slot-desk"
 FLOOR_PERCENT = 60
+TIME_LIMIT_MS = 10_000
+
+
+def new_call(idempotent=False, body=b"", request=None):
+    """Return a call of the service, with ten seconds left."""
+    return Call(
+        request=request,
+        request_id="a",
+        service=SERVICE,
+        path_and_query="/",
+        settings=EffectiveSettings(),
+        idempotent=idempotent,
+        deadline=Deadline.after_ms(TIME_LIMIT_MS),
+        body=body,
+    )
 
 
 class SwitchedPaths:
