--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -19,6 +19,7 @@
 from laburnumscale.failurereplies import not_run_reply, unknown_reply
 from laburnumscale.headers import end_to_end_headers
 from laburnumscale.keytable import KeyTable
+from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
@@ -189,8 +190,13 @@
                 stub = self._channels.operation_keys(self._successor_address)
                 with closed_as_unavailable():
                     await stub.HandOver(message)
-        except (TimeoutError, grpc.aio.AioRpcError):
+        except (TimeoutError, grpc.aio.AioRpcError) as error:
             self._metrics.count("key_hand_over_failures")
+            get_logger().warning(
+                "outcome of a keyed operation not handed over",
+                successor_address=self._successor_address,
+                reason=repr(error),
+            )
 
     def _find_holder(self, key: OperationKey) -> peer_pb2.Member | None:
         if self._table.holds_keys_of(key.home):
