--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -174,7 +174,7 @@
     def may_queue(self) -> bool:
         """Return whether the next attempt waits if its target has no free slot.
 
-        The refusal would be final for a call that cannot be sent again.
+        A call that cannot be sent again always does, as its refusal would be final.
         """
         return (self.waits or not self.replayable) and not self.asks_leaving
 
@@ -193,7 +193,7 @@
     def is_refused_in_doubt(self) -> bool:
         """Return whether an endpoint in doubt is to refuse the next attempt.
 
-        The refusal would be final for a call that cannot be sent again.
+        No endpoint refuses a call that cannot be sent again, as that would be final.
         """
         return self.replayable and self.avoids_doubt
 
