Give the guard of the web server's scenarios the wait of a drain

A whole run of failed four scenarios of webserver.feature: since a drain calls the guard's own wait, which the guard of these steps did not have. It waits for its attempts as before. No check is changed. webserver.feature passes (7 scenarios).

--- a/tests/features/steps/webserver_steps.py
+++ b/tests/features/steps/webserver_steps.py
@@ -155,7 +155,12 @@
 
 def new_drain(server, drain_ms):
     """Return the drain of a daemon whose calls have all ended."""
-    idle = SimpleNamespace(in_flight=InFlightCounter())
+    in_flight = InFlightCounter()
+    guard = SimpleNamespace(
+        in_flight=in_flight,
+        wait_until_idle=in_flight.wait_until_idle,
+        refuse_waiting_attempts=lambda: None,
+    )
     state = DrainState()
     state.begin(Deadline.after_ms(drain_ms))
 
@@ -165,8 +170,8 @@
     return Drain(
         state,
         SimpleNamespace(set_draining=lambda: None, peers=list),
-        SimpleNamespace(**vars(idle), refuse_waiting_attempts=lambda: None),
-        idle,
+        guard,
+        SimpleNamespace(in_flight=in_flight),
         None,
         hand_over,
         server,
