Stand-ins of the review: reset connections, draw ports apart from the cases

Cause: an aborted connection was closed in order, and two cases with the same seed drew the same ports. Change: reset() sets SO_LINGER; ports come from another generator; SIGTERM ends the processes of a script.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -38,12 +38,13 @@
 
 
 _used_ports: set[int] = set()
+_random_ports = random.SystemRandom()  # cases set the seed of the other generator
 
 
 def free_port() -> int:
     """Return a port below the range of outgoing connections that is free."""
     for _ in range(2000):
-        port = random.randrange(11_000, 32_000)
+        port = _random_ports.randrange(11_000, 32_000)
         if port in _used_ports:
             continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
@@ -75,6 +76,15 @@
 # ---------------------------------------------------------------- HTTP
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, also if everything that was received has been read."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
 async def read_head(reader: asyncio.StreamReader):
     """Return the first line and the header fields of a message."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -119,7 +129,8 @@
                 writer.write(
                     f"POST {path} HTTP/1.1\r\nHost: {address}\r\n"
                     "Content-Type: application/json\r\nConnection: close\r\n"
-                    f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+                    f"Content-Length: {len(body)}\r\n\r\n".encode()
+                    + body
                 )
                 first, headers = await read_head(reader)
                 answer = await read_body(reader, headers)
@@ -176,7 +187,7 @@
         self.down = down
         if down:
             for writer in list(self._writers):
-                writer.transport.abort()
+                reset(writer)
 
     def _append(self, topic: str, records: list[bytes]) -> int:
         log = self.topics.setdefault(topic, [])
@@ -190,16 +201,16 @@
         try:
             while True:
                 if self.down:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 if self.down:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 answer = await self._answer(first.split()[1], body)
                 if self.down:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 writer.write(answer)
                 await writer.drain()
@@ -288,7 +299,15 @@
         self.process: subprocess.Popen | None = None
         self.ports = {
             key: free_port()
-            for key in ("outbound", "inbound", "readiness", "control", "app", "p0", "p1")
+            for key in (
+                "outbound",
+                "inbound",
+                "readiness",
+                "control",
+                "app",
+                "p0",
+                "p1",
+            )
         }
 
     def address(self, key: str) -> str:
@@ -447,7 +466,7 @@
         self.stop_beats()
         self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
         for task in list(self._tasks):
             task.cancel()
 
@@ -489,7 +508,10 @@
 
     def answer(self, attempt: str) -> bytes:
         text = f"{self.id}/{attempt}".encode()
-        fields = [("X-Attempt-Id", attempt), ("X-Response-Stamp", f"s.{self.id}.{attempt}")]
+        fields = [
+            ("X-Attempt-Id", attempt),
+            ("X-Response-Stamp", f"s.{self.id}.{attempt}"),
+        ]
         return response(200, fields, text)
 
 
@@ -550,6 +572,7 @@
     record = Record(folder / "record.txt")
     record.write("trouble" if trouble else "no trouble")
     fleet = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the finally clause runs
     try:
         fleet = Fleet(record)
 
