--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -449,7 +449,8 @@
 
     async def deregister(self) -> int:
         path = f"/-/rpc?call=instances.deregister&of={self.id}"
-        return await post(self.machine.address("control"), path, b"{}")
+        body = json.dumps({"born": self.born}).encode()
+        return await post(self.machine.address("control"), path, body)
 
     def stop_beats(self) -> None:
         if self._beats is not None:
