Review case 5: a hold with a handed-over key runs under another service

Cause: the holder of an operation key sets its own service as the caller's. Change: review/5, a script with three daemons, one of them restarted once.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -578,8 +578,11 @@
         fleet = Fleet(record)
 
         async def run() -> list[str]:
-            async with asyncio.timeout(116):
-                return await case(fleet, trouble)
+            try:
+                async with asyncio.timeout(116):
+                    return await case(fleet, trouble)
+            finally:
+                fleet.close()  # before the stand-ins: nobody connects to them any more
 
         broken = asyncio.run(run())
     except (CannotRun, OSError, TimeoutError) as error:
