Review case 5: a configuration with more than ten attempts is never in force

Cause: a route whose max_attempts is outside of the product's own range makes the daemons refuse the whole configuration, and all later ones with it. Change: review/5 is a script with four daemons that has three versions written.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,90 +1,69 @@
-"""UNASKED: a hold runs under the service of the daemon that has its key."""
+"""CONFIG: a configuration with more than ten attempts is never in force."""
 
 import asyncio
-import json
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
-from harness import (  # noqa: E402
-    BOUNDS,
-    CannotRun,
-    Endpoint,
-    configuration,
-    main,
-    post_for_body,
-    route,
-    send,
-)
+from harness import BOUNDS, Endpoint, configuration, main, route, send  # noqa: E402
 
-HOLDS = 20
-RESTART_DELAY_S = 0.5  # "restarted after a short delay"
-KEYS_PATH = "/_laburnumscale/v1/operation-keys?count="
+VERSIONS = (9, 12, 15)  # "Versions increase in uneven steps."
+INTERVAL_S = 7.0
+HOLDS_EACH = 12
 
 
-class CallerEndpoint(Endpoint):
-    """Records under which service each request is run."""
-
-    def __init__(self, machine, endpoint: str) -> None:
-        super().__init__(machine, endpoint)
-        self.callers: dict[str, str] = {}
-
-    async def handle(self, first, headers, reader, writer) -> None:
-        attempt, caller = headers.get("x-attempt-id"), headers.get("x-caller-service")
-        if attempt:
-            self.callers[attempt] = caller
-            self.record.write("caller service of", attempt, "is", caller)
-        await super().handle(first, headers, reader, writer)
+def routes(service: str, attempts: int) -> list[dict]:
+    return [
+        route("lookup", "idempotent", "slot-desk", max_attempts=attempts),
+        route("hold", "non_idempotent", service),
+    ]
 
 
 async def case(fleet, trouble: bool) -> list[str]:
     await fleet.store.start()
-    routes = [route("hold", "non_idempotent", "proof-vault")]
-    services = ["slot-desk", "proof-vault"]
-    fleet.store.put("keyed.op", "config", configuration(7, routes, services))
-    desk = fleet.add("sidecar-makati-1", "makati", "slot-desk")
-    vaults = [
-        fleet.add("sidecar-makati-2", "makati", "proof-vault"),
-        fleet.add("sidecar-pasig-1", "pasig", "proof-vault"),
+    services = ["slot-desk", "slot-desk-2"]
+    first = configuration(7, routes("slot-desk", 2), services)
+    fleet.store.put("keyed.op", "config", first)
+    machines = [
+        fleet.add("sidecar-makati-1", "makati", "slot-desk"),
+        fleet.add("sidecar-makati-2", "makati", "slot-desk-2"),
+        fleet.add("sidecar-pasig-1", "pasig", "slot-desk"),
+        fleet.add("sidecar-pasig-2", "pasig", "slot-desk-2"),
     ]
-    machines = [desk, *vaults]
     for machine in machines:
         machine.start()
     for machine in machines:
         await machine.wait_ready()
-    endpoints = [CallerEndpoint(m, f"i-{n}") for n, m in enumerate(machines)]
+    endpoints = [Endpoint(m, f"i-{n}") for n, m in enumerate(machines)]
     for endpoint in endpoints:
         await endpoint.start()
-    await asyncio.sleep(5)
-    status, body = await post_for_body(
-        desk.address("outbound"), f"{KEYS_PATH}{HOLDS}", b""
-    )
-    if status != 200:
-        raise CannotRun(f"no operation keys: {status}")
-    keys = json.loads(body)["keys"]
-    if trouble:
-        fleet.record.write("SIGTERM to the daemon of", desk.name)
-        desk.process.send_signal(signal.SIGTERM)
-        while desk.process.poll() is None:
-            await asyncio.sleep(0.05)
-        fleet.record.write("it has ended, exit code", desk.process.returncode)
-        await asyncio.sleep(RESTART_DELAY_S)
-        desk.start()
-        await desk.wait_ready()
-        await asyncio.sleep(BOUNDS["stable_window_s"] + 1)
+    await asyncio.sleep(5)  # all machines are in touch
+
     broken = []
-    for number, key in enumerate(keys):
-        fields = {"Idempotency-Key": key}
-        answer = await send(desk, "POST", f"/hold/{number}", b"{}", 2500, fields)
-        for endpoint in endpoints:
-            caller = endpoint.callers.get(answer.attempt, desk.service)
-            if caller != desk.service:
-                broken.append(
-                    f"UNASKED: {answer.attempt} began at a machine of {desk.service}"
-                    f" and ran on {endpoint.id} as a request of {caller}"
-                )
-        await asyncio.sleep(0.1)
+    for version in VERSIONS:
+        # The holds move to another service; in the case of trouble, lookups may also be
+        # sent to up to twelve endpoints.
+        document = configuration(
+            version, routes("slot-desk-2", 12 if trouble else 2), services
+        )
+        fleet.store.put("keyed.op", "config", document)
+        written_s = fleet.record.now()
+        fleet.record.write("version", version, "is written and acknowledged")
+        await asyncio.sleep(BOUNDS["config_apply_s"] + 1.0)
+        for number in range(HOLDS_EACH):
+            machine = machines[number % len(machines)]
+            sent_s = fleet.record.now()
+            answer = await send(machine, "POST", f"/hold/{version}-{number}", b"{}")
+            for endpoint in endpoints:
+                old = endpoint.machine.service == "slot-desk"
+                if old and any(each[1] == answer.attempt for each in endpoint.ran):
+                    broken.append(
+                        f"CONFIG: {answer.attempt}, sent {sent_s - written_s:.1f} s after"
+                        f" version {version} to {machine.name}, was run by the old"
+                        f" service on {endpoint.id}"
+                    )
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(max(0.0, written_s + INTERVAL_S - fleet.record.now()))
     return broken
 
 
