--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -37,24 +37,40 @@
     """The case could not be set up."""
 
 
-_used_ports: set[int] = set()
+PORTS_PER_BLOCK = 100
+_block: list = []  # the socket that reserves the block, and its ports
 _random_ports = random.SystemRandom()  # cases set the seed of the other generator
 
 
+def _bind(port: int, kind: int) -> socket.socket | None:
+    """Return a socket that is bound to a port, or None if the port is in use."""
+    bound = socket.socket(type=kind)
+    try:
+        bound.bind(("127.0.0.1", port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
+
+
 def free_port() -> int:
-    """Return a port below the range of outgoing connections that is free."""
-    for _ in range(2000):
-        port = _random_ports.randrange(11_000, 32_000)
-        if port in _used_ports:
-            continue
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _used_ports.add(port)
-        return port
+    """Return a port below the range of outgoing connections that is free.
+
+    The first port of a block stays bound, so that scripts side by side use others.
+    """
+    while not _block:
+        start = _random_ports.randrange(11_000, 32_000, PORTS_PER_BLOCK)
+        reservation = _bind(start, socket.SOCK_STREAM)
+        if reservation is not None:
+            ports = iter(range(start + 1, start + PORTS_PER_BLOCK))
+            _block.extend((reservation, ports))
+    for port in _block[1]:
+        probes = [_bind(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)]
+        for probe in probes:
+            if probe is not None:
+                probe.close()
+        if all(probes):
+            return port
     raise CannotRun("no free port")
 
 
