Accept values of other programs whole or not at all, and keep failures apart

Cause: the heartbeat's service could not be encoded. Fields were checked for their type where they are read, not for what later steps need; one target that cannot be published kept all others from being published; and a background task that failed ended the daemon, or, in the membership, ended for good.

Change: acceptance.py decides for heartbeats, deregistrations, announcements, datagrams, presence records, entries of peers and Server-Limit. A target that cannot be published is dropped alone, an entry is accepted without its odd endpoints, and a background task that fails is logged, counted and started again. An exchange on a closed channel is a failed exchange. A presence record with a daemon's own name no longer makes it unready for good.

--- a/packages/laburnumscale/src/laburnumscale/addresses.py
+++ b/packages/laburnumscale/src/laburnumscale/addresses.py
@@ -4,6 +4,7 @@
 """
 
 import ipaddress
+import re
 
 import attrs
 
@@ -12,6 +13,7 @@
 __all__ = ["Address", "parse_ip_port", "parse_loopback_ip_port"]
 
 MAX_PORT = 65535
+PORT = re.compile("[1-9][0-9]{0,4}")
 
 
 @attrs.frozen
@@ -39,7 +41,7 @@
         ipaddress.ip_address(host)
     except ValueError:
         raise AddressInvalid(where, option, value) from None
-    if not port.isdecimal() or int(port) > MAX_PORT:
+    if not PORT.fullmatch(port) or int(port) > MAX_PORT:
         raise AddressInvalid(where, option, value)
     return Address(host, int(port))
 
--- a/packages/laburnumscale/src/laburnumscale/announcements.py
+++ b/packages/laburnumscale/src/laburnumscale/announcements.py
@@ -8,6 +8,12 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.response import json
 
+from laburnumscale.acceptance import (
+    MAX_SLOTS,
+    accept_count,
+    accept_name,
+    accept_start_time_ms,
+)
 from laburnumscale.addresses import parse_loopback_ip_port
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import (
@@ -18,7 +24,7 @@
 )
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.places import EndpointPlace, parse_place
-from laburnumscale.targetregistry import MAX_SLOTS, TargetRegistry
+from laburnumscale.targetregistry import TargetRegistry
 from laburnumscale.webserver import new_app
 from laburnumscale_schema import peer_pb2, target_pb2
 
@@ -39,6 +45,8 @@
 def _parse_announcement(request: Request, service: str, endpoint: str) -> LocalTarget:
     place = str(EndpointPlace(service, endpoint))
     parse_place(place)
+    accept_name(place, "service", service)
+    accept_name(place, "endpoint", endpoint)
     try:
         message = _parse_body(request.body)
     except (json_format.ParseError, AttributeError, TypeError, ValueError) as error:
@@ -57,8 +65,10 @@
         slots=slots,
         state=message.state or READY,
         lease_deadline=Deadline.after_ms(lease_ms),
-        started_at_unix_ms=message.started_at_unix_ms,
-        sequence=message.sequence,
+        started_at_unix_ms=accept_start_time_ms(
+            place, "started_at_unix_ms", message.started_at_unix_ms
+        ),
+        sequence=accept_count(place, "sequence", message.sequence),
     )
 
 
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -6,7 +6,7 @@
 import asyncio
 import os
 import signal
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 
 import aiohttp
 
@@ -26,7 +26,6 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.draining import EXIT_MARGIN_MS, FLUSH_TIMEOUT_MS, Drain
 from laburnumscale.drainstate import DrainState
-from laburnumscale.errors import BackgroundTaskFailed
 from laburnumscale.gossip import Gossip
 from laburnumscale.logcalls import CountedLog
 from laburnumscale.logconnections import open_log_session
@@ -41,6 +40,7 @@
 from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreloader import SettingsReloader
+from laburnumscale.supervision import run_supervised
 from laburnumscale.transmission import SendOnceRequest, TargetConnector
 from laburnumscale.webserver import Server, serve_app
 from laburnumscale_schema import peer_pb2
@@ -64,13 +64,9 @@
         self._reloader = SettingsReloader(settings, settings_path)
         self._stop_requested = asyncio.Event()
         self._drain_state = DrainState()
-        self._failure: BackgroundTaskFailed | None = None
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then shut down gracefully.
-
-        :raises BackgroundTaskFailed: a background task failed.
-        """
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
         connector = TargetConnector(limit=0, keepalive_timeout=KEEP_ALIVE_TIMEOUT_S)
@@ -126,8 +122,6 @@
             )
         await shared.channels.close()
         get_logger().info("daemon stopped")
-        if self._failure is not None:
-            raise self._failure
 
     async def _serve_until_stopped(
         self,
@@ -199,19 +193,27 @@
         settings_role: SettingsRole,
         entry_role: EntryRole,
     ) -> list[asyncio.Task]:
-        """Start the tasks that run until the daemon stops."""
-        coroutines = (
-            self._reloader.watch(),
-            settings_role.source.run(),
-            settings_role.replicator.pull_forever(),
-            settings_role.replicator.push_forever(),
-            guard_role.stalls.watch(),
-            guard_role.targets.watch_leases(),
-            guard_role.guard.prune_attempts(shared.members),
-            guard_role.guard.runs.watch_orphans(shared.members),
-            entry_role.key_table.delete_expired_records(),
-        )
-        return [self._start_background_task(coroutine) for coroutine in coroutines]
+        """Start the tasks that run until the daemon stops.
+
+        None of them ends the daemon: one that fails is started again.
+        """
+        parts: dict[str, Callable[[], Awaitable[None]]] = {
+            "settings file": self._reloader.watch,
+            "settings source": settings_role.source.run,
+            "settings pull": settings_role.replicator.pull_forever,
+            "settings push": settings_role.replicator.push_forever,
+            "stalls": guard_role.stalls.watch,
+            "target leases": guard_role.targets.watch_leases,
+            "attempts": lambda: guard_role.guard.prune_attempts(shared.members),
+            "orphaned runs": lambda: guard_role.guard.runs.watch_orphans(
+                shared.members
+            ),
+            "operation keys": entry_role.key_table.delete_expired_records,
+        }
+        return [
+            asyncio.create_task(run_supervised(part, run, shared.metrics), name=part)
+            for part, run in parts.items()
+        ]
 
     async def _start_servers(
         self, shared: SharedParts, guard_role: GuardRole, operator_api: OperatorApi
@@ -221,7 +223,7 @@
         apps = (
             (operator_api.app(), settings.operator_address, "operator_address"),
             (
-                platform.target_app(guard_role.targets, shared.feed),
+                platform.target_app(guard_role.targets, shared.feed, shared.metrics),
                 settings.target_address,
                 "target_address",
             ),
@@ -248,23 +250,6 @@
         for task in tasks:
             task.cancel()
 
-    def _start_background_task(self, coroutine: Coroutine) -> asyncio.Task:
-        task = asyncio.create_task(coroutine, name=coroutine.__qualname__)
-        task.add_done_callback(self._handle_task_end)
-        return task
-
-    def _handle_task_end(self, task: asyncio.Task) -> None:
-        """Stop the daemon if one of its background tasks failed.
-
-        If it continued, it would accept calls although it works only in part.
-        """
-        if task.cancelled() or task.exception() is None:
-            return
-        error = BackgroundTaskFailed(task.get_name(), repr(task.exception()))
-        get_logger().error("background task failed", reason=str(error))
-        self._failure = error
-        self._request_stop()
-
     def _build_own_member(self) -> peer_pb2.Member:
         return peer_pb2.Member(
             daemon=self.settings.daemon,
--- a/packages/laburnumscale/src/laburnumscale/datagrams.py
+++ b/packages/laburnumscale/src/laburnumscale/datagrams.py
@@ -9,10 +9,12 @@
 
 from google.protobuf.message import DecodeError
 
+from laburnumscale.acceptance import accept_address, accept_name, accept_time_us
 from laburnumscale.addresses import Address, parse_ip_port
-from laburnumscale.errors import AddressInvalid, DatagramInvalid
+from laburnumscale.errors import AddressInvalid, DatagramInvalid, LaburnumscaleError
 from laburnumscale.metrics import Metrics
 from laburnumscale.peertraffic import PeerTraffic
+from laburnumscale.rejectionlog import RejectionLog
 from laburnumscale_schema import gossip_pb2
 
 __all__ = ["MAX_DATAGRAM_BYTES", "DatagramSocket"]
@@ -34,6 +36,7 @@
         self._traffic = traffic
         self._overrides = overrides
         self._metrics = metrics
+        self._rejections = RejectionLog("datagram", "datagram rejected", metrics)
         self._transport: asyncio.DatagramTransport | None = None
         self._on_datagram: Callable[[gossip_pb2.Datagram], None] | None = None
         self._resolved_addresses: OrderedDict[str, Address] = OrderedDict()
@@ -101,8 +104,9 @@
         self._metrics.count("datagram_bytes_received", amount=received_bytes)
         try:
             datagram = _decode(data, source)
-        except DatagramInvalid:
+        except DatagramInvalid as error:
             self._metrics.count("datagrams_invalid")
+            self._rejections.record(source[0], error)
             return
         self._on_datagram(datagram)
 
@@ -117,8 +121,12 @@
         datagram = gossip_pb2.Datagram.FromString(data)
     except DecodeError as error:
         raise DatagramInvalid(peer, str(error)) from error
-    if not (datagram.kind and datagram.sender and datagram.sender_address):
-        raise DatagramInvalid(peer, "kind, sender or sender_address is missing")
-    if any(not (each.daemon and each.peer_address) for each in datagram.updates):
-        raise DatagramInvalid(peer, "an update lacks daemon or peer_address")
+    try:
+        accept_name(peer, "sender", datagram.sender)
+        accept_address(peer, "sender_address", datagram.sender_address)
+        accept_time_us(peer, "sender_incarnation", datagram.sender_incarnation)
+    except LaburnumscaleError as error:
+        raise DatagramInvalid(peer, str(error)) from error
+    if not datagram.kind:
+        raise DatagramInvalid(peer, "kind is missing")
     return datagram
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -7,7 +7,7 @@
 import math
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from laburnumscale.addresses import Address
 from laburnumscale.channels import PeerChannels
@@ -16,7 +16,6 @@
 from laburnumscale.detector import FailureDetector
 from laburnumscale.gossipsender import GossipSender
 from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S, LocalHealth
-from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import DEAD, is_present
 from laburnumscale.members import Members
 from laburnumscale.merger import EntryMerger
@@ -27,6 +26,7 @@
 from laburnumscale.platformlog import LogClient
 from laburnumscale.presence import PresenceStream
 from laburnumscale.quarantine import Quarantine
+from laburnumscale.supervision import run_supervised
 from laburnumscale.suspicions import SuspicionTimers
 from laburnumscale.tableexchange import TableExchange
 from laburnumscale_schema import gossip_pb2, peer_pb2
@@ -135,16 +135,17 @@
         await self._socket.open(address, self._handle_datagram)
         for peer in random.sample(self._members.peers(), len(self._members.peers())):
             self._schedule_exchange(peer.peer_address)
-        for coroutine in (
-            self._detector.probe_forever(),
-            self._run_periodic_work(),
-            self._exchange_forever(),
-            self._discovery.discover_forever(),
-            self._confirm_settings_forever(),
-        ):
-            task = asyncio.create_task(coroutine, name=coroutine.__qualname__)
-            task.add_done_callback(self._log_task_failure)
-            self._tasks.append(task)
+        parts: dict[str, Callable[[], Awaitable[None]]] = {
+            "failure detector": self._detector.probe_forever,
+            "membership updates": self._run_periodic_work,
+            "table exchange": self._exchange_forever,
+            "peer discovery": self._discovery.discover_forever,
+            "settings confirmation": self._confirm_settings_forever,
+        }
+        self._tasks.extend(
+            asyncio.create_task(run_supervised(part, run, self._metrics), name=part)
+            for part, run in parts.items()
+        )
 
     async def leave(self) -> None:
         """Stop the background tasks and notify several peers that this daemon left."""
@@ -157,15 +158,6 @@
             self._gossip_sender.send(peer, leave_update, [self._members.own])
         self._socket.close()
 
-    def _log_task_failure(self, task: asyncio.Task) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        self._metrics.count("membership_part_failures")
-        reason = repr(task.exception())
-        get_logger().error(
-            "membership task failed", part=task.get_name(), reason=reason
-        )
-
     async def _run_periodic_work(self) -> None:
         cleanup_at_s = time.monotonic() + CLEANUP_INTERVAL_S
         while True:
--- a/packages/laburnumscale/src/laburnumscale/members.py
+++ b/packages/laburnumscale/src/laburnumscale/members.py
@@ -67,6 +67,7 @@
     :ivar own: the entry of this daemon.
     :ivar name_taken: the error to report once another process uses this daemon's name.
     :ivar refutations: number of refuted reports that this daemon is not alive.
+    :ivar incarnation_frozen: the incarnation is kept until this process ends.
     :ivar serving: this daemon has joined and accepts calls.
     """
 
@@ -74,7 +75,7 @@
         self.own = own
         self.name_taken: DaemonNameTaken | None = None
         self.refutations = 0
-        self._incarnation_frozen = False
+        self.incarnation_frozen = False
         self.serving = False
         self._table: dict[str, peer_pb2.Member] = {own.daemon: own}
         self._digests: dict[str, int] = {own.daemon: digest(own)}
@@ -137,7 +138,7 @@
 
     def freeze_incarnation(self) -> None:
         """Keep the current incarnation until this process ends."""
-        self._incarnation_frozen = True
+        self.incarnation_frozen = True
 
     def merge(self, received: peer_pb2.Member) -> EntryChange | None:
         """Merge a received entry into the table.
@@ -247,7 +248,7 @@
             self._refute(received)
 
     def _handle_name_conflict(self, received: peer_pb2.Member) -> None:
-        if not self._incarnation_frozen:
+        if not self.incarnation_frozen:
             self._change_own(incarnation=received.incarnation + 1)
         elif self.name_taken is None and is_present(received):
             self.name_taken = DaemonNameTaken(
--- a/packages/laburnumscale/src/laburnumscale/merger.py
+++ b/packages/laburnumscale/src/laburnumscale/merger.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+from laburnumscale.acceptance import accept_member
+from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.memberentries import (
     ALIVE,
     DEAD,
@@ -15,6 +17,7 @@
 )
 from laburnumscale.members import EntryChange, Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.rejectionlog import RejectionLog
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["EntryMerger"]
@@ -42,6 +45,7 @@
         self._members = members
         self._notify_member = notify_member
         self._metrics = metrics
+        self._rejections = RejectionLog("entry", "membership entry rejected", metrics)
         self._last_contact_at_s: dict[str, float] = {}
         self._prompted_at_s: dict[str, float] = {}
 
@@ -55,6 +59,9 @@
         If the update declares dead a member that is alive in this table, the member
         becomes a suspect, or stays alive if it sent a datagram recently.
         """
+        entry = self._accept(entry)
+        if entry is None:
+            return None
         if self._contradicts_table(entry):
             self._prompt_refutation(entry)
             if self._had_recent_contact(entry.daemon):
@@ -70,11 +77,22 @@
         After a partition each side considers the members of the other side dead.
         They are notified first rather than all becoming suspects at once.
         """
+        entry = self._accept(entry)
+        if entry is None:
+            return None
         if self._contradicts_table(entry):
             self._prompt_refutation(entry)
             return None
         return self._members.merge(entry)
 
+    def _accept(self, entry: peer_pb2.Member) -> peer_pb2.Member | None:
+        """Return the usable part of an entry, or None if there is none."""
+        try:
+            return accept_member(entry, self._rejections.record)
+        except LaburnumscaleError as error:
+            self._rejections.record("entry", error)
+            return None
+
     def _contradicts_table(self, entry: peer_pb2.Member) -> bool:
         known = self._members.get(entry.daemon)
         return (
--- a/packages/laburnumscale/src/laburnumscale/platforms.py
+++ b/packages/laburnumscale/src/laburnumscale/platforms.py
@@ -63,10 +63,13 @@
             role.is_designated_reader,
         )
 
-    def target_app(self, targets: TargetRegistry, feed: SettingsFeed) -> Sanic:
+    def target_app(
+        self, targets: TargetRegistry, feed: SettingsFeed, metrics: Metrics
+    ) -> Sanic:
         """Return the HTTP application with which the targets of this host register.
 
         :param feed: source of the names of the configured services.
+        :param metrics: counts the messages that were rejected.
         """
         return announcement_app(self.settings.daemon, targets)
 
--- a/packages/laburnumscale/src/laburnumscale/presence.py
+++ b/packages/laburnumscale/src/laburnumscale/presence.py
@@ -5,12 +5,13 @@
 
 from google.protobuf.message import DecodeError
 
-from laburnumscale.errors import RecordInvalid
-from laburnumscale.logs import get_logger
+from laburnumscale.acceptance import accept_member
+from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.memberentries import without_endpoints
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.platformlog import LogClient, LogReader, Record
+from laburnumscale.rejectionlog import RejectionLog
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["PresenceStream"]
@@ -30,6 +31,7 @@
         self._log = log
         self._members = members
         self._metrics = metrics
+        self._rejections = RejectionLog("presence", "presence record skipped", metrics)
         self._reader = LogReader(log, STREAM)
         self._announced_era = 0
         self._contacts: dict[str, peer_pb2.Member] = {}
@@ -59,40 +61,51 @@
         self._metrics.count("presence_reads")
         batch = await self._reader.read(wait_ms)
         for record in batch.records:
-            self._handle_record(record)
+            self.handle_record(record)
 
     def contacts(self) -> list[peer_pb2.Member]:
-        """Return daemons that have a record but are not in the table, newest first."""
+        """Return daemons that have a record but are not in the table, newest first.
+
+        Another process that uses the name of this daemon is one of them.
+        """
+        own = self._members.own.daemon
         contacts = [
             member
             for member in self._contacts.values()
-            if self._members.get(member.daemon) is None
+            if member.daemon == own or self._members.get(member.daemon) is None
         ]
         return contacts[::-1]
 
-    def _handle_record(self, record: Record) -> None:
+    def handle_record(self, record: Record) -> None:
+        """Keep the daemon of a record as a contact, or skip an invalid record."""
         try:
             member = self._decode(record)
         except RecordInvalid as error:
             self._metrics.count("presence_records_invalid")
-            get_logger().warning("presence record skipped", reason=str(error))
+            self._rejections.record(str(record.offset), error)
             return
-        if member.daemon == self._members.own.daemon:
-            self._members.merge(member)
+        if member.daemon == self._members.own.daemon and not self._is_namesake(member):
             return
         self._contacts.pop(member.daemon, None)
         self._contacts[member.daemon] = member
         if len(self._contacts) > MAX_CONTACTS:
             del self._contacts[next(iter(self._contacts))]
 
+    def _is_namesake(self, member: peer_pb2.Member) -> bool:
+        """Return whether a record with the own name may be that of another process.
+
+        Before the incarnation is frozen, the record only raises it. After that, only
+        the process itself shows that it exists, as others may have written the record.
+        """
+        if not self._members.incarnation_frozen:
+            self._members.merge(member)
+            return False
+        return member.peer_address != self._members.own.peer_address
+
     @staticmethod
     def _decode(record: Record) -> peer_pb2.Member:
         try:
             member = peer_pb2.Member.FromString(record.payload)
-        except DecodeError as error:
+            return accept_member(without_endpoints(member))
+        except (DecodeError, LaburnumscaleError) as error:
             raise RecordInvalid(STREAM, record.offset, str(error)) from error
-        if not (member.daemon and member.peer_address):
-            raise RecordInvalid(
-                STREAM, record.offset, "daemon name or peer address is missing"
-            )
-        return member
--- a/packages/laburnumscale/src/laburnumscale/tableexchange.py
+++ b/packages/laburnumscale/src/laburnumscale/tableexchange.py
@@ -87,7 +87,8 @@
             with closed_as_unavailable():
                 async with self._channels.transient_peer(address) as stub:
                     await self._run_exchange(stub, announce_self)
-        except grpc.RpcError:
+        except (grpc.RpcError, grpc.aio.UsageError):
+            # The latter if the channel was replaced between the two requests.
             self._metrics.count("exchange_failures")
             return False
         return True
--- a/packages/laburnumscale/src/laburnumscale/targetlimit.py
+++ b/packages/laburnumscale/src/laburnumscale/targetlimit.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from laburnumscale.acceptance import parse_decimal
 from laburnumscale.deadlines import MS_PER_S, now_s
 from laburnumscale.ratelimit import RateLimiter
 
@@ -23,11 +24,7 @@
 
 def parse_rate(text: str) -> float | None:
     """Return a rate in calls a second, or None if the text names none."""
-    try:
-        calls_per_s = float(text)
-    except ValueError:
-        return None
-    return calls_per_s if math.isfinite(calls_per_s) and calls_per_s >= 0 else None
+    return parse_decimal(text.strip())
 
 
 @attrs.define
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -10,22 +10,25 @@
 
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
-from laburnumscale.errors import EndpointMoved
+from laburnumscale.errors import EndpointMoved, RequestInvalid
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.members import EndpointView, Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.rejectionlog import RejectionLog
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["MAX_SLOTS", "TargetRegistry"]
-
-MAX_SLOTS = 10_000
+__all__ = ["TargetRegistry"]
 
 LEASE_CHECK_INTERVAL_S = 0.2
 LAPSED_RETENTION_MS = 10_000
 #: Number of departed endpoints to remember. A host has few targets at a time, and late
 #: announcements arrive within seconds.
 MAX_DEPARTED = 64
+#: Bounds what announcements of other programs can add to the fleet's tables.
+MAX_TARGETS = 1_000
+#: What a field raises that does not fit its field of the schema.
+UNPUBLISHABLE_ERRORS = (TypeError, ValueError)
 LAPSED = peer_pb2.TARGET_STATE_LAPSED
 DRAINING = peer_pb2.TARGET_STATE_DRAINING
 
@@ -42,6 +45,7 @@
         self._daemon = daemon
         self._members = members
         self._metrics = metrics
+        self._rejections = RejectionLog("target", "target not published", metrics)
         self._targets: dict[tuple[str, str], LocalTarget] = {}
         self._moved: dict[tuple[str, str], Address] = {}
         self._departed: OrderedDict[str, int] = OrderedDict()
@@ -56,7 +60,9 @@
         """Add a target or renew its lease.
 
         :raises EndpointMoved: it was announced to another daemon later.
+        :raises RequestInvalid: it cannot be published, or there are too many targets.
         """
+        self._check_publishable(announced)
         if self._is_departed(announced) or self._is_superseded(announced):
             self._metrics.count("announcements_late")
             return
@@ -163,6 +169,16 @@
             while self._possibly_moved:
                 self._check_moved(self._possibly_moved.pop())
 
+    def _check_publishable(self, announced: LocalTarget) -> None:
+        where = f'target "{announced.endpoint}"'
+        key = (announced.service, announced.endpoint)
+        if key not in self._targets and len(self._targets) >= MAX_TARGETS:
+            raise RequestInvalid(where, f"there are {MAX_TARGETS} targets already")
+        try:
+            announced.message()
+        except UNPUBLISHABLE_ERRORS as error:
+            raise _unpublishable(announced, error) from error
+
     def _add(self, announced: LocalTarget) -> None:
         key = (announced.service, announced.endpoint)
         other_view = self._find_at_other_daemon(*key)
@@ -246,10 +262,22 @@
 
     def publish_endpoints(self) -> None:
         """Publish the current endpoints to the fleet."""
-        messages = [target.message() for target in self._targets.values()]
+        messages = []
+        for key, target in list(self._targets.items()):
+            try:
+                messages.append(target.message())
+            except UNPUBLISHABLE_ERRORS as error:
+                # One target must not keep the others from being published.
+                del self._targets[key]
+                target.withdrawn = True
+                self._rejections.record(target.endpoint, _unpublishable(target, error))
         self._members.set_endpoints(messages)
 
 
+def _unpublishable(target: LocalTarget, error: Exception) -> RequestInvalid:
+    return RequestInvalid(f'target "{target.endpoint}"', repr(error))
+
+
 def _is_new_process(known: LocalTarget, announced: LocalTarget) -> bool:
     """Return whether an announcement comes from a later process of the target."""
     if known.address != announced.address:
--- a/packages/laburnumscale/src/laburnumscale/updatequeue.py
+++ b/packages/laburnumscale/src/laburnumscale/updatequeue.py
@@ -67,8 +67,8 @@
     def add(self, update: peer_pb2.Member) -> None:
         """Queue an update in place of older ones of the same daemon or endpoint.
 
-        Members whose entry is too large for a datagram are not queued; the exchange
-        of tables transfers them.
+        Members and endpoints that are too large for a datagram are not queued; the
+        exchange of tables transfers them.
         """
         if without_endpoints(update).ByteSize() > MAX_ENTRY_BYTES:
             return
@@ -76,9 +76,13 @@
         if not update.endpoints or not is_present(update):
             self._enqueue((update.daemon, "", ""), None, 0)
             return
+        entry_bytes = self._pending[update.daemon].entry.ByteSize()
         for endpoint in update.endpoints:
+            if entry_bytes + endpoint.ByteSize() > MAX_ENTRY_BYTES:
+                continue
             key = (update.daemon, endpoint.service, endpoint.endpoint)
             self._enqueue(key, endpoint, 0)
+        self._remove_entry_if_unused(update.daemon)
 
     def take_batch(self, limit_bytes: int, group_size: int) -> list[peer_pb2.Member]:
         """Return updates for one datagram and count them as sent.
--- a/tests/features/steps/platform_messages_steps.py
+++ b/tests/features/steps/platform_messages_steps.py
@@ -317,13 +317,13 @@
 
     :param name: name of the daemon; sanic refuses two applications of the same name.
     """
-    app = heartbeat_app(name, registry, 1500, is_configured)
+    app = heartbeat_app(name, registry, 1500, is_configured, Metrics())
     info = {"service": service, "version": "v1", "zone": "makati", "slots": slots}
     status = {"state": "ready", "sequence": 1, "cold_left_s": 0}
     value = {"address": "127.0.0.1:9", "info": info, "status": status}
     (route,) = app.router.routes
     request = SimpleNamespace(
-        args={"call": "instances.heartbeat", "of": "i-1"},
+        get_args=lambda errors: {"call": "instances.heartbeat", "of": "i-1"},
         body=json.dumps(value).encode(),
         ip="127.0.0.1",
     )
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -41,6 +41,9 @@
         "attempts refused as late, duplicate or meant for another "
         "incarnation of the guard"
     ),
+    "background_task_failures": (
+        "background tasks that failed and were started again, by part; must stay 0"
+    ),
     "call_latency": "latency of calls at their entry, by service",
     "calls": "calls at their entry, by service and outcome",
     "calls_quarantined": "calls refused at their entry as targets ended under them",
@@ -84,7 +87,9 @@
     "loop_pauses": "pauses of the event loop",
     "members_declared_dead": "suspect members declared dead when their timeout expired",
     "members_suspected": "members that became suspect",
-    "membership_part_failures": "membership tasks that failed; must stay 0",
+    "messages_rejected": (
+        "messages and entries of other programs that were not accepted, by kind"
+    ),
     "operation_keys_adopted": "operation keys taken over from a draining daemon",
     "operation_keys_minted": "operation keys issued",
     "operation_keys_repeated": "calls with an operation key that had been used before",
