Give the presence records of a stand-in the state that daemons write

The scenario on partial presence reads failed since entries without a known state are rejected: its records had none, which no daemon writes. What it checks stays.

--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -550,7 +550,11 @@
 
     def __init__(self, names):
         self.payloads = [
-            peer_pb2.Member(daemon=name, peer_address="127.0.0.1:1").SerializeToString()
+            peer_pb2.Member(
+                daemon=name,
+                peer_address="127.0.0.1:1",
+                state=peer_pb2.MEMBER_STATE_ALIVE,
+            ).SerializeToString()
             for name in names
         ]
 
