Remember the departures of targets beyond the daemon that acknowledged them

Cause: the start time in a deregistration was not read, so a daemon that had not met the process compared a late announcement with 0; and what a daemon had acknowledged died with it.

Change: a departure holds for the process that it names and for all earlier ones of its endpoint. An announcement that a process drains counts although a later number was seen.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -24,8 +24,10 @@
 )
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.deadlines import Deadline
+from laburnumscale.departurereplicator import DepartureReplicator
 from laburnumscale.draining import EXIT_MARGIN_MS, FLUSH_TIMEOUT_MS, Drain
 from laburnumscale.drainstate import DrainState
+from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.gossip import Gossip
 from laburnumscale.logcalls import CountedLog
 from laburnumscale.logconnections import open_log_session
@@ -36,7 +38,6 @@
 from laburnumscale.peers import PEER_SERVER_GRACE_S, serve_peers
 from laburnumscale.peertraffic import PeerTraffic
 from laburnumscale.platforms import get_platform_by_name
-from laburnumscale.quarantine import Quarantine
 from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingsreloader import SettingsReloader
@@ -145,7 +146,10 @@
             "caller_address",
         )
         operator_api = build_operator_api(shared, guard_role, settings_role, entry_role)
-        servers = await self._start_servers(shared, guard_role, operator_api)
+        replicator = DepartureReplicator(shared.members, gossip.exchange)
+        servers = await self._start_servers(
+            shared, guard_role, operator_api, replicator
+        )
         shared.members.serving = True
         get_logger().info("daemon accepts calls", has_settings=shared.feed.has_tree)
         await self._stop_requested.wait()
@@ -182,7 +186,7 @@
             ),
             channels=PeerChannels(settings.peer_address_overrides, traffic),
             drain_state=self._drain_state,
-            quarantine=Quarantine(metrics),
+            notices=FleetNotices.create(metrics),
             roles=ReaderRoles(members),
         )
 
@@ -216,14 +220,23 @@
         ]
 
     async def _start_servers(
-        self, shared: SharedParts, guard_role: GuardRole, operator_api: OperatorApi
+        self,
+        shared: SharedParts,
+        guard_role: GuardRole,
+        operator_api: OperatorApi,
+        replicator: DepartureReplicator,
     ) -> list[Server]:
         """Start all servers except those for callers and for peers."""
         settings, platform = shared.settings, shared.platform
         apps = (
             (operator_api.app(), settings.operator_address, "operator_address"),
             (
-                platform.target_app(guard_role.targets, shared.feed, shared.metrics),
+                platform.target_app(
+                    guard_role.targets,
+                    shared.feed,
+                    replicator.replicate,
+                    shared.metrics,
+                ),
                 settings.target_address,
                 "target_address",
             ),
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -15,6 +15,7 @@
 from laburnumscale.confirmationrequests import ConfirmationRequests
 from laburnumscale.daemonsettings import DaemonSettings
 from laburnumscale.drainstate import DrainState
+from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.gossip import Gossip
 from laburnumscale.guard import Guard
 from laburnumscale.health import TargetHealth
@@ -26,7 +27,6 @@
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale.platformlog import LogClient
 from laburnumscale.platforms import Platform
-from laburnumscale.quarantine import Quarantine
 from laburnumscale.quarantineapi import QuarantineApi
 from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.recovery import TargetRecovery
@@ -66,7 +66,7 @@
     feed: SettingsFeed
     channels: PeerChannels
     drain_state: DrainState
-    quarantine: Quarantine
+    notices: FleetNotices
     roles: ReaderRoles
 
 
@@ -112,7 +112,7 @@
         seeds=shared.settings.seed_addresses,
         revision=lambda: feed.tree.revision,
         on_revision=feed.record_datagram_revision,
-        quarantine=shared.quarantine,
+        notices=shared.notices,
     )
     gossip.confirmations = ConfirmationRequests(
         feed, shared.roles.sources, shared.metrics
@@ -122,7 +122,12 @@
 
 def build_guard_role(shared: SharedParts) -> GuardRole:
     """Build the parts that forward attempts to the targets on this host."""
-    targets = TargetRegistry(shared.settings.daemon, shared.members, shared.metrics)
+    targets = TargetRegistry(
+        shared.settings.daemon,
+        shared.members,
+        shared.metrics,
+        shared.notices.departures,
+    )
     stalls = LoopStalls()
     recovery = TargetRecovery(shared.session, shared.metrics, targets.publish_endpoints)
     health = TargetHealth(recovery, stalls, shared.metrics)
@@ -138,7 +143,7 @@
     )
     guard.answer_limit_bytes = shared.settings.answer_limit_bytes
     guard.drain_state = shared.drain_state
-    guard.quarantine = shared.quarantine
+    guard.quarantine = shared.notices.quarantine
     return GuardRole(targets, stalls, health, guard)
 
 
@@ -185,7 +190,7 @@
         settings.caller_service,
     )
     runner.drain_state = shared.drain_state
-    runner.quarantine = shared.quarantine
+    runner.quarantine = shared.notices.quarantine
     key_table = KeyTable(
         settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
     )
@@ -222,5 +227,5 @@
         entry_role.router,
         shared.metrics,
         settings_api,
-        QuarantineApi(shared.quarantine),
+        QuarantineApi(shared.notices.quarantine),
     )
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -14,6 +14,7 @@
 from laburnumscale.confirmationrequests import ConfirmationRequests
 from laburnumscale.datagrams import DatagramSocket
 from laburnumscale.detector import FailureDetector
+from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.gossipsender import GossipSender
 from laburnumscale.localhealth import MAX_WAKEUP_DELAY_S, LocalHealth
 from laburnumscale.memberentries import DEAD, is_present
@@ -25,7 +26,6 @@
 from laburnumscale.peertraffic import PeerTraffic
 from laburnumscale.platformlog import LogClient
 from laburnumscale.presence import PresenceStream
-from laburnumscale.quarantine import Quarantine
 from laburnumscale.supervision import run_supervised
 from laburnumscale.suspicions import SuspicionTimers
 from laburnumscale.tableexchange import TableExchange
@@ -70,7 +70,7 @@
     :param revision: returns the settings revision of this daemon.
     :param on_revision: called with the settings revision that a datagram reports and
         the peer address of the daemon that has it.
-    :param quarantine: the suspect calls, which daemons tell each other of.
+    :param notices: what daemons tell each other beside the membership.
     :ivar confirmations: decides when to ask which reader of the log whether the
         settings are the newest; None for a daemon without settings.
     """
@@ -85,9 +85,9 @@
         seeds: Sequence[Address] = (),
         revision: Callable[[], int] = lambda: 0,
         on_revision: Callable[[int, str], None] = lambda revision, address: None,
-        quarantine: Quarantine | None = None,
+        notices: FleetNotices | None = None,
     ) -> None:
-        self._quarantine = Quarantine(metrics) if quarantine is None else quarantine
+        self._notices = FleetNotices.create(metrics) if notices is None else notices
         self.confirmations: ConfirmationRequests | None = None
         self._members = members
         self._channels = channels
@@ -98,7 +98,7 @@
         traffic = PeerTraffic(members, metrics)
         self._socket = DatagramSocket(channels.overrides, metrics, traffic)
         self._gossip_sender = GossipSender(
-            members, self._socket, revision, self._quarantine
+            members, self._socket, revision, self._notices
         )
         self._suspicions = SuspicionTimers(members, self._health, metrics)
         self._detector = FailureDetector(
@@ -106,7 +106,7 @@
         )
         self._merger = EntryMerger(members, self._detector.ping, metrics)
         self.exchange = TableExchange(
-            members, self._merger, channels, metrics, self._quarantine
+            members, self._merger, channels, metrics, self._notices
         )
         presence = None if log is None else PresenceStream(log, members, metrics)
         self._discovery = PeerDiscovery(
@@ -247,8 +247,7 @@
         self._health.record_datagram()
         for update in datagram.updates:
             self._merge_update(update)
-        for suspect in datagram.suspect_calls:
-            self._quarantine.merge(suspect)
+        self._notices.merge(datagram)
         sender = self._resolve_sender(datagram)
         self._on_revision(datagram.settings_revision, datagram.sender_address)
         if datagram.kind in (CONFIRMATION_REQUEST, CONFIRMATION):
--- a/packages/laburnumscale/src/laburnumscale/gossipsender.py
+++ b/packages/laburnumscale/src/laburnumscale/gossipsender.py
@@ -6,10 +6,13 @@
 import time
 from collections.abc import Callable, Iterable
 
+from google.protobuf.message import Message
+
 from laburnumscale.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from laburnumscale.departurequeue import DepartureQueue
+from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.memberentries import without_endpoints
 from laburnumscale.members import Members
-from laburnumscale.quarantine import Quarantine
 from laburnumscale.suspectqueue import SuspectQueue
 from laburnumscale.updatequeue import FIELD_OVERHEAD_BYTES, UpdateQueue
 from laburnumscale_schema import gossip_pb2, peer_pb2
@@ -19,6 +22,7 @@
 SEND_RATE_BYTES_PER_S = 3_000
 MAX_BURST_BYTES = 24_000
 MAX_SUSPECT_BYTES = 700  # half of a datagram; the rest is for membership updates
+MAX_DEPARTURE_BYTES = 400  # about ten departures
 
 
 class GossipSender:
@@ -34,7 +38,7 @@
         members: Members,
         socket: DatagramSocket,
         revision: Callable[[], int],
-        quarantine: Quarantine,
+        notices: FleetNotices,
     ) -> None:
         self._members = members
         self._socket = socket
@@ -44,7 +48,9 @@
         self.queue = UpdateQueue()
         members.on_change(self.queue.add)
         self._suspects = SuspectQueue()
-        quarantine.on_change(self._suspects.add)
+        notices.quarantine.on_change(self._suspects.add)
+        self._departures = DepartureQueue()
+        notices.departures.on_change(self._departures.add)
 
     def send(
         self,
@@ -66,13 +72,16 @@
             datagram.updates.append(_liveness_update(member))
         available_bytes = MAX_DATAGRAM_BYTES - datagram.ByteSize()
         available_bytes = min(available_bytes, self._refill_budget())
+        departures = self._departures.take_batch(
+            min(available_bytes, MAX_DEPARTURE_BYTES), self._members.group_size
+        )
+        datagram.departures.extend(departures)
+        available_bytes -= _size_bytes(departures)
         suspects = self._suspects.take_batch(
             min(available_bytes, MAX_SUSPECT_BYTES), self._members.group_size
         )
         datagram.suspect_calls.extend(suspects)
-        available_bytes -= sum(
-            each.ByteSize() + FIELD_OVERHEAD_BYTES for each in suspects
-        )
+        available_bytes -= _size_bytes(suspects)
         updates = self.queue.take_batch(available_bytes, self._members.group_size)
         datagram.updates.extend(updates)
         self._budget_bytes -= self._socket.send(recipient.peer_address, datagram)
@@ -89,7 +98,9 @@
 
     def can_send_updates(self) -> bool:
         """Return whether urgent updates are queued and the budget allows a datagram."""
-        has_updates = self.queue.has_urgent() or len(self._suspects) > 0
+        has_updates = (
+            self.queue.has_urgent() or len(self._suspects) + len(self._departures) > 0
+        )
         return has_updates and self._refill_budget() >= MAX_DATAGRAM_BYTES
 
     def _refill_budget(self) -> int:
@@ -100,6 +111,10 @@
         return max(0, int(self._budget_bytes))
 
 
+def _size_bytes(messages: Iterable[Message]) -> int:
+    return sum(each.ByteSize() + FIELD_OVERHEAD_BYTES for each in messages)
+
+
 def _liveness_update(member: peer_pb2.Member) -> peer_pb2.Member:
     """Return an entry without its endpoints and key homes.
 
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -34,6 +34,7 @@
     """One target on the daemon's own host.
 
     :ivar lease_deadline: when the announcement lapses.
+    :ivar late_deadline: until when an announcement that looks outdated may be late.
     :ivar announced_us: Unix time of its registration here, in microseconds; later
         than its registration at any other daemon.
     :ivar started_at_unix_ms: start time of its process; 0 if its announcements lack
@@ -66,6 +67,7 @@
     slots: int
     state: int
     lease_deadline: Deadline
+    late_deadline: Deadline = NO_DOUBT
     announced_us: int = 0
     started_at_unix_ms: int = 0
     sequence: int = 0
--- a/packages/laburnumscale/src/laburnumscale/platforms.py
+++ b/packages/laburnumscale/src/laburnumscale/platforms.py
@@ -4,6 +4,7 @@
 """
 
 import importlib
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import attrs
@@ -11,6 +12,7 @@
 
 from laburnumscale.announcements import announcement_app
 from laburnumscale.daemonsettings import DaemonSettings
+from laburnumscale.departures import Departure
 from laburnumscale.errors import PlatformUnknown
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.metrics import Metrics
@@ -64,11 +66,16 @@
         )
 
     def target_app(
-        self, targets: TargetRegistry, feed: SettingsFeed, metrics: Metrics
+        self,
+        targets: TargetRegistry,
+        feed: SettingsFeed,
+        replicate: Callable[[Departure], Awaitable[int]],
+        metrics: Metrics,
     ) -> Sanic:
         """Return the HTTP application with which the targets of this host register.
 
         :param feed: source of the names of the configured services.
+        :param replicate: lets other daemons remember a departure.
         :param metrics: counts the messages that were rejected.
         """
         return announcement_app(self.settings.daemon, targets)
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -227,6 +227,10 @@
         """
         if not self.has_tree or not self.is_current(self.lag.wanted_revision):
             return True
+        return self.has_service(service)
+
+    def has_service(self, service: str) -> bool:
+        """Return whether a service is configured in the tree of this daemon."""
         return service in self.tree.services()
 
     def held(self) -> peer_pb2.SettingsHeld:
--- a/packages/laburnumscale/src/laburnumscale/tableexchange.py
+++ b/packages/laburnumscale/src/laburnumscale/tableexchange.py
@@ -10,11 +10,13 @@
 import xxhash
 
 from laburnumscale.channels import PeerChannels, closed_as_unavailable
+from laburnumscale.deadlines import Deadline
+from laburnumscale.departures import Departure
+from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
 from laburnumscale.merger import EntryMerger
 from laburnumscale.metrics import Metrics
-from laburnumscale.quarantine import Quarantine
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["TableExchange"]
@@ -23,6 +25,11 @@
 MAX_BUCKET_COUNT = 256
 EXCHANGE_TIMEOUT_S = 2.0
 MAX_EXCHANGED_SUSPECTS = 64
+MAX_EXCHANGED_DEPARTURES = 256
+REPLICATION_TIMEOUT_S = 0.5
+#: Time after a start in which a daemon has exchanged tables with several others, even
+#: if the log is unavailable at first.
+RECENT_START_MS = 15_000
 
 
 def bucket_index(daemon: str, bucket_count: int) -> int:
@@ -53,8 +60,8 @@
 class TableExchange:
     """Client and server side of the exchange of membership tables.
 
-    Daemons also tell each other of suspect calls, so that one that has just started
-    knows them.
+    Daemons also tell each other of suspect calls and of departures of targets, so that
+    one that has just started knows them.
 
     :ivar last_started_at_s: monotonic time at which this daemon last started an
         exchange, in seconds; 0 for never.
@@ -66,9 +73,10 @@
         merger: EntryMerger,
         channels: PeerChannels,
         metrics: Metrics,
-        quarantine: Quarantine,
+        notices: FleetNotices,
     ) -> None:
-        self._quarantine = quarantine
+        self._notices = notices
+        self._recent_start = Deadline.after_ms(RECENT_START_MS)
         self.last_started_at_s = 0.0
         self._members = members
         self._merger = merger
@@ -93,6 +101,22 @@
             return False
         return True
 
+    async def replicate(self, address: str, departure: Departure) -> bool:
+        """Ask the daemon at an address to remember a departure.
+
+        :returns: whether it confirmed that.
+        """
+        message = peer_pb2.MemberTable(sender=self._members.own.daemon)
+        message.departures.append(departure.message())
+        try:
+            with closed_as_unavailable():
+                async with self._channels.transient_peer(address) as stub:
+                    await stub.ExchangeMembers(message, timeout=REPLICATION_TIMEOUT_S)
+        except (grpc.RpcError, grpc.aio.UsageError):
+            self._metrics.count("departures_not_replicated")
+            return False
+        return True
+
     def handle_request(self, request: peer_pb2.MemberTable) -> peer_pb2.MemberTable:
         """Process one request of an exchange and return the reply."""
         reply = self._process_request(request)
@@ -103,7 +127,12 @@
         reply = peer_pb2.MemberTable(sender=self._members.own.daemon)
         if request.bucket_digests:
             reply.suspect_calls.extend(self._suspect_messages())
-            self._merge_suspects(request)
+            if request.wants_departures:
+                reply.departures.extend(
+                    self._notices.departures.messages(MAX_EXCHANGED_DEPARTURES)
+                )
+        self._notices.merge(request)
+        if request.bucket_digests:
             self._add_differing_digests(reply, list(request.bucket_digests))
             known = self._members.get(request.sender)
             if known is not None:
@@ -124,9 +153,10 @@
             bucket_digests(self._members.digests(), bucket_count)
         )
         digest_request.suspect_calls.extend(self._suspect_messages())
+        digest_request.wants_departures = not self._recent_start.has_passed()
         reply = await stub.ExchangeMembers(digest_request, timeout=EXCHANGE_TIMEOUT_S)
         self._count_bytes(digest_request, reply)
-        self._merge_suspects(reply)
+        self._notices.merge(reply)
         self._merge_members(reply)
         entry_request = self._build_entry_request(reply, announce_self, bucket_count)
         if entry_request.members or entry_request.wanted:
@@ -162,11 +192,7 @@
             self._merger.merge_table_entry(member)
 
     def _suspect_messages(self) -> list[peer_pb2.SuspectCall]:
-        return self._quarantine.messages(MAX_EXCHANGED_SUSPECTS)
-
-    def _merge_suspects(self, table: peer_pb2.MemberTable) -> None:
-        for suspect in table.suspect_calls:
-            self._quarantine.merge(suspect)
+        return self._notices.quarantine.messages(MAX_EXCHANGED_SUSPECTS)
 
     def _add_differing_digests(
         self, reply: peer_pb2.MemberTable, peer_digests: list[int]
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import time
-from collections import OrderedDict
 from collections.abc import Callable
 
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
+from laburnumscale.departures import Departure, Departures
 from laburnumscale.errors import EndpointMoved, RequestInvalid
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
@@ -22,9 +22,9 @@
 
 LEASE_CHECK_INTERVAL_S = 0.2
 LAPSED_RETENTION_MS = 10_000
-#: Number of departed endpoints to remember. A host has few targets at a time, and late
-#: announcements arrive within seconds.
-MAX_DEPARTED = 64
+#: Announcements may arrive seconds late. If a target announces nothing for longer, one
+#: that looks outdated is from a process that lives.
+MAX_ANNOUNCEMENT_DELAY_MS = 10_000
 #: Bounds what announcements of other programs can add to the fleet's tables.
 MAX_TARGETS = 1_000
 #: What a field raises that does not fit its field of the schema.
@@ -39,16 +39,26 @@
     A target that does not renew its announcement is listed as lapsed for a while,
     then withdrawn. A target is also withdrawn if its endpoint was announced to
     another daemon later.
+
+    :param departures: the processes that leave or have left, also before this daemon
+        started.
     """
 
-    def __init__(self, daemon: str, members: Members, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        daemon: str,
+        members: Members,
+        metrics: Metrics,
+        departures: Departures | None = None,
+    ) -> None:
         self._daemon = daemon
         self._members = members
         self._metrics = metrics
         self._rejections = RejectionLog("target", "target not published", metrics)
         self._targets: dict[tuple[str, str], LocalTarget] = {}
         self._moved: dict[tuple[str, str], Address] = {}
-        self._departed: OrderedDict[str, int] = OrderedDict()
+        self._departures = Departures(metrics) if departures is None else departures
+        self._departures.on_change(self._apply_departure)
         self._possibly_moved: set[tuple[str, str]] = set()
         members.on_change(self._track_possible_moves)
 
@@ -56,27 +66,42 @@
         """Return a target, or None if it is not announced."""
         return self._targets.get((service, endpoint))
 
-    def announce(self, announced: LocalTarget) -> None:
+    def announce(
+        self, announced: LocalTarget, may_replace: bool = True
+    ) -> Departure | None:
         """Add a target or renew its lease.
 
+        :param may_replace: whether other targets at its address are withdrawn.
+        :returns: its departure if it has announced for the first time that it drains.
+
         :raises EndpointMoved: it was announced to another daemon later.
         :raises RequestInvalid: it cannot be published, or there are too many targets.
         """
         self._check_publishable(announced)
         if self._is_departed(announced) or self._is_superseded(announced):
             self._metrics.count("announcements_late")
-            return
-        key = (announced.service, announced.endpoint)
-        target = self._targets.get(key)
+            return None
+        target = self._targets.get((announced.service, announced.endpoint))
+        was_draining = target is not None and target.state == DRAINING
         if target is None or _is_new_process(target, announced):
-            self._withdraw_from_address(announced)
+            if may_replace:
+                self._withdraw_from_address(announced)
+            if self._departures.is_draining(*_process(announced)):
+                announced.state = DRAINING
             self._add(announced)
-            return
-        if _is_outdated(target, announced):
+        elif _is_outdated(target, announced):
             self._metrics.count("announcements_late")
-            return
+            self._apply_late_draining(target, announced)
+        else:
+            self._renew(target, announced)
+        if announced.state != DRAINING or was_draining or not _has_start(announced):
+            return None
+        return self._departures.acknowledge(*_process(announced), is_gone=False)
+
+    def _renew(self, target: LocalTarget, announced: LocalTarget) -> None:
         target.sequence = announced.sequence
         target.lease_deadline = announced.lease_deadline
+        target.late_deadline = Deadline.after_ms(MAX_ANNOUNCEMENT_DELAY_MS)
         draining = target.drained_by_operator or _is_leaving(target)
         state = DRAINING if draining else announced.state
         if (target.state, target.slots) != (state, announced.slots):
@@ -86,6 +111,17 @@
             target.slots = announced.slots
             self.publish_endpoints()
 
+    def _apply_late_draining(self, target: LocalTarget, announced: LocalTarget) -> None:
+        """Drain a target whose announcement that it drains arrives late.
+
+        A process never stops draining, so the order of its announcements is no reason
+        to ignore this one.
+        """
+        same_process = announced.started_at_unix_ms == target.started_at_unix_ms
+        if same_process and announced.state == DRAINING and target.state != DRAINING:
+            target.state = DRAINING
+            self.publish_endpoints()
+
     def drain(self, service: str, endpoint: str) -> bool:
         """Drain a target: it finishes its calls and takes no new ones.
 
@@ -134,31 +170,60 @@
             self.publish_endpoints()
         return found is not None
 
-    def withdraw_endpoint(self, endpoint: str) -> bool:
+    def withdraw_endpoint(
+        self, endpoint: str, started_at_unix_ms: int = 0
+    ) -> Departure:
         """Remove a target that announces its departure without naming its service.
 
         The target may keep serving for a short time. Announcements that its process
-        sends in that time are ignored.
+        sends in that time are ignored, also after a restart of this daemon.
 
-        :returns: whether the target was announced.
+        :param started_at_unix_ms: start time of the process that leaves; 0 if it is
+            unknown, and then that of the process that is announced.
+        :returns: the departure.
         """
-        keys = [key for key in self._targets if key[1] == endpoint]
-        start_times_ms = [self._targets[key].started_at_unix_ms for key in keys]
-        self._departed[endpoint] = max(start_times_ms, default=0)
-        if len(self._departed) > MAX_DEPARTED:
-            self._departed.popitem(last=False)
-        for key in keys:
-            self.withdraw(*key)
-        get_logger().info("target left", endpoint=endpoint, known=bool(keys))
-        return bool(keys)
+        known = [each for each in self._targets.values() if each.endpoint == endpoint]
+        if not started_at_unix_ms:
+            starts_ms = [each.started_at_unix_ms for each in known]
+            started_at_unix_ms = max(starts_ms, default=0)
+        get_logger().info(
+            "target left",
+            endpoint=endpoint,
+            started_at_unix_ms=started_at_unix_ms,
+            known=bool(known),
+        )
+        return self._departures.acknowledge(endpoint, started_at_unix_ms, is_gone=True)
+
+    def _apply_departure(self, departure: Departure) -> None:
+        """Withdraw or drain the targets that a new departure includes."""
+        for target in list(self._targets.values()):
+            if (
+                target.endpoint != departure.endpoint
+                or target.started_at_unix_ms > departure.started_at_unix_ms
+            ):
+                continue
+            if departure.is_gone:
+                self.withdraw(target.service, target.endpoint)
+            elif departure.started_at_unix_ms and target.state != DRAINING:
+                target.state = DRAINING
+                self.publish_endpoints()
 
     def _is_departed(self, announced: LocalTarget) -> bool:
-        """Return whether an announcement comes from a process that has left."""
-        departed_start_time_ms = self._departed.get(announced.endpoint)
-        return (
-            departed_start_time_ms is not None
-            and announced.started_at_unix_ms <= departed_start_time_ms
-        )
+        """Return whether an announcement comes from a process that has left.
+
+        If the start time of the process that left is unknown, a later process is
+        recognized by its first announcement.
+        """
+        if self._departures.is_gone(*_process(announced)):
+            return True
+        if announced.sequence <= 1 or not self._departures.is_gone(
+            announced.endpoint, 0
+        ):
+            return False
+        if self._departures.has_start_time(announced.endpoint):
+            return False
+        self._departures.acknowledge(*_process(announced), is_gone=True)
+        return True
 
     async def watch_leases(self) -> None:
         """Mark lapsed targets and withdraw moved ones, until cancelled."""
@@ -193,6 +258,7 @@
         replaced = self._targets.get(key)
         if replaced is not None:
             replaced.withdrawn = True
+        announced.late_deadline = Deadline.after_ms(MAX_ANNOUNCEMENT_DELAY_MS)
         self._targets[key] = announced
         self.publish_endpoints()
 
@@ -206,11 +272,16 @@
         ]
 
     def _is_superseded(self, announced: LocalTarget) -> bool:
-        """Return whether a process that started later uses the same address."""
+        """Return whether a process that started later uses the same address.
+
+        It must have announced itself recently: an odd announcement may name any start
+        time, and clocks may be set back.
+        """
         start_time_ms = announced.started_at_unix_ms
-        others = self._others_at_address(announced)
-        return start_time_ms > 0 and any(
-            target.started_at_unix_ms > start_time_ms for target in others
+        return any(
+            target.started_at_unix_ms > start_time_ms
+            and not target.late_deadline.has_passed()
+            for target in self._others_at_address(announced)
         )
 
     def _withdraw_from_address(self, announced: LocalTarget) -> None:
@@ -278,15 +349,34 @@
     return RequestInvalid(f'target "{target.endpoint}"', repr(error))
 
 
+def _has_start(target: LocalTarget) -> bool:
+    """Return whether a process can be told from a later one of its endpoint."""
+    return target.started_at_unix_ms > 0
+
+
+def _process(target: LocalTarget) -> tuple[str, int]:
+    """Return the endpoint and the start time, which identify a process."""
+    return target.endpoint, target.started_at_unix_ms
+
+
 def _is_new_process(known: LocalTarget, announced: LocalTarget) -> bool:
     """Return whether an announcement comes from a later process of the target."""
+    if known.started_at_unix_ms != announced.started_at_unix_ms and _is_silent(known):
+        return True
     if known.address != announced.address:
         return announced.started_at_unix_ms >= known.started_at_unix_ms
     return announced.started_at_unix_ms > known.started_at_unix_ms
 
 
+def _is_silent(known: LocalTarget) -> bool:
+    """Return whether a target has announced nothing for longer than others are late."""
+    return known.state != DRAINING and known.late_deadline.has_passed()
+
+
 def _is_outdated(known: LocalTarget, announced: LocalTarget) -> bool:
     """Return whether a later announcement has been received already."""
+    if _is_silent(known):
+        return False
     if announced.started_at_unix_ms != known.started_at_unix_ms:
         return announced.started_at_unix_ms < known.started_at_unix_ms
     return 0 < announced.sequence <= known.sequence
--- a/tests/features/steps/decisions_steps.py
+++ b/tests/features/steps/decisions_steps.py
@@ -649,6 +649,22 @@
     context.local_targets.announce(make_local_target("e1", start, sequence, state))
 
 
+@when(
+    "it is announced with start time {start:d}, sequence {sequence:d} and "
+    "{slots:d} slots"
+)
+def step_announce_slots(context, start, sequence, slots):
+    announced = make_local_target("e1", start, sequence, "ready")
+    announced.slots = slots
+    context.local_targets.announce(announced)
+
+
+@then("the target is ready with {slots:d} slots")
+def step_check_slots(context, slots):
+    target = context.local_targets.get("slot-desk", "e1")
+    assert (target.state, target.slots) == (STATES["ready"], slots), target
+
+
 @when("it deregisters")
 def step_deregister_target(context):
     context.local_targets.withdraw_endpoint("e1")
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -68,6 +68,10 @@
         "are asked to refute it"
     ),
     "ejections": "ejections of targets for failed or slow calls, except failed trials",
+    "departures_dropped": "departures of targets forgotten early, above the limit",
+    "departures_not_replicated": (
+        "requests to remember a departure of a target that a peer did not confirm"
+    ),
     "exchange_bytes_received": "bytes received in exchanges of member tables",
     "exchange_bytes_sent": "bytes sent in exchanges of member tables",
     "exchange_failures": "exchanges of member tables that failed",
