Bring the values of an accepted document into range instead of refusing it

A log line was the only sign.

Cause: one number outside the ranges of the product's own settings file made a daemon refuse the whole document.

Change: numbers, weights, names of services and unknown kinds of routes are brought into what the settings allow, each with a log line and a counter, and the rest holds. The ranges of max_attempts and timeout_s are wider. A document that cannot be applied at all is an error line, a counter and a problem in `laburnumscalectl status`.

--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -20,6 +20,7 @@
     "DaemonNameTaken",
     "DatagramInvalid",
     "EndpointMoved",
+    "FieldAdjusted",
     "FileSyntaxInvalid",
     "FileUnreadable",
     "HandOverRefused",
@@ -187,6 +188,17 @@
     template: ClassVar[str] = "{part} failed: {reason}"
 
 
+@dataclass(eq=False)
+class FieldAdjusted(LaburnumscaleError):
+    """A value of a settings document is out of range; another is in force."""
+
+    where: str
+    name: str
+    value: str
+    used: str
+    template: ClassVar[str] = "{where}: {name} is {value}; {used} is in force"
+
+
 @dataclass(eq=False)
 class PlaceInvalid(LaburnumscaleError):
     """The text form of a place cannot be parsed."""
--- a/packages/laburnumscale/src/laburnumscale/operatorapi.py
+++ b/packages/laburnumscale/src/laburnumscale/operatorapi.py
@@ -107,6 +107,7 @@
                 "daemon": self._members.own.daemon,
                 "revision": self._feed.tree.revision,
                 "has_settings": self._feed.has_tree,
+                "settings_problems": self._feed.problems.describe(),
                 "settings_digest": f"{self._feed.tree.digest:016x}",
                 "members": members,
             }
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -31,11 +31,13 @@
 
 #: Minimum and maximum of each numeric setting, both inclusive.
 RANGES = {
-    "time_limit_ms": (1, 600_000),
+    "time_limit_ms": (1, 3_600_000),
+    "latency_objective_ms": (1, 3_600_000),
+    "priority": (0, 1_000_000),
     "floor_percent": (0, 100),
     "slots": (1, 10_000),
     "queue_limit": (0, 100_000),
-    "attempt_limit": (1, 10),
+    "attempt_limit": (1, 100),
     "retry_budget_percent": (0, 100),
     "eject_after": (1, 100),
     "break_weight": (1, 100),
--- a/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsdocuments.py
@@ -10,7 +10,8 @@
 import attrs
 
 from laburnumscale.deadlines import Deadline, now_s
-from laburnumscale.errors import LaburnumscaleError, RecordInvalid
+from laburnumscale.documentfields import AdjustmentListener
+from laburnumscale.errors import FieldAdjusted, LaburnumscaleError, RecordInvalid
 from laburnumscale.logpacing import draw_read_wait_ms, draw_retry_delay_s
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
@@ -33,6 +34,7 @@
 #: each read that is given up, because the log may be slow.
 FIRST_PATIENCE_MS = 300
 MAX_PATIENCE_MS = 2_000
+MAX_LOGGED_ADJUSTMENTS = 20
 
 
 @attrs.frozen
@@ -43,12 +45,13 @@
     :ivar key: key of the records that contain documents.
     :ivar decode: returns the settings tree that a document describes, with the
         document's version as its revision; raises a ``LaburnumscaleError`` if the
-        document is invalid.
+        document is invalid. Its second argument is called with each value that was
+        brought into range.
     """
 
     stream: str
     key: str
-    decode: Callable[[bytes], settings_pb2.Snapshot]
+    decode: Callable[[bytes, AdjustmentListener], settings_pb2.Snapshot]
 
 
 class SettingsDocumentReader(SettingsSource):
@@ -183,14 +186,31 @@
     def _apply_record(self, record: Record) -> None:
         if record.key != self._source.key:
             return
+        adjustments: list[FieldAdjusted] = []
         try:
-            snapshot = self._source.decode(record.payload)
+            snapshot = self._source.decode(record.payload, adjustments.append)
         except LaburnumscaleError as error:
             invalid = RecordInvalid(self._source.stream, record.offset, str(error))
             self._metrics.count("settings_records_invalid")
-            get_logger().warning("settings document skipped", reason=str(invalid))
+            get_logger().error("settings document skipped", reason=str(invalid))
+            self._feed.problems.record_skipped(invalid)
             return
-        self._feed.restore(snapshot)
+        if self._feed.restore(snapshot):
+            self._feed.problems.record_restored(adjustments)
+            self._log_adjustments(snapshot.revision, adjustments)
+
+    def _log_adjustments(self, revision: int, adjustments: list[FieldAdjusted]) -> None:
+        """Log the values of a document that were brought into range."""
+        if not adjustments:
+            return
+        self._metrics.count("settings_values_adjusted", amount=len(adjustments))
+        shown = adjustments[:MAX_LOGGED_ADJUSTMENTS]
+        get_logger().warning(
+            "settings values adjusted",
+            revision=revision,
+            count=len(adjustments),
+            values=[str(each) for each in shown],
+        )
 
     def _record_read_success(self) -> None:
         feed = self._feed
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -20,6 +20,7 @@
     SettingsConfirmation,
 )
 from laburnumscale.settingscontacts import SettingsContact, SettingsContacts
+from laburnumscale.settingsproblems import SettingsProblems
 from laburnumscale.settingstree import SettingsTree
 from laburnumscale_schema import peer_pb2, settings_pb2
 
@@ -53,6 +54,7 @@
     :ivar has_tree: whether the tree may be used, because it has been complete once.
     :ivar log_failed: whether the last request to the log failed or its response was
         unusable.
+    :ivar problems: why the newest settings are not in force as written.
     :ivar contacts: when this daemon last heard of settings.
     :ivar snapshot_revision: revision of the newest known snapshot in the log.
     :ivar newer_peer_found: set when a peer reports a newer revision.
@@ -72,6 +74,7 @@
         self.tree = SettingsTree()
         self.has_tree = False
         self.log_failed = False
+        self.problems = SettingsProblems()
         self.contacts = SettingsContacts()
         self.snapshot_revision = 0
         self.newer_peer_found = asyncio.Event()
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -23,13 +23,21 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.problems import error_response
 
-__all__ = ["App", "CallerApp", "Server", "new_app", "serve_app"]
+__all__ = [
+    "KEEP_ALIVE_TIMEOUT_S",
+    "MAX_HEADER_BYTES",
+    "App",
+    "CallerApp",
+    "Server",
+    "new_app",
+    "serve_app",
+]
 
 #: Iterations of the event loop until a connection is set up and its request is read.
 SETUP_LOOP_ITERATIONS = 3
 MAX_CONNECTIONS = 10_000
 HEADER_TIMEOUT_S = 10
-MAX_HEADER_BYTES = 16 * 1024
+MAX_HEADER_BYTES = 64 * 1024
 IDLE_POLL_INTERVAL_S = 0.02
 MIN_CLOSE_POLLS = 3
 #: Time after the opening of a connection in which its caller sends the first request.
--- a/packages/laburnumscalectl/src/laburnumscalectl/views.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/views.py
@@ -91,6 +91,8 @@
         print(json.dumps(report, indent=2))
         return 0
     print(f"daemon {report['daemon']}, settings revision {report['revision']}")
+    for problem in report.get("settings_problems", []):
+        print(f"settings not in force as written: {problem}")
     for member in report["members"]:
         state = member["state"].removeprefix("MEMBER_STATE_").lower()
         print(f"{member['daemon']} {member['data_centre']} {state}")
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -161,6 +161,9 @@
         "confirms it again"
     ),
     "settle_questions": "queries for the outcome of an attempt whose reply was lost",
+    "settings_values_adjusted": (
+        "values of settings documents that were brought into range"
+    ),
     "suspect_calls": "calls at a guard under which their target ended, by service",
     "suspect_calls_invalid": "records of suspect calls of peers that are invalid",
     "suspicions_refuted": "suspicions of this daemon that it refuted",
