Skip extra responses of targets to earlier requests on a connection

Cause: a response with another ID was taken for a wrong response to the request, even if its ID is that of an earlier request on the connection.

Change: such a response is skipped, in bounded number and size, and the own one is read until the deadline; the connection is not used again.

--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -17,6 +17,7 @@
     "BackgroundTaskFailed",
     "BodyIncomplete",
     "BodyTooLarge",
+    "ConnectionUnsuitable",
     "DaemonNameTaken",
     "DatagramInvalid",
     "EndpointMoved",
@@ -306,6 +307,14 @@
     template: ClassVar[str] = "an attempt in state {state} must not be sent again"
 
 
+@dataclass(eq=False)
+class ConnectionUnsuitable(LaburnumscaleError):
+    """A kept connection to a target has carried the same request before."""
+
+    request_id: str
+    template: ClassVar[str] = 'request "{request_id}" was sent on the connection before'
+
+
 @dataclass(eq=False)
 class AnswerUnframed(LaburnumscaleError):
     """The end of a response cannot be distinguished from a lost connection."""
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -234,7 +234,14 @@
             self._refuse_if_quarantined(head, body)
             self._adopt_notice(head)
             target = self._get_available_target(head)
-            transmission = Transmission(attempt, send_deadline, deadline)
+            id_header = self._header_names.response_id
+            transmission = Transmission(
+                attempt,
+                send_deadline,
+                deadline,
+                request_id=head.request_id if id_header else "",
+                id_header=id_header,
+            )
             with (
                 self._hold_limited_call(target, attempt),
                 self._health.admit_attempt(target, settings, head),
@@ -393,6 +400,7 @@
                 response_timeout,
                 self._send_request(target, head, body, transmission) as response,
             ):
+                self._report_skipped(target, head, transmission)
                 self._record_notices(target, response, sent_at_s)
                 self._check_response(target, settings, head, response, attempt_monitor)
                 attempt_monitor.record_response(failed=response.status >= SERVER_ERROR)
@@ -439,6 +447,21 @@
         finally:
             attempt_monitor.end()
 
+    def _report_skipped(
+        self, target: LocalTarget, head: peer_pb2.CallHead, transmission: Transmission
+    ) -> None:
+        """Count and log extra responses that came before that of an attempt."""
+        if not transmission.skipped:
+            return
+        labels = f'service="{target.service}"'
+        self._metrics.count("answers_skipped", labels, amount=transmission.skipped)
+        get_logger().warning(
+            "extra responses skipped",
+            request_id=head.request_id,
+            endpoint=target.endpoint,
+            skipped=transmission.skipped,
+        )
+
     def _report_rejected_answer(
         self, target: LocalTarget, error: AnswerMismatched | AnswerTooLarge
     ) -> int:
--- a/packages/laburnumscale/src/laburnumscale/headernames.py
+++ b/packages/laburnumscale/src/laburnumscale/headernames.py
@@ -40,6 +40,11 @@
     echoes_request_id: bool = False
     fractional_retry_after: bool = False
 
+    @property
+    def response_id(self) -> str:
+        """Return the field in which targets repeat the request ID; empty for none."""
+        return self.request_id if self.echoes_request_id else ""
+
     def set_by_daemons(self) -> frozenset[str]:
         """Return the names of the fields that daemons set.
 
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -32,6 +32,9 @@
 DESCRIPTIONS = {
     "announcements_late": "announcements of targets ignored as out of date",
     "answers_too_large": "responses of targets above the size limit, by service",
+    "answers_skipped": (
+        "extra responses of targets to earlier requests that were skipped, by service"
+    ),
     "answers_mismatched": "responses of targets that did not match the request",
     "attempts": "results of attempts at targets, by service and whether they were bad",
     "attempts_attached": (
