Route by the longest prefix byte for byte, also if a path has empty segments

Cause: the search for shorter prefixes removed all slashes at the end of one, so it went from /slots/hold// to /slots/ and never looked for /slots/hold/.

Change: each prefix of the path that ends with a slash is looked up, from the longest; no path is tidied. The length of the longest prefix bounds the search.

--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -107,6 +107,7 @@
         self.outcomes: dict[str, settings_pb2.ChangeOutcome] = {}
         self._effective_cache: dict[tuple[str, str, str], EffectiveSettings] = {}
         self._service_names: frozenset[str] | None = None
+        self._longest_prefix_chars: int | None = None
 
     def apply_change(
         self, revision: int, change: settings_pb2.Change
@@ -178,18 +179,38 @@
     def route(self, host: str, path: str) -> settings_pb2.Route | None:
         """Return the route with the longest matching prefix of ``path``, or None.
 
-        For the same prefix, a route of ``host`` takes precedence over a route for
-        any host.
+        A prefix matches if it is the path, or if it ends with a slash and the path
+        begins with it, byte for byte. For the same prefix, a route of ``host`` takes
+        precedence over a route for any host.
         """
-        prefix = path
-        while prefix:
-            for candidate in (host, ""):
-                state = self.places.get(f"route:{candidate}{prefix}")
-                if state is not None:
-                    return state.route
-            prefix = prefix[: prefix.rstrip("/").rfind("/") + 1]
+        end = min(len(path), self._longest_prefix())
+        is_whole_path = end == len(path)
+        while end > 0:
+            if is_whole_path or path[end - 1] == "/":
+                for candidate in (host, ""):
+                    state = self.places.get(f"route:{candidate}{path[:end]}")
+                    if state is not None:
+                        return state.route
+            is_whole_path = False
+            end = path.rfind("/", 0, end - 1) + 1
         return None
 
+    def _longest_prefix(self) -> int:
+        """Return the length of the longest path prefix of a route.
+
+        It bounds the search in paths with many slashes.
+        """
+        if self._longest_prefix_chars is None:
+            self._longest_prefix_chars = max(
+                (
+                    len(state.route.path_prefix)
+                    for state in self.places.values()
+                    if state.WhichOneof("value") == "route"
+                ),
+                default=0,
+            )
+        return self._longest_prefix_chars
+
     def effective_settings(
         self, service: str, data_centre: str = "", endpoint: str = ""
     ) -> EffectiveSettings:
@@ -312,3 +333,4 @@
     def _clear_caches(self) -> None:
         self._effective_cache.clear()
         self._service_names = None
+        self._longest_prefix_chars = None
