Send the request target to the target byte for byte

Cause: the HTTP client builds the request line from a parsed URL, which drops an empty query.

Change: the request line has the target as the entry received it.

--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -239,6 +239,7 @@
                 attempt,
                 send_deadline,
                 deadline,
+                path_and_query=head.path_and_query,
                 request_id=head.request_id if id_header else "",
                 id_header=id_header,
             )
--- a/packages/laburnumscale/src/laburnumscale/transmission.py
+++ b/packages/laburnumscale/src/laburnumscale/transmission.py
@@ -52,6 +52,7 @@
     :ivar attempt: the attempt whose state is checked before the request is written.
     :ivar send_deadline: time until which the request may be written.
     :ivar deadline: time until which the complete response must arrive.
+    :ivar path_and_query: request target; if empty, that of the URL.
     :ivar request_id: ID that the response repeats; empty if targets repeat none.
     :ivar id_header: header field in which they repeat it.
     :ivar reused: whether the connection carried earlier requests.
@@ -61,6 +62,7 @@
     attempt: Attempt
     send_deadline: Deadline
     deadline: Deadline
+    path_and_query: str = ""
     request_id: str = ""
     id_header: str = ""
     reused: bool = False
@@ -92,9 +94,24 @@
         if transmission is not None:
             conn.protocol.begin(transmission)
             transmission.attempt.mark_sent(transmission.send_deadline)
+            self.url = _ExactUrl(self.url, transmission.path_and_query)
         return await super().send(conn)
 
 
+class _ExactUrl:
+    """A URL with a request target that is sent byte for byte.
+
+    yarl drops an empty query.
+    """
+
+    def __init__(self, url: URL, path_and_query: str) -> None:
+        self._url = url
+        self.raw_path_qs = path_and_query or url.raw_path_qs
+
+    def __getattr__(self, name: str):
+        return getattr(self._url, name)
+
+
 class TargetConnection(ResponseHandler):
     """A connection to a target, which may send more than the responses it owes.
 
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -110,6 +110,7 @@
             {
                 "id": headers["X-Attempt-Id"],
                 "path": request.path_qs,
+                "target": request.raw_path,
                 "method": request.method,
                 "bytes": len(body),
                 "caller_service": request.headers.get("X-Caller-Service"),
