Run a keyed call at the holder of its key as its entry would

Cause: the message to the holder had no kind, so the holder went by the method, by the attempt limit of the service and by its own caller service.

Change: the message carries what the entry has found.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -232,6 +232,7 @@
             route=f"{route.host}{route.path_prefix}" if route is not None else "",
             priority=route.priority if route is not None else 0,
             objective=_latency_objective(route),
+            caller_service=self._runner.caller_service,
         )
 
     async def _find_route(self, request: Request) -> Routed | NotRun:
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -5,7 +5,7 @@
 
 import time
 
-from sanic import HTTPResponse, Request
+from sanic import HTTPResponse
 
 from laburnumscale.answersizes import AnswerSizes
 from laburnumscale.attemptclient import AttemptClient, AttemptRequest
@@ -51,6 +51,7 @@
 
     :param names: names of the header fields for callers and targets.
     :param caller_service: service that the callers of this daemon belong to.
+    :ivar caller_service: the same, which may change.
     :ivar in_flight: the calls in progress.
     :ivar quarantine: the calls that are refused because their targets ended.
     :ivar drain_state: by when calls must have ended, if the daemon drains.
@@ -75,11 +76,11 @@
         self._budget = budget
         self._names = names
         self._daemon_header_names = names.set_by_daemons()
-        self._caller_service = caller_service
+        self.caller_service = caller_service
 
     def apply_settings(self, settings: DaemonSettings) -> None:
         """Apply the settings that may change while the daemon runs."""
-        self._caller_service = settings.caller_service
+        self.caller_service = settings.caller_service
 
     async def run(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         """Make attempts until the outcome of the call is determined.
@@ -118,7 +119,7 @@
                 service=call.service,
                 method=call.request.method,
                 path_and_query=call.path_and_query,
-                headers=self._target_headers(call.request),
+                headers=self._target_headers(call),
                 route=call.route_hash,
             )
             name = self._names.caller_service
@@ -309,7 +310,7 @@
             endpoint=view.endpoint,
             method=call.request.method,
             path_and_query=call.path_and_query,
-            headers=self._target_headers(call.request),
+            headers=self._target_headers(call),
             idempotent=call.idempotent,
             priority=call.priority,
             no_wait=not call.may_queue,
@@ -330,19 +331,20 @@
             answer_started=lambda: call.answer_started,
         )
 
-    def _target_headers(self, request: Request) -> list[peer_pb2.Header]:
+    def _target_headers(self, call: Call) -> list[peer_pb2.Header]:
         """Return the header fields for the target.
 
         Fields that daemons set themselves are not copied from the request.
         """
         headers = [
             header
-            for header in end_to_end_headers(request.headers.items())
+            for header in end_to_end_headers(call.request.headers.items())
             if header.name not in self._daemon_header_names
         ]
         if self._names.caller_service:
             name = self._names.caller_service
-            headers.append(peer_pb2.Header(name=name, value=self._caller_service))
+            value = call.caller_service or self.caller_service
+            headers.append(peer_pb2.Header(name=name, value=value))
         return headers
 
 
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -74,6 +74,8 @@
     :ivar route: host and path prefix of its route; empty if it matched none.
     :ivar priority: rank of the call when slots are scarce; 0 is served first.
     :ivar objective: latency objective; the call does not wait for a slot after it.
+    :ivar caller_service: service on whose behalf the call is made; if empty, that of
+        the callers of this daemon.
     :ivar tried_endpoints: names of the endpoints that were tried.
     :ivar busy_endpoints: names of the tried endpoints that had no free slot.
     :ivar retry_reserved: the retry budget was already charged for the next attempt.
@@ -107,6 +109,7 @@
     route: str = ""
     priority: int = 0
     objective: Deadline | None = None
+    caller_service: str = ""
     tried_endpoints: set[str] = attrs.field(factory=set)
     counted_attempts: int = 0
     exempt_attempts: int = 0
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -27,6 +27,7 @@
 from laburnumscale.processends import ProcessEnds
 from laburnumscale.recordedexchange import RecordedExchange
 from laburnumscale.settingsfeed import BEHIND_RETRY_AFTER_MS, SettingsFeed
+from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["KeyedCalls"]
@@ -246,7 +247,12 @@
         :returns: the first reply, or None if there was none.
         """
         message = peer_pb2.KeyedCall(
-            key=str(key), head=self._call_head(call), body=call.body
+            key=str(key),
+            head=self._call_head(call),
+            body=call.body,
+            attempt_limit=call.settings.attempt_limit,
+            route=call.route,
+            caller_service=call.caller_service,
         )
         if holder.daemon == self._members.own.daemon:
             return await self.run_or_relay(message)
@@ -291,9 +297,9 @@
         holder = self._members.get(message.pass_to.daemon)
         if holder is None or holder.incarnation != message.pass_to.incarnation:
             return NO_REPLY
-        relayed = peer_pb2.KeyedCall(
-            key=message.key, head=message.head, body=message.body
-        )
+        relayed = peer_pb2.KeyedCall()
+        relayed.CopyFrom(message)
+        relayed.ClearField("pass_to")
         relayed.head.time_left_ms = deadline.left_ms()
         reply = await self._send(holder.peer_address, relayed)
         return reply or NO_REPLY
@@ -329,23 +335,34 @@
                 )
             if head.service not in self._feed.tree.services():
                 return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
-        settings = self._feed.tree.effective_settings(
-            head.service, self._members.own.data_centre
-        )
         exchange = RecordedExchange(head)
+        objective_ms = head.objective_left_ms
         call = Call(
             request=exchange,
             request_id=head.request_id,
             service=head.service,
             path_and_query=head.path_and_query,
-            settings=settings,
-            idempotent=head.method in settings.idempotent,
+            settings=self._settings(message),
+            idempotent=head.idempotent,
             deadline=Deadline.after_ms(head.time_left_ms),
             body=message.body,
+            route=message.route,
+            priority=head.priority,
+            objective=Deadline.after_ms(objective_ms) if objective_ms else None,
+            caller_service=message.caller_service,
         )
         outcome, response = await self._runner.run(call)
         return exchange.to_reply(outcome, response)
 
+    def _settings(self, message: peer_pb2.KeyedCall) -> EffectiveSettings:
+        """Return the settings of a call, with the attempt limit from its entry."""
+        settings = self._feed.tree.effective_settings(
+            message.head.service, self._members.own.data_centre
+        )
+        if not message.attempt_limit:
+            return settings
+        return attrs.evolve(settings, attempt_limit=message.attempt_limit)
+
     @staticmethod
     def _call_head(call: Call) -> peer_pb2.CallHead:
         return peer_pb2.CallHead(
@@ -355,6 +372,9 @@
             path_and_query=call.path_and_query,
             headers=end_to_end_headers(call.request.headers.items()),
             time_left_ms=call.deadline.left_ms(),
+            idempotent=call.idempotent,
+            priority=call.priority,
+            objective_left_ms=call.objective_left_ms(),
         )
 
 
--- a/tests/features/steps/keyedcalls_steps.py
+++ b/tests/features/steps/keyedcalls_steps.py
@@ -12,6 +12,7 @@
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.recordedexchange import RecordedExchange
+from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 
 LIMIT_MS = 6_000
@@ -161,7 +162,7 @@
             request_id="r",
             service="s",
             path_and_query="/",
-            settings=None,
+            settings=EffectiveSettings(),
             idempotent=False,
             deadline=Deadline.after_ms(LIMIT_MS),
             body=b"hold",
