Forward an Idempotency-Key that no daemon has minted on the platform

Change: on the platform, a value that does not have the form of a key is an ordinary field. The default interface still refuses it.

Evidence: the scenario gets 422 on the code before, and passes.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -38,6 +38,7 @@
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.operationkeys import is_key
 from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown, outcome_name
 from laburnumscale.problems import problem_response
 from laburnumscale.routelookup import Routed, RouteLookup
@@ -170,11 +171,15 @@
 
     async def _run_call(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         key = call.request.headers.get(IDEMPOTENCY_KEY_HEADER)
-        if key is None:
+        if key is None or self._is_plain_field(key):
             return await self._runner.run(call)
         reply = await self._keyed_calls.run_at_holder(call, key)
         return self._keyed_response(reply, call.request_id)
 
+    def _is_plain_field(self, key: str) -> bool:
+        """Return whether a key has no meaning for the fleet and is only forwarded."""
+        return self._header_names.forwards_foreign_keys and not is_key(key)
+
     def _cut_off_response(self, call: Call) -> HTTPResponse | None:
         """Return the response to a call that the exit of the daemon cuts off.
 
--- a/packages/laburnumscale/src/laburnumscale/headernames.py
+++ b/packages/laburnumscale/src/laburnumscale/headernames.py
@@ -27,6 +27,8 @@
     :ivar echoes_request_id: whether targets repeat the request id in their responses.
     :ivar fractional_retry_after: whether callers accept fractions of a second in
         Retry-After.
+    :ivar forwards_foreign_keys: whether an operation key that no daemon has minted is
+        forwarded as a header field without meaning. Otherwise such calls are refused.
     """
 
     request_id: str = "x-request-id"
@@ -39,6 +41,7 @@
     leaving: str = ""
     echoes_request_id: bool = False
     fractional_retry_after: bool = False
+    forwards_foreign_keys: bool = False
 
     @property
     def response_id(self) -> str:
--- a/packages/laburnumscale/src/laburnumscale/operationkeys.py
+++ b/packages/laburnumscale/src/laburnumscale/operationkeys.py
@@ -17,7 +17,14 @@
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["KeyExpired", "KeyInvalid", "KeySigner", "OperationKey", "parse_key"]
+__all__ = [
+    "KeyExpired",
+    "KeyInvalid",
+    "KeySigner",
+    "OperationKey",
+    "is_key",
+    "parse_key",
+]
 
 SECRET_BYTES = 32
 SIGNATURE_HEX_DIGITS = 32
@@ -75,6 +82,11 @@
         return f"{self.signed_text}~{self.signature}"
 
 
+def is_key(text: str) -> bool:
+    """Return whether a text has the form of a key that a daemon may have minted."""
+    return KEY_PATTERN.fullmatch(text) is not None
+
+
 def parse_key(text: str) -> OperationKey:
     """Parse the text form of a key, without verifying the signature.
 
--- a/tests/features/keyed_routes.feature
+++ b/tests/features/keyed_routes.feature
@@ -34,3 +34,13 @@
     When a key minted by d1 is sent with POST /hold/a to d2
     Then the client response has status 200, the id of its request and the stamp of e1
     And endpoint e1 has run the request for caller service proof-vault with at most 1500 ms left
+
+  # Requests of the platform may carry any header field; one was refused with 422.
+  Scenario: A key that no daemon minted is an ordinary header field on the platform
+    Given a platform fleet of 2 daemons in makati, pasig
+    And endpoints e1 of slot-desk beside d1
+    And endpoints e2 of proof-vault beside d2
+    And the operator has written configuration version 3
+    And the platform fleet is ready
+    When the key a1b2-c3 is sent with POST /hold/a to d2
+    Then the client response has status 200, the id of its request and the stamp of e1
