Ignore SIGHUP until the daemon handles it

Change: the signal is ignored before the imports. Nothing is lost: the settings file is read after them, and watched.

--- a/packages/laburnumscaled/src/laburnumscaled/startup.py
+++ b/packages/laburnumscaled/src/laburnumscaled/startup.py
@@ -7,6 +7,7 @@
 import gc
 import importlib
 import os
+import signal
 from collections.abc import Callable
 
 __all__ = ["load_command", "main"]
@@ -31,5 +32,10 @@
 
 
 def main() -> None:
-    """Run the command line of the daemon."""
+    """Run the command line of the daemon.
+
+    SIGHUP would end the process until the daemon handles it. It may be ignored so long:
+    the settings file is read later, and watched from then on.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     load_command()()
--- a/tests/features/signals.feature
+++ b/tests/features/signals.feature
@@ -23,6 +23,13 @@
     And each keyed request ran once at most
     And each answered keyed request gets the same answer again
 
+  # SIGHUP ended a daemon that was still importing its modules.
+  Scenario: SIGHUP does not end a daemon that is still importing its modules
+    Given a fleet of 1 daemons in makati
+    And the fleet is ready with the settings of bantayog
+    When d1 is stopped, and gets SIGHUP 3 times while it imports its modules again
+    Then the fleet becomes ready again
+
   Scenario: The end of a guard leaves no request at another daemon without an answer
     Given a fleet of 3 daemons that drain for at most 3000 ms
     And each daemon has a target of slot-desk that takes 250 ms and one of proof-vault that takes 500 ms
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -240,6 +240,28 @@
     return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
 
 
+@when(
+    "d1 is stopped, and gets SIGHUP {count:d} times while it imports its modules again"
+)
+def step_reload_early(context, count):
+    context.fleet.stop(context.fleet.daemons["d1"].process)
+    process = context.fleet.start_daemon("d1", "makati").process
+    wait_until(
+        lambda: "/uvloop/" in Path(f"/proc/{process.pid}/maps").read_text(),
+        "d1 has imported a library",
+    )
+    assert not started_handling_signals(process), "the signal comes too late"
+    for _ in range(count):
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+    assert process.poll() is None, process.returncode
+
+
+@then("the fleet becomes ready again")
+def step_check_ready_again(context):
+    context.fleet.wait_ready()
+
+
 @then("d1 ended within {limit_ms:d} ms of each SIGTERM")
 def step_check_ends(context, limit_ms):
     for exit_code, elapsed_s in context.ends:
