--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -13,6 +13,7 @@
 from laburnumscale.failurereplies import AttemptRefused, refused_reply
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.metrics import Metrics
+from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
 from tests.standins.modelguard import (
     ENTRY_INCARNATION,
@@ -407,6 +408,12 @@
         request_id="r",
         service="s",
         path_and_query="/",
+        settings=EffectiveSettings(),
+        idempotent=False,
+        route="",
+        priority=0,
+        caller_service="",
+        objective_left_ms=lambda: 0,
         request=request,
         body=b"",
         deadline=Deadline.after_ms(WAIT_S * 1000),
