Read on after an extra response that arrives in parts

While an extra response was read that had arrived in parts, the bytes of the own response could be taken for bytes on an idle connection, which ends it, if both arrived before the reader ran. The next response is due then.

--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -73,7 +73,6 @@
 
         :param may_replace: whether other targets at its address are withdrawn.
         :returns: its departure if it has announced for the first time that it drains.
-
         :raises EndpointMoved: it was announced to another daemon later.
         :raises RequestInvalid: it cannot be published, or there are too many targets.
         """
--- a/packages/laburnumscale/src/laburnumscale/transmission.py
+++ b/packages/laburnumscale/src/laburnumscale/transmission.py
@@ -126,6 +126,7 @@
         self._has_head = False
         self._transmission: Transmission | None = None
         self._is_used = False
+        self._is_skipping = False
         self._id_header = ""
         self._earlier_ids: deque[str] = deque(maxlen=MAX_EARLIER_REQUESTS)
 
@@ -150,10 +151,12 @@
             if not self._is_extra(message):
                 return message, payload
             self.force_close()
+            self._is_skipping = True  # the next response is due
             while not payload.at_eof():
                 left_bytes -= len(await payload.readany())
                 if left_bytes < 0:
                     return message, payload
+            self._is_skipping = False
             if self._transmission is not None:
                 self._transmission.skipped += 1
             self._head_bytes = 0
@@ -202,6 +205,7 @@
         """Return whether the response to the last request is complete."""
         return (
             self._has_head
+            and not self._is_skipping
             and not self._buffer
             and self._payload is not None
             and self._payload.is_eof()
--- a/tests/features/extra_responses.feature
+++ b/tests/features/extra_responses.feature
@@ -16,6 +16,7 @@
       | a chunked answer to b                    | 1     |
       | an answer to a and a refusal of b        | 2     |
       | an interim response and a refusal of a   | 1     |
+      | an answer to a in two parts              | 1     |
 
   Scenario Outline: What may be the response to the request itself is not skipped
     Given a target that has answered the requests a and b on a kept connection
--- a/tests/features/steps/extra_responses_steps.py
+++ b/tests/features/steps/extra_responses_steps.py
@@ -49,6 +49,7 @@
     "five refusals of a": refusal("a") * 5,
     "an answer of 2 MB to a": build_message(200, "a", b"x" * LARGE_BYTES),
     "half a refusal of a": refusal("a")[:30],
+    "an answer to a in two parts": build_message(200, "a", b"x" * 1000),
 }
 
 
@@ -89,6 +90,10 @@
                 request_id = name.removeprefix(prefix)
                 ids.append(request_id)
                 extra = self.extras.get(request_id, b"")
+                if extra == EXTRAS["an answer to a in two parts"]:
+                    writer.write(extra[:-10])
+                    await asyncio.sleep(0.02)
+                    extra = extra[-10:]
                 writer.write(extra)
                 if extra == EXTRAS["half a refusal of a"]:
                     writer.close()
