--- a/tests/features/departed_targets.feature
+++ b/tests/features/departed_targets.feature
@@ -98,6 +98,20 @@
     When 40 processes deregister
     Then datagrams of 400 bytes carry all 40 departures within 8 datagrams
 
+  Scenario: Departures are kept in bounded number, and reported ones displace no own ones
+    Given daemon d1 that has just started
+    When the process of i-1 that started at 1000 deregisters
+    And other daemons report 5000 departures
+    Then it keeps at most 2304 departures
+    When an announcement of i-1, started at 1000 and numbered 8, arrives late
+    Then i-1 is not announced
+
+  Scenario: An odd departure in a message of another daemon changes nothing
+    Given daemon d1 that has just started
+    When an announcement of i-1, started at 1000 and numbered 7, arrives
+    And another daemon reports departures with odd names, times and durations
+    Then i-1 is announced as ready
+
   Scenario Outline: A daemon that is killed keeps to a departure that it has acknowledged
     Given a platform fleet of 3 daemons in makati, pasig, quezon
     And endpoints e1 of slot-desk beside d2
--- a/tests/features/steps/departed_targets_steps.py
+++ b/tests/features/steps/departed_targets_steps.py
@@ -191,6 +191,44 @@
     assert (target.state, target.address.port) == (READY, OTHER_PORT), target
 
 
+@when("other daemons report {count:d} departures")
+def step_report_many(context, count):
+    for number in range(count):
+        context.d1.notices.departures.merge(
+            peer_pb2.Departure(
+                endpoint=f"r-{number}",
+                started_at_unix_ms=1000,
+                gone=True,
+                expires_in_ms=60_000,
+            )
+        )
+
+
+@then("it keeps at most {limit:d} departures")
+def step_check_kept(context, limit):
+    kept = context.d1.notices.departures.messages(1_000_000)
+    assert 0 < len(kept) <= limit, len(kept)
+
+
+@when("another daemon reports departures with odd names, times and durations")
+def step_report_odd(context):
+    for fields in (
+        {"endpoint": ""},
+        {"endpoint": "i\n1"},
+        {"endpoint": "x" * 3000},
+        {"started_at_unix_ms": 2**64 - 1},
+        {"expires_in_ms": 0},
+        {"started_at_unix_ms": 999},
+    ):
+        departure = {
+            "endpoint": "i-1",
+            "started_at_unix_ms": 999,
+            "gone": True,
+            "expires_in_ms": 2**32 - 1,
+        }
+        context.d1.notices.departures.merge(peer_pb2.Departure(**(departure | fields)))
+
+
 class SomeChannels:
     """Channels to daemons of which only some reply.
 
