Do not pass on departures that are about to expire

Found by reading the change: a departure that expires while it is gossiped looks new to daemons that have forgotten it, which send it on with no time left, and get it back, without end.

Change: a reported departure with less than a second left is ignored, and expired ones leave the queue.

--- a/packages/laburnumscale/src/laburnumscale/departurequeue.py
+++ b/packages/laburnumscale/src/laburnumscale/departurequeue.py
@@ -46,6 +46,7 @@
         :param limit_bytes: size limit of all departures together.
         :param group_size: number of daemons; determines how often each is sent.
         """
+        self._remove_expired()
         batch = []
         for pending in heapq.nsmallest(
             MAX_DEPARTURES_IN_BATCH, self._pending.values(), key=_get_sends
@@ -60,6 +61,11 @@
                 del self._pending[pending.departure.endpoint]
         return batch
 
+    def _remove_expired(self) -> None:
+        for endpoint, pending in list(self._pending.items()):
+            if pending.departure.expiry.has_passed():
+                del self._pending[endpoint]
+
 
 def _get_sends(pending: _Pending) -> int:
     return pending.sends
--- a/packages/laburnumscale/src/laburnumscale/departures.py
+++ b/packages/laburnumscale/src/laburnumscale/departures.py
@@ -20,6 +20,7 @@
 
 #: Processes that leave serve for seconds, and their announcements are seconds late.
 RETENTION_MS = 120_000
+MIN_LEFT_MS = 1_000
 #: Departures that other daemons have reported. A fleet of 30,000 targets that replaces
 #: all of them in an hour has 1,000 in the retention time.
 MAX_REPORTED = 2_048
@@ -91,7 +92,13 @@
         return departure
 
     def merge(self, message: peer_pb2.Departure) -> None:
-        """Record a departure that another daemon has reported."""
+        """Record a departure that another daemon has reported.
+
+        One that is about to expire is ignored. It would expire before it has spread,
+        look new to daemons that have forgotten it, and be sent to and fro without end.
+        """
+        if message.expires_in_ms < MIN_LEFT_MS:
+            return
         try:
             departure = _read_message(message)
         except LaburnumscaleError as error:
--- a/tests/features/departed_targets.feature
+++ b/tests/features/departed_targets.feature
@@ -106,6 +106,19 @@
     When an announcement of i-1, started at 1000 and numbered 8, arrives late
     Then i-1 is not announced
 
+  # Daemons would send each other a departure that has expired without end.
+  Scenario Outline: A departure is passed on only before it expires
+    When a daemon is told of a departure that expires in <left_ms> ms
+    Then it passes <count> departures on
+    When the departure has expired
+    Then it passes 0 departures on
+
+    Examples:
+      | left_ms | count |
+      | 0       | 0     |
+      | 50      | 0     |
+      | 5000    | 1     |
+
   Scenario: An odd departure in a message of another daemon changes nothing
     Given daemon d1 that has just started
     When an announcement of i-1, started at 1000 and numbered 7, arrives
--- a/tests/features/steps/accepted_documents_steps.py
+++ b/tests/features/steps/accepted_documents_steps.py
@@ -153,8 +153,13 @@
 
 @then("a peer that receives its tree holds version {version:d}")
 def step_check_peer(context, version):
+    check_peer(context.reader, version)
+
+
+def check_peer(reader, version):
+    """Check that a peer takes over the tree of a daemon."""
     peer = SettingsFeed(Metrics(), 1000)
-    peer.apply_reply(context.reader.feed.whole_tree_reply())
+    peer.apply_reply(reader.feed.whole_tree_reply())
     assert peer.tree.revision == version, peer.tree.revision
 
 
@@ -188,17 +193,11 @@
         reader.write(document(9, "slot-desk-2", lookup=fields, service=service))
         assert reader.feed.tree.revision == 9
         assert reader.feed.has_service(translate_service_name(name))
-        step_check_peer_of(reader)
+        check_peer(reader, 9)
 
     check()
 
 
-def step_check_peer_of(reader):
-    peer = SettingsFeed(Metrics(), 1000)
-    peer.apply_reply(reader.feed.whole_tree_reply())
-    assert peer.tree.revision == reader.feed.tree.revision
-
-
 @then("its status reports that newer settings are not in force")
 def step_check_problem(context):
     (problem,) = context.reader.feed.problems.describe()
--- a/tests/features/steps/departed_targets_steps.py
+++ b/tests/features/steps/departed_targets_steps.py
@@ -10,7 +10,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.departurequeue import DepartureQueue
 from laburnumscale.departurereplicator import DepartureReplicator
-from laburnumscale.departures import Departures
+from laburnumscale.departures import Departure, Departures
 from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.memberentries import ALIVE
@@ -309,6 +309,28 @@
     assert len(seen) == count, len(seen)
 
 
+@when("a daemon is told of a departure that expires in {left_ms:d} ms")
+def step_merge_expiring(context, left_ms):
+    context.queue = DepartureQueue()
+    departures = Departures(Metrics())
+    departures.on_change(context.queue.add)
+    departures.merge(
+        peer_pb2.Departure(endpoint="i-1", gone=True, expires_in_ms=left_ms)
+    )
+
+
+@then("it passes {count:d} departures on")
+def step_check_passed_on(context, count):
+    batch = context.queue.take_batch(1000, 3)
+    assert len(batch) == count, batch
+
+
+@when("the departure has expired")
+def step_expire(context):
+    departure = Departure("i-1", 0, True, Deadline.after_ms(0))
+    context.queue.add(departure)
+
+
 class RemoteProcess:
     """A process of an endpoint whose messages the steps send."""
 
