Do not pass on suspect calls that have expired

The same cause as with departures, found by reading: a record that expires while it is gossiped looked new to daemons that had forgotten it, and each sent it on again without end. The scenario failed before.

--- a/packages/laburnumscale/src/laburnumscale/quarantine.py
+++ b/packages/laburnumscale/src/laburnumscale/quarantine.py
@@ -106,7 +106,12 @@
         return True
 
     def merge(self, message: peer_pb2.SuspectCall) -> None:
-        """Merge a record of another daemon."""
+        """Merge a record of another daemon, unless it has expired.
+
+        Daemons that have forgotten it would send it to each other without end.
+        """
+        if not message.expires_in_ms:
+            return
         if len(message.fingerprint) != FINGERPRINT_BYTES:
             self._metrics.count("suspect_calls_invalid")
             return
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -100,6 +100,14 @@
     When a call under which 3 targets ended is added to the queue
     Then it is in the next 4 datagrams of 700 bytes
 
+  # Daemons that had forgotten an expired record sent it to and fro without end.
+  Scenario: A record that has expired is not passed on
+    Given the quarantines of 2 daemons
+    When daemon 1 is told of a call under which a target ended, with 0 ms until it expires
+    Then daemon 1 passes 0 records on
+    When daemon 2 is told of a call under which a target ended, with 5000 ms until it expires
+    Then daemon 2 passes 1 records on
+
   Scenario: Daemons that run no part of a call hear of the ends of its targets
     Given a fleet of 3 daemons in makati
     And two targets of slot-desk beside d1 end on "/crash"
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -44,6 +44,27 @@
     quarantine.record_target_end(fingerprint_of(name), end, HEAD)
 
 
+@when(
+    "daemon {number:d} is told of a call under which a target ended, with {left_ms:d} "
+    "ms until it expires"
+)
+def step_merge_expiring(context, number, left_ms):
+    context.queue = SuspectQueue()
+    quarantine = context.quarantines[number - 1]
+    quarantine.on_change(context.queue.add)
+    quarantine.merge(
+        peer_pb2.SuspectCall(
+            fingerprint=fingerprint_of("a"), target_ends=[1], expires_in_ms=left_ms
+        )
+    )
+
+
+@then("daemon {number:d} passes {count:d} records on")
+def step_check_passed_on(context, number, count):
+    batch = context.queue.take_batch(DATAGRAM_BYTES, 2)
+    assert len(batch) == count, batch
+
+
 @when("{count:d} targets end under call {name} at daemon {number:d}")
 def step_targets_end(context, count, name, number):
     for _ in range(count):
