--- a/packages/laburnumscale/src/laburnumscale/acceptance.py
+++ b/packages/laburnumscale/src/laburnumscale/acceptance.py
@@ -32,7 +32,8 @@
     "parse_decimal",
 ]
 
-#: An entry of a daemon with one endpoint still fits into a datagram.
+#: An entry whose names are all this long is left to the exchange of tables, as it does
+#: not fit into a datagram.
 MAX_NAME_BYTES = 255
 MAX_TEXT_BYTES = 4_096
 MAX_SLOTS = 10_000
