Add client accounts, quotas and a memory limit to the schema

The fields, reasons and messages that the next changes share, with the settings of daemons and the names of the header fields. Nothing reads them yet.

--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -30,6 +30,11 @@
 DEFAULT_ANSWER_LIMIT_BYTES = 256 * 1024 * 1024
 DEFAULT_ANNOUNCEMENT_INTERVAL_MS = 1_000
 MIN_SETTINGS_APPLY_MS = 500
+DEFAULT_QUOTA_WINDOW_MS = 5_000
+DEFAULT_QUOTA_OVER_PERCENT = 0
+DEFAULT_QUOTA_SLACK_CALLS = 0
+#: Of the smallest hosts in use.
+DEFAULT_MEMORY_LIMIT_MB = 200
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
 #: How to round settings that templates compute from ratios and seconds, so that the
@@ -41,6 +46,10 @@
     "drain_ms": math.floor,
     "announcement_interval_ms": math.ceil,
     "settings_apply_ms": math.floor,
+    "quota_window_ms": math.floor,
+    "quota_over_percent": math.floor,
+    "quota_slack_calls": math.floor,
+    "memory_limit_mb": math.floor,
 }
 
 
@@ -70,6 +79,12 @@
         announcements of a target.
     :ivar settings_apply_ms: time in milliseconds after which a change of the fleet's
         settings must be in force on each daemon.
+    :ivar quota_window_ms: window in milliseconds over which the quotas of client
+        accounts are kept.
+    :ivar quota_over_percent: calls in percent of a quota that the fleet may accept
+        beyond it in one window while the keeper of the quota cannot be reached.
+    :ivar quota_slack_calls: calls beyond each quota, in addition to the percentage.
+    :ivar memory_limit_mb: memory of the process in units of 1,000,000 bytes.
     """
 
     daemon: str
@@ -98,6 +113,10 @@
     announcement_interval_ms: int = DEFAULT_ANNOUNCEMENT_INTERVAL_MS
     answer_limit_bytes: int = DEFAULT_ANSWER_LIMIT_BYTES
     settings_apply_ms: int = DEFAULT_SETTINGS_APPLY_MS
+    quota_window_ms: int = DEFAULT_QUOTA_WINDOW_MS
+    quota_over_percent: int = DEFAULT_QUOTA_OVER_PERCENT
+    quota_slack_calls: int = DEFAULT_QUOTA_SLACK_CALLS
+    memory_limit_mb: int = DEFAULT_MEMORY_LIMIT_MB
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -185,6 +204,10 @@
         ),
         answer_limit_bytes=message.answer_limit_bytes or DEFAULT_ANSWER_LIMIT_BYTES,
         settings_apply_ms=_read_settings_apply_ms(file, message),
+        quota_window_ms=message.quota_window_ms or DEFAULT_QUOTA_WINDOW_MS,
+        quota_over_percent=message.quota_over_percent,
+        quota_slack_calls=message.quota_slack_calls,
+        memory_limit_mb=message.memory_limit_mb or DEFAULT_MEMORY_LIMIT_MB,
     )
 
 
--- a/packages/laburnumscale/src/laburnumscale/headernames.py
+++ b/packages/laburnumscale/src/laburnumscale/headernames.py
@@ -20,6 +20,9 @@
         endpoint has the address by now, it responds with status 421 and does not run
         the call.
     :ivar caller_service: field with the service on whose behalf the call is made.
+    :ivar account_key: field with the key of the caller's client account. It is never
+        forwarded if the settings require account keys.
+    :ivar account: field with the name of the client account, for targets.
     :ivar not_run: field that a target sets in its response if it did not run the call.
     :ivar rate_limit: field in which a target names how many calls a second it takes
         from all daemons together, for as long as it names it.
@@ -36,6 +39,8 @@
     target_time_left: str = "x-request-timeout-ms"
     expected_endpoint: str = ""
     caller_service: str = ""
+    account_key: str = "x-api-key"
+    account: str = "x-client-account"
     not_run: str = ""
     rate_limit: str = ""
     leaving: str = ""
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -53,6 +53,8 @@
         connection closes.
     :ivar serve_when_stale: whether a daemon with stale settings runs calls that are
         not idempotent.
+    :ivar require_account_key: whether calls need the key of a client account, except
+        those on public routes.
     """
 
     time_limit_ms: int = 2000
@@ -75,6 +77,7 @@
     connection_limit: int = 0
     close_ends_answer: bool = False
     serve_when_stale: bool = False
+    require_account_key: bool = False
 
 
 def python_value(settings: settings_pb2.ServiceSettings, name: str):
