Hold a connection until it is replaced in the scenario on a late download

Ruled out: that the download had ended; it is read at 4 MB/s for 15 s. How much is buffered depends on the speed of the machine.

--- a/tests/features/running_attempts.feature
+++ b/tests/features/running_attempts.feature
@@ -75,7 +75,7 @@
 
   Scenario: A download goes on to its end after its connection was taken for silent
     When the caller downloads 60000000 bytes from d1 in 15000 ms
-    And after 500 ms the open connections from d2 to d1 deliver late for 600 ms
+    And after 500 ms the open connections from d2 to d1 deliver late until d1 replaces its own
     Then the log of d1 has the line "silent connection replaced"
     And the download is complete
 
--- a/tests/features/steps/running_attempts_steps.py
+++ b/tests/features/steps/running_attempts_steps.py
@@ -27,6 +27,9 @@
 QUEUE_LIMIT = 1
 END_TIMEOUT_S = 3.0  # for a run to end, to tell a late end from none
 REPLACEMENT_TIMEOUT_S = 2.0
+#: For a connection of which sockets still buffer replies: some seconds of a download at
+#: 4 MB/s, and as long again until the path is checked once more.
+BUFFERED_TIMEOUT_S = 10.0
 CANCEL_S = 0.5  # for a call that has ended to be cancelled at its target
 QUEUEING_S = 0.3  # for one more call to reach the queue of its target
 NOTICE_S = 0.3  # a part of the notice period of the drain
@@ -335,13 +338,22 @@
 
 @when(
     "after {after_ms:d} ms the open connections from {destination} to {source} deliver "
-    "late for {late_ms:d} ms"
+    "late until {daemon} replaces its own"
 )
-def step_deliver_late(context, after_ms, source, destination, late_ms):
+def step_deliver_late(context, after_ms, source, destination, daemon):
+    """Keep the data of the connections until one of them was taken for silent.
+
+    How long that takes depends on the replies that had already arrived: the caller
+    reads at an even pace, and sockets buffer megabytes of them.
+    """
     time.sleep(after_ms / 1000)
     step_hold_replies(context, source, destination)
     start_path_check(context, source)
-    time.sleep(late_ms / 1000)
+    wait_until(
+        lambda: "silent connection replaced" in log_of(context, daemon),
+        "the connection is replaced",
+        BUFFERED_TIMEOUT_S,
+    )
     context.late_link.faults(backward={"hold": False})
 
 
