Take only repeatable calls as trial calls

The guard refuses such a call as ejected (not run, exempt from retry budget and attempt limit), so that its entry tries another target. A call whose body cannot be sent again is still taken, because its refusal would be final; the new field CallHead.replayable tells the guard. Attempts of daemons that do not set the field are taken as before.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -238,6 +238,7 @@
     :param settings: settings of the service.
     :param retry_slack: retries that the fleet may make beyond the budget.
     :ivar work_s: time that each request needs, by its id.
+    :ivar targets: the targets as their guards know them.
     :ivar runners: the entries, with the data centre of each.
     :ivar metrics: counters of all daemons.
     """
@@ -253,6 +254,7 @@
         self.metrics = Metrics()
         self.work_s: dict[str, float] = {}
         self.machines: list[_Machine] = []
+        self.targets: list[LocalTarget] = []
         self.runners: list[tuple[CallRunner, str]] = []
         self._directory = _Directory()
         self._guards: dict[str, Guard] = {}
@@ -294,6 +296,7 @@
             lease_deadline=Deadline.after_ms(LEASE_MS),
         )
         target.slow_start_at_s = 0.0
+        self.targets.append(target)
         self._directory.add(target, daemon, plan.data_centre)
         recovery = _ModelRecovery(
             None, self.metrics, lambda: self._directory.publish_later(daemon)
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -317,6 +317,7 @@
             objective_left_ms=call.objective_left_ms(),
             route=call.route_hash,
             avoid_doubt=call.is_refused_in_doubt,
+            replayable=call.replayable,
         )
         self._router.fill_call_head(head, view)
         return AttemptRequest(
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -62,7 +62,7 @@
         because the healthy ones do not reach the capacity floor.
 
         :raises AttemptRefused: the target is ejected and the attempt is not floor
-            traffic, or the target is on trial and its trial call is running.
+            traffic, or the target is on trial and the attempt cannot be its trial call.
         """
         record = self._get_record(target)
         on_trial = self._check_admission(record, settings, head)
@@ -194,7 +194,9 @@
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_IN_DOUBT, EJECTED_RETRY_AFTER_MS
             )
-        if target.ejected or (target.on_trial and record.trial_running):
+        if target.ejected or (
+            target.on_trial and (record.trial_running or _is_lost_if_failed(head))
+        ):
             self._metrics.count("refused_ejected", f'service="{target.service}"')
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_EJECTED, EJECTED_RETRY_AFTER_MS
@@ -255,3 +257,11 @@
         self._recovery.on_verdict_change()
         names = {"service": target.service, "endpoint": target.endpoint}
         get_logger().info(event, **names, **details)
+
+
+def _is_lost_if_failed(head: peer_pb2.CallHead) -> bool:
+    """Return whether a call may run only once and another target could run it.
+
+    A call whose body cannot be sent again is not included: its refusal would be final.
+    """
+    return head.replayable and not head.idempotent
