Account keys decide on behalf of which client account a call is made

Callers without a valid key were served like all others, and targets could not know on whose behalf a call was made.

Accounts are places of the settings tree and AccountTable finds them by the digest of a key. RouteLookup decides about the key with the route, so a 401 is final only when a 404 is. Call.account, Routed.account and the message for keyed calls name the account; its priority comes before that of the route. The key and the caller's own account field are forwarded neither to targets nor to other daemons if the fleet requires keys, and an operation key that another account has used gets no stored answer.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -235,9 +235,10 @@
             deadline=deadline,
             body=body,
             route=f"{route.host}{route.path_prefix}" if route is not None else "",
-            priority=route.priority if route is not None else 0,
+            priority=routed.priority,
             objective=_latency_objective(route),
             caller_service=self._runner.caller_service,
+            account=routed.account.name if routed.account is not None else "",
         )
 
     async def _find_route(self, request: Request) -> Routed | NotRun:
@@ -245,7 +246,13 @@
         time_left_ms = call_timeout_ms(
             request, CATCH_UP_WAIT_MS, self._header_names.caller_time_limit
         )
-        return await self._routes.find(host, path_and_query, time_left_ms)
+        key = self._account_key(request)
+        return await self._routes.find(host, path_and_query, time_left_ms, key)
+
+    def _account_key(self, request: Request) -> str:
+        """Return the account key of a request; empty if it has none or several."""
+        keys = request.headers.getall(self._header_names.account_key, ())
+        return keys[0] if len(keys) == 1 else ""
 
     def _route_settings(
         self, service: str, route: settings_pb2.Route | None
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -22,7 +22,6 @@
 from laburnumscale.drainstate import DrainState
 from laburnumscale.failurereplies import DEFAULT_RETRY_AFTER_MS, failure_outcome
 from laburnumscale.headernames import HeaderNames
-from laburnumscale.headers import end_to_end_headers
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.members import EndpointView
 from laburnumscale.metrics import Metrics
@@ -76,6 +75,7 @@
         self._budget = budget
         self._names = names
         self._daemon_header_names = names.set_by_daemons()
+        self._account_header_names = names.account_fields()
         self.caller_service = caller_service
 
     def apply_settings(self, settings: DaemonSettings) -> None:
@@ -317,6 +317,7 @@
             objective_left_ms=call.objective_left_ms(),
             route=call.route_hash,
             avoid_doubt=call.is_refused_in_doubt,
+            account=call.account,
         )
         self._router.fill_call_head(head, view)
         return AttemptRequest(
@@ -338,9 +339,12 @@
         """
         headers = [
             header
-            for header in end_to_end_headers(call.request.headers.items())
+            for header in call.forwarded_headers(self._account_header_names)
             if header.name not in self._daemon_header_names
         ]
+        if call.account and self._names.account:
+            account = peer_pb2.Header(name=self._names.account, value=call.account)
+            headers.append(account)
         if self._names.caller_service:
             name = self._names.caller_service
             value = call.caller_service or self.caller_service
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -9,6 +9,7 @@
 from sanic import HTTPResponse, Request
 
 from laburnumscale.deadlines import Deadline
+from laburnumscale.headers import end_to_end_headers, without_fields
 from laburnumscale.outcomes import NotRun, Outcome, Unknown
 from laburnumscale.routelatencies import hash_route
 from laburnumscale.settingstree import EffectiveSettings
@@ -76,6 +77,8 @@
     :ivar objective: latency objective; the call does not wait for a slot after it.
     :ivar caller_service: service on whose behalf the call is made; if empty, that of
         the callers of this daemon.
+    :ivar account: name of the client account on whose behalf the call is made; empty
+        if none.
     :ivar tried_endpoints: names of the endpoints that were tried.
     :ivar busy_endpoints: names of the tried endpoints that had no free slot.
     :ivar retry_reserved: the retry budget was already charged for the next attempt.
@@ -110,6 +113,7 @@
     priority: int = 0
     objective: Deadline | None = None
     caller_service: str = ""
+    account: str = ""
     tried_endpoints: set[str] = attrs.field(factory=set)
     counted_attempts: int = 0
     exempt_attempts: int = 0
@@ -143,6 +147,21 @@
         """Return whether the call must not run more than once."""
         return not (self.idempotent and self.replayable)
 
+    def forwarded_headers(
+        self, account_fields: frozenset[str]
+    ) -> list[peer_pb2.Header]:
+        """Return the header fields of the request that other daemons may get.
+
+        If calls need account keys, these include neither the key nor an account that
+        the caller names.
+
+        :param account_fields: names of the fields with the key and the account.
+        """
+        headers = end_to_end_headers(self.request.headers.items())
+        if self.settings.require_account_key or self.account:
+            return without_fields(headers, account_fields)
+        return headers
+
     def objective_left_ms(self) -> int:
         """Return the time left until the objective in milliseconds, for guards.
 
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -195,7 +195,13 @@
         settings.daemon, members.own.incarnation, settings.key_life_ms, metrics
     )
     keyed_calls = KeyedCalls(
-        members, shared.feed, runner, shared.channels, key_table, metrics
+        members,
+        shared.feed,
+        runner,
+        shared.channels,
+        key_table,
+        metrics,
+        header_names.account_fields(),
     )
     caller_api = CallerApi(
         members,
--- a/packages/laburnumscale/src/laburnumscale/documentfields.py
+++ b/packages/laburnumscale/src/laburnumscale/documentfields.py
@@ -11,7 +11,14 @@
 from laburnumscale.errors import FieldAdjusted
 from laburnumscale.publishing import RANGES
 
-__all__ = ["AdjustmentListener", "adjust_integer", "adjust_limit", "adjust_weights"]
+__all__ = [
+    "AdjustmentListener",
+    "adjust_flag",
+    "adjust_integer",
+    "adjust_limit",
+    "adjust_number",
+    "adjust_weights",
+]
 
 AdjustmentListener = Callable[[FieldAdjusted], None]
 
@@ -20,6 +27,16 @@
 MAX_WEIGHT = (1 << 32) - 1
 
 
+def adjust_flag(
+    where: str, name: str, value: object, on_adjustment: AdjustmentListener
+) -> bool:
+    """Return a truth value; a value of another type is reported and counts as false."""
+    if value is None or isinstance(value, bool):
+        return bool(value)
+    on_adjustment(FieldAdjusted(where, name, "not a truth value", "false"))
+    return False
+
+
 def adjust_integer(
     where: str,
     name: str,
@@ -44,6 +61,32 @@
     return adjusted
 
 
+def adjust_number(
+    where: str,
+    name: str,
+    value: object,
+    setting: str,
+    on_adjustment: AdjustmentListener,
+) -> float | None:
+    """Return the number in the range of a setting that is nearest to a value.
+
+    Unlike with :func:`adjust_integer`, a value that is not a number is reported and not
+    used, so that the rest of the object that has it still applies.
+
+    :returns: the number; None if there is none.
+    """
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        on_adjustment(FieldAdjusted(where, name, "not a number", "no value"))
+        return None
+    minimum, maximum = RANGES[setting]
+    adjusted = min(max(value, minimum), maximum)
+    if adjusted != value:
+        on_adjustment(FieldAdjusted(where, name, f"{value:.6g}", str(adjusted)))
+    return adjusted
+
+
 def adjust_weights(
     where: str, weights: Sequence[float], on_adjustment: AdjustmentListener
 ) -> list[int]:
--- a/packages/laburnumscale/src/laburnumscale/headernames.py
+++ b/packages/laburnumscale/src/laburnumscale/headernames.py
@@ -53,6 +53,14 @@
         """Return the field in which targets repeat the request ID; empty for none."""
         return self.request_id if self.echoes_request_id else ""
 
+    def account_fields(self) -> frozenset[str]:
+        """Return the names of the fields about the caller's client account.
+
+        Values that callers send in them are not forwarded if calls need account keys.
+        """
+        names = (self.account_key, self.account)
+        return frozenset(name.lower() for name in names if name)
+
     def set_by_daemons(self) -> frozenset[str]:
         """Return the names of the fields that daemons set.
 
--- a/packages/laburnumscale/src/laburnumscale/headers.py
+++ b/packages/laburnumscale/src/laburnumscale/headers.py
@@ -7,7 +7,7 @@
 
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["decode_field_value", "end_to_end_headers"]
+__all__ = ["decode_field_value", "end_to_end_headers", "without_fields"]
 
 HOP_BY_HOP = frozenset(
     {
@@ -54,3 +54,14 @@
         for name, value in lowercased
         if name not in excluded
     ]
+
+
+def without_fields(
+    headers: list[peer_pb2.Header], names: frozenset[str]
+) -> list[peer_pb2.Header]:
+    """Return the header fields whose names are not among ``names``.
+
+    Some servers read ``_`` in a name as ``-``, so fields whose names differ only in
+    that are left out as well.
+    """
+    return [each for each in headers if each.name.replace("_", "-") not in names]
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -17,7 +17,6 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.errors import HandOverRefused
 from laburnumscale.failurereplies import not_run_reply, unknown_reply
-from laburnumscale.headers import end_to_end_headers
 from laburnumscale.keytable import KeyTable
 from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
@@ -54,6 +53,9 @@
 
     The holder of a key is its home, which is the daemon incarnation that minted it, or
     the daemon that took over the keys of the home.
+
+    :param account_fields: names of the header fields with the key and the name of an
+        account, which are not sent to the holder if calls need account keys.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         channels: PeerChannels,
         table: KeyTable,
         metrics: Metrics,
+        account_fields: frozenset[str] = frozenset(),
     ) -> None:
+        self._account_fields = account_fields
         self._members = members
         self._feed = feed
         self._runner = runner
@@ -253,6 +257,7 @@
             attempt_limit=call.settings.attempt_limit,
             route=call.route,
             caller_service=call.caller_service,
+            account=call.account,
         )
         if holder.daemon == self._members.own.daemon:
             return await self.run_or_relay(message)
@@ -350,6 +355,7 @@
             priority=head.priority,
             objective=Deadline.after_ms(objective_ms) if objective_ms else None,
             caller_service=message.caller_service,
+            account=message.account,
         )
         outcome, response = await self._runner.run(call)
         return exchange.to_reply(outcome, response)
@@ -363,14 +369,13 @@
             return settings
         return attrs.evolve(settings, attempt_limit=message.attempt_limit)
 
-    @staticmethod
-    def _call_head(call: Call) -> peer_pb2.CallHead:
+    def _call_head(self, call: Call) -> peer_pb2.CallHead:
         return peer_pb2.CallHead(
             request_id=call.request_id,
             service=call.service,
             method=call.request.method,
             path_and_query=call.path_and_query,
-            headers=end_to_end_headers(call.request.headers.items()),
+            headers=call.forwarded_headers(self._account_fields),
             time_left_ms=call.deadline.left_ms(),
             idempotent=call.idempotent,
             priority=call.priority,
@@ -416,7 +421,12 @@
 def _fingerprint(message: peer_pb2.KeyedCall) -> bytes:
     head = message.head
     digest = xxhash.xxh3_128()
-    for part in (head.service, head.method, head.path_and_query):
+    parts = [head.service, head.method, head.path_and_query]
+    if message.account:
+        # No account is named like a service that is followed by a method, so the digest
+        # differs from that of any call without an account.
+        parts.insert(0, message.account)
+    for part in parts:
         digest.update(part.encode() + b"\n")
     digest.update(message.body)
     return digest.digest()
--- a/packages/laburnumscale/src/laburnumscale/places.py
+++ b/packages/laburnumscale/src/laburnumscale/places.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "FLEET",
+    "AccountPlace",
     "DataCentrePlace",
     "EndpointPlace",
     "FleetPlace",
@@ -101,6 +102,17 @@
         return f"route:{self.host}{self.path_prefix}"
 
 
+@attrs.frozen
+class AccountPlace(Place):
+    """One client account, by its encoded name."""
+
+    pattern = rf"account:(?P<account>{NAME_PATTERN})"
+    account: str
+
+    def __str__(self) -> str:
+        return f"account:{self.account}"
+
+
 FLEET = FleetPlace()
 
 _PLACE_TYPES = tuple(
@@ -112,6 +124,7 @@
         ServiceInDataCentrePlace,
         EndpointPlace,
         RoutePlace,
+        AccountPlace,
     )
 )
 
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -46,6 +46,8 @@
     "slow_excess_ms": (1, 600_000),
     "ejection_ms": (100, 600_000),
     "connection_limit": (0, 1_000_000),
+    "calls_per_s": (0, 1_000_000_000),
+    "burst_calls": (0, 1_000_000_000),
 }
 
 #: Allowed values of the settings that name a policy.
--- a/packages/laburnumscale/src/laburnumscale/settingschecks.py
+++ b/packages/laburnumscale/src/laburnumscale/settingschecks.py
@@ -8,8 +8,17 @@
 
 from google.protobuf.message import DecodeError, Message
 
+from laburnumscale.acceptance import accept_name
+from laburnumscale.accounts import DIGEST_BYTES, account_place
 from laburnumscale.errors import OptionOutOfRange, PlaceInvalid, RequestInvalid
-from laburnumscale.places import NAME_PATTERN, Place, RoutePlace, parse_place
+from laburnumscale.places import (
+    FLEET,
+    NAME_PATTERN,
+    AccountPlace,
+    Place,
+    RoutePlace,
+    parse_place,
+)
 from laburnumscale.publishing import RANGES
 from laburnumscale_schema import settings_pb2
 
@@ -29,6 +38,8 @@
 MAX_HTTP_STATUS = 599
 CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,32}")
+#: The values of places that do not hold settings.
+KINDS = {RoutePlace: "route", AccountPlace: "account"}
 SERVICE_PATTERN = re.compile(NAME_PATTERN)
 
 
@@ -110,7 +121,7 @@
     value: settings_pb2.Edit | settings_pb2.PlaceState,
     location: str = "",
 ) -> None:
-    """Validate the settings or the route of a place.
+    """Validate the settings, the route or the account of a place.
 
     :param place_text: text form of the place.
     :param location: file and line for error messages; the place by default.
@@ -123,12 +134,14 @@
     kind = value.WhichOneof("value")
     if kind == "removal":
         return
-    if (kind == "route") != isinstance(place, RoutePlace):
+    if kind != KINDS.get(type(place), "settings"):
         raise RequestInvalid(location or place_text, f"the place cannot hold {kind}")
     if kind == "route":
         _check_route(location or place_text, place, value.route)
+    elif kind == "account":
+        _check_account(location or place_text, place, value.account)
     else:
-        _check_settings(location or place_text, value.settings)
+        _check_settings(location or place_text, place, value.settings)
 
 
 def _check_route(location: str, place: Place, route: settings_pb2.Route) -> None:
@@ -151,7 +164,26 @@
             raise OptionOutOfRange(location, name, value, minimum, maximum)
 
 
-def _check_settings(location: str, settings: settings_pb2.ServiceSettings) -> None:
+def _check_account(
+    location: str, place: Place, account: settings_pb2.ClientAccount
+) -> None:
+    accept_name(location, "name", account.name)
+    if account_place(account.name) != place:
+        raise RequestInvalid(location, "the name differs from that of the place")
+    if any(len(digest) != DIGEST_BYTES for digest in account.key_digests):
+        raise RequestInvalid(location, "a digest of a key has the wrong length")
+    for name in ("priority", "calls_per_s", "burst_calls"):
+        minimum, maximum = RANGES[name]
+        value = getattr(account, name)
+        if not minimum <= value <= maximum:  # NaN compares false
+            raise OptionOutOfRange(location, name, value, minimum, maximum)
+
+
+def _check_settings(
+    location: str, place: Place, settings: settings_pb2.ServiceSettings
+) -> None:
+    if settings.HasField("require_account_key") and place != FLEET:
+        raise RequestInvalid(location, "require_account_key applies to the fleet only")
     for field, value in settings.ListFields():
         if field.name not in RANGES:
             continue
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -9,6 +9,7 @@
 import attrs
 import xxhash
 
+from laburnumscale.accounts import AccountTable
 from laburnumscale.places import (
     FLEET,
     DataCentrePlace,
@@ -99,6 +100,7 @@
 
     :ivar digest: hash over all applied records.
     :ivar places: state of each place that is set, by the text form of the place.
+    :ivar accounts: the client accounts among the places.
     :ivar outcomes: outcomes of the changes in the last ``CHANGE_WINDOW_RECORDS``
         records by change id, oldest first.
     """
@@ -108,6 +110,8 @@
         self.digest = 0
         self.places: dict[str, settings_pb2.PlaceState] = {}
         self.outcomes: dict[str, settings_pb2.ChangeOutcome] = {}
+        self.accounts = AccountTable()
+        self.accounts.replace(self.places)
         self._effective_cache: dict[tuple[str, str, str], EffectiveSettings] = {}
         self._service_names: frozenset[str] | None = None
         self._longest_prefix_chars: int | None = None
@@ -164,6 +168,7 @@
         self.revision = snapshot.revision
         self.digest = snapshot.digest
         self.places = {state.place: state for state in snapshot.places}
+        self.accounts.replace(self.places)
         self.outcomes = {outcome.change_id: outcome for outcome in snapshot.outcomes}
         self._clear_caches()
         return True
@@ -179,6 +184,11 @@
             )
         return self._service_names
 
+    @property
+    def requires_account_key(self) -> bool:
+        """Return whether calls need the key of a client account."""
+        return self.effective_settings("").require_account_key
+
     def route(self, host: str, path: str) -> settings_pb2.Route | None:
         """Return the route with the longest matching prefix of ``path``, or None.
 
@@ -309,8 +319,10 @@
     def _apply_edits(self, revision: int, change: settings_pb2.Change) -> None:
         for edit in change.edits:
             kind = edit.WhichOneof("value")
+            before = self.places.get(edit.place)
             if kind == "removal":
                 self.places.pop(edit.place, None)
+                self.accounts.record_edit(edit.place, before)
                 continue
             state = settings_pb2.PlaceState(
                 place=edit.place,
@@ -321,6 +333,7 @@
             )
             getattr(state, kind).CopyFrom(getattr(edit, kind))
             self.places[edit.place] = state
+            self.accounts.record_edit(edit.place, before)
         self._clear_caches()
 
     def _advance_revision(self, revision: int, record_result: bytes) -> None:
