Show accounts to operators, and accept them in settings files

Operators could neither publish accounts with the command line tool nor see why a request got 401.

laburnumscalectl publish takes a section accounts with keys in plain text and sends only their digests. laburnumscalectl accounts and /v1/accounts show accounts in pages of at most 1,000, with their calls by outcome, or the account of a key. The line of a refused request has the digest of its key, the line of a call its account, and so has trace. A key that several accounts name is reported among the settings problems. Counters by account are kept for 200 accounts; the others are counted together.

--- a/packages/laburnumscale/src/laburnumscale/accounts/table.py
+++ b/packages/laburnumscale/src/laburnumscale/accounts/table.py
@@ -56,6 +56,11 @@
             if place.startswith(ACCOUNT_PREFIX):
                 yield state.account
 
+    @property
+    def shared_key_count(self) -> int:
+        """Return the number of keys that several accounts name."""
+        return len(self._shared_digests)
+
     def shared_keys(self) -> Iterator[list[str]]:
         """Yield the names of the accounts for each key that several of them name."""
         for digest in self._shared_digests:
--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -14,6 +14,7 @@
 from sanic.exceptions import SanicException
 from sanic.response import json
 
+from laburnumscale.accounts import AccountCallCounts, digest_key
 from laburnumscale.callerrequests import (
     call_timeout_ms,
     check_request,
@@ -73,6 +74,7 @@
     :param header_names: names of the header fields used with callers.
     :param routes_only: whether requests that match no route are refused. Otherwise
         the first segment of their path is the name of the service.
+    :ivar account_calls: counts the calls of client accounts.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self._keyed_calls = keyed_calls
         self._key_table = key_table
         self._metrics = metrics
+        self.account_calls = AccountCallCounts(metrics)
         self._in_flight = 0
 
     def app(self, body_limit_bytes: int) -> App:
@@ -156,7 +159,8 @@
             prepared = DRAINING
         if isinstance(prepared, NotRun):
             response = self._problem_response(prepared, request_id)
-            self._call_log.log_refusal(request_id, prepared, request.path)
+            fields = self._describe_key(request, prepared)
+            self._call_log.log_refusal(request_id, prepared, request.path, **fields)
             self._record_call("", prepared, started_at_s)
             return response
         try:
@@ -167,6 +171,8 @@
         elapsed_ms = (time.monotonic() - started_at_s) * MS_PER_S
         self._call_log.log_call_end(prepared, outcome, elapsed_ms)
         self._record_call(prepared.service, outcome, started_at_s)
+        if prepared.account:
+            self.account_calls.add(prepared.account, outcome_name(outcome))
         return response
 
     async def _run_call(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
@@ -249,6 +255,18 @@
         key = self._account_key(request)
         return await self._routes.find(host, path_and_query, time_left_ms, key)
 
+    def _describe_key(self, request: Request, outcome: NotRun) -> dict[str, str]:
+        """Count a refused account key, and return its digest for the log.
+
+        Operators can compare the digest with that of a key that they know.
+        """
+        if outcome.reason != peer_pb2.NOT_RUN_REASON_UNAUTHORIZED:
+            return {}
+        key = self._account_key(request)
+        kind = "unknown" if key else "missing"
+        self._metrics.count("requests_unauthorized", f'key="{kind}"')
+        return {"key_digest": digest_key(key).hex() if key else "no key"}
+
     def _account_key(self, request: Request) -> str:
         """Return the account key of a request; empty if it has none or several."""
         keys = request.headers.getall(self._header_names.account_key, ())
--- a/packages/laburnumscale/src/laburnumscale/calllog.py
+++ b/packages/laburnumscale/src/laburnumscale/calllog.py
@@ -35,13 +35,19 @@
     )
     _unlogged_calls: int = 0
 
-    def log_refusal(self, request_id: str, outcome: Outcome, detail: str) -> None:
-        """Log a request that was refused before any attempt was made."""
+    def log_refusal(
+        self, request_id: str, outcome: Outcome, detail: str, **fields: str
+    ) -> None:
+        """Log a request that was refused before any attempt was made.
+
+        :param fields: further fields of the line.
+        """
         get_logger().info(
             "request refused",
             request_id=request_id,
             reason=reason_name(outcome),
             detail=detail,
+            **fields,
             **self.feed.describe_age(),
         )
 
@@ -60,6 +66,7 @@
             request_id=call.request_id,
             service=call.service,
             route=call.route,
+            **({"account": call.account} if call.account else {}),
             idempotent=call.idempotent,
             outcome=outcome_name(outcome),
             reason=reason_name(outcome),
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -6,6 +6,7 @@
 import aiohttp
 import attrs
 
+from laburnumscale.accountsapi import AccountsApi
 from laburnumscale.attemptclient import AttemptClient
 from laburnumscale.attemptsettler import AttemptSettler
 from laburnumscale.attempttable import AttemptTable
@@ -234,4 +235,5 @@
         shared.metrics,
         settings_api,
         QuarantineApi(shared.notices.quarantine),
+        AccountsApi(shared.feed, entry_role.caller_api.account_calls),
     )
--- a/packages/laburnumscale/src/laburnumscale/operatorapi.py
+++ b/packages/laburnumscale/src/laburnumscale/operatorapi.py
@@ -6,6 +6,7 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.response import json, text
 
+from laburnumscale.accountsapi import AccountsApi
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.quarantineapi import QuarantineApi
@@ -23,6 +24,7 @@
 
     :param settings: handles the requests that concern the settings.
     :param quarantine: handles the requests that concern quarantined calls.
+    :param accounts: handles the requests that concern client accounts.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         metrics: Metrics,
         settings: SettingsApi,
         quarantine: QuarantineApi,
+        accounts: AccountsApi,
     ) -> None:
         self._members = members
         self._feed = feed
@@ -42,6 +45,7 @@
         self._metrics = metrics
         self._settings_api = settings
         self._quarantine_api = quarantine
+        self._accounts_api = accounts
 
     def app(self) -> Sanic:
         """Return the HTTP application for operators."""
@@ -53,6 +57,7 @@
         app.add_route(self.selection, "/v1/selection/<service:str>")
         self._settings_api.add_routes(app)
         self._quarantine_api.add_routes(app)
+        self._accounts_api.add_routes(app)
         app.add_route(
             self.drain, "/v1/drain/<service:str>/<endpoint:str>", methods=["POST"]
         )
@@ -107,7 +112,7 @@
                 "daemon": self._members.own.daemon,
                 "revision": self._feed.tree.revision,
                 "has_settings": self._feed.has_tree,
-                "settings_problems": self._feed.problems.describe(),
+                "settings_problems": self._feed.describe_problems(),
                 "settings_digest": f"{self._feed.tree.digest:016x}",
                 "members": members,
             }
--- a/packages/laburnumscale/src/laburnumscale/problems.py
+++ b/packages/laburnumscale/src/laburnumscale/problems.py
@@ -19,6 +19,7 @@
 CONTENT_TYPE = "application/problem+json"
 DEFAULT_HEADER_NAMES = HeaderNames()
 MS_PER_S = 1000
+UNAUTHORIZED = peer_pb2.NOT_RUN_REASON_UNAUTHORIZED
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 504
 STATUS_INTERNAL = 500
@@ -93,6 +94,9 @@
     if retry_after_ms:
         document["retry_after_ms"] = retry_after_ms
         headers["Retry-After"] = _format_retry_after(retry_after_ms, names)
+    if isinstance(outcome, NotRun) and outcome.reason == UNAUTHORIZED:
+        # RFC 9110 requires the field with status 401; it names where the key belongs.
+        headers["WWW-Authenticate"] = f'ApiKey header="{names.account_key}"'
     return json(
         document,
         status=status or http_status(outcome),
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -7,6 +7,8 @@
 
 from google.protobuf import json_format
 
+from laburnumscale.acceptance import accept_name
+from laburnumscale.accounts import account_place, digest_key
 from laburnumscale.errors import (
     LaburnumscaleError,
     OptionOutOfRange,
@@ -50,13 +52,16 @@
     "burst_calls": (0, 1_000_000_000),
 }
 
+#: Fields of an account beside its keys.
+ACCOUNT_NUMBERS = ("priority", "calls_per_s", "burst_calls")
+
 #: Allowed values of the settings that name a policy.
 NAMES = {
     "routing_policy": ROUTING_POLICIES,
     "ejection_policy": EJECTION_POLICIES,
 }
 
-SECTIONS = ("fleet", "data_centres", "services", "routes")
+SECTIONS = ("fleet", "data_centres", "services", "routes", "accounts")
 NESTED_SECTIONS = ("data_centres", "endpoints")
 
 
@@ -78,6 +83,10 @@
     edits.extend(
         _build_route_edit(file, route) for route in file.value.get("routes", [])
     )
+    edits.extend(
+        _build_account_edit(file, name, value)
+        for name, value in _section_items(file, "accounts")
+    )
     return edits
 
 
@@ -145,7 +154,9 @@
 
 
 def _check_allowed(
-    location: str, name: str, settings: settings_pb2.ServiceSettings
+    location: str,
+    name: str,
+    settings: settings_pb2.ServiceSettings | settings_pb2.ClientAccount,
 ) -> None:
     if name in NAMES and getattr(settings, name) not in NAMES[name]:
         reason = f"the value is not one of {', '.join(NAMES[name])}"
@@ -172,3 +183,43 @@
         location = file.location("routes", route.path_prefix)
         raise OptionValueInvalid(location, "path_prefix", str(error)) from error
     return settings_pb2.Edit(place=str(place), route=route)
+
+
+def _build_account_edit(
+    file: SettingsFile, name: str, value: dict | None
+) -> settings_pb2.Edit:
+    """Return the edit of an account, which has digests instead of the keys.
+
+    No error shows a key.
+    """
+    try:
+        accept_name("accounts", "name", name)
+    except LaburnumscaleError as error:
+        location = file.location("accounts", name)
+        raise OptionValueInvalid(location, "name", str(error)) from error
+    edit = settings_pb2.Edit(place=str(account_place(name)))
+    if value is None:
+        edit.removal.SetInParent()
+        return edit
+    edit.account.name = name
+    for field, setting in value.items():
+        location = file.location("accounts", name, field)
+        if field == "keys":
+            edit.account.key_digests.extend(_digest_keys(location, setting))
+            continue
+        if field not in ACCOUNT_NUMBERS:
+            raise OptionUnknown(location, field)
+        try:
+            json_format.ParseDict({field: setting}, edit.account)
+        except json_format.ParseError as error:
+            raise OptionValueInvalid(location, field, str(error)) from error
+        _check_allowed(location, field, edit.account)
+    return edit
+
+
+def _digest_keys(location: str, keys: object) -> list[bytes]:
+    is_list = isinstance(keys, list)
+    if not is_list or not all(isinstance(each, str) and each for each in keys):
+        reason = "the value is not a list of texts that are not empty"
+        raise OptionValueInvalid(location, "keys", reason)
+    return list(dict.fromkeys(digest_key(each) for each in keys))
--- a/packages/laburnumscale/src/laburnumscale/settingsexplanation.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsexplanation.py
@@ -4,11 +4,13 @@
 """
 
 import json
+from collections.abc import Iterator
 from functools import singledispatch
 
 import attrs
 
 from laburnumscale.places import (
+    AccountPlace,
     DataCentrePlace,
     EndpointPlace,
     FleetPlace,
@@ -66,6 +68,11 @@
     return [place]
 
 
+@lineage_of.register
+def _(place: AccountPlace, data_centre: str) -> list[Place]:
+    return [place]
+
+
 def explain(
     tree: SettingsTree, text: str, data_centre: str = ""
 ) -> settings_pb2.Explanation:
@@ -82,8 +89,8 @@
         revision=tree.revision,
         lineage=[str(ancestor) for ancestor in lineage],
     )
-    if isinstance(place, RoutePlace):
-        explanation.settings.extend(_explain_route(tree, text))
+    if isinstance(place, RoutePlace | AccountPlace):
+        explanation.settings.extend(_explain_value(tree, text))
         return explanation
     setting_sources = dict(tree.setting_sources(lineage))
     for field in attrs.fields(EffectiveSettings):
@@ -108,23 +115,42 @@
     )
 
 
-def _explain_route(
+def _explain_value(
     tree: SettingsTree, text: str
 ) -> list[settings_pb2.ExplainedSetting]:
+    """Return the values of a place that inherits nothing."""
     state = tree.places.get(text)
     if state is None:
         return []
     return [
         settings_pb2.ExplainedSetting(
-            setting="service",
-            value_json=_to_json(state.route.service),
+            setting=name,
+            value_json=_to_json(value),
             place=text,
             revision=state.revision,
             change_id=state.change_id,
         )
+        for name, value in _own_values(state)
     ]
 
 
+def _own_values(
+    state: settings_pb2.PlaceState,
+) -> Iterator[tuple[str, str | bool | float]]:
+    if state.HasField("route"):
+        yield "service", state.route.service
+        if state.route.public:
+            yield "public", True
+        return
+    account = state.account
+    yield "name", account.name
+    yield "keys", len(account.key_digests)
+    if account.HasField("priority"):
+        yield "priority", account.priority
+    yield "calls_per_s", account.calls_per_s
+    yield "burst_calls", account.burst_calls
+
+
 def _to_json(value) -> str:
     if isinstance(value, (str, bool, int, float)):
         return json.dumps(value)
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -7,10 +7,11 @@
 import contextlib
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import islice
 
 from laburnumscale.deadlines import MS_PER_S, Deadline
-from laburnumscale.errors import LaburnumscaleError, RecordInvalid
+from laburnumscale.errors import FieldAdjusted, LaburnumscaleError, RecordInvalid
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.revisionlag import RevisionLag
@@ -33,6 +34,7 @@
 
 SETTINGS_STREAM = "settings"
 MAX_RECENT_RECORDS = 256
+MAX_REPORTED_SHARED_KEYS = 20
 MAX_RECENT_BYTES = 1024 * 1024
 DEFAULT_ISOLATION_MS = 60_000
 #: Time for which a daemon tries to get reported settings from its peers before it reads
@@ -236,6 +238,30 @@
         """Return whether a service is configured in the tree of this daemon."""
         return service in self.tree.services()
 
+    def describe_problems(self) -> list[str]:
+        """Return why the settings are not in force as written, in bounded number."""
+        shared = (str(each) for each in self._shared_account_keys())
+        return [*self.problems.describe(), *islice(shared, MAX_REPORTED_SHARED_KEYS)]
+
+    def _shared_account_keys(self) -> Iterator[FieldAdjusted]:
+        for names in self.tree.accounts.shared_keys():
+            where = f"accounts {', '.join(names[:MAX_REPORTED_SHARED_KEYS])}"
+            yield FieldAdjusted(where, "key", "that of several accounts", "no account")
+
+    def _record_shared_account_keys(self, count_before: int) -> None:
+        """Report keys that several accounts name if the tree has more of them now."""
+        count = self.tree.accounts.shared_key_count
+        if count <= count_before:
+            return
+        self._metrics.count("account_keys_shared", amount=count - count_before)
+        shared = islice(self._shared_account_keys(), MAX_REPORTED_SHARED_KEYS)
+        get_logger().warning(
+            "account keys shared",
+            revision=self.tree.revision,
+            count=count,
+            values=[str(each) for each in shared],
+        )
+
     def held(self) -> peer_pb2.SettingsHeld:
         """Return the revision and digest of the tree as a message for peers."""
         held = peer_pb2.SettingsHeld(
@@ -288,8 +314,10 @@
                 "invalid settings snapshot rejected", reason=str(error)
             )
             return False
+        shared_keys_before = self.tree.accounts.shared_key_count
         if not self.tree.restore(snapshot):
             return False
+        self._record_shared_account_keys(shared_keys_before)
         self._recent_records.clear()
         self._recent_bytes = 0
         get_logger().info(
@@ -325,7 +353,9 @@
         return True
 
     def _apply_change(self, offset: int, change: settings_pb2.Change) -> None:
+        shared_keys_before = self.tree.accounts.shared_key_count
         outcome = self.tree.apply_change(offset + 1, change)
+        self._record_shared_account_keys(shared_keys_before)
         verdict = settings_pb2.Verdict.Name(outcome.verdict)
         self._metrics.count("settings_changes", f'verdict="{verdict}"')
         get_logger().info(
--- a/packages/laburnumscalectl/src/laburnumscalectl/cli.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/cli.py
@@ -10,6 +10,7 @@
 import sys
 
 from laburnumscale.errors import LaburnumscaleError
+from laburnumscalectl.accounts import show_accounts
 from laburnumscalectl.changes import publish, remove, settle
 from laburnumscalectl.client import DaemonUnreachable, OperatorClient
 from laburnumscalectl.logfiles import parse_log_lines
@@ -19,6 +20,7 @@
 
 __all__ = ["main"]
 
+DEFAULT_ACCOUNTS = 100
 EXIT_INVALID = 2
 EXIT_UNREACHABLE = 4
 
@@ -32,6 +34,8 @@
   laburnumscalectl --daemon 127.0.0.1:7002 settle 5b1f0c9e
   laburnumscalectl --daemon 127.0.0.1:7002 status
   laburnumscalectl --daemon 127.0.0.1:7002 drain slot-desk e3
+  laburnumscalectl --daemon 127.0.0.1:7002 accounts
+  laburnumscalectl --daemon 127.0.0.1:7002 accounts --find-key < key.txt
   laburnumscalectl --daemon 127.0.0.1:7002 quarantine
   laburnumscalectl --daemon 127.0.0.1:7002 release 6f1d0a52c47be8093bd9a1e25c07f468
   laburnumscalectl trace 9c41d07be2a35f68 d1.log d2.log d3.log
@@ -197,6 +201,20 @@
     command.add_argument("--place", default="", help="only changes of this place")
     command.add_argument("--limit", type=int, default=0, help="only the last changes")
     _add_command(commands, "status", status, "show daemons and endpoints")
+    command = _add_command(
+        commands, "accounts", show_accounts, "show the client accounts"
+    )
+    selection = command.add_mutually_exclusive_group()
+    selection.add_argument("name", nargs="?", help="only this account")
+    selection.add_argument(
+        "--find-key",
+        action="store_true",
+        help="the account of the key on standard input",
+    )
+    command.add_argument("--offset", type=int, default=0, help="accounts to leave out")
+    command.add_argument(
+        "--limit", type=int, default=DEFAULT_ACCOUNTS, help="at most 1000"
+    )
 
 
 def main() -> None:
--- a/packages/laburnumscalectl/src/laburnumscalectl/client.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/client.py
@@ -102,6 +102,13 @@
         """Return the calls that are suspect or refused because targets ended."""
         return self._request("GET", "/v1/quarantine")["calls"]
 
+    def accounts(self, query: dict[str, str | int]) -> dict:
+        """Return client accounts.
+
+        :param query: ``offset`` and ``limit``, or ``name``, or ``key_digest``.
+        """
+        return self._request("GET", f"/v1/accounts?{urllib.parse.urlencode(query)}")
+
     def release(self, fingerprint: str) -> None:
         """Release a suspect or refused call."""
         quoted = urllib.parse.quote(fingerprint, safe="")
--- a/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/tracing.py
@@ -151,11 +151,13 @@
         yield line.at_s, _format_line(line)
         return
     fields = line.fields
+    account = f" of account {fields['account']}" if fields.get("account") else ""
     execution = "may be repeated" if fields["idempotent"] else "may run once"
     at_s = _started_at_s(line)
     yield (
         at_s,
-        f"{line.daemon} accepted the request for {fields['service']} ({execution},"
+        f"{line.daemon} accepted the request for {fields['service']}{account}"
+        f" ({execution},"
         f" settings revision {fields['revision']})",
     )
     for attempt in fields["attempts"]:
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -30,6 +30,11 @@
 """
 
 DESCRIPTIONS = {
+    "account_calls": (
+        "calls of client accounts at their entry, by account and outcome; the accounts "
+        "beyond 200 are counted together, without a name"
+    ),
+    "account_keys_shared": "keys that several client accounts name, when they appear",
     "announcements_late": "announcements of targets ignored as out of date",
     "answers_too_large": "responses of targets above the size limit, by service",
     "answers_skipped": (
@@ -130,6 +135,9 @@
         "attempts refused because of the limit that their target names in its "
         "responses, by service"
     ),
+    "requests_unauthorized": (
+        "requests refused with 401, by whether their account key was missing or unknown"
+    ),
     "requests_refused": "requests of callers rejected as invalid or too large",
     "retries": "retries that the retry budget allowed, by service",
     "retries_over_budget": "retries that the retry budget did not allow, by service",
@@ -195,12 +203,13 @@
 
 def find_metric_uses(sources: Path = SOURCES) -> Iterator[MetricUse]:
     """Yield the calls in the sources that update a metric."""
-    for path in sorted(sources.glob("*.py")):
+    for path in sorted(sources.rglob("*.py")):
         tree = ast.parse(path.read_text())
         for node in ast.walk(tree):
             if _is_metric_call(node):
                 names = _possible_strings(node.args[0], tree)
-                yield MetricUse(METRIC_KINDS[node.func.attr], path.stem, names)
+                module = ".".join(path.relative_to(sources).with_suffix("").parts)
+                yield MetricUse(METRIC_KINDS[node.func.attr], module, names)
 
 
 def _is_metric_call(node: ast.AST) -> bool:
