--- a/packages/laburnumscale/src/laburnumscale/places.py
+++ b/packages/laburnumscale/src/laburnumscale/places.py
@@ -115,18 +115,25 @@
 
 FLEET = FleetPlace()
 
-_PLACE_TYPES = tuple(
-    (re.compile(place_type.pattern), place_type)
-    for place_type in (
-        FleetPlace,
-        DataCentrePlace,
-        ServicePlace,
-        ServiceInDataCentrePlace,
-        EndpointPlace,
-        RoutePlace,
-        AccountPlace,
-    )
+_PLACE_TYPES = (
+    FleetPlace,
+    DataCentrePlace,
+    ServicePlace,
+    ServiceInDataCentrePlace,
+    EndpointPlace,
+    RoutePlace,
+    AccountPlace,
 )
+#: Patterns and types by the part of the text form before the first colon. Trees may
+#: have many accounts, and trying all patterns took a quarter of the time of a check.
+_PLACE_TYPES_BY_KIND = {
+    kind: [
+        (re.compile(place_type.pattern), place_type)
+        for place_type in _PLACE_TYPES
+        if place_type.pattern.partition(":")[0] == kind
+    ]
+    for kind in {each.pattern.partition(":")[0] for each in _PLACE_TYPES}
+}
 
 
 def parse_place(text: str) -> Place:
@@ -134,7 +141,7 @@
 
     :raises PlaceInvalid: the text matches none of the forms.
     """
-    for pattern, place_type in _PLACE_TYPES:
+    for pattern, place_type in _PLACE_TYPES_BY_KIND.get(text.partition(":")[0], ()):
         match = pattern.fullmatch(text)
         if match:
             return place_type(**match.groupdict())
--- a/packages/laburnumscale/src/laburnumscale/settingschecks.py
+++ b/packages/laburnumscale/src/laburnumscale/settingschecks.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Mapping
 
 from google.protobuf.message import DecodeError, Message
 
@@ -38,6 +39,7 @@
 MAX_HTTP_STATUS = 599
 CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,32}")
+NOTHING_CHECKED: Mapping[str, settings_pb2.PlaceState] = {}
 #: The values of places that do not hold settings.
 KINDS = {RoutePlace: "route", AccountPlace: "account"}
 SERVICE_PATTERN = re.compile(NAME_PATTERN)
@@ -96,9 +98,14 @@
         check_place_value(edit.place, edit)
 
 
-def check_snapshot(snapshot: settings_pb2.Snapshot) -> None:
+def check_snapshot(
+    snapshot: settings_pb2.Snapshot,
+    checked: Mapping[str, settings_pb2.PlaceState] = NOTHING_CHECKED,
+) -> None:
     """Validate a snapshot that was received from the log or from a peer.
 
+    :param checked: places that were valid before. Accounts that are the same in them
+        are not checked again, as there may be many, of which few change at a time.
     :raises LaburnumscaleError: the snapshot is invalid; the error names the snapshot,
         or the place and the setting.
     """
@@ -110,7 +117,14 @@
             )
         if state.WhichOneof("value") is None:
             raise RequestInvalid(state.place, "it has no value")
-        check_place_value(state.place, state)
+        known = checked.get(state.place)
+        is_known_account = (
+            known is not None
+            and state.HasField("account")
+            and known.account == state.account
+        )
+        if not is_known_account:
+            check_place_value(state.place, state)
     revisions = [outcome.revision for outcome in snapshot.outcomes]
     if revisions != sorted(revisions):
         raise RequestInvalid("snapshot", "its outcomes are not ordered by revision")
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -307,7 +307,7 @@
         :returns: whether the tree changed.
         """
         try:
-            check_snapshot(snapshot)
+            check_snapshot(snapshot, self.tree.places)
         except LaburnumscaleError as error:
             self._metrics.count("settings_snapshots_invalid")
             get_logger().warning(
