Describe client accounts, and keep the tree's caches when only accounts change

The first look-up after a change of one account took 21 ms with 190,000 accounts, because the tree forgot its route and service names and went through all places again.

A key that several accounts name is reported by the same log line and metric as other values that are not in force as written.

--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -1,8 +1,7 @@
 """Benchmark of client accounts.
 
-Measures the memory of a tree with many accounts and the time to apply a version in which
-one of them has changed, as a change and as a snapshot or document. The argument is the
-number of accounts, by default 190,000.
+Measures the memory of a tree with many accounts (the argument, or 190,000) and the time
+to apply a version in which one of them has changed, as a change, snapshot or document.
 """
 
 import gc
@@ -66,7 +65,10 @@
 
 
 def change_one(feed: SettingsFeed, number: int) -> float:
-    """Apply a change of one account, and return the time in milliseconds."""
+    """Apply a change of one account, and look up what the tree caches.
+
+    :returns: the time in milliseconds.
+    """
     name = "account-000000"
     place = str(account_place(name))
     revision = feed.tree.revision
@@ -79,8 +81,14 @@
     edit.account.name = name
     edit.account.key_digests.append(digest_key(f"new-{number}"))
     record = settings_pb2.SettingsRecord(change=change).SerializeToString()
-    elapsed_ms, applied = time_ms(lambda: feed.apply_record(revision, record))
-    assert applied and feed.tree.accounts.find(digest_key(f"new-{number}")) is not None
+
+    def apply() -> None:
+        assert feed.apply_record(revision, record)
+        feed.tree.route("desk.example", "/lookup/1")
+        feed.tree.services()
+
+    elapsed_ms, _ = time_ms(apply)
+    assert feed.tree.accounts.find(digest_key(f"new-{number}")) is not None
     return elapsed_ms
 
 
@@ -104,7 +112,9 @@
     values["resident MB"] = grown_bytes / 1e6
 
     changes_ms = [change_one(feed, number) for number in range(REPEATS)]
-    values["change of one account, ms (median)"] = sorted(changes_ms)[REPEATS // 2]
+    values["change of one account with the next look-up, ms (median)"] = sorted(
+        changes_ms
+    )[REPEATS // 2]
 
     second = create_document(100, account_count)
     values["document KB"] = len(second) / 1000
--- a/packages/laburnumscale/src/laburnumscale/accounts/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/accounts/__init__.py
@@ -6,7 +6,11 @@
 
 from laburnumscale.accounts.callcounts import AccountCallCounts
 from laburnumscale.accounts.digests import DIGEST_BYTES, digest_key
-from laburnumscale.accounts.table import AccountTable, account_place
+from laburnumscale.accounts.table import (
+    AccountTable,
+    account_place,
+    is_account_place,
+)
 
 __all__ = [
     "DIGEST_BYTES",
@@ -14,4 +18,5 @@
     "AccountTable",
     "account_place",
     "digest_key",
+    "is_account_place",
 ]
--- a/packages/laburnumscale/src/laburnumscale/accounts/table.py
+++ b/packages/laburnumscale/src/laburnumscale/accounts/table.py
@@ -9,7 +9,7 @@
 from laburnumscale.places import AccountPlace
 from laburnumscale_schema import settings_pb2
 
-__all__ = ["AccountTable", "account_place"]
+__all__ = ["AccountTable", "account_place", "is_account_place"]
 
 ACCOUNT_PREFIX = "account:"
 
@@ -21,6 +21,11 @@
     return AccountPlace(encode_name(name))
 
 
+def is_account_place(place: str) -> bool:
+    """Return whether the text form of a place is that of an account."""
+    return place.startswith(ACCOUNT_PREFIX)
+
+
 class AccountTable:
     """Index of the accounts in a settings tree.
 
@@ -53,7 +58,7 @@
     def __iter__(self) -> Iterator[settings_pb2.ClientAccount]:
         """Iterate over all accounts."""
         for place, state in self._places.items():
-            if place.startswith(ACCOUNT_PREFIX):
+            if is_account_place(place):
                 yield state.account
 
     @property
@@ -72,11 +77,11 @@
         """Replace all places; only accounts that differ are indexed again."""
         before, self._places = self._places, places
         for place, state in before.items():
-            if place.startswith(ACCOUNT_PREFIX) and place not in places:
+            if is_account_place(place) and place not in places:
                 self._remove(place, state.account.key_digests)
                 self.count -= 1
         for place, state in places.items():
-            if not place.startswith(ACCOUNT_PREFIX):
+            if not is_account_place(place):
                 continue
             known = before.get(place)
             if known is None:
@@ -91,7 +96,7 @@
 
         :param before: previous state of the place, or None.
         """
-        if not place.startswith(ACCOUNT_PREFIX):
+        if not is_account_place(place):
             return
         if before is not None:
             self.count -= 1
--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -253,10 +253,10 @@
         count = self.tree.accounts.shared_key_count
         if count <= count_before:
             return
-        self._metrics.count("account_keys_shared", amount=count - count_before)
+        self._metrics.count("settings_values_adjusted", amount=count - count_before)
         shared = islice(self._shared_account_keys(), MAX_REPORTED_SHARED_KEYS)
         get_logger().warning(
-            "account keys shared",
+            "settings values adjusted",
             revision=self.tree.revision,
             count=count,
             values=[str(each) for each in shared],
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -9,7 +9,7 @@
 import attrs
 import xxhash
 
-from laburnumscale.accounts import AccountTable
+from laburnumscale.accounts import AccountTable, is_account_place
 from laburnumscale.places import (
     FLEET,
     DataCentrePlace,
@@ -334,7 +334,9 @@
             getattr(state, kind).CopyFrom(getattr(edit, kind))
             self.places[edit.place] = state
             self.accounts.record_edit(edit.place, before)
-        self._clear_caches()
+        # The caches hold nothing of accounts and take long to fill in a large tree.
+        if not all(is_account_place(edit.place) for edit in change.edits):
+            self._clear_caches()
 
     def _advance_revision(self, revision: int, record_result: bytes) -> None:
         self.revision = revision
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -34,7 +34,6 @@
         "calls of client accounts at their entry, by account and outcome; the accounts "
         "beyond 200 are counted together, without a name"
     ),
-    "account_keys_shared": "keys that several client accounts name, when they appear",
     "announcements_late": "announcements of targets ignored as out of date",
     "answers_too_large": "responses of targets above the size limit, by service",
     "answers_skipped": (
@@ -173,7 +172,8 @@
     ),
     "settle_questions": "queries for the outcome of an attempt whose reply was lost",
     "settings_values_adjusted": (
-        "values of settings documents that were brought into range"
+        "values of settings documents that were brought into range, and account keys "
+        "that several accounts name"
     ),
     "suspect_calls": "calls at a guard under which their target ended, by service",
     "suspect_calls_invalid": "records of suspect calls of peers that are invalid",
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -38,6 +38,20 @@
 `services.NAME.endpoints.NAME`; the value nearest to the endpoint takes precedence.
 
 """
+ACCOUNT_INTRODUCTION = """## Accounts
+
+Published in `accounts.NAME` of the same file. `require_account_key`, which only `fleet`
+may set, makes calls need the key of an account, except on routes with `"public": true`.
+
+"""
+ACCOUNT_KEYS_ROW = (
+    "`keys`",
+    "none",
+    "",
+    "Keys in plain text, which callers send in a header field. Only their digests are "
+    "published; a key that several accounts name identifies none of them.",
+)
+ACCOUNT_NUMBERS_START = 2  # the name and the digests are not written in files
 DAEMON_INTRODUCTION = """## Daemons
 
 Read by `laburnumscaled FILE` at its start; `laburnumscaled --check FILE` only checks
@@ -100,6 +114,18 @@
     return rows
 
 
+def build_account_rows() -> list[tuple[str, ...]]:
+    """Return the table rows of the settings of client accounts."""
+    rows = [ACCOUNT_KEYS_ROW]
+    fields = read_fields("ClientAccount", "settings.proto")
+    for field in fields[ACCOUNT_NUMBERS_START:]:
+        minimum, maximum = RANGES[field.name]
+        default = "that of the route" if field.name == "priority" else "0"
+        allowed_range = f"{minimum} to {maximum}"
+        rows.append((f"`{field.name}`", default, allowed_range, field.comment))
+    return rows
+
+
 def build_daemon_rows() -> list[tuple[str, ...]]:
     """Return the table rows of the settings of daemons."""
     rows = []
@@ -125,6 +151,9 @@
         + SERVICE_INTRODUCTION
         + format_table(("setting", "default", "range", "meaning"), build_service_rows())
         + "\n"
+        + ACCOUNT_INTRODUCTION
+        + format_table(("setting", "default", "range", "meaning"), build_account_rows())
+        + "\n"
         + DAEMON_INTRODUCTION
         + format_table(("setting", "default", "meaning"), build_daemon_rows())
     )
