--- a/packages/laburnumscale/src/laburnumscale/accountsapi.py
+++ b/packages/laburnumscale/src/laburnumscale/accountsapi.py
@@ -8,7 +8,7 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.response import json
 
-from laburnumscale.accounts import AccountCallCounts
+from laburnumscale.accounts import AccountCallCounts, account_place
 from laburnumscale.callerrequests import is_number
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import settings_pb2
@@ -67,6 +67,7 @@
         has_priority = account.HasField("priority")
         return {
             "name": account.name,
+            "place": str(account_place(account.name)),
             "priority": account.priority if has_priority else None,
             "calls_per_s": account.calls_per_s,
             "burst_calls": account.burst_calls,
--- a/packages/laburnumscalectl/src/laburnumscalectl/accounts.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/accounts.py
@@ -53,4 +53,4 @@
     else:
         counts = " ".join(f"{name} {count}" for name, count in sorted(calls.items()))
         parts.append(f"calls: {counts}")
-    return f"{account['name']}: {', '.join(parts)}"
+    return f"{account['name']} ({account['place']}): {', '.join(parts)}"
--- a/tests/features/steps/account_calls_steps.py
+++ b/tests/features/steps/account_calls_steps.py
@@ -112,7 +112,8 @@
         text=True,
         check=True,
     )
-    assert f"{name}: " in found.stdout and "1 of 2" in found.stdout, found
+    assert f"{name} (account:" in found.stdout, found
+    assert "1 of 2 accounts" in found.stdout, found
 
 
 @then("no log, metric or problem document contains a key")
