--- a/packages/laburnumscale/src/laburnumscale/settingsfeed.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfeed.py
@@ -253,10 +253,10 @@
         count = self.tree.accounts.shared_key_count
         if count <= count_before:
             return
-        self._metrics.count("account_keys_shared", amount=count - count_before)
+        self._metrics.count("settings_values_adjusted", amount=count - count_before)
         shared = islice(self._shared_account_keys(), MAX_REPORTED_SHARED_KEYS)
         get_logger().warning(
-            "account keys shared",
+            "settings values adjusted",
             revision=self.tree.revision,
             count=count,
             values=[str(each) for each in shared],
@@ -307,7 +307,7 @@
         :returns: whether the tree changed.
         """
         try:
-            check_snapshot(snapshot)
+            check_snapshot(snapshot, self.tree.places)
         except LaburnumscaleError as error:
             self._metrics.count("settings_snapshots_invalid")
             get_logger().warning(
