--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -46,7 +46,8 @@
 class Episode:
     """A time in which a target fails a share of its calls.
 
-    :ivar kind: ``hang``, ``errors`` or ``slow``.
+    :ivar kind: ``hang``, ``errors``, ``slow`` or ``drop``, which breaks the connection
+        when a call arrives.
     :ivar share: share of the calls that fail, 0 to 1.
     """
 
@@ -63,11 +64,15 @@
     :ivar data_centre: where its host is.
     :ivar slots: calls that it runs at a time.
     :ivar speed: its work takes this multiple of the time that a call needs.
+    :ivar full_factor: with all slots taken, work takes this multiple of its time.
+    :ivar full_from: share of the slots in use from which work takes longer.
     """
 
     data_centre: str = "makati"
     slots: int = 4
     speed: float = 1.0
+    full_factor: float = 1.0
+    full_from: float = 0.75
     episodes: tuple[Episode, ...] = ()
 
 
@@ -77,6 +82,8 @@
 
     :ivar plan: its failures, relative to ``started_at_s``.
     :ivar last_run_at_s: time at which the latest call started, in virtual time.
+    :ivar arrivals_at_s: times at which calls arrived, in virtual time.
+    :ivar dropped: arrivals whose connection was broken.
     :ivar calls: how often each request has run.
     """
 
@@ -86,23 +93,39 @@
     calls: dict[str, int] = attrs.field(factory=dict)
     running: int = 0
     last_run_at_s: float = 0.0
+    arrivals_at_s: list[float] = attrs.field(factory=list)
+    dropped: int = 0
 
     async def run(self, request_id: str, work_s: float) -> int:
-        """Work on a call and return the status of its response."""
-        self.calls[request_id] = self.calls.get(request_id, 0) + 1
-        self.last_run_at_s = asyncio.get_running_loop().time()
+        """Work on a call and return the status of its response.
+
+        :raises ConnectionResetError: the target broke the connection at once.
+        """
+        loop = asyncio.get_running_loop()
+        self.arrivals_at_s.append(loop.time())
         failure = self._failure()
+        if failure == "drop":
+            self.dropped += 1
+            raise ConnectionResetError
+        self.calls[request_id] = self.calls.get(request_id, 0) + 1
+        self.last_run_at_s = loop.time()
         self.running += 1
         try:
             if failure == "hang":
                 await asyncio.Event().wait()
             if failure == "slow":
                 work_s *= 8
-            await asyncio.sleep(work_s * self.plan.speed)
+            await asyncio.sleep(work_s * self.plan.speed * self._slowdown())
         finally:
             self.running -= 1
         return SERVER_ERROR if failure == "errors" else OK
 
+    def _slowdown(self) -> float:
+        """Return the factor by which the calls that run now lengthen the work."""
+        free_share = self.plan.slots * self.plan.full_from
+        over = max(0.0, self.running - free_share)
+        return 1 + (self.plan.full_factor - 1) * over / (self.plan.slots - free_share)
+
     def _failure(self) -> str:
         age_s = asyncio.get_running_loop().time() - self.started_at_s
         for episode in self.plan.episodes:
@@ -136,6 +159,10 @@
                 end=True,
                 load=target.load(head.route),
             )
+        except ConnectionResetError:
+            monitor.record_connection_failure()
+            reason = peer_pb2.UNKNOWN_REASON_CONNECTION_LOST
+            yield unknown_reply(reason, target.load(head.route))
         except TimeoutError:
             reason = peer_pb2.UNKNOWN_REASON_DEADLINE
             yield unknown_reply(reason, target.load(head.route))
--- a/bench/model/load.py
+++ b/bench/model/load.py
@@ -69,16 +69,33 @@
 
 
 async def play_load(
-    fleet: ModelFleet, routes: list[RouteLoad], duration_s: float, seed: int
+    fleet: ModelFleet,
+    routes: list[RouteLoad],
+    duration_s: float,
+    seed: int,
+    demand: dict[str, float] | None = None,
 ) -> dict[str, LoadResult]:
-    """Send the calls of all routes and return the results by route name."""
+    """Send the calls of all routes and return the results by route name.
+
+    :param demand: calls of an entry in each data centre, relative to the others; the
+        same in all by default.
+    """
     random = np.random.default_rng(seed)
+    weights = np.array([(demand or {}).get(place, 1.0) for _, place in fleet.runners])
+    shares = weights / weights.sum()
     results = {route.name: LoadResult() for route in routes}
     numbers = itertools.count(1)
     async with asyncio.TaskGroup() as group:
         for route in routes:
             arrivals = _send_calls(
-                group, fleet, route, results[route.name], duration_s, random, numbers
+                group,
+                fleet,
+                route,
+                results[route.name],
+                duration_s,
+                random,
+                numbers,
+                shares,
             )
             group.create_task(arrivals)
     return results
@@ -92,6 +109,7 @@
     duration_s: float,
     random: np.random.Generator,
     numbers: itertools.count,
+    shares: np.ndarray,
 ) -> None:
     loop = asyncio.get_running_loop()
     end_at_s = loop.time() + duration_s
@@ -102,7 +120,7 @@
         request_id = f"call-{next(numbers)}"
         work_ms = route.work_ms * random.lognormal(0.0, route.work_sigma)
         fleet.work_s[request_id] = work_ms / MS_PER_S
-        runner, _ = fleet.runners[random.integers(len(fleet.runners))]
+        runner, _ = fleet.runners[random.choice(len(shares), p=shares)]
         group.create_task(run_call(fleet, route, request_id, result, runner))
 
 
