Keep targets in doubt until they have answered some calls in a row

With the new setting return_successes, a target stays in doubt after its start and after an ejection until it has answered this many calls in a row, for 5 s at most; its replies say so. The same evidence ends doubt after a failed call. Calls are refused as in doubt three times at most, as before, and floor traffic is not refused. The default is 0, which changes nothing.

--- a/bench/targetablation.py
+++ b/bench/targetablation.py
@@ -69,6 +69,8 @@
 #: The settings that are compared, by their names on the command line.
 VARIANTS: dict[str, dict] = {
     "before": {},
+    "return 1": {"return_successes": 1},
+    "return 2": {"return_successes": 2},
 }
 
 
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -64,7 +64,7 @@
         :raises AttemptRefused: the target is ejected and the attempt is not floor
             traffic, or the target is on trial and the attempt cannot be its trial call.
         """
-        record = self._get_record(target)
+        record = self._get_record(target, settings)
         on_trial = self._check_admission(record, settings, head)
         if not on_trial:
             yield
@@ -83,7 +83,7 @@
         deadline: Deadline,
     ) -> AttemptMonitor:
         """Return a monitor for an attempt that starts now."""
-        record = self._get_record(target)
+        record = self._get_record(target, settings)
         self._most_look_bad[head.service] = head.most_look_bad
         reference_us = head.reference_latency_us
         if target.is_warming_up() and not record.ejection_backoff.doublings:
@@ -149,10 +149,13 @@
         target = record.target
         bad = bool(cause)
         record.statistics.add_result(bad, weight)
+        target.record_result(bad)
         labels = f'service="{target.service}",bad="{str(bad).lower()}"'
         self._metrics.count("attempts", labels)
         target.latency_us = int(record.statistics.latency_us)
-        if not record.statistics.raises_doubt():
+        needed = settings.return_successes
+        has_proved = 0 < needed <= target.successes
+        if has_proved or not record.statistics.raises_doubt():
             target.doubt_deadline = NO_DOUBT
         elif bad:
             target.doubt_deadline = Deadline.after_ms(MAX_DOUBT_MS)
@@ -163,7 +166,9 @@
         elif bad and self._is_failing(record, settings):
             self._eject(record, settings, cause)
 
-    def _get_record(self, target: LocalTarget) -> HealthRecord:
+    def _get_record(
+        self, target: LocalTarget, settings: EffectiveSettings
+    ) -> HealthRecord:
         key = (target.service, target.endpoint)
         record = self._records.get(key)
         if record is None or record.target is not target:
@@ -172,6 +177,7 @@
             self._remove_withdrawn()
             record = HealthRecord(target)
             self._records[key] = record
+            target.start_probation(settings.return_successes)
         return record
 
     def _remove_withdrawn(self) -> None:
@@ -248,6 +254,7 @@
         record.statistics.reset_after_trial(settings.eject_after)
         record.ejection_backoff.record_return()
         record.target.set_verdict(slow_start=True)
+        record.target.start_probation(settings.return_successes)
         self._report_verdict(
             record.target, "target returned", reason="trial call served"
         )
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -23,6 +23,7 @@
 #: workloads.
 SLOW_START_STEP_S = 0.2
 WARM_UP_S = 3.0
+MAX_PROBATION_MS = 5_000  # as long as a bad call keeps a target in doubt
 SLOT_TIME_WEIGHT = 0.1
 
 #: Source of the verdict versions, which increase throughout the process.
@@ -54,6 +55,10 @@
         first one.
     :ivar late_calls: number of its running calls that take unusually long.
     :ivar doubt_deadline: until when its latest bad calls leave it in doubt.
+    :ivar successes_needed: calls in a row that it must answer before it is out of doubt
+        after its start or an ejection.
+    :ivar successes: calls that it has answered in a row since then.
+    :ivar probation_deadline: until when it is in doubt for lack of successes.
     :ivar severity_percent: ratio of bad calls while it is ejected, in percent.
     :ivar verdict_version: increases with each verdict of the guard.
     :ivar on_trial: it returns from an ejection and takes one call at a time.
@@ -81,6 +86,9 @@
     slot_time_us: float = 0.0
     late_calls: int = 0
     doubt_deadline: Deadline = NO_DOUBT
+    successes_needed: int = 0
+    successes: int = 0
+    probation_deadline: Deadline = NO_DOUBT
     ejected: bool = False
     severity_percent: int = 0
     verdict_version: int = attrs.field(factory=VERDICT_VERSIONS.__next__)
@@ -133,8 +141,37 @@
 
     @property
     def in_doubt(self) -> bool:
-        """Return whether some of its latest calls failed, or take unusually long."""
-        return self.late_calls > 0 or not self.doubt_deadline.has_passed()
+        """Return whether calls that may run only once avoid the target.
+
+        Some of its latest calls failed or take unusually long, or too few have been
+        answered since its start or an ejection.
+        """
+        return (
+            self.late_calls > 0
+            or not self.doubt_deadline.has_passed()
+            or self.on_probation
+        )
+
+    @property
+    def on_probation(self) -> bool:
+        """Return whether it has answered too few calls since its start or return."""
+        return (
+            self.successes < self.successes_needed
+            and not self.probation_deadline.has_passed()
+        )
+
+    def start_probation(self, successes_needed: int) -> None:
+        """Keep the target in doubt until it has answered some calls in a row.
+
+        The time is limited: the target may get no call that shows that it works.
+        """
+        self.successes_needed = successes_needed
+        self.successes = 0
+        self.probation_deadline = Deadline.after_ms(MAX_PROBATION_MS)
+
+    def record_result(self, bad: bool) -> None:
+        """Count the calls that were answered in a row."""
+        self.successes = 0 if bad else self.successes + 1
 
     def open_slots(self) -> int:
         """Return the number of open slots, which increases during a slow start."""
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -46,6 +46,7 @@
     "slow_excess_ms": (1, 600_000),
     "ejection_ms": (100, 600_000),
     "connection_limit": (0, 1_000_000),
+    "return_successes": (0, 100),
 }
 
 #: Allowed values of the settings that name a policy.
--- a/packages/laburnumscale/src/laburnumscale/recovery.py
+++ b/packages/laburnumscale/src/laburnumscale/recovery.py
@@ -131,6 +131,7 @@
         await asyncio.sleep(TRIAL_TIMEOUT_S)
         if target.verdict_version == version:
             target.set_verdict(slow_start=True)
+            target.start_probation(settings.return_successes)
             _log("target returned", target, reason="no trial call came")
             self.on_verdict_change()
 
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -55,6 +55,8 @@
         not idempotent.
     :ivar require_account_key: whether calls need the key of a client account, except
         those on public routes.
+    :ivar return_successes: calls in a row that a target must answer after its start or
+        an ejection before calls that may run only once no longer avoid it.
     """
 
     time_limit_ms: int = 2000
@@ -78,6 +80,7 @@
     close_ends_answer: bool = False
     serve_when_stale: bool = False
     require_account_key: bool = False
+    return_successes: int = 0
 
 
 def python_value(settings: settings_pb2.ServiceSettings, name: str):
--- a/tests/features/trials.feature
+++ b/tests/features/trials.feature
@@ -24,3 +24,29 @@
     Given 20 model targets, of which half are on trial and no entry knows it
     When 20 holds are sent one after another
     Then all of them are answered and none has run at a target on trial
+
+  Scenario Outline: A target is in doubt until it has answered some calls in a row
+    Given a guard with a target that <history>, and <needed> successes needed
+    When the target answers calls: <results>
+    Then a call that may run once is <result>
+
+    Examples:
+      | history                   | needed | results          | result              |
+      | has just started          | 0      | none             | admitted            |
+      | has just started          | 2      | none             | refused as in_doubt |
+      | has just started          | 2      | good             | refused as in_doubt |
+      | has just started          | 2      | good, good       | admitted            |
+      | has just started          | 2      | good, bad, good  | refused as in_doubt |
+      | has passed its trial      | 2      | none             | refused as in_doubt |
+      | has passed its trial      | 2      | good, good       | admitted            |
+      | has passed its trial      | 0      | none             | refused as in_doubt |
+      | has passed its trial      | 0      | good, good       | refused as in_doubt |
+      | returned without a trial  | 2      | none             | refused as in_doubt |
+      | returned without a trial  | 2      | good, good       | admitted            |
+      | started 6 s ago, untested | 2      | none             | refused as in_doubt |
+      | got its first call 6 s ago | 2     | none             | admitted            |
+
+  Scenario: A service whose calls may all run once does not lose its new targets
+    Given 12 model targets that need 3 successes
+    When 10 s of holds at 20 calls a second are sent to them
+    Then all of them are answered, and every target has run some in the last 3 s
