--- a/bench/model/load.py
+++ b/bench/model/load.py
@@ -81,8 +81,10 @@
         same in all by default.
     """
     random = np.random.default_rng(seed)
-    weights = np.array([(demand or {}).get(place, 1.0) for _, place in fleet.runners])
-    shares = weights / weights.sum()
+    shares = None
+    if demand is not None:
+        weights = np.array([demand.get(place, 1.0) for _, place in fleet.runners])
+        shares = weights / weights.sum()
     results = {route.name: LoadResult() for route in routes}
     numbers = itertools.count(1)
     async with asyncio.TaskGroup() as group:
@@ -109,7 +111,7 @@
     duration_s: float,
     random: np.random.Generator,
     numbers: itertools.count,
-    shares: np.ndarray,
+    shares: np.ndarray | None,
 ) -> None:
     loop = asyncio.get_running_loop()
     end_at_s = loop.time() + duration_s
@@ -120,7 +122,7 @@
         request_id = f"call-{next(numbers)}"
         work_ms = route.work_ms * random.lognormal(0.0, route.work_sigma)
         fleet.work_s[request_id] = work_ms / MS_PER_S
-        runner, _ = fleet.runners[random.choice(len(shares), p=shares)]
+        runner, _ = fleet.runners[random.choice(len(fleet.runners), p=shares)]
         group.create_task(run_call(fleet, route, request_id, result, runner))
 
 
