Concentrate calls that may run only once while most slots are free

Callers lost about a tenth of these calls at targets that begin to break connections: the first one after each onset is lost unless a call that may be repeated comes before it, and with an even spread every target meets one.

With the new setting concentration_percent, entries send these calls to the first healthy targets of an order that is the same at all entries, without those known to be in doubt. Each entry sizes the set by the use that these targets report, up to the setting. Calls whose objective is less than twice the median latency, and services that need most of their targets, keep the even choice. Calls that may be repeated go to all targets. The default is 0, which changes nothing.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -140,6 +140,7 @@
 
     machine: _Machine
     work_s: dict[str, float]
+    last_at_most_once_at_s: dict[str, float]
 
     async def _send_to_target(
         self, target, settings, head, body, transmission
@@ -148,6 +149,9 @@
             target, settings, head, transmission.deadline
         )
         transmission.attempt.mark_sent(transmission.send_deadline)
+        if not head.idempotent:
+            now_s = asyncio.get_running_loop().time()
+            self.last_at_most_once_at_s[head.endpoint] = now_s
         try:
             async with asyncio.timeout(transmission.deadline.left_s()):
                 status = await self.machine.run(
@@ -265,6 +269,8 @@
     :param settings: settings of the service.
     :param retry_slack: retries that the fleet may make beyond the budget.
     :ivar work_s: time that each request needs, by its id.
+    :ivar last_at_most_once_at_s: when the last call that may run only once arrived,
+        by endpoint.
     :ivar targets: the targets as their guards know them.
     :ivar runners: the entries, with the data centre of each.
     :ivar metrics: counters of all daemons.
@@ -282,6 +288,7 @@
         self.work_s: dict[str, float] = {}
         self.machines: list[_Machine] = []
         self.targets: list[LocalTarget] = []
+        self.last_at_most_once_at_s: dict[str, float] = {}
         self.runners: list[tuple[CallRunner, str]] = []
         self._directory = _Directory()
         self._guards: dict[str, Guard] = {}
@@ -305,6 +312,10 @@
         """Return how often a request has run at all targets together."""
         return sum(machine.calls.get(request_id, 0) for machine in self.machines)
 
+    def last_arrival_at_s(self) -> float:
+        """Return when the latest call arrived at a target, in virtual time."""
+        return max(max(each.arrivals_at_s, default=0.0) for each in self.machines)
+
     def busy_slots(self) -> int:
         """Return the number of calls that run at the targets."""
         return sum(machine.running for machine in self.machines)
@@ -340,6 +351,7 @@
             HeaderNames(),
         )
         guard.machine, guard.work_s, guard.health = machine, self.work_s, health
+        guard.last_at_most_once_at_s = self.last_at_most_once_at_s
         self._guards[daemon] = guard
 
     def _build_runner(
--- a/bench/targetablation.py
+++ b/bench/targetablation.py
@@ -15,6 +15,7 @@
 import structlog
 
 from bench.model import (
+    SERVICE,
     Episode,
     LoadResult,
     ModelFleet,
@@ -34,6 +35,7 @@
 DROP_CYCLE_S = 9.0
 DROP_S = 3.0
 DURATION_S = 14.0
+IDLE_PERIOD_S = 2.0
 MS_PER_S = 1000
 WORK_SIGMA = 0.5
 
@@ -71,6 +73,8 @@
     "before": {},
     "return 1": {"return_successes": 1},
     "return 2": {"return_successes": 2},
+    "few": {"concentration_percent": 75},
+    "few, return 1": {"concentration_percent": 75, "return_successes": 1},
 }
 
 
@@ -129,10 +133,52 @@
     ]
 
 
+@attrs.frozen
+class Play:
+    """The results of one play.
+
+    :ivar results: what callers got, by route.
+    :ivar doubtful: attempts that were refused as in doubt.
+    :ivar idle_shares: share of the sound targets without a call, for each period.
+    """
+
+    results: dict[str, LoadResult]
+    doubtful: int
+    idle_shares: list[float]
+
+
+def measure_idle_shares(fleet: ModelFleet) -> list[float]:
+    """Return the share of the sound targets that got no call, for each period.
+
+    The first periods are left out, as entries know little then.
+    """
+    shares = []
+    for start_s in np.arange(2 * IDLE_PERIOD_S, DURATION_S, IDLE_PERIOD_S):
+        end_s = start_s + IDLE_PERIOD_S
+        sound = [
+            machine
+            for machine in fleet.machines
+            if not any(
+                episode.start_s < end_s and start_s < episode.end_s
+                for episode in machine.plan.episodes
+            )
+        ]
+        idle = [
+            machine
+            for machine in sound
+            if not any(
+                start_s <= at_s - machine.started_at_s < end_s
+                for at_s in machine.arrivals_at_s
+            )
+        ]
+        shares.append(len(idle) / max(1, len(sound)))
+    return shares
+
+
 def play(
     changes: dict, utilisation: float, seed: int, drops: bool, uneven: bool
-) -> tuple[dict[str, LoadResult], dict[tuple[str, str], float]]:
-    """Play one load and return the results by route, and the counters."""
+) -> Play:
+    """Play one load."""
     plans = plan_targets(seed, drops, uneven)
     routes = build_routes(utilisation, plans)
     settings = attrs.evolve(BASE, **changes)
@@ -145,15 +191,21 @@
 
     random.seed(seed)
     results = run_in_virtual_time(run)
-    return results, dict(fleets[0].metrics.counters)
+    counters = fleets[0].metrics.counters
+    label = f'service="{SERVICE}"'
+    return Play(
+        results,
+        int(counters.get(("refused_in_doubt", label), 0)),
+        measure_idle_shares(fleets[0]),
+    )
 
 
-def format_row(name: str, utilisation: float, plays: list) -> str:
+def format_row(name: str, utilisation: float, plays: list[Play]) -> str:
     """Return one row of the table, with the sums over several plays."""
     cells = []
     worth = most_worth = 0.0
     for route in ROUTES:
-        results = [results[route.name] for results, _ in plays]
+        results = [played.results[route.name] for played in plays]
         calls = sum(result.calls for result in results)
         served = sum(result.in_time + result.late for result in results)
         in_time = sum(result.in_time for result in results)
@@ -163,17 +215,13 @@
         if not route.idempotent:
             lost = sum(result.failed for result in results)
             cells.append(f"{lost} of {calls}")
-    every = [result for results, _ in plays for result in results.values()]
-    doubtful = sum(
-        amount
-        for _, counters in plays
-        for (counter, _), amount in counters.items()
-        if counter == "refused_in_doubt"
-    )
+    every = [result for played in plays for result in played.results.values()]
+    idle_shares = [share for played in plays for share in played.idle_shares]
     cells += [
         str(sum(result.refused for result in every)),
-        f"{doubtful:.0f}",
+        str(sum(played.doubtful for played in plays)),
         f"{worth / most_worth:.4f}",
+        f"{np.mean(idle_shares):.2f} / {max(idle_shares):.2f}",
         str(sum(result.ran_twice + result.false_refusals for result in every)),
     ]
     return f"| {name} | {utilisation:.2f} | {' | '.join(cells)} |"
@@ -197,7 +245,13 @@
         columns.append(f"{route.name} served / in time")
         if not route.idempotent:
             columns.append("lost")
-    columns += ["refused", "refused in doubt", "worth", "ran wrongly"]
+    columns += [
+        "refused",
+        "refused in doubt",
+        "worth",
+        "idle, mean / most",
+        "ran wrongly",
+    ]
     print(f"| {' | '.join(columns)} |")
     with ProcessPoolExecutor(options.workers) as pool:
         for utilisation in options.loads:
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -271,12 +271,13 @@
             route=call.route_hash,
             avoid_doubt=call.avoids_doubt,
             answer_bytes=self._answer_sizes.average_bytes(call.route_hash),
+            objective_left_ms=call.objective_left_ms(),
         )
 
     async def _attempt(
         self, call: Call, view: EndpointView
     ) -> tuple[Outcome, HTTPResponse | None]:
-        attempt = self._router.start_attempt(view, call.route_hash)
+        attempt = self._router.start_attempt(view, call.route_hash, call.at_most_once)
         try:
             request = self._attempt_request(call, view)
             async with self._attempt_client.send(view, request) as (first, rest):
--- a/packages/laburnumscale/src/laburnumscale/candidates.py
+++ b/packages/laburnumscale/src/laburnumscale/candidates.py
@@ -3,16 +3,30 @@
 Finds the endpoints that an attempt of a call may go to, without looking at all of them.
 """
 
+import random
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 
 import attrs
 
+from laburnumscale.concentration import Concentration
 from laburnumscale.endpointindex import EndpointView
 from laburnumscale.endpointpool import EndpointPool, SampledSet
 from laburnumscale.loadtable import EndpointHealth, EndpointLoad
 
-__all__ = ["Candidates", "eligible", "find_candidates", "rank_load", "sample_best"]
+__all__ = [
+    "Candidates",
+    "concentrate",
+    "eligible",
+    "find_candidates",
+    "rank_load",
+    "sample_best",
+]
+
+#: Endpoints that one concentrated call chooses from, and those that it may skip, so
+#: that its cost does not grow with the service.
+MAX_CONCENTRATED = 16
+MAX_SKIPPED = 16
 
 
 @attrs.frozen(eq=False)
@@ -56,6 +70,34 @@
     )
 
 
+def concentrate(
+    pool: EndpointPool,
+    names: SampledSet,
+    tried: set[str],
+    concentration: Concentration,
+    is_good: Callable[[EndpointView], bool],
+) -> Iterator[EndpointView]:
+    """Yield the endpoints that share the calls that may run only once.
+
+    They are the first ones in an order that is the same at every entry, without those
+    that are known to be unsuitable.
+
+    :param names: healthy endpoints of the pool.
+    :param tried: names of the endpoints that the call has tried.
+    :param is_good: whether an endpoint is suitable for the call.
+    """
+    ordered = names.ordered()
+    count = concentration.count(len(ordered))
+    if count > MAX_CONCENTRATED:
+        first = (ordered[position] for position in _draw_positions(count))
+    else:
+        first = islice(ordered, count + MAX_SKIPPED)
+    views = (pool.health(name).view for _, name in first if name not in tried)
+    found = list(islice((view for view in views if is_good(view)), count))
+    random.shuffle(found)
+    return iter(found)
+
+
 def eligible(
     untried: list[EndpointHealth], in_use: list[EndpointHealth], idempotent: bool
 ) -> list[EndpointHealth]:
@@ -102,6 +144,10 @@
     return by_rank[min(by_rank)][:count] if by_rank else []
 
 
+def _draw_positions(count: int) -> list[int]:
+    return random.sample(range(count), MAX_CONCENTRATED)
+
+
 def _untried_views(
     pool: EndpointPool, names: SampledSet, tried: set[str]
 ) -> Iterator[EndpointView]:
--- a/packages/laburnumscale/src/laburnumscale/endpointpool.py
+++ b/packages/laburnumscale/src/laburnumscale/endpointpool.py
@@ -5,8 +5,10 @@
 hundreds of endpoints, of which each entry calls a few a second.
 """
 
+import bisect
 import math
 import random
+import zlib
 from collections.abc import Callable, Iterator
 from itertools import islice
 
@@ -30,6 +32,7 @@
     def __init__(self) -> None:
         self._names: list[str] = []
         self._positions: dict[str, int] = {}
+        self._ordered: list[tuple[int, str]] | None = None
 
     def __len__(self) -> int:
         return len(self._names)
@@ -41,6 +44,8 @@
         """Add a name that the set does not contain."""
         self._positions[name] = len(self._names)
         self._names.append(name)
+        if self._ordered is not None:
+            bisect.insort(self._ordered, _preference(name))
 
     def remove(self, name: str) -> None:
         """Remove a name that the set contains."""
@@ -49,6 +54,8 @@
         if last != name:
             self._names[position] = last
             self._positions[last] = position
+        if self._ordered is not None:
+            del self._ordered[bisect.bisect_left(self._ordered, _preference(name))]
 
     def shuffled(self) -> Iterator[str]:
         """Yield all names in random order; the work is done as they are taken."""
@@ -58,6 +65,19 @@
             yield self._names[moved.get(drawn, drawn)]
             moved[drawn] = moved.get(index, index)
 
+    def ordered(self) -> list[tuple[int, str]]:
+        """Return all names in an order that is the same at every entry.
+
+        The first call sorts the names; the order is then kept up to date.
+        """
+        if self._ordered is None:
+            self._ordered = sorted(_preference(name) for name in self._names)
+        return self._ordered
+
+
+def _preference(name: str) -> tuple[int, str]:
+    return zlib.crc32(name.encode()), name
+
 
 @attrs.define(eq=False)
 class _Group:
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -47,6 +47,7 @@
     "ejection_ms": (100, 600_000),
     "connection_limit": (0, 1_000_000),
     "return_successes": (0, 100),
+    "concentration_percent": (0, 100),
 }
 
 #: Allowed values of the settings that name a policy.
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -12,11 +12,13 @@
 
 from laburnumscale.candidates import (
     Candidates,
+    concentrate,
     eligible,
     find_candidates,
     rank_load,
     sample_best,
 )
+from laburnumscale.concentration import Concentration
 from laburnumscale.consecutiveerrors import ConsecutiveErrors
 from laburnumscale.ejection import Selection, count_announced_slots, select_endpoints
 from laburnumscale.endpointpool import EndpointPool
@@ -50,6 +52,12 @@
 US_PER_MS = 1000
 #: Endpoints that one choice looks at, so that its cost does not grow with the service.
 MAX_SAMPLED_ENDPOINTS = 16
+#: Calls are concentrated only if their objective is at least this multiple
+#: of the usual latency, as calls at busy targets take longer or wait.
+MIN_OBJECTIVE_FACTOR = 2
+#: With more of the endpoints needed, calls choose among all of them: the choice by load
+#: is then worth more than the few endpoints that are left out.
+MAX_CONCENTRATED_SHARE = 0.8
 
 
 @attrs.define(eq=False)
@@ -59,6 +67,7 @@
     :ivar route: hash of the route of the call.
     :ivar path_timer: starts a check of the path unless a reply arrives in time; None
         if the endpoint is on this daemon's host.
+    :ivar at_most_once: whether the call must not run more than once.
     """
 
     router: "Router"
@@ -66,11 +75,14 @@
     route: int
     outstanding: OutstandingAttempt
     path_timer: ScheduledCheck | None
+    at_most_once: bool = False
 
     def record_reply(self, reply: peer_pb2.CallReply) -> None:
         """Record the first reply."""
         self._cancel_timer()
         self.router.record_reply(self.view, self.route, reply)
+        if self.at_most_once and reply.HasField("load"):
+            self.router.adapt_concentration(self.view, reply.load)
 
     def record_end(self) -> None:
         """Record the end of the attempt."""
@@ -103,6 +115,7 @@
         self._feed = feed
         self._paths = paths
         self._policies: dict[str, RoutingPolicy] = {}
+        self._concentrations: dict[str, Concentration] = {}
         self._consecutive_errors = ConsecutiveErrors()
         self._pools = EndpointPools(members, self._rate)
         self.load_table.on_change(self._pools.refresh)
@@ -117,6 +130,7 @@
         route: int = 0,
         avoid_doubt: bool = False,
         answer_bytes: float = 0.0,
+        objective_left_ms: int = 0,
     ) -> EndpointView | None:
         """Return the endpoint for the next attempt, or None.
 
@@ -128,6 +142,8 @@
         :param route: hash of the route of the call.
         :param avoid_doubt: prefer endpoints whose latest calls have not failed.
         :param answer_bytes: expected size of the answer, 0 if unknown.
+        :param objective_left_ms: time left until the latency objective of the call, 0
+            if it has none.
         """
         settings = self._settings(service)
         policy = self._policy(settings)
@@ -139,11 +155,58 @@
                     return trial
             data_centre = self._own_data_centre()
             floor = settings.floor_percent
-            found = find_candidates(pool, floor, data_centre, tried, idempotent)
+            found = None
+            if (
+                settings.concentration_percent
+                and not idempotent
+                and self._has_slack(service, pool, route, objective_left_ms)
+            ):
+                found = self._concentrate(service, pool, tried, route, avoid_doubt)
+            found = found or find_candidates(
+                pool, floor, data_centre, tried, idempotent
+            )
         else:
             found = self._find_in_selection(service, tried, idempotent)
         return self._choose(policy, settings, found, route, avoid_doubt, answer_bytes)
 
+    def _has_slack(
+        self, service: str, pool: EndpointPool, route: int, objective_left_ms: int
+    ) -> bool:
+        """Return whether a call may take longer than usual at a busy target."""
+        median_us = self.load_table.baseline(service, pool, route).median_latency_us
+        return (
+            not objective_left_ms
+            or MIN_OBJECTIVE_FACTOR * median_us <= objective_left_ms * US_PER_MS
+        )
+
+    def _concentrate(
+        self,
+        service: str,
+        pool: EndpointPool,
+        tried: set[str],
+        route: int,
+        avoid_doubt: bool,
+    ) -> Candidates | None:
+        """Return the endpoints that share the calls that may run only once.
+
+        The result is None if none of them is suitable for the call.
+        """
+
+        def is_good(view: EndpointView) -> bool:
+            return not any(rank_load(self._endpoint_load(view, route), avoid_doubt))
+
+        concentration = self._concentrations.setdefault(service, Concentration())
+        if concentration.share > MAX_CONCENTRATED_SHARE:
+            return None
+        local = pool.healthy_in(self._own_data_centre())
+        anywhere, near = (
+            list(concentrate(pool, names, tried, concentration, is_good))
+            for names in (pool.healthy, local)
+        )
+        if not (anywhere or near):
+            return None
+        return Candidates(iter(anywhere or near), iter(near))
+
     def pick_leaving(
         self, service: str, tried: set[str], avoid_doubt: bool = False
     ) -> EndpointView | None:
@@ -247,17 +310,20 @@
             view.service, settings, head.route, baseline
         )
 
-    def start_attempt(self, view: EndpointView, route: int = 0) -> RoutedAttempt:
+    def start_attempt(
+        self, view: EndpointView, route: int = 0, at_most_once: bool = False
+    ) -> RoutedAttempt:
         """Record the start of an attempt at an endpoint.
 
         :param route: hash of the route of the call.
+        :param at_most_once: whether the call must not run more than once.
         """
         outstanding = self.load_table.record_start(view, route)
         self._notices.record_start(view, self._count_sharers(view))
         timer = None
         if view.daemon != self._members.own.daemon:
             timer = self._paths.schedule_check(view.peer_address)
-        return RoutedAttempt(self, view, route, outstanding, timer)
+        return RoutedAttempt(self, view, route, outstanding, timer, at_most_once)
 
     def record_reply(
         self, view: EndpointView, route: int, reply: peer_pb2.CallReply
@@ -277,6 +343,20 @@
         elif _is_path_failure(reply) and view.daemon != self._members.own.daemon:
             self._paths.start_check(view.peer_address)
 
+    def adapt_concentration(
+        self, view: EndpointView, report: peer_pb2.LoadReport
+    ) -> None:
+        """Adapt the number of endpoints that share the calls that may run only once.
+
+        Endpoints in doubt refuse these calls, so their load says nothing.
+
+        :param report: load of an endpoint that was sent such a call.
+        """
+        concentration = self._concentrations.get(view.service)
+        percent = self._settings(view.service).concentration_percent
+        if concentration is not None and percent and not report.in_doubt:
+            concentration.record_report(report, view.slots, percent)
+
     def _is_floor_traffic(
         self, pool: EndpointPool, settings: EffectiveSettings, view: EndpointView
     ) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -57,6 +57,8 @@
         those on public routes.
     :ivar return_successes: calls in a row that a target must answer after its start or
         an ejection before calls that may run only once no longer avoid it.
+    :ivar concentration_percent: utilisation up to which calls that may run only once
+        go to few targets; 0 spreads them evenly.
     """
 
     time_limit_ms: int = 2000
@@ -81,6 +83,7 @@
     serve_when_stale: bool = False
     require_account_key: bool = False
     return_successes: int = 0
+    concentration_percent: int = 0
 
 
 def python_value(settings: settings_pb2.ServiceSettings, name: str):
