Treat invalid statuses and errors in the entry as outcomes

A target that answers with the status 000, 099 or 101 gave callers a 500 of the entry without their request ID, and statuses above 599 were forwarded as answers. The guard accepted any number of three digits, and the web server failed to send it.

The guard accepts statuses from 200 to 599; with others the attempt is unknown (reason invalid_status) and is repeated if the call may run again. The entry checks the replies of older guards in the same way. Other errors in the code of the entry become outcomes as well: not run (503) only if no guard and no holder of the key got the call, else unknown (504); a failing log line no longer loses an answer, and an unknown reason of a newer daemon has a name.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -36,6 +36,7 @@
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
+from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import is_key
@@ -57,6 +58,10 @@
 DRAINING = NotRun(peer_pb2.NOT_RUN_REASON_DRAINING, retry_after_ms=100)
 CUT_OFF = Unknown(peer_pb2.UNKNOWN_REASON_DRAINING)
 OVERLOADED = NotRun(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms=1000)
+#: An error in the code of the daemon ended the call before or after its first attempt.
+FAILED_BEFORE_RUN = NotRun(peer_pb2.NOT_RUN_REASON_UNSPECIFIED, retry_after_ms=1000)
+FAILED_IN_RUN = Unknown(peer_pb2.UNKNOWN_REASON_UNSPECIFIED)
+SERVER_ERROR = 500
 BAD_REQUEST = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
 STATUS_CONTENT_TOO_LARGE = 413
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
@@ -108,6 +113,7 @@
             return await self.mint_keys(request)
 
         app = new_app(f"{self._members.own.daemon}-callers", handle)
+        app.ctx.error_response = self._error_response
         app.add_route(mint, OPERATION_KEYS_PATH, methods=["POST"], name="keys")
         return app
 
@@ -154,6 +160,10 @@
                 prepared = await self._prepare_call(request, request_id)
         except WorkCutOff:
             prepared = DRAINING
+        except (RequestInvalid, BodyTooLarge):
+            raise
+        except Exception as error:
+            prepared = self._report_failure(request_id, error)
         if isinstance(prepared, NotRun):
             response = self._problem_response(prepared, request_id)
             self._call_log.log_refusal(request_id, prepared, request.path)
@@ -164,15 +174,22 @@
                 outcome, response = await self._run_call(prepared)
         except WorkCutOff:
             outcome, response = CUT_OFF, self._cut_off_response(prepared)
-        elapsed_ms = (time.monotonic() - started_at_s) * MS_PER_S
-        self._call_log.log_call_end(prepared, outcome, elapsed_ms)
-        self._record_call(prepared.service, outcome, started_at_s)
+        except Exception as error:
+            outcome = self._report_failure(request_id, error, prepared.may_have_run)
+            response = self._failure_response(prepared, outcome)
+        try:
+            elapsed_ms = (time.monotonic() - started_at_s) * MS_PER_S
+            self._call_log.log_call_end(prepared, outcome, elapsed_ms)
+            self._record_call(prepared.service, outcome, started_at_s)
+        except Exception as error:  # the response is ready
+            self._report_failure(request_id, error)
         return response
 
     async def _run_call(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
         key = call.request.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key is None or self._is_plain_field(key):
             return await self._runner.run(call)
+        call.may_have_run = True
         reply = await self._keyed_calls.run_at_holder(call, key)
         return self._keyed_response(reply, call.request_id)
 
@@ -181,14 +198,43 @@
         return self._header_names.forwards_foreign_keys and not is_key(key)
 
     def _cut_off_response(self, call: Call) -> HTTPResponse | None:
-        """Return the response to a call that the exit of the daemon cuts off.
+        """Return the response to a call that the exit of the daemon cuts off."""
+        return self._failure_response(call, CUT_OFF)
+
+    def _failure_response(
+        self, call: Call, outcome: NotRun | Unknown
+    ) -> HTTPResponse | None:
+        """Return the response to a call that the daemon cannot complete.
 
         A response that has begun cannot be completed; its connection is aborted.
         """
         if call.answer_started:
             call.request.transport.abort()
             return None
-        return self._problem_response(CUT_OFF, call.request_id)
+        return self._problem_response(outcome, call.request_id)
+
+    def _report_failure(
+        self, request_id: str, error: Exception, may_have_run: bool = False
+    ) -> NotRun | Unknown:
+        """Log an error in the code of the daemon and return the outcome of the call.
+
+        :param may_have_run: whether the call was sent to a guard before.
+        """
+        self._metrics.count("requests_failed")
+        get_logger().error("request failed", request_id=request_id, error=repr(error))
+        return FAILED_IN_RUN if may_have_run else FAILED_BEFORE_RUN
+
+    def _error_response(
+        self, request: Request, status: int, detail: str
+    ) -> HTTPResponse:
+        """Return the response to a request whose handler or connection failed.
+
+        :param status: below 500 if the request is invalid; else it may have been run.
+        """
+        request_id = self._request_id(request)
+        if status >= SERVER_ERROR:
+            return self._problem_response(FAILED_IN_RUN, request_id)
+        return self._problem_response(BAD_REQUEST, request_id, detail, status)
 
     async def mint_keys(self, request: Request) -> HTTPResponse:
         """Return as many new operation keys as the request asks for."""
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -141,6 +141,7 @@
         while (view := self._pick_endpoint(call)) is not None:
             call.tried_endpoints.add(view.endpoint)
             started_at_s = time.monotonic()
+            call.may_have_run = True
             outcome, response = await self._attempt(call, view)
             elapsed_ms = round((time.monotonic() - started_at_s) * MS_PER_S)
             result = f"{outcome_name(outcome)} {reason_name(outcome)}"
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -85,6 +85,7 @@
     :ivar queue_refusals: attempts that were refused because the queue was too long.
     :ivar doubtful_endpoints: names of the tried endpoints that were in doubt.
     :ivar accepts_doubt: attempts may go to endpoints in doubt.
+    :ivar may_have_run: it was sent to a guard, or to the daemon that holds its key.
     :ivar counted_attempts: attempts that count towards the attempt limit.
     :ivar exempt_attempts: attempts refused for one of ``EXEMPT_REASONS`` that is not
         limited otherwise.
@@ -127,6 +128,7 @@
     accepts_doubt: bool = False
     fingerprint: bytes = b""
     stop_reason: str = ""
+    may_have_run: bool = False
     route_hash: int = attrs.field(init=False)
 
     @route_hash.default
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -11,6 +11,7 @@
     "AddressInvalid",
     "AddressNotLoopback",
     "AnswerMismatched",
+    "AnswerStatusInvalid",
     "AnswerTooLarge",
     "AnswerUnframed",
     "AttemptSentTwice",
@@ -356,6 +357,15 @@
     )
 
 
+@dataclass(eq=False)
+class AnswerStatusInvalid(LaburnumscaleError):
+    """The status of a response is none that a response can have."""
+
+    url: str
+    status: int
+    template: ClassVar[str] = "{url}: the response has the invalid status {status:03}"
+
+
 @dataclass(eq=False)
 class AnswerMismatched(LaburnumscaleError):
     """A response belongs to a different request than the one that was sent."""
--- a/packages/laburnumscale/src/laburnumscale/failurereplies.py
+++ b/packages/laburnumscale/src/laburnumscale/failurereplies.py
@@ -3,7 +3,7 @@
 Builds and parses the replies of a guard to attempts that have no response.
 """
 
-from laburnumscale.outcomes import NotRun, Unknown
+from laburnumscale.outcomes import NotRun, Unknown, is_response_status
 from laburnumscale_schema import peer_pb2
 
 __all__ = [
@@ -74,6 +74,8 @@
         return NotRun(reply.not_run.reason, reply.not_run.retry_after_ms)
     if reply.HasField("unknown"):
         return Unknown(reply.unknown.reason)
+    if reply.HasField("head") and not is_response_status(reply.head.status):
+        return Unknown(peer_pb2.UNKNOWN_REASON_INVALID_STATUS)
     return None
 
 
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -20,6 +20,7 @@
 from laburnumscale.drainstate import DrainState
 from laburnumscale.errors import (
     AnswerMismatched,
+    AnswerStatusInvalid,
     AnswerTooLarge,
     AnswerUnframed,
     AttemptSentTwice,
@@ -41,6 +42,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.outcomes import is_response_status
 from laburnumscale.quarantine import Quarantine
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
@@ -432,7 +434,7 @@
         except BodyIncomplete:
             attempt_monitor.discard()
             yield unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
-        except (AnswerMismatched, AnswerTooLarge) as error:
+        except (AnswerMismatched, AnswerStatusInvalid, AnswerTooLarge) as error:
             attempt_monitor.record_connection_failure()
             reason = self._report_rejected_answer(target, error)
             yield unknown_reply(reason, target.load(head.route))
@@ -464,7 +466,9 @@
         )
 
     def _report_rejected_answer(
-        self, target: LocalTarget, error: AnswerMismatched | AnswerTooLarge
+        self,
+        target: LocalTarget,
+        error: AnswerMismatched | AnswerStatusInvalid | AnswerTooLarge,
     ) -> int:
         """Count and log a response that is not forwarded.
 
@@ -475,6 +479,10 @@
             self._metrics.count("answers_too_large", labels)
             get_logger().warning("response too large", reason=str(error))
             return peer_pb2.UNKNOWN_REASON_CUT_SHORT
+        if isinstance(error, AnswerStatusInvalid):
+            self._metrics.count("answers_with_invalid_status", labels)
+            get_logger().warning("response with invalid status", reason=str(error))
+            return peer_pb2.UNKNOWN_REASON_INVALID_STATUS
         self._metrics.count("answers_mismatched", labels)
         get_logger().warning("response does not match request", reason=str(error))
         return peer_pb2.UNKNOWN_REASON_MISMATCHED
@@ -521,7 +529,10 @@
 
         :raises AttemptRefused: the response states that the attempt was not run.
         :raises AnswerMismatched: the response belongs to another request.
+        :raises AnswerStatusInvalid: no response can have its status.
         """
+        if not is_response_status(response.status):
+            raise AnswerStatusInvalid(str(response.url), response.status)
         header_names = self._header_names
         if header_names.echoes_request_id:
             echoed = response.headers.get(header_names.request_id, "")
--- a/packages/laburnumscale/src/laburnumscale/outcomes.py
+++ b/packages/laburnumscale/src/laburnumscale/outcomes.py
@@ -6,9 +6,24 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from google.protobuf.internal.enum_type_wrapper import EnumTypeWrapper
+
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["Answered", "NotRun", "Outcome", "Unknown", "outcome_name", "reason_name"]
+__all__ = [
+    "Answered",
+    "NotRun",
+    "Outcome",
+    "Unknown",
+    "is_response_status",
+    "outcome_name",
+    "reason_name",
+]
+
+#: Statuses of a response to a request. Interim responses are not forwarded, and no
+#: target is asked to switch protocols.
+FIRST_STATUS = 200
+LAST_STATUS = 599
 
 
 @dataclass(frozen=True)
@@ -81,11 +96,21 @@
 
 @reason_name.register
 def _(outcome: NotRun) -> str:
-    name = peer_pb2.NotRunReason.Name(outcome.reason)
-    return name.removeprefix("NOT_RUN_REASON_").lower()
+    return _enum_name(peer_pb2.NotRunReason, outcome.reason, "NOT_RUN_REASON_")
 
 
 @reason_name.register
 def _(outcome: Unknown) -> str:
-    name = peer_pb2.UnknownReason.Name(outcome.reason)
-    return name.removeprefix("UNKNOWN_REASON_").lower()
+    return _enum_name(peer_pb2.UnknownReason, outcome.reason, "UNKNOWN_REASON_")
+
+
+def _enum_name(enum: EnumTypeWrapper, number: int, prefix: str) -> str:
+    """Return the name of a reason; a newer daemon may have sent an unknown one."""
+    if number not in enum.values():
+        return f"reason_{number}"
+    return enum.Name(number).removeprefix(prefix).lower()
+
+
+def is_response_status(status: int) -> bool:
+    """Return whether a status can be that of a response to a request (RFC 9110)."""
+    return FIRST_STATUS <= status <= LAST_STATUS
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -62,7 +62,7 @@
         if not isinstance(exception, SanicException | asyncio.CancelledError):
             get_logger().error("request failed", error=repr(exception))
         status = getattr(exception, "status_code", 500)
-        return error_response(status, str(exception))
+        return request.app.ctx.error_response(request, status, str(exception))
 
 
 class LenientRequest(Request):
@@ -193,6 +193,7 @@
     )
     app.ctx.draining = False
     app.ctx.call_handler = call_handler
+    app.ctx.error_response = _error_response
     app.config.ACCESS_LOG = False
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_TIMEOUT_S
     app.config.MOTD = False
@@ -206,6 +207,10 @@
     return app
 
 
+def _error_response(request: Request, status: int, detail: str) -> HTTPResponse:
+    return error_response(status, detail)
+
+
 class Server:
     """An application that listens on an address."""
 
--- /dev/null
+++ b/tests/features/invalid_statuses.feature
@@ -0,0 +1,51 @@
+Feature: Errors that nobody expects have an outcome that is true
+
+  A status that no response can have is no answer of the target, which may have run the
+  call. An error in the entry is no answer either.
+
+  Scenario Outline: A response with an invalid status makes the attempt unknown
+    Given a target that answers with the status line <line>
+    When its guard sends it an attempt
+    Then the reply is <reply>
+
+    Examples: 101 answers a request to switch protocols, which is never sent
+      | line          | reply                  |
+      | 200 OK        | status 200             |
+      | 599 Odd       | status 599             |
+      | 000 None      | unknown invalid_status |
+      | 099 Odd       | unknown invalid_status |
+      | 101 Switching | unknown invalid_status |
+      | 600 Odd       | unknown invalid_status |
+      | 999 Odd       | unknown invalid_status |
+
+  Scenario Outline: An entry does not forward an invalid status that a guard accepted
+    Given a guard that replies with the status <status>
+    When an entry makes a call that <kind>, with <targets> targets
+    Then the outcome is <outcome> after <attempts> attempts
+
+    Examples:
+      | status | kind            | targets | outcome                | attempts |
+      | 0      | may run once    | 2       | unknown invalid_status | 1        |
+      | 700    | may run once    | 2       | unknown invalid_status | 1        |
+      | 0      | may be repeated | 2       | unknown invalid_status | 2        |
+      | 200    | may run once    | 2       | answered none          | 1        |
+
+  Scenario Outline: A failure in the code of an entry is not reported as a server error
+    Given an entry whose code fails <when>
+    When a caller sends it a request
+    Then the caller gets the status <status> with the outcome <outcome>
+
+    Examples:
+      | when                       | status | outcome |
+      | before it makes an attempt | 503    | not_run |
+      | while it finds a target    | 503    | not_run |
+      | after an attempt           | 504    | unknown |
+      | while it sends the answer  | 504    | unknown |
+
+    Examples: a response that is ready is delivered
+      | when                       | status | outcome  |
+      | while it logs the call     | 200    | answered |
+
+  Scenario: The reasons of a newer daemon have a name
+    Then the reason 999 of a call that was not run is named reason_999
+    And the reason 999 of an unknown outcome is named reason_999
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -36,6 +36,8 @@
         "extra responses of targets to earlier requests that were skipped, by service"
     ),
     "answers_mismatched": "responses of targets that did not match the request",
+    "answers_with_invalid_status": "responses of targets with a status below 200 or "
+    "above 599",
     "attempts": "results of attempts at targets, by service and whether they were bad",
     "attempts_attached": (
         "repeated attempts that got the replies of the run of an earlier copy"
@@ -130,6 +132,8 @@
         "attempts refused because of the limit that their target names in its "
         "responses, by service"
     ),
+    "requests_failed": "requests of callers that an error in the code of the daemon "
+    "ended",
     "requests_refused": "requests of callers rejected as invalid or too large",
     "retries": "retries that the retry budget allowed, by service",
     "retries_over_budget": "retries that the retry budget did not allow, by service",
