--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -141,6 +141,7 @@
         while (view := self._pick_endpoint(call)) is not None:
             call.tried_endpoints.add(view.endpoint)
             started_at_s = time.monotonic()
+            call.may_have_run = True
             outcome, response = await self._attempt(call, view)
             elapsed_ms = round((time.monotonic() - started_at_s) * MS_PER_S)
             result = f"{outcome_name(outcome)} {reason_name(outcome)}"
@@ -271,12 +272,13 @@
             route=call.route_hash,
             avoid_doubt=call.avoids_doubt,
             answer_bytes=self._answer_sizes.average_bytes(call.route_hash),
+            objective_left_ms=call.objective_left_ms(),
         )
 
     async def _attempt(
         self, call: Call, view: EndpointView
     ) -> tuple[Outcome, HTTPResponse | None]:
-        attempt = self._router.start_attempt(view, call.route_hash)
+        attempt = self._router.start_attempt(view, call.route_hash, call.at_most_once)
         try:
             request = self._attempt_request(call, view)
             async with self._attempt_client.send(view, request) as (first, rest):
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -50,6 +50,8 @@
     "connection_limit": (0, 1_000_000),
     "calls_per_s": (0, 1_000_000_000),
     "burst_calls": (0, 1_000_000_000),
+    "return_successes": (0, 100),
+    "concentration_percent": (0, 100),
 }
 
 #: Fields of an account beside its keys.
