Let a service choose who gets a slot by cost and fairness

Callers of an account with normal load waited behind every call of an account in a surge, and calls whose remaining time could no longer hold their work kept a place in the queue, since slots are granted by priority and arrival alone.

The setting queue_policy selects the queue of a guard's targets: priority, the default, is the former queue; cost uses the new sub-package overload. Calls that can still meet their objective go first, a quarter of the grants is left for lower priorities, accounts take turns weighted by work, and within an account the least work goes first. The work of a route is a histogram. Entries tell a guard when its queue is the last one that they ask, so that only these calls wait beyond their objective.

decisions.feature and load.feature pass; the effect on callers is not measured yet.

--- a/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
@@ -173,7 +173,7 @@
         latency_us = latency_s * US_PER_S
         self._record.statistics.add_latency(latency_us)
         if not failed:
-            self._record.target.route_latencies.add(self._route, latency_us)
+            self._record.target.record_latency(self._route, latency_us)
 
     def _handle_overdue(self) -> None:
         left_s = self._threshold_s - self._elapsed_s()
--- a/packages/laburnumscale/src/laburnumscale/failurereplies.py
+++ b/packages/laburnumscale/src/laburnumscale/failurereplies.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "AttemptRefused",
+    "QueueRefused",
     "failure_outcome",
     "is_last_reply",
     "not_run_reply",
@@ -38,6 +39,19 @@
         self.reply = reply
 
 
+class QueueRefused(AttemptRefused):
+    """The queue of a target refuses an attempt, or evicts it.
+
+    :ivar cause: ``deadline``, ``objective``, ``full`` or ``evicted``.
+    """
+
+    def __init__(
+        self, reason: int, retry_after_ms: int = DEFAULT_RETRY_AFTER_MS, cause: str = ""
+    ) -> None:
+        super().__init__(reason, retry_after_ms)
+        self.cause = cause
+
+
 def refused_reply(reason: int) -> peer_pb2.CallReply:
     """Return the reply to an attempt that may succeed at another target or later.
 
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -28,6 +28,7 @@
 )
 from laburnumscale.failurereplies import (
     AttemptRefused,
+    QueueRefused,
     is_last_reply,
     refused_reply,
     unknown_reply,
@@ -41,6 +42,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
 from laburnumscale.metrics import Metrics
+from laburnumscale.overload import AccountLabels
 from laburnumscale.quarantine import Quarantine
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
@@ -101,6 +103,7 @@
         self.runs = AttemptRuns()
         self.untaken_answers = UntakenAnswers()
         self._target_ends = TargetEnds()
+        self._account_labels = AccountLabels()
 
     async def run_attempt(
         self, head: peer_pb2.CallHead, body: bytes | AsyncIterator[bytes]
@@ -253,6 +256,7 @@
                 ):
                     self._get_available_target(head)
                     self._refuse_if_quarantined(head, body)
+                    self._count_by_account(head, "started")
                     reply_stream = self._send_to_target(
                         target, settings, head, body, transmission
                     )
@@ -260,6 +264,8 @@
                         async for reply in replies:
                             yield reply
         except AttemptRefused as refusal:
+            if isinstance(refusal, QueueRefused):
+                self._record_queue_refusal(head, refusal)
             yield self._with_load_report(head, refusal.reply)
         except WorkCutOff:
             yield _cut_off_reply(attempt)
@@ -283,6 +289,20 @@
             if not attempt.is_sent:
                 target.limit.release()
 
+    def _record_queue_refusal(
+        self, head: peer_pb2.CallHead, refusal: QueueRefused
+    ) -> None:
+        labels = f'service="{head.service}",cause="{refusal.cause}"'
+        self._metrics.count("queue_refusals", labels)
+        self._count_by_account(head, "refused")
+
+    def _count_by_account(self, head: peer_pb2.CallHead, result: str) -> None:
+        """Count an attempt of an account; the number of labels is bounded."""
+        if head.account:
+            account = self._account_labels.label(head.account)
+            labels = f'account="{account}",result="{result}"'
+            self._metrics.count("account_attempts", labels)
+
     def _with_load_report(
         self, head: peer_pb2.CallHead, reply: peer_pb2.CallReply
     ) -> peer_pb2.CallReply:
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -9,6 +9,7 @@
 import attrs
 
 from laburnumscale.addresses import Address
+from laburnumscale.costqueue import CostQueue
 from laburnumscale.deadlines import Deadline
 from laburnumscale.routelatencies import RouteLatencies
 from laburnumscale.slotqueue import SlotQueue
@@ -86,7 +87,7 @@
     verdict_version: int = attrs.field(factory=VERDICT_VERSIONS.__next__)
     on_trial: bool = False
     slow_start_at_s: float = attrs.field(factory=time.monotonic)
-    queue: SlotQueue = attrs.field(factory=SlotQueue)
+    queue: SlotQueue | CostQueue = attrs.field(factory=SlotQueue)
 
     def message(self) -> peer_pb2.Endpoint:
         """Return the endpoint as it is published to other daemons."""
@@ -158,6 +159,11 @@
         """Return whether the target started or returned to service recently."""
         return time.monotonic() - self.slow_start_at_s < WARM_UP_S
 
+    def record_latency(self, route: int, latency_us: float) -> None:
+        """Record the latency of a call of a route."""
+        self.route_latencies.add(route, latency_us)
+        self.queue.record_work(route, latency_us)
+
     def record_slot_time(self, slot_time_us: float) -> None:
         """Record for how long a call held its slot."""
         if not self.slot_time_us:
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/overload/__init__.py
@@ -0,0 +1,30 @@
+"""Overload.
+
+Decides which calls get scarce capacity. Its modules import the standard library, attrs
+and each other, and nothing that opens a connection.
+"""
+
+from laburnumscale.overload.accountlabels import AccountLabels
+from laburnumscale.overload.accountturns import AccountTurns
+from laburnumscale.overload.costdecisions import (
+    Admission,
+    CallNeeds,
+    CostDecisions,
+    Refusal,
+)
+from laburnumscale.overload.priorityshares import PriorityShares
+from laburnumscale.overload.waitingcalls import WaitingCall, WaitingCalls
+from laburnumscale.overload.workestimates import WorkEstimates
+
+__all__ = [
+    "AccountLabels",
+    "AccountTurns",
+    "Admission",
+    "CallNeeds",
+    "CostDecisions",
+    "PriorityShares",
+    "Refusal",
+    "WaitingCall",
+    "WaitingCalls",
+    "WorkEstimates",
+]
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -0,0 +1,201 @@
+"""Cost decisions.
+
+Decides which calls wait for scarce capacity, which are refused, and which goes next.
+"""
+
+from collections import deque
+
+import attrs
+
+from laburnumscale.overload.priorityshares import LOWER_SHARE
+from laburnumscale.overload.waitingcalls import WaitingCall, WaitingCalls
+from laburnumscale.overload.workestimates import WorkEstimates, work_class
+
+__all__ = ["Admission", "CallNeeds", "CostDecisions", "Refusal"]
+
+MS_PER_S = 1000
+#: Short calls go ahead of all priorities, see ``CallNeeds.is_short``.
+SHORT_PRIORITY = -1
+#: Likelihood of ending in time that a call needs to start. The start of a call that may
+#: be repeated pays off if it is more likely to succeed than not. One that may run only
+#: once is lost for good if it does not end, while a refusal loses nothing but time.
+MIN_LIKELIHOOD = 0.5
+MIN_LIKELIHOOD_ONCE = 0.8
+#: As many grants as today's queue remembers: a few seconds of a busy target.
+GRANT_HISTORY_LENGTH = 20
+MIN_RETRY_AFTER_MS = 100
+
+
+@attrs.frozen
+class CallNeeds:
+    """What a call needs, and until when.
+
+    :ivar route: hash of its route.
+    :ivar reference_ms: its expected work as others know it; 0 if unknown.
+    :ivar deadline_s: time by which it must have ended.
+    :ivar objective_s: time by which it should have ended.
+    :ivar start_limit_s: time by which it must have started.
+    :ivar may_repeat: whether it may run more than once.
+    :ivar may_be_late: whether it waits although it will miss its objective, because it
+        would be lost otherwise.
+    :ivar is_short: whether it takes little time compared with the others and is made
+        for a call that holds capacity meanwhile.
+    """
+
+    priority: int
+    account: str
+    route: int
+    reference_ms: float
+    deadline_s: float
+    objective_s: float = float("inf")
+    start_limit_s: float = float("inf")
+    may_repeat: bool = True
+    may_be_late: bool = False
+    is_short: bool = False
+
+
+@attrs.frozen
+class Admission:
+    """A call may wait.
+
+    :ivar call: the call, which waits from now on.
+    :ivar evicted: the call that lost its place to it, if any.
+    """
+
+    call: WaitingCall
+    evicted: WaitingCall | None
+
+
+@attrs.frozen
+class Refusal:
+    """A call may not wait.
+
+    :ivar cause: ``deadline``, ``objective`` or ``full``: the call would miss its
+        deadline or its objective, or costs less than those that wait.
+    :ivar retry_after_ms: time after which the calls ahead of it will have started.
+    """
+
+    cause: str
+    retry_after_ms: int
+
+
+class CostDecisions:
+    """The decisions on the calls that wait for one capacity, such as a target's slots.
+
+    Times are in seconds on any one clock.
+
+    :ivar estimates: what is known of the work of the routes.
+    """
+
+    def __init__(self) -> None:
+        self.estimates = WorkEstimates()
+        self._waiting = WaitingCalls()
+        self._granted_priorities: deque[float] = deque(maxlen=GRANT_HISTORY_LENGTH)
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def can_end(self, needs: CallNeeds, now_s: float) -> bool:
+        """Return whether a call that starts now is likely enough to end in time."""
+        left_ms = (needs.deadline_s - now_s) * MS_PER_S
+        likelihood = self.estimates.likelihood(needs.route, left_ms, needs.reference_ms)
+        return likelihood >= _min_likelihood(needs)
+
+    def admit(
+        self,
+        sequence: int,
+        needs: CallNeeds,
+        now_s: float,
+        capacity: int,
+        held_ms: float,
+        limit: int,
+    ) -> Admission | Refusal:
+        """Decide whether a call may wait, and add it if so.
+
+        :param sequence: number of the call, higher than those of earlier calls.
+        :param capacity: number of calls that run at a time.
+        :param held_ms: average time for which a call holds its part of the capacity.
+        :param limit: maximum number of waiting calls.
+        """
+        call = self._describe(sequence, needs)
+        useful_ms = self._waiting.work_ahead_ms(call, self._overtaking(call), now_s)
+        wait_ms = (useful_ms + held_ms) / max(1, capacity)
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_ms))
+        start_at_s = now_s + wait_ms / MS_PER_S
+        if start_at_s > call.last_start_s:
+            return Refusal("deadline", retry_after_ms)
+        if start_at_s > call.useful_start_s:
+            late_ms = self._waiting.late_work_ahead_ms(call, now_s) + held_ms
+            late_at_s = now_s + late_ms / max(1, capacity) / MS_PER_S
+            if not needs.may_be_late or late_at_s > call.last_start_s:
+                return Refusal("objective", retry_after_ms)
+            call = attrs.evolve(call, useful_start_s=float("-inf"))
+        if limit < 1:
+            return Refusal("full", retry_after_ms)
+        self._waiting.add(call, now_s)
+        if len(self._waiting) <= limit:
+            return Admission(call, None)
+        victim = self._waiting.choose_victim(now_s)
+        self._waiting.remove(victim.sequence)
+        if victim is call:
+            return Refusal("full", retry_after_ms)
+        return Admission(call, victim)
+
+    def take_next(self, now_s: float) -> WaitingCall | None:
+        """Remove and return the call that starts next; None if none waits."""
+        call = self._waiting.take_next(now_s)
+        if call is not None:
+            self._granted_priorities.append(call.priority)
+        return call
+
+    def record_direct_start(self) -> None:
+        """Record that a call started without waiting."""
+        self._granted_priorities.append(float("inf"))
+
+    def add(self, call: WaitingCall, now_s: float) -> None:
+        """Add a call without a decision, such as one that waits elsewhere already."""
+        self._waiting.add(call, now_s)
+
+    def remove(self, sequence: int) -> None:
+        """Remove a call if it waits."""
+        self._waiting.remove(sequence)
+
+    def drain_ms(self, capacity: int, held_ms: float) -> int:
+        """Return after what time all waiting calls are expected to have started."""
+        work_ms = self._waiting.total_work_ms() + held_ms
+        return max(MIN_RETRY_AFTER_MS, int(work_ms / max(1, capacity)))
+
+    def _describe(self, sequence: int, needs: CallNeeds) -> WaitingCall:
+        work_ms = self.estimates.expected_ms(needs.route, needs.reference_ms)
+        likely_ms = self._likely_ms(needs, _min_likelihood(needs))
+        last_start_s = needs.deadline_s - likely_ms / MS_PER_S
+        useful_start_s = last_start_s
+        if not needs.is_short:
+            likely_ms = self._likely_ms(needs, MIN_LIKELIHOOD)
+            useful_start_s = needs.objective_s - likely_ms / MS_PER_S
+        last_start_s = min(last_start_s, needs.start_limit_s)
+        return WaitingCall(
+            sequence=sequence,
+            priority=SHORT_PRIORITY if needs.is_short else needs.priority,
+            account=needs.account,
+            work_ms=work_ms,
+            work_class=work_class(work_ms),
+            useful_start_s=min(useful_start_s, last_start_s),
+            last_start_s=last_start_s,
+        )
+
+    def _likely_ms(self, needs: CallNeeds, likelihood: float) -> float:
+        return self.estimates.quantile_ms(needs.route, likelihood, needs.reference_ms)
+
+    def _overtaking(self, call: WaitingCall) -> float:
+        """Return the share of the grants that more urgent calls are expected to get.
+
+        It is estimated from the latest calls that started, with or without waiting.
+        """
+        granted = self._granted_priorities
+        overtaking = sum(each < call.priority for each in granted)
+        return min(1 - LOWER_SHARE, overtaking / max(1, len(granted)))
+
+
+def _min_likelihood(needs: CallNeeds) -> float:
+    return MIN_LIKELIHOOD if needs.may_repeat else MIN_LIKELIHOOD_ONCE
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -23,7 +23,11 @@
     ServicePlace,
     parse_place,
 )
-from laburnumscale.policynames import EJECTION_POLICIES, ROUTING_POLICIES
+from laburnumscale.policynames import (
+    EJECTION_POLICIES,
+    QUEUE_POLICIES,
+    ROUTING_POLICIES,
+)
 from laburnumscale.settingsfile import SettingsFile
 from laburnumscale_schema import settings_pb2
 
@@ -52,6 +56,7 @@
 NAMES = {
     "routing_policy": ROUTING_POLICIES,
     "ejection_policy": EJECTION_POLICIES,
+    "queue_policy": QUEUE_POLICIES,
 }
 
 SECTIONS = ("fleet", "data_centres", "services", "routes")
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -78,6 +78,7 @@
     close_ends_answer: bool = False
     serve_when_stale: bool = False
     require_account_key: bool = False
+    queue_policy: str = "priority"
 
 
 def python_value(settings: settings_pb2.ServiceSettings, name: str):
--- a/packages/laburnumscale/src/laburnumscale/slotqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/slotqueue.py
@@ -11,7 +11,10 @@
 
 import attrs
 
-__all__ = ["SlotQueue", "Waiter"]
+__all__ = ["SEQUENCES", "SlotQueue", "Waiter"]
+
+#: Source of the arrival order, which holds when calls change to another queue.
+SEQUENCES = itertools.count()
 
 #: Covers a few seconds of a busy target with a handful of slots.
 GRANT_HISTORY_LENGTH = 20
@@ -37,9 +40,10 @@
 class SlotQueue:
     """Waiting calls, ordered by priority and then by arrival."""
 
+    name = "priority"
+
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
-        self._sequences = itertools.count()
         self._granted_priorities: deque[int] = deque(maxlen=GRANT_HISTORY_LENGTH)
 
     def __len__(self) -> int:
@@ -48,7 +52,7 @@
     def enqueue(self, priority: int) -> Waiter:
         """Add a call to the queue and return its waiter."""
         granted = asyncio.get_running_loop().create_future()
-        waiter = Waiter(priority, next(self._sequences), granted)
+        waiter = Waiter(priority, next(SEQUENCES), granted)
         heapq.heappush(self._waiters, waiter)
         return waiter
 
@@ -66,6 +70,9 @@
         """Record that a call got a free slot without waiting."""
         self._granted_priorities.append(NO_PRIORITY)
 
+    def record_work(self, route: int, work_us: float) -> None:
+        """Do nothing: this queue does not consider the work of a call."""
+
     def expected_releases(self, priority: int) -> float:
         """Return how many slot releases a new call is expected to wait for.
 
@@ -107,6 +114,16 @@
         for waiter in list(self._waiters):
             self._evict(waiter, new_error())
 
+    def take_waiters(self) -> list[Waiter]:
+        """Remove and return all queued calls in the order of their arrival."""
+        waiters = sorted(self._waiters, key=lambda waiter: waiter.sequence)
+        self._waiters.clear()
+        return waiters
+
+    def adopt(self, waiter: Waiter) -> None:
+        """Add a call that was queued under another policy."""
+        heapq.heappush(self._waiters, waiter)
+
     def _evict(self, waiter: Waiter, error: Exception) -> None:
         self.discard(waiter)
         if not waiter.granted.done():
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -8,23 +8,22 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from laburnumscale.deadlines import Deadline
 from laburnumscale.failurereplies import AttemptRefused
 from laburnumscale.localtarget import LocalTarget
+from laburnumscale.queuepolicies import (
+    OVERLOAD_RETRY_AFTER_MS,
+    QueuePolicy,
+    SlotRequest,
+    get_queue_policy_by_name,
+)
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.transmission import Transmission
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["hold_slot", "release_slot"]
 
-OVERLOAD_RETRY_AFTER_MS = 1000
-MIN_RETRY_AFTER_MS = 100
-#: Deadline checks assume that a call takes this multiple of the average latency.
-LATENCY_MARGIN = 1.25
-MS_PER_S = 1000
 #: A call is short if it takes at most this share of the average time in a slot.
 SHORT_CALL_SHARE = 0.5
-MOST_URGENT = 0
 US_PER_MS = 1000
 US_PER_S = 1_000_000
 READY = peer_pb2.TARGET_STATE_READY
@@ -49,14 +48,22 @@
     """
     if target.state != READY:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
+    policy = get_queue_policy_by_name(settings.queue_policy)
+    if target.queue.name != policy.name:
+        policy.prepare_queue(target)
     if target.running < _concurrency_limit(target, settings):
         target.running += 1
         target.queue.record_direct_start()
     else:
-        await _wait_for_slot(target, settings, transmission, head)
+        request = _slot_request(target, settings, transmission, head)
+        await _wait_for_slot(policy, request)
     started_at_s = time.monotonic()
     try:
-        _check_still_admissible(target, transmission, head)
+        if target.ejected and not head.floor_traffic:
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS
+            )
+        policy.check_start(_slot_request(target, settings, transmission, head))
         yield
         target.record_slot_time((time.monotonic() - started_at_s) * US_PER_S)
     finally:
@@ -74,46 +81,34 @@
         target.running -= 1
 
 
-async def _wait_for_slot(
-    target: LocalTarget,
-    settings: EffectiveSettings,
-    transmission: Transmission,
-    head: peer_pb2.CallHead,
-) -> None:
+async def _wait_for_slot(policy: QueuePolicy, request: SlotRequest) -> None:
     """Wait in the queue until a slot is granted."""
-    call_ms = _expected_call_ms(target, head)
-    is_short = _is_short(target, call_ms)
-    priority = MOST_URGENT if is_short else head.priority
-    wait_ms = _expected_wait_ms(target, priority)
-    refusal = AttemptRefused(
-        peer_pb2.NOT_RUN_REASON_OVERLOADED, max(MIN_RETRY_AFTER_MS, int(wait_ms))
-    )
-    response_deadline = transmission.deadline
-    if not is_short:
-        response_deadline = _queued_response_deadline(transmission, head)
-    if head.no_wait or wait_ms + LATENCY_MARGIN * call_ms > response_deadline.left_ms():
-        raise refusal
-    if len(target.queue) >= settings.queue_limit and not target.queue.evict_less_urgent(
-        priority, refusal
-    ):
-        raise refusal
-    waiter = target.queue.enqueue(priority)
+    target = request.target
+    waiter, max_wait_s = policy.enqueue(request)
     try:
-        async with asyncio.timeout(
-            _max_wait_s(call_ms, transmission, response_deadline)
-        ):
+        async with asyncio.timeout(max_wait_s):
             await waiter.granted
     except BaseException as error:
         target.queue.discard(waiter)
         if _was_granted(waiter.granted):
             release_slot(target)
         if isinstance(error, TimeoutError):
-            raise AttemptRefused(
-                peer_pb2.NOT_RUN_REASON_DEADLINE, OVERLOAD_RETRY_AFTER_MS
-            ) from None
+            raise policy.expiry(request) from None
         raise
 
 
+def _slot_request(
+    target: LocalTarget,
+    settings: EffectiveSettings,
+    transmission: Transmission,
+    head: peer_pb2.CallHead,
+) -> SlotRequest:
+    call_ms = _expected_call_ms(target, head)
+    return SlotRequest(
+        target, settings, transmission, head, call_ms, _is_short(target, call_ms)
+    )
+
+
 def _is_short(target: LocalTarget, call_ms: float) -> bool:
     """Return whether a call takes little time compared with the target's other calls.
 
@@ -125,48 +120,11 @@
     return 0 < call_ms <= SHORT_CALL_SHARE * held_ms
 
 
-def _max_wait_s(
-    call_ms: float, transmission: Transmission, response_deadline: Deadline
-) -> float:
-    """Return the wait timeout, which applies if more urgent calls keep arriving."""
-    return min(
-        transmission.send_deadline.left_s(),
-        max(0.0, response_deadline.left_s() - call_ms / MS_PER_S),
-    )
-
-
 def _was_granted(granted: asyncio.Future) -> bool:
     """Return whether a slot was granted to a call that has stopped waiting."""
     return granted.done() and not granted.cancelled() and granted.exception() is None
 
 
-def _check_still_admissible(
-    target: LocalTarget, transmission: Transmission, head: peer_pb2.CallHead
-) -> None:
-    if target.ejected and not head.floor_traffic:
-        raise AttemptRefused(peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS)
-    call_ms = _expected_call_ms(target, head)
-    if LATENCY_MARGIN * call_ms > transmission.deadline.left_ms():
-        raise AttemptRefused(
-            peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
-        )
-
-
-def _queued_response_deadline(
-    transmission: Transmission, head: peer_pb2.CallHead
-) -> Deadline:
-    """Return the time by which an attempt that has to wait must be answered.
-
-    When slots are short, they go to calls that can still be answered within the
-    latency objective of their route. A longer queue would not raise the throughput
-    and would make every response late.
-    """
-    if not head.objective_left_ms:
-        return transmission.deadline
-    objective = Deadline.after_ms(head.objective_left_ms)
-    return min(objective, transmission.deadline, key=lambda deadline: deadline.at_s)
-
-
 def _expected_call_ms(target: LocalTarget, head: peer_pb2.CallHead) -> float:
     """Return how long a call is expected to take; 0 if its route is new.
 
@@ -177,9 +135,3 @@
     own_us = target.route_latencies.average_us(head.route)
     known_us = [each for each in (own_us, head.reference_latency_us) if each]
     return min(known_us, default=0) / US_PER_MS
-
-
-def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
-    held_ms = target.slot_time_us / US_PER_MS
-    releases = target.queue.expected_releases(priority)
-    return releases / max(1, target.slots) * held_ms
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -30,6 +30,10 @@
 """
 
 DESCRIPTIONS = {
+    "account_attempts": (
+        "attempts of client accounts that their guard started or that its queue "
+        "refused, by account; the first 50 accounts have labels of their own"
+    ),
     "announcements_late": "announcements of targets ignored as out of date",
     "answers_too_large": "responses of targets above the size limit, by service",
     "answers_skipped": (
@@ -119,6 +123,10 @@
     "probes": "health checks of ejected targets, by service",
     "probes_failed": "probes of daemons without an ack",
     "probes_indirect": "probes of daemons repeated through relays",
+    "queue_refusals": (
+        "attempts refused by the queue of a target under the queue policy `cost`, by "
+        "service and cause: `deadline`, `objective`, `full` or `evicted`"
+    ),
     "refused_in_doubt": (
         "attempts that may run only once refused because the latest calls of their "
         "target failed or take unusually long"
