--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -147,6 +147,7 @@
     """Reaches the guards of the model after the delay of the network."""
 
     guards: dict[str, Guard]
+    accounts: dict[str, str]
 
     async def _send_to_guard(
         self,
@@ -157,6 +158,7 @@
     ) -> AsyncIterator[peer_pb2.CallReply]:
         await asyncio.sleep(HOP_S)
         head.guard_time_us = 0
+        head.account = self.accounts.get(head.request_id, "")
         async for reply in self.guards[view.daemon].run_attempt(head, body):
             await asyncio.sleep(HOP_S)
             yield reply
@@ -238,6 +240,7 @@
     :param settings: settings of the service.
     :param retry_slack: retries that the fleet may make beyond the budget.
     :ivar work_s: time that each request needs, by its id.
+    :ivar accounts: client account of each request that has one, by its id.
     :ivar runners: the entries, with the data centre of each.
     :ivar metrics: counters of all daemons.
     """
@@ -252,6 +255,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.work_s: dict[str, float] = {}
+        self.accounts: dict[str, str] = {}
         self.machines: list[_Machine] = []
         self.runners: list[tuple[CallRunner, str]] = []
         self._directory = _Directory()
@@ -338,6 +342,7 @@
         settler.guards = self._guards
         client = _ModelAttemptClient(members, None, None, settler, paths)
         client.guards = self._guards
+        client.accounts = self.accounts
         health = self._guards[f"d{index}"].health
         router = Router(members, feed, paths, health)
         return CallRunner(client, router, self.metrics, new_budget(), HeaderNames())
--- a/bench/model/load.py
+++ b/bench/model/load.py
@@ -19,6 +19,8 @@
 __all__ = ["LoadResult", "RouteLoad", "play_load", "run_call"]
 
 MS_PER_S = 1000
+#: Callers honour ``Retry-After`` up to this share of their remaining time.
+PATIENCE_SHARE = 1 / 3
 
 
 @attrs.frozen
@@ -28,7 +30,13 @@
     :ivar calls_per_s: mean rate of a Poisson process.
     :ivar work_ms: median of the lognormal work.
     :ivar work_sigma: spread of the work, as the deviation of its logarithm.
-    :ivar late_worth: worth of an answer after the objective; one in time is worth 1.
+    :ivar worth: worth of an answer within the objective.
+    :ivar late_worth: worth of an answer after the objective.
+    :ivar account: client account of the callers; empty if none.
+    :ivar surges: times in seconds in which the rate is a multiple of ``calls_per_s``:
+        start, end and factor of each.
+    :ivar comes_back: whether callers repeat a call that was not run after its
+        ``Retry-After``, if that is at most a third of their remaining time.
     """
 
     name: str
@@ -40,6 +48,20 @@
     work_sigma: float = 0.5
     priority: int = 0
     late_worth: float = 0.3
+    worth: float = 1.0
+    account: str = ""
+    surges: tuple[tuple[float, float, float], ...] = ()
+    comes_back: bool = False
+
+    @property
+    def key(self) -> str:
+        """Return the key of the results: the name, after the account if any."""
+        return f"{self.account}/{self.name}" if self.account else self.name
+
+    def surge_factor(self, age_s: float) -> float:
+        """Return the multiple of the rate at a time since the start."""
+        factors = [factor for start, end, factor in self.surges if start <= age_s < end]
+        return max(factors, default=1.0)
 
 
 @attrs.define
@@ -71,14 +93,14 @@
 async def play_load(
     fleet: ModelFleet, routes: list[RouteLoad], duration_s: float, seed: int
 ) -> dict[str, LoadResult]:
-    """Send the calls of all routes and return the results by route name."""
+    """Send the calls of all routes and return the results by the keys of routes."""
     random = np.random.default_rng(seed)
-    results = {route.name: LoadResult() for route in routes}
+    results = {route.key: LoadResult() for route in routes}
     numbers = itertools.count(1)
     async with asyncio.TaskGroup() as group:
         for route in routes:
             arrivals = _send_calls(
-                group, fleet, route, results[route.name], duration_s, random, numbers
+                group, fleet, route, results[route.key], duration_s, random, numbers
             )
             group.create_task(arrivals)
     return results
@@ -94,14 +116,21 @@
     numbers: itertools.count,
 ) -> None:
     loop = asyncio.get_running_loop()
-    end_at_s = loop.time() + duration_s
+    started_at_s = loop.time()
+    end_at_s = started_at_s + duration_s
+    max_factor = max([1.0, *(factor for _, _, factor in route.surges)])
     while True:
-        await asyncio.sleep(random.exponential(1 / route.calls_per_s))
+        await asyncio.sleep(random.exponential(1 / (max_factor * route.calls_per_s)))
         if loop.time() >= end_at_s:
             return
+        factor = route.surge_factor(loop.time() - started_at_s)
+        if factor < max_factor and random.random() >= factor / max_factor:
+            continue
         request_id = f"call-{next(numbers)}"
         work_ms = route.work_ms * random.lognormal(0.0, route.work_sigma)
         fleet.work_s[request_id] = work_ms / MS_PER_S
+        if route.account:
+            fleet.accounts[request_id] = route.account
         runner, _ = fleet.runners[random.integers(len(fleet.runners))]
         group.create_task(run_call(fleet, route, request_id, result, runner))
 
@@ -120,6 +149,27 @@
     runner = runner or fleet.runners[0][0]
     loop = asyncio.get_running_loop()
     started_at_s = loop.time()
+    deadline = Deadline.after_ms(route.deadline_ms)
+    objective = Deadline.after_ms(route.objective_ms)
+    outcome = await _send(fleet, route, request_id, runner, deadline, objective)
+    while route.comes_back and isinstance(outcome, NotRun):
+        pause_ms = outcome.retry_after_ms
+        if not 0 < pause_ms <= PATIENCE_SHARE * deadline.left_ms():
+            break
+        await asyncio.sleep(pause_ms / MS_PER_S)
+        outcome = await _send(fleet, route, request_id, runner, deadline, objective)
+    elapsed_ms = (loop.time() - started_at_s) * MS_PER_S
+    _record(route, result, outcome, elapsed_ms, fleet.count_runs(request_id))
+
+
+async def _send(
+    fleet: ModelFleet,
+    route: RouteLoad,
+    request_id: str,
+    runner: CallRunner,
+    deadline: Deadline,
+    objective: Deadline,
+) -> Outcome:
     call = Call(
         request=SimpleNamespace(method="GET", headers={}),
         request_id=request_id,
@@ -127,15 +177,14 @@
         path_and_query="/",
         settings=fleet.settings,
         idempotent=route.idempotent,
-        deadline=Deadline.after_ms(route.deadline_ms),
+        deadline=deadline,
         body=b"",
         route=route.name,
         priority=route.priority,
-        objective=Deadline.after_ms(route.objective_ms),
+        objective=objective,
     )
     outcome, _ = await runner.run(call)
-    elapsed_ms = (loop.time() - started_at_s) * MS_PER_S
-    _record(route, result, outcome, elapsed_ms, fleet.count_runs(request_id))
+    return outcome
 
 
 def _record(
@@ -155,7 +204,7 @@
         result.failed += 1
     elif elapsed_ms <= route.objective_ms:
         result.in_time += 1
-        result.worth += 1.0
+        result.worth += route.worth
     else:
         result.late += 1
         result.worth += route.late_worth
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -317,7 +317,6 @@
             objective_left_ms=call.objective_left_ms(),
             route=call.route_hash,
             avoid_doubt=call.is_refused_in_doubt,
-            last_queue=call.may_queue and call.asks_last_queue,
         )
         self._router.fill_call_head(head, view)
         return AttemptRequest(
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -181,11 +181,6 @@
         """
         return (self.waits or not self.replayable) and not self.asks_leaving
 
-    @property
-    def asks_last_queue(self) -> bool:
-        """Return whether a refusal by the queue of the next attempt would be final."""
-        return not self.replayable or self.queue_refusals + 1 >= MAX_QUEUE_REFUSALS
-
     def start_waiting(self) -> bool:
         """Let further attempts wait for slots, and retry the busy endpoints.
 
--- a/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -16,12 +16,12 @@
 MS_PER_S = 1000
 #: Short calls go ahead of all priorities, see ``CallNeeds.is_short``.
 SHORT_PRIORITY = -1
-#: Likelihood of ending in time that a call needs to start. The start of a call that may
-#: be repeated pays off if it is more likely to succeed than not. One that may run only
-#: once is lost for good if it does not end, while a refusal loses nothing but time.
-MIN_LIKELIHOOD = 0.5
-MIN_LIKELIHOOD_ONCE = 0.8
-#: As many grants as today's queue remembers: a few seconds of a busy target.
+#: Likelihood of ending in time that a call needs to start: that of the margin of 1.25 of
+#: the former checks at the usual spread of the work. A call that may run only once is
+#: lost for good if it does not end, while a refusal loses nothing but time.
+MIN_LIKELIHOOD = 0.8
+MIN_LIKELIHOOD_ONCE = 0.9
+#: Covers a few seconds of a busy target with a handful of slots.
 GRANT_HISTORY_LENGTH = 20
 MIN_RETRY_AFTER_MS = 100
 
@@ -36,8 +36,6 @@
     :ivar objective_s: time by which it should have ended.
     :ivar start_limit_s: time by which it must have started.
     :ivar may_repeat: whether it may run more than once.
-    :ivar may_be_late: whether it waits although it will miss its objective, because it
-        would be lost otherwise.
     :ivar is_short: whether it takes little time compared with the others and is made
         for a call that holds capacity meanwhile.
     """
@@ -50,7 +48,6 @@
     objective_s: float = float("inf")
     start_limit_s: float = float("inf")
     may_repeat: bool = True
-    may_be_late: bool = False
     is_short: bool = False
 
 
@@ -125,11 +122,7 @@
         if start_at_s > call.last_start_s:
             return Refusal("deadline", retry_after_ms)
         if start_at_s > call.useful_start_s:
-            late_ms = self._waiting.late_work_ahead_ms(call, now_s) + held_ms
-            late_at_s = now_s + late_ms / max(1, capacity) / MS_PER_S
-            if not needs.may_be_late or late_at_s > call.last_start_s:
-                return Refusal("objective", retry_after_ms)
-            call = attrs.evolve(call, useful_start_s=float("-inf"))
+            return Refusal("objective", retry_after_ms)
         if limit < 1:
             return Refusal("full", retry_after_ms)
         self._waiting.add(call, now_s)
--- a/packages/laburnumscale/src/laburnumscale/overload/waitingcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/waitingcalls.py
@@ -194,15 +194,6 @@
         by_share_ms = (own_ms + call.work_ms) * lower_count / LOWER_SHARE - call.work_ms
         return min(by_priority_ms, by_share_ms)
 
-    def late_work_ahead_ms(self, call: WaitingCall, now_s: float) -> float:
-        """Return the work that precedes a new call that is late when it starts."""
-        self._move_late(now_s)
-        position = bisect_left(self._late, _late_place(call), key=_late_place)
-        useful_ms = sum(
-            sum(calls.work_ms.values()) for calls in self._priorities.values()
-        )
-        return useful_ms + sum(each.work_ms for each in self._late[:position])
-
     def total_work_ms(self) -> float:
         """Return the work of all waiting calls."""
         return sum(call.work_ms for call in self._calls.values())
--- a/packages/laburnumscale/src/laburnumscale/queuepolicies.py
+++ b/packages/laburnumscale/src/laburnumscale/queuepolicies.py
@@ -180,7 +180,6 @@
         objective_s=request.objective().at_s,
         start_limit_s=transmission.send_deadline.at_s,
         may_repeat=head.idempotent,
-        may_be_late=head.last_queue,
         # A call of an account is made by a caller, whatever time it takes.
         is_short=request.is_short and not head.account,
     )
