--- a/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -16,9 +16,9 @@
 MS_PER_S = 1000
 #: Short calls go ahead of all priorities, see ``CallNeeds.is_short``.
 SHORT_PRIORITY = -1
-#: Likelihood of ending in time that a call needs to start: that of the margin of 1.25 of
-#: the former checks at the usual spread of the work. A call that may run only once is
-#: lost for good if it does not end, while a refusal loses nothing but time.
+#: Likelihood of ending in time that a call needs to start. The former margin of 1.25 of
+#: the mean is about the same at the spread of the known workloads. A call that may run
+#: only once is lost for good if it does not end, while a refusal loses only time.
 MIN_LIKELIHOOD = 0.8
 MIN_LIKELIHOOD_ONCE = 0.9
 #: Covers a few seconds of a busy target with a handful of slots.
@@ -69,7 +69,8 @@
 
     :ivar cause: ``deadline``, ``objective`` or ``full``: the call would miss its
         deadline or its objective, or costs less than those that wait.
-    :ivar retry_after_ms: time after which the calls ahead of it will have started.
+    :ivar retry_after_ms: time after which the calls that wait will have started. A
+        call that comes back earlier finds most of them ahead of it again.
     """
 
     cause: str
@@ -117,7 +118,7 @@
         call = self._describe(sequence, needs)
         useful_ms = self._waiting.work_ahead_ms(call, self._overtaking(call), now_s)
         wait_ms = (useful_ms + held_ms) / max(1, capacity)
-        retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_ms))
+        retry_after_ms = self.drain_ms(capacity, held_ms)
         start_at_s = now_s + wait_ms / MS_PER_S
         if start_at_s > call.last_start_s:
             return Refusal("deadline", retry_after_ms)
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -63,6 +63,8 @@
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS
             )
+        # The policy may have changed while the attempt waited.
+        policy = get_queue_policy_by_name(target.queue.name)
         policy.check_start(_slot_request(target, settings, transmission, head))
         yield
         target.record_slot_time((time.monotonic() - started_at_s) * US_PER_S)
@@ -93,6 +95,7 @@
         if _was_granted(waiter.granted):
             release_slot(target)
         if isinstance(error, TimeoutError):
+            policy = get_queue_policy_by_name(target.queue.name)
             raise policy.expiry(request) from None
         raise
 
