--- a/packages/laburnumscale/src/laburnumscale/queuepolicies.py
+++ b/packages/laburnumscale/src/laburnumscale/queuepolicies.py
@@ -43,14 +43,6 @@
     call_ms: float
     is_short: bool
 
-    def objective(self) -> Deadline:
-        """Return the latency objective, but at most the deadline."""
-        deadline = self.transmission.deadline
-        if not self.head.objective_left_ms:
-            return deadline
-        objective = Deadline.after_ms(self.head.objective_left_ms)
-        return min(objective, deadline, key=lambda each: each.at_s)
-
 
 class QueuePolicy(ABC):
     """Decides which attempts wait for a slot.
@@ -80,9 +72,16 @@
         """
 
     @abstractmethod
-    def check_start(self, request: SlotRequest) -> None:
+    def check_start(
+        self,
+        target: LocalTarget,
+        transmission: Transmission,
+        head: peer_pb2.CallHead,
+        call_ms: float,
+    ) -> None:
         """Check that an attempt that has a slot can still end in time.
 
+        :param call_ms: how long the call is expected to take; 0 if its route is new.
         :raises AttemptRefused: it is too likely to end after its deadline.
         """
 
@@ -112,7 +111,7 @@
         transmission = request.transmission
         response_deadline = transmission.deadline
         if not request.is_short:
-            response_deadline = request.objective()
+            response_deadline = _objective(transmission, head)
         call_ms = request.call_ms
         if (
             head.no_wait
@@ -128,8 +127,14 @@
         )
         return target.queue.enqueue(priority), max_wait_s
 
-    def check_start(self, request: SlotRequest) -> None:
-        if LATENCY_MARGIN * request.call_ms > request.transmission.deadline.left_ms():
+    def check_start(
+        self,
+        target: LocalTarget,
+        transmission: Transmission,
+        head: peer_pb2.CallHead,
+        call_ms: float,
+    ) -> None:
+        if LATENCY_MARGIN * call_ms > transmission.deadline.left_ms():
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MS
             )
@@ -148,17 +153,24 @@
         target = request.target
         if request.head.no_wait:
             raise AttemptRefused(peer_pb2.NOT_RUN_REASON_OVERLOADED, _drain_ms(target))
+        # A call of an account is made by a caller, whatever time it takes.
+        is_short = request.is_short and not request.head.account
         waiter, call = target.queue.enqueue(
-            _call_needs(request),
+            _call_needs(request.transmission, request.head, request.call_ms, is_short),
             target.slots,
             target.slot_time_us / US_PER_MS,
             request.settings.queue_limit,
         )
         return waiter, Deadline(call.last_start_s).left_s()
 
-    def check_start(self, request: SlotRequest) -> None:
-        target = request.target
-        if not target.queue.can_end(_call_needs(request)):
+    def check_start(
+        self,
+        target: LocalTarget,
+        transmission: Transmission,
+        head: peer_pb2.CallHead,
+        call_ms: float,
+    ) -> None:
+        if not target.queue.can_end(_call_needs(transmission, head, call_ms)):
             raise QueueRefused(
                 peer_pb2.NOT_RUN_REASON_OVERLOADED, _drain_ms(target), "deadline"
             )
@@ -169,22 +181,33 @@
         )
 
 
-def _call_needs(request: SlotRequest) -> CallNeeds:
-    head, transmission = request.head, request.transmission
+def _call_needs(
+    transmission: Transmission,
+    head: peer_pb2.CallHead,
+    call_ms: float,
+    is_short: bool = False,
+) -> CallNeeds:
     return CallNeeds(
         priority=head.priority,
         account=head.account,
         route=head.route,
-        reference_ms=head.reference_latency_us / US_PER_MS or request.call_ms,
+        reference_ms=head.reference_latency_us / US_PER_MS or call_ms,
         deadline_s=transmission.deadline.at_s,
-        objective_s=request.objective().at_s,
+        objective_s=_objective(transmission, head).at_s,
         start_limit_s=transmission.send_deadline.at_s,
         may_repeat=head.idempotent,
-        # A call of an account is made by a caller, whatever time it takes.
-        is_short=request.is_short and not head.account,
+        is_short=is_short,
     )
 
 
+def _objective(transmission: Transmission, head: peer_pb2.CallHead) -> Deadline:
+    """Return the latency objective of an attempt, but at most its deadline."""
+    if not head.objective_left_ms:
+        return transmission.deadline
+    objective = Deadline.after_ms(head.objective_left_ms)
+    return min(objective, transmission.deadline, key=lambda deadline: deadline.at_s)
+
+
 def _drain_ms(target: LocalTarget) -> int:
     """Return after what time the calls that wait now are expected to have started."""
     return target.queue.drain_ms(target.slots, target.slot_time_us / US_PER_MS)
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -55,17 +55,22 @@
         target.running += 1
         target.queue.record_direct_start()
     else:
-        request = _slot_request(target, settings, transmission, head)
-        await _wait_for_slot(policy, request)
+        call_ms = _expected_call_ms(target, head)
+        is_short = _is_short(target, call_ms)
+        await _wait_for_slot(
+            policy,
+            SlotRequest(target, settings, transmission, head, call_ms, is_short),
+        )
+        # The policy may have changed while the attempt waited.
+        policy = get_queue_policy_by_name(target.queue.name)
     started_at_s = time.monotonic()
     try:
         if target.ejected and not head.floor_traffic:
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_EJECTED, OVERLOAD_RETRY_AFTER_MS
             )
-        # The policy may have changed while the attempt waited.
-        policy = get_queue_policy_by_name(target.queue.name)
-        policy.check_start(_slot_request(target, settings, transmission, head))
+        call_ms = _expected_call_ms(target, head)
+        policy.check_start(target, transmission, head, call_ms)
         yield
         target.record_slot_time((time.monotonic() - started_at_s) * US_PER_S)
     finally:
@@ -100,18 +105,6 @@
         raise
 
 
-def _slot_request(
-    target: LocalTarget,
-    settings: EffectiveSettings,
-    transmission: Transmission,
-    head: peer_pb2.CallHead,
-) -> SlotRequest:
-    call_ms = _expected_call_ms(target, head)
-    return SlotRequest(
-        target, settings, transmission, head, call_ms, _is_short(target, call_ms)
-    )
-
-
 def _is_short(target: LocalTarget, call_ms: float) -> bool:
     """Return whether a call takes little time compared with the target's other calls.
 
