--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -178,6 +178,7 @@
     """Reaches the guards of the model after the delay of the network."""
 
     guards: dict[str, Guard]
+    accounts: dict[str, str]
 
     async def _send_to_guard(
         self,
@@ -188,6 +189,7 @@
     ) -> AsyncIterator[peer_pb2.CallReply]:
         await asyncio.sleep(HOP_S)
         head.guard_time_us = 0
+        head.account = self.accounts.get(head.request_id, "")
         async for reply in self.guards[view.daemon].run_attempt(head, body):
             await asyncio.sleep(HOP_S)
             yield reply
@@ -272,6 +274,7 @@
     :ivar last_at_most_once_at_s: when the last call that may run only once arrived,
         by endpoint.
     :ivar targets: the targets as their guards know them.
+    :ivar accounts: client account of each request that has one, by its id.
     :ivar runners: the entries, with the data centre of each.
     :ivar metrics: counters of all daemons.
     """
@@ -286,6 +289,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.work_s: dict[str, float] = {}
+        self.accounts: dict[str, str] = {}
         self.machines: list[_Machine] = []
         self.targets: list[LocalTarget] = []
         self.last_at_most_once_at_s: dict[str, float] = {}
@@ -380,6 +384,7 @@
         settler.guards = self._guards
         client = _ModelAttemptClient(members, None, None, settler, paths)
         client.guards = self._guards
+        client.accounts = self.accounts
         health = self._guards[f"d{index}"].health
         router = Router(members, feed, paths, health)
         return CallRunner(client, router, self.metrics, new_budget(), HeaderNames())
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -25,7 +25,11 @@
     ServicePlace,
     parse_place,
 )
-from laburnumscale.policynames import EJECTION_POLICIES, ROUTING_POLICIES
+from laburnumscale.policynames import (
+    EJECTION_POLICIES,
+    QUEUE_POLICIES,
+    ROUTING_POLICIES,
+)
 from laburnumscale.settingsfile import SettingsFile
 from laburnumscale_schema import settings_pb2
 
@@ -61,6 +65,7 @@
 NAMES = {
     "routing_policy": ROUTING_POLICIES,
     "ejection_policy": EJECTION_POLICIES,
+    "queue_policy": QUEUE_POLICIES,
 }
 
 SECTIONS = ("fleet", "data_centres", "services", "routes", "accounts")
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -85,6 +85,7 @@
     require_account_key: bool = False
     return_successes: int = 0
     concentration_percent: int = 0
+    queue_policy: str = "priority"
 
 
 def python_value(settings: settings_pb2.ServiceSettings, name: str):
