Let the last attempt of a call avoid targets in doubt

The last attempt of a call now does, too, since its loss is as final. The first attempt still tests such targets.

--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -267,8 +267,9 @@
 
 
 def _is_lost_if_failed(head: peer_pb2.CallHead) -> bool:
-    """Return whether a call may run only once and another target could run it.
+    """Return whether a failure would lose a call that another target could run.
 
-    A call whose body cannot be sent again is not included: its refusal would be final.
+    It may run only once, or makes its last attempt. A call whose body cannot be sent
+    again is not included: its refusal would be final.
     """
-    return head.replayable and not head.idempotent
+    return head.replayable and (head.avoid_doubt or not head.idempotent)
--- a/tests/features/steps/trials_steps.py
+++ b/tests/features/steps/trials_steps.py
@@ -63,8 +63,9 @@
 def step_admit(context, kind, body):
     admit(
         context,
-        idempotent=kind == "may be repeated",
+        idempotent=kind != "may run once",
         replayable=body == "can be sent again",
+        avoid_doubt=kind == "is on its last attempt",
     )
 
 
