Use a real call in the scenario of a keyed call whose channel is closed

Its stand-in of a call lacked what messages to holders need since accounts exist, so the scenario ended with an error. With a Call it passes, and fails if a closed channel is not treated as unavailable, as before.

--- a/tests/features/steps/attempt_end_races_steps.py
+++ b/tests/features/steps/attempt_end_races_steps.py
@@ -9,6 +9,7 @@
 from laburnumscale.attemptcopies import AttemptCopies, ReplyReader
 from laburnumscale.attemptender import AttemptEnder
 from laburnumscale.attempttable import AttemptTable
+from laburnumscale.callstate import Call
 from laburnumscale.deadlines import Deadline
 from laburnumscale.failurereplies import AttemptRefused, refused_reply
 from laburnumscale.keyedcalls import KeyedCalls
@@ -404,17 +405,14 @@
     keyed = object.__new__(KeyedCalls)
     keyed._channels, keyed._members, keyed._metrics = Channels(), members, Metrics()
     request = SimpleNamespace(method="POST", headers={})
-    call = SimpleNamespace(
+    keyed._account_fields = frozenset()
+    call = Call(
+        request=request,
         request_id="r",
         service="s",
         path_and_query="/",
         settings=EffectiveSettings(),
         idempotent=False,
-        route="",
-        priority=0,
-        caller_service="",
-        objective_left_ms=lambda: 0,
-        request=request,
         body=b"",
         deadline=Deadline.after_ms(WAIT_S * 1000),
     )
