Count the work of calls of new routes in the turns of their account

An account whose calls go to a route that the target has not run yet was not charged for them, so it kept its turn. Their work is taken as the average time in a slot.

--- a/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -18,7 +18,8 @@
 SHORT_PRIORITY = -1
 #: Likelihood of ending in time that a call needs to start. The former margin of 1.25 of
 #: the mean is about the same at the spread of the known workloads. A call that may run
-#: only once is lost for good if it does not end, while a refusal loses only time.
+#: only once is lost for good if it does not end in time; a late answer is worth a tenth
+#: to a fifth of that loss, so its likelihood must be about nine tenths.
 MIN_LIKELIHOOD = 0.8
 MIN_LIKELIHOOD_ONCE = 0.9
 #: Covers a few seconds of a busy target with a handful of slots.
@@ -115,7 +116,7 @@
         :param held_ms: average time for which a call holds its part of the capacity.
         :param limit: maximum number of waiting calls.
         """
-        call = self._describe(sequence, needs)
+        call = self._describe(sequence, needs, held_ms)
         useful_ms = self._waiting.work_ahead_ms(call, self._overtaking(call), now_s)
         wait_ms = (useful_ms + held_ms) / max(1, capacity)
         retry_after_ms = self.drain_ms(capacity, held_ms)
@@ -159,8 +160,9 @@
         work_ms = self._waiting.total_work_ms() + held_ms
         return max(MIN_RETRY_AFTER_MS, int(work_ms / max(1, capacity)))
 
-    def _describe(self, sequence: int, needs: CallNeeds) -> WaitingCall:
-        work_ms = self.estimates.expected_ms(needs.route, needs.reference_ms)
+    def _describe(self, sequence: int, needs: CallNeeds, held_ms: float) -> WaitingCall:
+        # The work of a new route counts, too, or its account would take no turns.
+        work_ms = self.estimates.expected_ms(needs.route, needs.reference_ms) or held_ms
         likely_ms = self._likely_ms(needs, _min_likelihood(needs))
         last_start_s = needs.deadline_s - likely_ms / MS_PER_S
         useful_start_s = last_start_s
