--- a/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -19,9 +19,9 @@
 #: Likelihood of ending in time that a call needs to start. The former margin of 1.25 of
 #: the mean is about the same at the spread of the known workloads. A call that may run
 #: only once is lost for good if it does not end in time; a late answer is worth a tenth
-#: to a fifth of that loss, which it outweighs only if it is likely by nine tenths.
+#: to a fifth of that loss, so its likelihood must be about nine tenths.
 MIN_LIKELIHOOD = 0.8
-MIN_LIKELIHOOD_ONCE = 0.95
+MIN_LIKELIHOOD_ONCE = 0.9
 #: Covers a few seconds of a busy target with a handful of slots.
 GRANT_HISTORY_LENGTH = 20
 MIN_RETRY_AFTER_MS = 100
@@ -161,7 +161,7 @@
         return max(MIN_RETRY_AFTER_MS, int(work_ms / max(1, capacity)))
 
     def _describe(self, sequence: int, needs: CallNeeds, held_ms: float) -> WaitingCall:
-        # The work of a new route counts, too: its account would take no turns otherwise.
+        # The work of a new route counts, too, or its account would take no turns.
         work_ms = self.estimates.expected_ms(needs.route, needs.reference_ms) or held_ms
         likely_ms = self._likely_ms(needs, _min_likelihood(needs))
         last_start_s = needs.deadline_s - likely_ms / MS_PER_S
