Check quotas of client accounts at the entry

Callers of an account with a quota were never refused.

Change: after the route and the account of a call are known and before its body is read, the entry asks the keeper of the account's quota, at this daemon or over the service Quotas. Calls over the quota get 429; without a decision within a second they get 503 (quota_undecided). A call that ends as not run is returned to its quota.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -43,6 +43,7 @@
 from laburnumscale.operationkeys import is_key
 from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown, outcome_name
 from laburnumscale.problems import problem_response
+from laburnumscale.quotas import QuotaClient, QuotaGrant
 from laburnumscale.routelookup import Routed, RouteLookup
 from laburnumscale.settingsfeed import CATCH_UP_WAIT_MS, SettingsFeed
 from laburnumscale.settingstree import EffectiveSettings
@@ -79,6 +80,8 @@
     :param header_names: names of the header fields used with callers.
     :param routes_only: whether requests that match no route are refused. Otherwise
         the first segment of their path is the name of the service.
+    :ivar quotas: decides whether calls are within the quotas of their accounts; set
+        before the first call.
     :ivar account_calls: counts the calls of client accounts.
     """
 
@@ -104,6 +107,7 @@
         self._key_table = key_table
         self._metrics = metrics
         self.account_calls = AccountCallCounts(metrics)
+        self.quotas: QuotaClient | None = None
         self._in_flight = 0
 
     def app(self, body_limit_bytes: int) -> App:
@@ -181,6 +185,8 @@
         except Exception as error:
             outcome = self._report_failure(request_id, error, prepared.may_have_run)
             response = self._failure_response(prepared, outcome)
+        if isinstance(outcome, NotRun):
+            _give_back(prepared.quota_grant)
         try:
             elapsed_ms = (time.monotonic() - started_at_s) * MS_PER_S
             self._call_log.log_call_end(prepared, outcome, elapsed_ms)
@@ -274,10 +280,17 @@
         deadline = Deadline(received_at_s + timeout_ms / MS_PER_S)
         if not self._drain_state.accepts(deadline):
             return DRAINING
-        body = await self._request_body(request, request_id, deadline)
-        if not self._drain_state.accepts(deadline):
-            return DRAINING
-        return Call(
+        quota_grant = None
+        if routed.account is not None and routed.account.calls_per_s > 0:
+            quota_grant = await self._acquire_quota(routed.account.name, deadline)
+        if isinstance(quota_grant, NotRun):
+            return quota_grant
+        try:
+            body = await self._request_body(request, request_id, deadline)
+        except BaseException:  # also a caller that leaves
+            _give_back(quota_grant)
+            raise
+        call = Call(
             request=request,
             request_id=request_id,
             service=service,
@@ -291,7 +304,23 @@
             objective=_latency_objective(route),
             caller_service=self._runner.caller_service,
             account=routed.account.name if routed.account is not None else "",
+            quota_grant=quota_grant,
         )
+        return self._refuse_if_draining(call)
+
+    def _refuse_if_draining(self, call: Call) -> Call | NotRun:
+        if self._drain_state.accepts(call.deadline):
+            return call
+        _give_back(call.quota_grant)
+        return DRAINING
+
+    async def _acquire_quota(
+        self, account: str, deadline: Deadline
+    ) -> QuotaGrant | NotRun:
+        decision = await self.quotas.acquire(account, deadline)
+        if isinstance(decision, NotRun):
+            self.account_calls.add(account, outcome_name(decision))
+        return decision
 
     async def _find_route(self, request: Request) -> Routed | NotRun:
         host, path_and_query = parse_request_target(request)
@@ -373,6 +402,12 @@
         self._metrics.record_us("call_latency", elapsed_us, f'service="{service}"')
 
 
+def _give_back(grant: QuotaGrant | None) -> None:
+    """Return a call that is not run to the quota of its account."""
+    if grant is not None:
+        grant.give_back()
+
+
 async def _buffer_body(request: Request, deadline: Deadline) -> bytes:
     try:
         async with asyncio.timeout(deadline.left_s()):
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -11,6 +11,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.headers import end_to_end_headers, without_fields
 from laburnumscale.outcomes import NotRun, Outcome, Unknown
+from laburnumscale.quotas import QuotaGrant
 from laburnumscale.routelatencies import hash_route
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale_schema import peer_pb2
@@ -77,6 +78,7 @@
     :ivar objective: latency objective; the call does not wait for a slot after it.
     :ivar caller_service: service on whose behalf the call is made; if empty, that of
         the callers of this daemon.
+    :ivar quota_grant: permission of the account's quota; None if it has none.
     :ivar account: name of the client account on whose behalf the call is made; empty
         if none.
     :ivar tried_endpoints: names of the endpoints that were tried.
@@ -115,6 +117,7 @@
     objective: Deadline | None = None
     caller_service: str = ""
     account: str = ""
+    quota_grant: QuotaGrant | None = None
     tried_endpoints: set[str] = attrs.field(factory=set)
     counted_attempts: int = 0
     exempt_attempts: int = 0
--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -116,6 +116,10 @@
         """Return the stub for calls with operation keys."""
         return self._get_stub(address, peer_pb2_grpc.OperationKeysStub)
 
+    def quotas(self, address: str) -> peer_pb2_grpc.QuotasStub:
+        """Return the stub for requests to the keepers of quotas."""
+        return self._get_stub(address, peer_pb2_grpc.QuotasStub)
+
     @asynccontextmanager
     async def transient_peer(
         self,
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -96,6 +96,7 @@
         guard_role = build_guard_role(shared)
         settings_role = build_settings_role(shared)
         entry_role = build_entry_role(shared, guard_role)
+        gossip.on_probe_result(entry_role.quotas.view.record_probe)
         async with serve_peers(
             shared.settings.peer_address,
             guard_role.guard,
@@ -104,6 +105,7 @@
             gossip.exchange.handle_request,
             shared.feed,
             entry_role.keyed_calls,
+            entry_role.quotas,
         ) as peer_server:
             await gossip.start(shared.settings.peer_address)
             tasks = self._start_background_tasks(
@@ -212,6 +214,7 @@
             "orphaned runs": lambda: guard_role.guard.runs.watch_orphans(
                 shared.members
             ),
+            "quotas": entry_role.quotas.watch,
             "operation keys": entry_role.key_table.delete_expired_records,
         }
         return [
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -28,7 +28,18 @@
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale.platformlog import LogClient
 from laburnumscale.platforms import Platform
+from laburnumscale.processends import ProcessEnds
 from laburnumscale.quarantineapi import QuarantineApi
+from laburnumscale.quotachannels import QuotaChannels
+from laburnumscale.quotas import (
+    KeeperView,
+    Quota,
+    QuotaClient,
+    QuotaKeeper,
+    QuotaService,
+    QuotaTolerance,
+    quota_of,
+)
 from laburnumscale.readerroles import ReaderRoles
 from laburnumscale.recovery import TargetRecovery
 from laburnumscale.retrybudget import RetryBudget
@@ -100,6 +111,7 @@
     key_table: KeyTable
     keyed_calls: KeyedCalls
     caller_api: CallerApi
+    quotas: QuotaService
 
 
 def build_gossip(shared: SharedParts) -> Gossip:
@@ -204,6 +216,7 @@
         metrics,
         header_names.account_fields(),
     )
+    quotas, quota_client = _build_quotas(shared)
     caller_api = CallerApi(
         members,
         shared.feed,
@@ -214,7 +227,34 @@
         header_names,
         settings.routes_only,
     )
-    return EntryRole(settler, router, runner, key_table, keyed_calls, caller_api)
+    caller_api.quotas = quota_client
+    return EntryRole(
+        settler, router, runner, key_table, keyed_calls, caller_api, quotas
+    )
+
+
+def _build_quotas(shared: SharedParts) -> tuple[QuotaService, QuotaClient]:
+    """Build the keeper of quotas and the client that entries ask for decisions."""
+    settings, feed, metrics = shared.settings, shared.feed, shared.metrics
+
+    def find_quota(account: str) -> Quota | None:
+        return quota_of(feed.tree.accounts.get(account))
+
+    def revision() -> int:
+        return feed.tree.revision
+
+    tolerance = QuotaTolerance.from_ms(
+        settings.quota_window_ms,
+        settings.quota_over_percent,
+        settings.quota_slack_calls,
+    )
+    view = KeeperView(shared.members)
+    keeper = QuotaKeeper(view, find_quota, tolerance, metrics, revision)
+    ask = QuotaChannels(shared.channels).ask
+    has_ended = ProcessEnds(shared.members, shared.channels).has_ended
+    service = QuotaService(keeper, view, ask, has_ended)
+    client = QuotaClient(service, ask, find_quota, metrics, revision)
+    return service, client
 
 
 def build_operator_api(
--- a/packages/laburnumscale/src/laburnumscale/detector.py
+++ b/packages/laburnumscale/src/laburnumscale/detector.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 
 from laburnumscale.gossipsender import GossipSender
 from laburnumscale.localhealth import LocalHealth
@@ -26,7 +27,10 @@
 
 
 class FailureDetector:
-    """Probes the members of one daemon's table and replies to their probes."""
+    """Probes the members of one daemon's table and replies to their probes.
+
+    :ivar on_probe_result: called with whether a probe was acknowledged.
+    """
 
     def __init__(
         self,
@@ -43,6 +47,7 @@
         self._acks: dict[int, asyncio.Future[bool]] = {}
         self._probe_order: list[str] = []
         self._relay_tasks: set[asyncio.Task] = set()
+        self.on_probe_result: Callable[[bool], None] = lambda is_acked: None
 
     async def probe_forever(self) -> None:
         """Probe one member per interval until cancelled.
@@ -82,7 +87,9 @@
             del self._acks[sequence]
         if ack_future.done():
             self._health.record_success()
+            self.on_probe_result(True)
         elif not self._health.detect_late_wakeup(deadline_at_s):
+            self.on_probe_result(False)
             self._record_failed_probe(probed, relays)
 
     def ping(self, probed: peer_pb2.Member, sequence: int = 0) -> None:
--- a/packages/laburnumscale/src/laburnumscale/gossip.py
+++ b/packages/laburnumscale/src/laburnumscale/gossip.py
@@ -123,6 +123,10 @@
         """Return the monotonic time of the last datagram from a peer, or 0."""
         return self._health.last_datagram_at_s
 
+    def on_probe_result(self, listener: Callable[[bool], None]) -> None:
+        """Register a function that is called with whether a probe was acked."""
+        self._detector.on_probe_result = listener
+
     async def join(self) -> None:
         """Discover the other daemons and determine the incarnation of this one."""
         await self._discovery.join()
--- a/packages/laburnumscale/src/laburnumscale/peers.py
+++ b/packages/laburnumscale/src/laburnumscale/peers.py
@@ -15,6 +15,7 @@
 from laburnumscale.guard import Guard
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.members import Members
+from laburnumscale.quotas import QuotaService
 from laburnumscale.settingscontacts import SettingsContact
 from laburnumscale.settingsfeed import SettingsFeed
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
@@ -138,6 +139,16 @@
         return peer_pb2.KeyHandOverReply()
 
 
+class _QuotasServicer(peer_pb2_grpc.QuotasServicer):
+    def __init__(self, service: QuotaService) -> None:
+        self._service = service
+
+    async def Acquire(  # noqa: N802
+        self, request: peer_pb2.QuotaRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.QuotaReply:
+        return await self._service.acquire(request)
+
+
 @asynccontextmanager
 async def serve_peers(
     address: Address,
@@ -147,6 +158,7 @@
     handle_exchange: ExchangeHandler,
     feed: SettingsFeed,
     keyed_calls: KeyedCalls,
+    quotas: QuotaService | None = None,
 ) -> AsyncIterator[grpc.aio.Server]:
     """Handle the requests of other daemons while the context lasts.
 
@@ -156,6 +168,7 @@
     :param address: address to listen on.
     :param handle_exchange: handles one request of a membership table exchange and
         returns the reply.
+    :param quotas: the keeper of quotas; None for a server that keeps none.
     :raises AddressInUse: the server cannot listen on the address.
     """
     server = grpc.aio.server(options=SERVER_OPTIONS)
@@ -166,6 +179,8 @@
     peer_pb2_grpc.add_OperationKeysServicer_to_server(
         _OperationKeysServicer(keyed_calls), server
     )
+    if quotas is not None:
+        peer_pb2_grpc.add_QuotasServicer_to_server(_QuotasServicer(quotas), server)
     try:
         server.add_insecure_port(str(address))
     except RuntimeError as error:
--- a/packages/laburnumscale/src/laburnumscale/quotas/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/__init__.py
@@ -1,8 +1,7 @@
 """Quotas.
 
-Limits the calls of a client account over all daemons combined. Only ``quotaclient`` and
-``quotaservice`` wait for other daemons, through functions that they are given; nothing
-here imports channels, servers or other code that opens a connection.
+Limits the calls of a client account over all daemons combined; it may import members,
+outcomes, deadlines, metrics and logs, and nothing that opens a connection.
 """
 
 from laburnumscale.quotas.bucket import QuotaBucket
--- a/tests/standins/quotafleet.py
+++ b/tests/standins/quotafleet.py
@@ -376,40 +376,63 @@
 
 async def cause_fault(fleet: QuotaFleet, kind: str) -> None:
     """Cause one random fault, and end some of them after a while."""
-    chance, names = fleet.random, list(fleet.daemons)
-    running = [name for name in names if not fleet.daemons[name].stopped]
-    if kind == "wave" and len(running) > 2:
-        for _ in range(chance.randint(1, 3)):
-            if len(running) > 2:
-                victim = chance.choice([fleet.keeper_name(), *running])
-                running = [name for name in running if name != victim]
-                fleet.kill(victim)
-                await asyncio.sleep(chance.uniform(0, 3))
-    elif kind == "restart":
-        name = chance.choice([fleet.keeper_name(), *names])
-        if not fleet.daemons[name].stopped:
-            fleet.kill(name)
-        await asyncio.sleep(chance.uniform(1, 6))
-        if fleet.daemons[name].stopped == "killed":
-            fleet.restart(name)
-    elif kind == "restart all":
-        for name in names:
-            if fleet.daemons[name].stopped != "frozen":
-                fleet.restart(name)
-    elif kind == "freeze" and len(running) > 2:
-        name = chance.choice([fleet.keeper_name(), *running])
+    running = [each.name for each in fleet.daemons.values() if not each.stopped]
+    await FAULTS[kind](fleet, running)
+
+
+async def _kill_wave(fleet: QuotaFleet, running: list[str]) -> None:
+    for _ in range(fleet.random.randint(1, 3)):
+        if len(running) > 2:
+            victim = fleet.random.choice([fleet.keeper_name(), *running])
+            running = [name for name in running if name != victim]
+            fleet.kill(victim)
+            await asyncio.sleep(fleet.random.uniform(0, 3))
+
+
+async def _restart_one(fleet: QuotaFleet, running: list[str]) -> None:
+    name = fleet.random.choice([fleet.keeper_name(), *fleet.daemons])
+    if name in running:
+        fleet.kill(name)
+    await asyncio.sleep(fleet.random.uniform(1, 6))
+    if fleet.daemons[name].stopped == "killed":
+        fleet.restart(name)
+
+
+async def _restart_all(fleet: QuotaFleet, running: list[str]) -> None:
+    for daemon in list(fleet.daemons.values()):
+        if daemon.stopped != "frozen":
+            fleet.restart(daemon.name)
+
+
+async def _freeze_one(fleet: QuotaFleet, running: list[str]) -> None:
+    if len(running) > 2:
+        name = fleet.random.choice([fleet.keeper_name(), *running])
         fleet.freeze(name)
-        await asyncio.sleep(chance.uniform(0.5, 15))
+        await asyncio.sleep(fleet.random.uniform(0.5, 15))
         if fleet.daemons[name].stopped == "frozen":
             fleet.thaw(name)
-    elif kind in ("cut", "one way"):
-        size = chance.randint(1, max(1, fleet.size // 2))
-        group = chance.sample(names, size)
-        if chance.random() < 0.5 and fleet.keeper_name() not in group:
-            group[0] = fleet.keeper_name()
-        fleet.cut(group, kind == "one way")
-        await asyncio.sleep(chance.uniform(2, 20))
-        fleet.heal()
+
+
+async def _cut_some(
+    fleet: QuotaFleet, running: list[str], one_way: bool = False
+) -> None:
+    size = fleet.random.randint(1, max(1, fleet.size // 2))
+    group = fleet.random.sample(list(fleet.daemons), size)
+    if fleet.random.random() < 0.5 and fleet.keeper_name() not in group:
+        group[0] = fleet.keeper_name()
+    fleet.cut(group, one_way)
+    await asyncio.sleep(fleet.random.uniform(2, 20))
+    fleet.heal()
+
+
+FAULTS = {
+    "wave": _kill_wave,
+    "restart": _restart_one,
+    "restart all": _restart_all,
+    "freeze": _freeze_one,
+    "cut": _cut_some,
+    "one way": lambda fleet, running: _cut_some(fleet, running, one_way=True),
+}
 
 
 def _entry(daemon: _Daemon) -> peer_pb2.Member:
