--- a/packages/laburnumscale/src/laburnumscale/quotas/bucket.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/bucket.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections import deque
+from collections import OrderedDict
 
 import attrs
 
@@ -104,7 +104,7 @@
         self._level = EpochalLevel(
             quota.calls_per_s * share, capacity, min(level, capacity), accrues_from_s
         )
-        self._prefetched: deque[tuple[float, int]] = deque()
+        self._prefetched: OrderedDict[str, tuple[float, int]] = OrderedDict()
         self._promised_at_s = accrues_from_s
 
     @property
@@ -138,13 +138,20 @@
         )
         self._promised_at_s = now_s
 
-    def acquire(self, wanted_calls: int, now_s: float) -> int:
-        """Grant as many of the wanted calls as the bucket permits."""
+    def acquire(self, wanted_calls: int, now_s: float, entry: str = "") -> int:
+        """Grant as many of the wanted calls as the bucket permits.
+
+        An entry that wants calls has used or returned those prefetched before.
+        """
         self._level.refill(now_s)
+        if wanted_calls:
+            self._prefetched.pop(entry, None)
         overdraft = min(self._count_prefetched(now_s), self._prefetch_calls)
         return self._level.take(wanted_calls, overdraft)
 
-    def prefetch(self, expected_calls: int, valid_s: float, now_s: float) -> int:
+    def prefetch(
+        self, expected_calls: int, valid_s: float, now_s: float, entry: str = ""
+    ) -> int:
         """Grant calls before they are needed, while the bucket is more than half full.
 
         :param valid_s: time for which the calls may be used.
@@ -158,7 +165,7 @@
             self._level.take(granted)
             # What expires unused is returned after that, at the latest within as much
             # time again.
-            self._prefetched.append((now_s + 2 * valid_s, granted))
+            self._prefetched[entry] = now_s + 2 * valid_s, granted
         return granted
 
     def put_back(self, returned_calls: int, epoch: int, now_s: float) -> None:
@@ -182,9 +189,12 @@
         return return_at_s - now_s
 
     def _count_prefetched(self, now_s: float) -> int:
-        while self._prefetched and self._prefetched[0][0] <= now_s:
-            self._prefetched.popleft()
-        return sum(calls for _, calls in self._prefetched)
+        while self._prefetched:
+            expires_at_s, _ = next(iter(self._prefetched.values()))
+            if expires_at_s > now_s:
+                break
+            self._prefetched.popitem(last=False)
+        return sum(calls for _, calls in self._prefetched.values())
 
 
 def bucket_capacity(quota: Quota, share: float) -> float:
--- a/packages/laburnumscale/src/laburnumscale/quotas/keeper.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/keeper.py
@@ -193,11 +193,14 @@
         )
         if request.returned_calls:
             bucket.put_back(request.returned_calls, request.returned_epoch, now)
-        granted = bucket.acquire(request.wanted_calls, now)
+        granted = bucket.acquire(request.wanted_calls, now, request.entry)
         refused = request.wanted_calls - granted
         if not refused:
             granted += bucket.prefetch(
-                request.expected_calls, GRANT_VALID_MS / MS_PER_S, now
+                request.expected_calls,
+                GRANT_VALID_MS / MS_PER_S,
+                now,
+                request.entry,
             )
         if refused and bucket.is_held(now):
             verdict = GRANTED if granted else NOT_KEEPER
--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
@@ -238,6 +238,7 @@
             from_reserve=from_reserve,
             returned_calls=returned,
             returned_epoch=epoch,
+            entry=self._view.own,
         )
         if daemon == self._view.own:
             return await self._service.acquire(request)
--- /dev/null
+++ b/tests/features/steps/quotas_steps.py
@@ -0,0 +1,311 @@
+import asyncio
+import random
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.outcomes import NotRun, reason_name
+from laburnumscale.quotas import KeeperView, Quota
+from laburnumscale_schema import peer_pb2
+from tests.standins.quotafleet import (
+    ACCOUNT,
+    FAULTS,
+    QuotaFleet,
+    most_over,
+    play_history,
+)
+from tests.standins.virtualtime import VirtualTimeLoop
+
+HISTORY_S = 40
+RATES = (0.4, 2, 10, 50, 100)
+
+
+def run(context, scenario):
+    """Run a scenario in virtual time with a fleet of the given size and quota."""
+
+    async def main():
+        context.quotas = QuotaFleet(7, context.size, context.quota)
+        try:
+            return await scenario(context.quotas)
+        finally:
+            await context.quotas.close()
+
+    loop = VirtualTimeLoop()
+    context.add_cleanup(loop.close)
+    return loop.run_until_complete(main())
+
+
+async def send(fleet, calls_per_s, duration_s, entries):
+    """Send calls at even intervals and wait for their results."""
+    tasks = []
+    for _ in range(int(calls_per_s * duration_s)):
+        tasks.append(fleet.spawn(fleet.call(fleet.random.choice(entries))))
+        await asyncio.sleep(1 / calls_per_s)
+    await asyncio.gather(*tasks)
+
+
+@given("keepers that grant the whole quota in each part of the fleet")
+def step_ignore_cuts(context):
+    patcher = patch.object(KeeperView, "share", lambda self: 1.0)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@when(
+    "callers send up to 7 times a random quota, and {faults} happen, with the seeds "
+    "{seeds}"
+)
+def step_play(context, faults, seeds):
+    context.histories = []
+    for seed in map(int, seeds.split()):
+        chance = random.Random(seed)
+        rate = chance.choice(RATES)
+        quota = Quota(rate, chance.choice([0.5, 1, rate, rate * 4]))
+        size, loss = chance.choice([3, 5, 12, 30]), chance.choice([0, 0.05, 0.3])
+        kinds = list(FAULTS) if faults == "all" else [faults]
+
+        async def main(seed=seed, size=size, quota=quota, loss=loss, kinds=kinds):
+            fleet = QuotaFleet(seed, size, quota, loss=loss)
+            await play_history(fleet, HISTORY_S, kinds)
+            await fleet.close()
+            return fleet
+
+        loop = VirtualTimeLoop()
+        fleet = loop.run_until_complete(main())
+        loop.close()
+        over = most_over(fleet.calls, quota, fleet.tolerance.window_s)
+        tolerated = fleet.tolerance.total_calls(quota)
+        assert fleet.results["accepted"] > 0, (seed, fleet.results)
+        context.histories.append((seed, over, tolerated))
+
+
+@then("no window has more calls than the quota and its tolerance")
+def step_check_windows(context):
+    broken = [each for each in context.histories if each[1] > each[2]]
+    assert not broken, broken
+
+
+@then("some window has more calls than the quota and its tolerance")
+def step_check_broken(context):
+    broken = [each for each in context.histories if each[1] > each[2]]
+    assert broken, context.histories
+
+
+@given(
+    "{size:d} daemons and a quota of {rate:g} calls a second with a burst of {burst:g}"
+)
+def step_set_quota(context, size, rate, burst):
+    context.size, context.quota = size, Quota(rate, burst)
+
+
+@when("callers send as many calls as the quota permits, a tenth of which are not run")
+def step_send_permitted(context):
+    async def scenario(fleet):
+        rate, capacity = context.quota.calls_per_s, max(1.0, context.quota.burst_calls)
+        # Messages take up to 8 ms more or less, in which calls accrue.
+        level = capacity = max(1.0, capacity - 0.02 * rate)
+        tasks, names = [], list(fleet.daemons)
+        for _ in range(600):
+            if fleet.random.random() < 0.05 or level < 1:
+                pause_s = fleet.random.uniform(0, 2 * capacity / rate)
+            else:
+                pause_s = fleet.random.expovariate(3 * rate)
+            pause_s = max(pause_s, (1 - level) / rate)
+            await asyncio.sleep(pause_s + 0.02 * (level < 1))
+            level = min(capacity, level + pause_s * rate) - 1
+            entry = fleet.random.choice(names)
+            tasks.append(fleet.spawn(fleet.call(entry, given_back=0.1)))
+        await asyncio.gather(*tasks)
+
+    run(context, scenario)
+
+
+@then("all calls are accepted")
+def step_check_accepted(context):
+    results = dict(context.quotas.results)
+    assert results and set(results) <= {"accepted", "given_back"}, results
+
+
+@when("a call is accepted but not run, and repeated 100 ms later through another entry")
+def step_repeat(context):
+    async def scenario(fleet):
+        first, second = (
+            (each for each in list(fleet.daemons)[:3] if each != fleet.keeper_name())
+            if fleet.keeper_name() in list(fleet.daemons)[:3]
+            else list(fleet.daemons)[:2]
+        )
+        grant = await fleet.daemons[first].client.acquire(
+            ACCOUNT, Deadline.after_ms(60_000)
+        )
+        grant.give_back()
+        await asyncio.sleep(0.1)
+        await fleet.call(second)
+
+    run(context, scenario)
+
+
+@when(
+    "the keeper is killed and callers send {rate:d} calls a second for {duration_s:d} s"
+)
+def step_kill(context, rate, duration_s):
+    async def scenario(fleet):
+        keeper = fleet.keeper_name()
+        await send(fleet, rate, 1, list(fleet.daemons))
+        fleet.kill(keeper)
+        entries = [name for name in fleet.daemons if name != keeper]
+        await send(fleet, rate, duration_s, entries)
+
+    run(context, scenario)
+
+
+@when(
+    "the keeper is frozen and callers send {rate:d} calls a second for {duration_s:d} s"
+)
+def step_freeze(context, rate, duration_s):
+    run(context, lambda fleet: freeze_and_send(fleet, 1, rate, duration_s))
+
+
+@when(
+    "the keeper and its backup are frozen and callers send {rate:d} calls a second for "
+    "{duration_s:d} s"
+)
+def step_freeze_both(context, rate, duration_s):
+    run(context, lambda fleet: freeze_and_send(fleet, 2, rate, duration_s))
+
+
+async def freeze_and_send(fleet, count, rate, duration_s):
+    frozen = [fleet.keeper_name(), fleet.backup_name()][:count]
+    for name in frozen:
+        fleet.freeze(name)
+    started_at_s = fleet.loop.time()
+    entries = [name for name in fleet.daemons if name not in frozen]
+    await send(fleet, rate, duration_s, entries)
+    fleet.took_s = fleet.loop.time() - started_at_s - duration_s
+
+
+@then("all calls end as {reason} within {limit_ms:d} ms")
+def step_check_undecided(context, reason, limit_ms):
+    assert set(context.quotas.results) == {reason}, context.quotas.results
+    assert context.quotas.took_s <= limit_ms / 1000, context.quotas.took_s
+
+
+@then("{low:d} to {high:d} calls are accepted")
+def step_check_count(context, low, high):
+    results = context.quotas.results
+    assert low <= results["accepted"] <= high, results
+
+
+@when("callers use up the burst and a daemon joins that becomes the keeper")
+def step_join(context):
+    async def scenario(fleet):
+        names = list(fleet.daemons)
+        view = fleet.daemons[fleet.keeper_name()].view
+        joiner = next(
+            name
+            for name in (f"j{i}" for i in range(99))
+            if view.outranks(name, ACCOUNT)
+        )
+        await asyncio.gather(*(fleet.call(names[0]) for _ in range(70)))
+        fleet.results.clear()
+        fleet.join(joiner)
+        await asyncio.sleep(fleet.gossip_s)
+        accrued = context.quota.calls_per_s * fleet.gossip_s
+        await asyncio.gather(*(fleet.call(names[0]) for _ in range(70)))
+        context.beyond = fleet.results["accepted"] - accrued
+        context.keeper = fleet.daemons[joiner].keeper.describe(ACCOUNT)
+
+    run(context, scenario)
+
+
+@then(
+    "at most {count:d} calls of a second burst are accepted, and the new daemon is the "
+    "keeper"
+)
+def step_check_join(context, count):
+    assert context.beyond <= count, context.beyond
+    assert context.keeper, "the new daemon has the bucket"
+
+
+@when(
+    "callers send {rate:d} calls a second for {duration_s:d} s, and after {after_s:d} "
+    "s the quota becomes {lower:d}"
+)
+def step_lower(context, rate, duration_s, after_s, lower):
+    async def scenario(fleet):
+        names = list(fleet.daemons)
+        await send(fleet, rate, after_s, names)
+        fleet.quota = Quota(lower, lower)
+        fleet.changed_at_s = fleet.loop.time()
+        await send(fleet, rate, duration_s - after_s, names)
+
+    run(context, scenario)
+
+
+@then("a second after the change at most {count:d} call a second is accepted")
+def step_check_lower(context, count):
+    since_s = context.quotas.changed_at_s + 1
+    late = [sent for sent, _, _ in context.quotas.calls if sent >= since_s]
+    assert 1 <= len(late) <= 1 + 6 * count, late
+
+
+@when(
+    "the keeper knows no quota and has revision {held:d}, and an entry with revision "
+    "{known:d} asks"
+)
+def step_ask_without_quota(context, held, known):
+    async def scenario(fleet):
+        keeper = fleet.daemons[fleet.keeper_name()].keeper
+        keeper._find_quota, keeper._revision = lambda account: None, lambda: held
+        request = peer_pb2.QuotaRequest(account=ACCOUNT, settings_revision=known)
+        context.verdict = keeper.acquire(request).verdict
+
+    run(context, scenario)
+
+
+@then("the verdict is {verdict}")
+def step_check_verdict(context, verdict):
+    name = f"QUOTA_VERDICT_{verdict.upper()}"
+    assert context.verdict == peer_pb2.QuotaVerdict.Value(name), context.verdict
+
+
+@when("{count:d} calls are sent at once")
+def step_send_at_once(context, count):
+    async def scenario(fleet):
+        names = list(fleet.daemons)
+        deadline = Deadline.after_ms(60_000)
+        context.results = await asyncio.gather(
+            *(
+                fleet.daemons[names[0]].client.acquire(ACCOUNT, deadline)
+                for _ in range(count)
+            )
+        )
+
+    run(context, scenario)
+
+
+@then("{accepted:d} are accepted, and the others return after {delays} ms")
+def step_check_delays(context, accepted, delays):
+    refused = [each for each in context.results if isinstance(each, NotRun)]
+    assert len(context.results) - len(refused) == accepted, context.results
+    assert {reason_name(each) for each in refused} == {"over_quota"}, refused
+    found = sorted(each.retry_after_ms for each in refused)
+    expected = list(map(int, delays.split()))
+    assert len(found) == len(expected)
+    assert all(abs(a - b) <= 20 for a, b in zip(found, expected, strict=True)), found
+
+
+@when(
+    "an entry that is not the keeper gets {rate:d} calls a second for {duration_s:d} s"
+)
+def step_send_to_one(context, rate, duration_s):
+    async def scenario(fleet):
+        entry = next(name for name in fleet.daemons if name != fleet.keeper_name())
+        await send(fleet, rate, duration_s, [entry])
+
+    run(context, scenario)
+
+
+@then("they took at most {count:d} messages")
+def step_check_messages(context, count):
+    assert context.quotas.messages <= count, context.quotas.messages
--- a/tests/standins/quotafleet.py
+++ b/tests/standins/quotafleet.py
@@ -208,6 +208,14 @@
                 new.members.merge(_entry(other))
                 self._tell_later(other, _entry(new))
 
+    def join(self, name: str) -> None:
+        """Start a daemon that is new."""
+        new = self._start(name, 1)
+        for other in self._running():
+            if other is not new:
+                new.members.merge(_entry(other))
+                self._tell_later(other, _entry(new))
+
     def freeze(self, name: str) -> None:
         """Let a daemon neither receive nor send anything."""
         daemon = self.daemons[name]
