--- a/packages/laburnumscale/src/laburnumscale/peertraffic.py
+++ b/packages/laburnumscale/src/laburnumscale/peertraffic.py
@@ -28,6 +28,7 @@
     "PushSettings": ("settings", "settings"),
     "Run": ("operation key", "operation key"),
     "HandOver": ("operation key", "operation key"),
+    "Acquire": ("quota", "quota"),
 }
 MAX_CACHED_ADDRESSES = 4_096
 
