--- a/packages/laburnumscale/src/laburnumscale/accountsapi.py
+++ b/packages/laburnumscale/src/laburnumscale/accountsapi.py
@@ -3,6 +3,7 @@
 The HTTP interface through which operators see the client accounts.
 """
 
+from collections.abc import Callable
 from itertools import islice
 
 from sanic import HTTPResponse, Request, Sanic
@@ -22,11 +23,20 @@
 
 
 class AccountsApi:
-    """Handles the requests of operators that concern client accounts."""
+    """Handles the requests of operators that concern client accounts.
 
-    def __init__(self, feed: SettingsFeed, counts: AccountCallCounts) -> None:
+    :param describe_quota: returns the keeper and the use of the quota of an account.
+    """
+
+    def __init__(
+        self,
+        feed: SettingsFeed,
+        counts: AccountCallCounts,
+        describe_quota: Callable[[str], dict[str, object]] = lambda name: {},
+    ) -> None:
         self._feed = feed
         self._counts = counts
+        self._describe_quota = describe_quota
 
     def add_routes(self, app: Sanic) -> None:
         """Add the routes to the HTTP application for operators."""
@@ -73,6 +83,7 @@
             "burst_calls": account.burst_calls,
             "keys": len(account.key_digests),
             "calls": self._counts.get(account.name),
+            "quota": self._describe_quota(account.name),
         }
 
 
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -275,5 +275,9 @@
         shared.metrics,
         settings_api,
         QuarantineApi(shared.notices.quarantine),
-        AccountsApi(shared.feed, entry_role.caller_api.account_calls),
+        AccountsApi(
+            shared.feed,
+            entry_role.caller_api.account_calls,
+            entry_role.caller_api.quotas.describe,
+        ),
     )
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -144,6 +144,16 @@
         "attempts refused because of the limit that their target names in its "
         "responses, by service"
     ),
+    "quota_calls_from_reserve": "calls accepted from the reserve of a backup",
+    "quota_calls_given_back": "calls returned to their quota because they did not run",
+    "quota_decisions": (
+        "decisions of an entry about calls of accounts with a quota, by result"
+    ),
+    "quota_failures": "decisions about quotas that an error ended; must stay 0",
+    "quota_hand_overs": "buckets taken over from or given to other daemons, by result",
+    "quota_requests": "requests that this daemon got as a keeper or backup, by verdict",
+    "quota_requests_unanswered": "requests to keepers and backups without a reply",
+    "quota_returns": "messages that only return calls to their keeper",
     "requests_unauthorized": (
         "requests refused with 401, by whether their account key was missing or unknown"
     ),
