Learn how many calls at a time a target takes without a loss of throughput

Near the capacity callers got late answers and refusals because targets that slow down when they are nearly full were kept full: each call then took up to three times as long, and the target served fewer calls than with two fewer at a time.

With the new setting learn_concurrency, the guard compares the throughput of a full target at its slots with that at a quarter fewer, and keeps the lower number if it serves a quarter more. It goes on downwards, and later tries one more again. Replies report the limit as open slots. Freeing a slot starts further waiting calls if the limit has risen. The default is off, which changes nothing.

--- a/bench/targetablation.py
+++ b/bench/targetablation.py
@@ -75,10 +75,18 @@
     "return 2": {"return_successes": 2},
     "few": {"concentration_percent": 75},
     "few, return 1": {"concentration_percent": 75, "return_successes": 1},
+    "limit": {"learn_concurrency": True},
+    "all": {
+        "concentration_percent": 75,
+        "return_successes": 1,
+        "learn_concurrency": True,
+    },
 }
 
 
-def plan_targets(seed: int, drops: bool, uneven: bool) -> list[TargetPlan]:
+def plan_targets(
+    seed: int, drops: bool, uneven: bool, duration_s: float
+) -> list[TargetPlan]:
     """Return the targets of a play.
 
     :param drops: each breaks connections for a third of the time.
@@ -89,7 +97,7 @@
     plans = []
     for index in range(TARGETS):
         phase_s = generator.uniform(0, DROP_CYCLE_S)
-        starts_s = np.arange(phase_s - DROP_CYCLE_S, DURATION_S * 2, DROP_CYCLE_S)
+        starts_s = np.arange(phase_s - DROP_CYCLE_S, 2 * duration_s, DROP_CYCLE_S)
         episodes = tuple(
             Episode("drop", start_s, start_s + DROP_S, DROP_SHARE)
             for start_s in starts_s
@@ -147,13 +155,13 @@
     idle_shares: list[float]
 
 
-def measure_idle_shares(fleet: ModelFleet) -> list[float]:
+def measure_idle_shares(fleet: ModelFleet, duration_s: float) -> list[float]:
     """Return the share of the sound targets that got no call, for each period.
 
     The first periods are left out, as entries know little then.
     """
     shares = []
-    for start_s in np.arange(2 * IDLE_PERIOD_S, DURATION_S, IDLE_PERIOD_S):
+    for start_s in np.arange(2 * IDLE_PERIOD_S, duration_s, IDLE_PERIOD_S):
         end_s = start_s + IDLE_PERIOD_S
         sound = [
             machine
@@ -176,10 +184,15 @@
 
 
 def play(
-    changes: dict, utilisation: float, seed: int, drops: bool, uneven: bool
+    changes: dict,
+    utilisation: float,
+    seed: int,
+    drops: bool,
+    uneven: bool,
+    duration_s: float = DURATION_S,
 ) -> Play:
     """Play one load."""
-    plans = plan_targets(seed, drops, uneven)
+    plans = plan_targets(seed, drops, uneven, duration_s)
     routes = build_routes(utilisation, plans)
     settings = attrs.evolve(BASE, **changes)
     fleets = []
@@ -187,7 +200,7 @@
     async def run():
         fleet = ModelFleet(plans, settings, seed, retry_slack=194)
         fleets.append(fleet)
-        return await play_load(fleet, routes, DURATION_S, seed, DEMAND)
+        return await play_load(fleet, routes, duration_s, seed, DEMAND)
 
     random.seed(seed)
     results = run_in_virtual_time(run)
@@ -196,21 +209,28 @@
     return Play(
         results,
         int(counters.get(("refused_in_doubt", label), 0)),
-        measure_idle_shares(fleets[0]),
+        measure_idle_shares(fleets[0], duration_s),
     )
 
 
+def total_worth(plays: list[Play]) -> float:
+    """Return the worth that callers got, as a share of the most that they could get."""
+    worth = most_worth = 0.0
+    for route in ROUTES:
+        results = [played.results[route.name] for played in plays]
+        worth += route.worth * sum(result.worth for result in results)
+        most_worth += route.worth * sum(result.calls for result in results)
+    return worth / most_worth
+
+
 def format_row(name: str, utilisation: float, plays: list[Play]) -> str:
     """Return one row of the table, with the sums over several plays."""
     cells = []
-    worth = most_worth = 0.0
     for route in ROUTES:
         results = [played.results[route.name] for played in plays]
         calls = sum(result.calls for result in results)
         served = sum(result.in_time + result.late for result in results)
         in_time = sum(result.in_time for result in results)
-        worth += route.worth * sum(result.worth for result in results)
-        most_worth += route.worth * calls
         cells.append(f"{served / calls:.3f} / {in_time / calls:.3f}")
         if not route.idempotent:
             lost = sum(result.failed for result in results)
@@ -220,7 +240,7 @@
     cells += [
         str(sum(result.refused for result in every)),
         str(sum(played.doubtful for played in plays)),
-        f"{worth / most_worth:.4f}",
+        f"{total_worth(plays):.4f}",
         f"{np.mean(idle_shares):.2f} / {max(idle_shares):.2f}",
         str(sum(result.ran_twice + result.false_refusals for result in every)),
     ]
@@ -234,6 +254,7 @@
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
     parser.add_argument("--loads", type=float, nargs="+", default=[0.25, 0.9])
     parser.add_argument("--even", action="store_true", help="targets of equal speed")
+    parser.add_argument("--duration", type=float, default=DURATION_S, help="seconds")
     parser.add_argument("--no-drops", action="store_true")
     parser.add_argument("--workers", type=int, default=2)
     options = parser.parse_args()
@@ -262,6 +283,7 @@
                     utilisation,
                     drops=not options.no_drops,
                     uneven=not options.even,
+                    duration_s=options.duration,
                 )
                 plays = list(pool.map(play_seed, options.seeds))
                 print(format_row(name, utilisation, plays), flush=True)
--- a/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
@@ -85,6 +85,8 @@
     :param threshold_s: latency from which the attempt counts as slow.
     :param threshold_is_relative: the threshold was derived from the latencies of the
         service's other targets.
+    :param reference_us: median latency of the route at the service's targets; 0 if it
+        is not known.
     """
 
     def __init__(
@@ -95,8 +97,12 @@
         route: int,
         threshold_s: float,
         threshold_is_relative: bool,
+        reference_us: int = 0,
     ) -> None:
         self._route = route
+        self._reference_us = reference_us
+        self._running = record.target.running
+        self._phase = record.target.concurrency.phase
         self._threshold_is_relative = threshold_is_relative
         self._tracker = tracker
         self._record = record
@@ -122,6 +128,10 @@
         elapsed_s = self._elapsed_s()
         self._record.answered_at_s = time.monotonic()
         self._add_latency(elapsed_s, failed)
+        if self._settings.learn_concurrency and self._reference_us and not failed:
+            latency = elapsed_s * US_PER_S / self._reference_us
+            target = self._record.target
+            target.concurrency.add(self._running, latency, target.slots, self._phase)
         slow = elapsed_s > self._threshold_s and not failed
         cause = "server error" if failed else "slow" if slow else ""
         self._record_result(cause, slow)
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -90,7 +90,13 @@
             reference_us *= COLD_LATENCY_FACTOR
         threshold_s = slow_threshold_s(settings, reference_us, deadline)
         return AttemptMonitor(
-            self, record, settings, head.route, threshold_s, reference_us > 0
+            self,
+            record,
+            settings,
+            head.route,
+            threshold_s,
+            reference_us > 0,
+            head.reference_latency_us,
         )
 
     def is_comparison_valid(self, service: str) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -9,6 +9,7 @@
 import attrs
 
 from laburnumscale.addresses import Address
+from laburnumscale.concurrencylimit import ConcurrencyLimit
 from laburnumscale.deadlines import Deadline
 from laburnumscale.routelatencies import RouteLatencies
 from laburnumscale.slotqueue import SlotQueue
@@ -51,6 +52,7 @@
     :ivar route_latencies: average latency of the calls of each route.
     :ivar limit: the rate of calls that the target names.
     :ivar says_leaving: whether it has said in a response that it leaves.
+    :ivar concurrency: how many calls it can run at a time, as its guard has learned.
     :ivar slot_time_us: average time for which a call holds a slot; 0 before the
         first one.
     :ivar late_calls: number of its running calls that take unusually long.
@@ -83,6 +85,7 @@
     route_latencies: RouteLatencies = attrs.field(factory=RouteLatencies)
     limit: TargetLimit = attrs.field(factory=TargetLimit)
     says_leaving: bool = False
+    concurrency: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     slot_time_us: float = 0.0
     late_calls: int = 0
     doubt_deadline: Deadline = NO_DOUBT
@@ -176,7 +179,12 @@
     def open_slots(self) -> int:
         """Return the number of open slots, which increases during a slow start."""
         elapsed_s = time.monotonic() - self.slow_start_at_s
-        return min(self.slots, 1 + int(elapsed_s / SLOW_START_STEP_S))
+        return min(self.usable_slots, 1 + int(elapsed_s / SLOW_START_STEP_S))
+
+    @property
+    def usable_slots(self) -> int:
+        """Return how many calls it can run at a time without losing throughput."""
+        return min(self.slots, self.concurrency.limit or self.slots)
 
     def record_rate(self, calls_per_s: float | None, sent_at_s: float) -> bool:
         """Record the rate that a response names, or that it names none.
--- a/packages/laburnumscale/src/laburnumscale/recovery.py
+++ b/packages/laburnumscale/src/laburnumscale/recovery.py
@@ -16,7 +16,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.metrics import Metrics
 from laburnumscale.settingstree import EffectiveSettings
-from laburnumscale.slots import release_slot
+from laburnumscale.slots import concurrency_limit, release_slot
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["EjectionBackoff", "TargetRecovery"]
@@ -158,7 +158,7 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             return repr(error)
         finally:
-            release_slot(target)
+            release_slot(target, concurrency_limit(target, settings))
 
 
 async def _has_end(response: aiohttp.ClientResponse) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/routing.py
+++ b/packages/laburnumscale/src/laburnumscale/routing.py
@@ -355,7 +355,8 @@
         concentration = self._concentrations.get(view.service)
         percent = self._settings(view.service).concentration_percent
         if concentration is not None and percent and not report.in_doubt:
-            concentration.record_report(report, view.slots, percent)
+            slots = min(view.slots, report.open_slots or view.slots)
+            concentration.record_report(report, slots, percent)
 
     def _is_floor_traffic(
         self, pool: EndpointPool, settings: EffectiveSettings, view: EndpointView
--- a/packages/laburnumscale/src/laburnumscale/settingstree.py
+++ b/packages/laburnumscale/src/laburnumscale/settingstree.py
@@ -59,6 +59,8 @@
         an ejection before calls that may run only once no longer avoid it.
     :ivar concentration_percent: utilisation up to which calls that may run only once
         go to few targets; 0 spreads them evenly.
+    :ivar learn_concurrency: whether guards learn how many calls a target can run at a
+        time.
     """
 
     time_limit_ms: int = 2000
@@ -84,6 +86,7 @@
     require_account_key: bool = False
     return_successes: int = 0
     concentration_percent: int = 0
+    learn_concurrency: bool = False
 
 
 def python_value(settings: settings_pb2.ServiceSettings, name: str):
--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -15,7 +15,7 @@
 from laburnumscale.transmission import Transmission
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["hold_slot", "release_slot"]
+__all__ = ["concurrency_limit", "hold_slot", "release_slot"]
 
 OVERLOAD_RETRY_AFTER_MS = 1000
 MIN_RETRY_AFTER_MS = 100
@@ -49,7 +49,7 @@
     """
     if target.state != READY:
         raise AttemptRefused(peer_pb2.NOT_RUN_REASON_DRAINING)
-    if target.running < _concurrency_limit(target, settings):
+    if target.running < concurrency_limit(target, settings):
         target.running += 1
         target.queue.record_direct_start()
     else:
@@ -60,18 +60,24 @@
         yield
         target.record_slot_time((time.monotonic() - started_at_s) * US_PER_S)
     finally:
-        release_slot(target)
+        release_slot(target, concurrency_limit(target, settings))
 
 
-def _concurrency_limit(target: LocalTarget, settings: EffectiveSettings) -> int:
+def concurrency_limit(target: LocalTarget, settings: EffectiveSettings) -> int:
     """Return how many calls a target may run at a time; each needs a connection."""
-    return min(target.slots, settings.connection_limit or target.slots)
+    return min(target.usable_slots, settings.connection_limit or target.slots)
 
 
-def release_slot(target: LocalTarget) -> None:
-    """Pass a slot to the next waiting call, or free it."""
-    if target.running > target.slots or not target.queue.grant_next():
-        target.running -= 1
+def release_slot(target: LocalTarget, limit: int) -> None:
+    """Free a slot and pass it to the next waiting call.
+
+    Further calls get slots if the limit has risen.
+
+    :param limit: calls that may run at the target at a time.
+    """
+    target.running -= 1
+    while target.running < limit and target.queue.grant_next():
+        target.running += 1
 
 
 async def _wait_for_slot(
@@ -106,7 +112,7 @@
     except BaseException as error:
         target.queue.discard(waiter)
         if _was_granted(waiter.granted):
-            release_slot(target)
+            release_slot(target, concurrency_limit(target, settings))
         if isinstance(error, TimeoutError):
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_DEADLINE, OVERLOAD_RETRY_AFTER_MS
@@ -182,4 +188,4 @@
 def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
     held_ms = target.slot_time_us / US_PER_MS
     releases = target.queue.expected_releases(priority)
-    return releases / max(1, target.slots) * held_ms
+    return releases / max(1, target.usable_slots) * held_ms
