--- a/packages/laburnumscale/src/laburnumscale/slots.py
+++ b/packages/laburnumscale/src/laburnumscale/slots.py
@@ -20,7 +20,7 @@
 from laburnumscale.transmission import Transmission
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["hold_slot", "release_slot"]
+__all__ = ["concurrency_limit", "hold_slot", "release_slot"]
 
 #: A call is short if it takes at most this share of the average time in a slot.
 SHORT_CALL_SHARE = 0.5
@@ -51,7 +51,7 @@
     policy = get_queue_policy_by_name(settings.queue_policy)
     if target.queue.name != policy.name:
         policy.prepare_queue(target)
-    if target.running < _concurrency_limit(target, settings):
+    if target.running < concurrency_limit(target, settings):
         target.running += 1
         target.queue.record_direct_start()
     else:
@@ -74,18 +74,24 @@
         yield
         target.record_slot_time((time.monotonic() - started_at_s) * US_PER_S)
     finally:
-        release_slot(target)
+        release_slot(target, concurrency_limit(target, settings))
 
 
-def _concurrency_limit(target: LocalTarget, settings: EffectiveSettings) -> int:
+def concurrency_limit(target: LocalTarget, settings: EffectiveSettings) -> int:
     """Return how many calls a target may run at a time; each needs a connection."""
-    return min(target.slots, settings.connection_limit or target.slots)
+    return min(target.usable_slots, settings.connection_limit or target.slots)
 
 
-def release_slot(target: LocalTarget) -> None:
-    """Pass a slot to the next waiting call, or free it."""
-    if target.running > target.slots or not target.queue.grant_next():
-        target.running -= 1
+def release_slot(target: LocalTarget, limit: int) -> None:
+    """Free a slot and pass it to the next waiting call.
+
+    Further calls get slots if the limit has risen.
+
+    :param limit: calls that may run at the target at a time.
+    """
+    target.running -= 1
+    while target.running < limit and target.queue.grant_next():
+        target.running += 1
 
 
 async def _wait_for_slot(policy: QueuePolicy, request: SlotRequest) -> None:
@@ -98,7 +104,7 @@
     except BaseException as error:
         target.queue.discard(waiter)
         if _was_granted(waiter.granted):
-            release_slot(target)
+            release_slot(target, concurrency_limit(target, request.settings))
         if isinstance(error, TimeoutError):
             policy = get_queue_policy_by_name(target.queue.name)
             raise policy.expiry(request) from None
