--- a/packages/laburnumscale/src/laburnumscale/localtarget.py
+++ b/packages/laburnumscale/src/laburnumscale/localtarget.py
@@ -9,8 +9,8 @@
 import attrs
 
 from laburnumscale.addresses import Address
-from laburnumscale.costqueue import CostQueue
 from laburnumscale.concurrencylimit import ConcurrencyLimit
+from laburnumscale.costqueue import CostQueue
 from laburnumscale.deadlines import Deadline
 from laburnumscale.routelatencies import RouteLatencies
 from laburnumscale.slotqueue import SlotQueue
