Revert "Let the last attempt of a call avoid targets in doubt"

Targets there hang and are often in doubt for a late call, so the last attempt met refusals instead of an answer.

--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -54,9 +54,8 @@
 SELF_LIMITED_REASONS = frozenset(
     {peer_pb2.NOT_RUN_REASON_OVERLOADED, peer_pb2.NOT_RUN_REASON_IN_DOUBT}
 )
-#: Endpoints in doubt that may refuse a call that may run only once or is on its last
-#: attempt. Such a call is lost if its target fails, while others can be retried and
-#: show which targets work again.
+#: Endpoints in doubt that may refuse a call that may run only once. Such a call is lost
+#: if its target fails, while others can be retried and show which targets work again.
 MAX_DOUBT_REFUSALS = 3
 
 
@@ -225,20 +224,11 @@
         """
         return self.replayable and self.avoids_doubt
 
-    @property
-    def is_last_retry(self) -> bool:
-        """Return whether no attempt is left if the next one fails as others did."""
-        is_last = self.counted_attempts + 1 >= self.settings.attempt_limit
-        return self.counted_attempts > 0 and is_last
-
     @property
     def avoids_doubt(self) -> bool:
-        """Return whether the next attempt prefers endpoints that are not in doubt.
-
-        A call is lost if its only attempt, or its last one, meets a failing target.
-        """
+        """Return whether the next attempt prefers endpoints that are not in doubt."""
         return (
-            (self.at_most_once or self.is_last_retry)
+            self.at_most_once
             and not self.accepts_doubt
             and len(self.doubtful_endpoints) < MAX_DOUBT_REFUSALS
         )
--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -273,9 +273,8 @@
 
 
 def _is_lost_if_failed(head: peer_pb2.CallHead) -> bool:
-    """Return whether a failure would lose a call that another target could run.
+    """Return whether a call may run only once and another target could run it.
 
-    It may run only once, or makes its last attempt. A call whose body cannot be sent
-    again is not included: its refusal would be final.
+    A call whose body cannot be sent again is not included: its refusal would be final.
     """
-    return head.replayable and (head.avoid_doubt or not head.idempotent)
+    return head.replayable and not head.idempotent
