--- a/packages/laburnumscale/src/laburnumscale/health.py
+++ b/packages/laburnumscale/src/laburnumscale/health.py
@@ -90,7 +90,13 @@
             reference_us *= COLD_LATENCY_FACTOR
         threshold_s = slow_threshold_s(settings, reference_us, deadline)
         return AttemptMonitor(
-            self, record, settings, head.route, threshold_s, reference_us > 0
+            self,
+            record,
+            settings,
+            head.route,
+            threshold_s,
+            reference_us > 0,
+            head.reference_latency_us,
         )
 
     def is_comparison_valid(self, service: str) -> bool:
@@ -267,8 +273,9 @@
 
 
 def _is_lost_if_failed(head: peer_pb2.CallHead) -> bool:
-    """Return whether a call may run only once and another target could run it.
+    """Return whether a failure would lose a call that another target could run.
 
-    A call whose body cannot be sent again is not included: its refusal would be final.
+    It may run only once, or makes its last attempt. A call whose body cannot be sent
+    again is not included: its refusal would be final.
     """
-    return head.replayable and not head.idempotent
+    return head.replayable and (head.avoid_doubt or not head.idempotent)
--- a/packages/laburnumscale/src/laburnumscale/queuepolicies.py
+++ b/packages/laburnumscale/src/laburnumscale/queuepolicies.py
@@ -157,7 +157,7 @@
         is_short = request.is_short and not request.head.account
         waiter, call = target.queue.enqueue(
             _call_needs(request.transmission, request.head, request.call_ms, is_short),
-            target.slots,
+            target.usable_slots,
             target.slot_time_us / US_PER_MS,
             request.settings.queue_limit,
         )
@@ -210,13 +210,13 @@
 
 def _drain_ms(target: LocalTarget) -> int:
     """Return after what time the calls that wait now are expected to have started."""
-    return target.queue.drain_ms(target.slots, target.slot_time_us / US_PER_MS)
+    return target.queue.drain_ms(target.usable_slots, target.slot_time_us / US_PER_MS)
 
 
 def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
     held_ms = target.slot_time_us / US_PER_MS
     releases = target.queue.expected_releases(priority)
-    return releases / max(1, target.slots) * held_ms
+    return releases / max(1, target.usable_slots) * held_ms
 
 
 _POLICIES = {policy.name: policy() for policy in (PriorityPolicy, CostPolicy)}
