Compare the throughputs of a target by one median of each route

The learned limit of a target was set to fewer calls than it could run for 7 of the 32 targets of the model that do not slow down: the median of the service rises while other targets fill up, and a latency relative to it falls, which looks like a higher throughput.

The first median of a route counts until the comparison ends.

--- a/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
@@ -129,9 +129,15 @@
         self._record.answered_at_s = time.monotonic()
         self._add_latency(elapsed_s, failed)
         if self._settings.learn_concurrency and self._reference_us and not failed:
-            latency = elapsed_s * US_PER_S / self._reference_us
             target = self._record.target
-            target.concurrency.add(self._running, latency, target.slots, self._phase)
+            target.concurrency.add(
+                self._running,
+                elapsed_s * US_PER_S,
+                target.slots,
+                self._phase,
+                self._route,
+                self._reference_us,
+            )
         slow = elapsed_s > self._threshold_s and not failed
         cause = "server error" if failed else "slow" if slow else ""
         self._record_result(cause, slow)
--- a/packages/laburnumscale/src/laburnumscale/concurrencylimit.py
+++ b/packages/laburnumscale/src/laburnumscale/concurrencylimit.py
@@ -21,6 +21,7 @@
 HOLD_S = 30.0
 MAX_HOLD_S = 240.0
 STEP_SHARE = 4
+MAX_ROUTES = 256
 
 
 @attrs.define
@@ -43,21 +44,36 @@
     _log_sum: float = 0.0
     _hold_s: float = HOLD_S
     _held_until_s: float = 0.0
-
-    def add(self, level: int, latency: float, slots: int, phase: int) -> None:
+    _references: dict[int, float] = attrs.field(factory=dict)
+
+    def add(
+        self,
+        level: int,
+        latency_us: float,
+        slots: int,
+        phase: int,
+        route: int = 0,
+        reference_us: float = 1.0,
+    ) -> None:
         """Add a completed call.
 
         :param level: calls that ran at the target when it started, with itself.
-        :param latency: its latency, relative to the median of its route.
         :param slots: slots of the target.
         :param phase: value of ``phase`` when the call started.
+        :param route: hash of the route of the call.
+        :param reference_us: median latency of the route at the service's targets. The
+            first one counts for all calls that are compared: it rises while other
+            targets fill up, which would look like a higher throughput here.
         """
         current = min(self.limit or slots, slots)
-        is_comparable = phase == self.phase and level >= current and latency > 0
+        is_comparable = phase == self.phase and level >= current and latency_us > 0
         if not is_comparable or time.monotonic() < self._held_until_s:
             return
+        if len(self._references) < MAX_ROUTES:
+            self._references.setdefault(route, reference_us)
+        reference_us = self._references.get(route, reference_us)
         self._count += 1
-        self._log_sum += math.log(latency)
+        self._log_sum += math.log(latency_us / reference_us)
         if self._count >= MIN_CALLS:
             throughput = math.log(current) - self._log_sum / self._count
             self._compare(current, throughput, slots)
@@ -90,6 +106,7 @@
         """Keep a limit for some time."""
         self._set(limit, slots)
         self._base = None
+        self._references.clear()
         self._held_until_s = time.monotonic() + self._hold_s
         self._hold_s = min(MAX_HOLD_S, 2 * self._hold_s)
 
--- a/tests/features/concurrencylimit.feature
+++ b/tests/features/concurrencylimit.feature
@@ -16,6 +16,11 @@
     When it runs 5 calls at a time for 60 s
     Then it gets between 8 and 8 calls at a time
 
+  Scenario: Other targets that become slower do not limit a target
+    Given a target with 8 slots, whose calls take 1.0 times as long with all of them
+    When it is full for 4 s, in which the median of its service rises to 6.0 times
+    Then it gets between 8 and 8 calls at a time
+
   Scenario: A target that no longer slows down gets its slots back
     Given a target with 8 slots, whose calls take 3.0 times as long with all of them
     When it is full for 20 s
--- a/tests/features/steps/concurrencylimit_steps.py
+++ b/tests/features/steps/concurrencylimit_steps.py
@@ -30,9 +30,13 @@
     context.random = np.random.default_rng(1)
 
 
-def run_calls(context, duration_s, most):
-    """Complete calls of about a second at the level that the limit allows."""
-    end_at_s = context.now_s + duration_s
+def run_calls(context, duration_s, most, median_factor=1.0):
+    """Complete calls of about a second at the level that the limit allows.
+
+    :param median_factor: factor by which the median of the service rises meanwhile.
+    """
+    started_at_s = context.now_s
+    end_at_s = started_at_s + duration_s
     clock = SimpleNamespace(monotonic=lambda: context.now_s)
     with mock.patch.object(concurrencylimit, "time", clock):
         while context.now_s < end_at_s:
@@ -44,7 +48,11 @@
             )
             latency = slowdown * context.random.lognormal(0, 0.5)
             context.now_s += slowdown / level
-            context.concurrency.add(level, latency, context.slots, phase)
+            passed = (context.now_s - started_at_s) / duration_s
+            median = 1 + (median_factor - 1) * passed
+            context.concurrency.add(
+                level, latency, context.slots, phase, reference_us=median
+            )
 
 
 @when("it is full for {duration_s:d} s")
@@ -52,6 +60,14 @@
     run_calls(context, duration_s, context.slots)
 
 
+@when(
+    "it is full for {duration_s:d} s, in which the median of its service rises to "
+    "{factor:f} times"
+)
+def step_fill_beside_slow(context, duration_s, factor):
+    run_calls(context, duration_s, context.slots, factor)
+
+
 @when("it runs {count:d} calls at a time for {duration_s:d} s")
 def step_run_some(context, count, duration_s):
     run_calls(context, duration_s, count)
