Run the features with the tag @alone one at a time, after the others

Checks of memory and descriptors need processors and sockets that other features do not use at the same time. All other features are run as before.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,6 +1,7 @@
 """Feature runner.
 
-Runs feature files with behave in parallel and prints the total counts.
+Runs feature files with behave in parallel and prints the total counts. Those with the
+tag ``@alone`` run one at a time, after the others.
 """
 
 import argparse
@@ -21,6 +22,8 @@
 DEFAULT_REPORTS_DIR = ROOT / "build" / "behave"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 DEFAULT_WORKERS = 4
+#: Tag of features whose checks of memory or descriptors others would disturb.
+ALONE_TAG = "@alone"
 EXIT_TERMINATED = 128 + signal.SIGTERM
 
 
@@ -120,6 +123,12 @@
     return results
 
 
+def runs_alone(path: Path) -> bool:
+    """Return whether a feature file has the tag ``@alone`` before its title."""
+    tags, _, _ = path.read_text().partition("Feature:")
+    return ALONE_TAG in tags.split()
+
+
 def _read_results(path: Path, report: Path) -> list[ScenarioResult]:
     try:
         features = json.loads(report.read_text())
@@ -158,10 +167,12 @@
 
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, handle_signal)
+    run_one = partial(run_feature, reports_dir=options.reports, processes=processes)
+    together = [path for path in paths if not runs_alone(path)]
     with ThreadPoolExecutor(options.workers) as pool:
-        run_one = partial(run_feature, reports_dir=options.reports, processes=processes)
-        results_by_feature = pool.map(run_one, paths)
-        results = [result for each in results_by_feature for result in each]
+        results_by_feature = list(pool.map(run_one, together))
+    results_by_feature += [run_one(path) for path in paths if runs_alone(path)]
+    results = [result for each in results_by_feature for result in each]
     known_red = read_known_red()
     for result in results:
         note = " (known red)" if result.key in known_red else ""
