--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -35,6 +35,8 @@
 DEFAULT_QUOTA_SLACK_CALLS = 0
 #: Of the smallest hosts in use.
 DEFAULT_MEMORY_LIMIT_MB = 200
+#: Callers may pause for 15 s within a request; the rest is for the network.
+DEFAULT_TRANSFER_STALL_MS = 20_000
 DEFAULT_LOG_FORMAT = "json"
 LOG_FORMATS = ("json", "console")
 #: How to round settings that templates compute from ratios and seconds, so that the
@@ -50,6 +52,7 @@
     "quota_over_percent": math.floor,
     "quota_slack_calls": math.floor,
     "memory_limit_mb": math.floor,
+    "transfer_stall_ms": math.floor,
 }
 
 
@@ -85,6 +88,8 @@
         beyond it in one window while the keeper of the quota cannot be reached.
     :ivar quota_slack_calls: calls beyond each quota, in addition to the percentage.
     :ivar memory_limit_mb: memory of the process in units of 1,000,000 bytes.
+    :ivar transfer_stall_ms: time in milliseconds without progress after which a request
+        body or the delivery of a response is given up.
     """
 
     daemon: str
@@ -117,6 +122,7 @@
     quota_over_percent: int = DEFAULT_QUOTA_OVER_PERCENT
     quota_slack_calls: int = DEFAULT_QUOTA_SLACK_CALLS
     memory_limit_mb: int = DEFAULT_MEMORY_LIMIT_MB
+    transfer_stall_ms: int = DEFAULT_TRANSFER_STALL_MS
 
 
 def read_daemon_settings(path: str) -> DaemonSettings:
@@ -208,6 +214,7 @@
         quota_over_percent=message.quota_over_percent,
         quota_slack_calls=message.quota_slack_calls,
         memory_limit_mb=message.memory_limit_mb or DEFAULT_MEMORY_LIMIT_MB,
+        transfer_stall_ms=message.transfer_stall_ms or DEFAULT_TRANSFER_STALL_MS,
     )
 
 
