--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/memory/__init__.py
@@ -0,0 +1,38 @@
+"""Memory.
+
+Accounts for the memory that a daemon holds for callers, targets and peers. This
+package may import ``deadlines`` and ``metrics``, and nothing that opens a connection.
+"""
+
+from laburnumscale.memory.budget import MemoryBudget, Purpose, Reservation
+from laburnumscale.memory.costs import (
+    BODY_COPIES,
+    CONNECTION_BYTES,
+    ENTRY_UPLOAD_BYTES,
+    FREE_BYTES,
+    GUARD_UPLOAD_BYTES,
+    MEMORY_RETRY_AFTER_MS,
+    OBJECT_BYTES,
+)
+from laburnumscale.memory.process import (
+    connection_limit,
+    resident_bytes,
+)
+from laburnumscale.memory.responses import TargetResponseRoom, hold_response_memory
+
+__all__ = [
+    "BODY_COPIES",
+    "CONNECTION_BYTES",
+    "ENTRY_UPLOAD_BYTES",
+    "FREE_BYTES",
+    "GUARD_UPLOAD_BYTES",
+    "MEMORY_RETRY_AFTER_MS",
+    "OBJECT_BYTES",
+    "MemoryBudget",
+    "Purpose",
+    "Reservation",
+    "TargetResponseRoom",
+    "connection_limit",
+    "hold_response_memory",
+    "resident_bytes",
+]
--- a/packages/laburnumscale/src/laburnumscale/metrics.py
+++ b/packages/laburnumscale/src/laburnumscale/metrics.py
@@ -1,6 +1,6 @@
 """Metrics.
 
-Counters and latency histograms, exported in the Prometheus text format.
+Counters, gauges and latency histograms, exported in the Prometheus text format.
 """
 
 from collections import Counter
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self.counters: Counter[tuple[str, str]] = Counter()
+        self.gauges: dict[tuple[str, str], int] = {}
         self.histograms: dict[tuple[str, str], HdrHistogram] = {}
 
     def count(self, name: str, labels: str = "", amount: int = 1) -> None:
@@ -29,6 +30,13 @@
         """
         self.counters[name, labels] += amount
 
+    def set_value(self, name: str, value: int, labels: str = "") -> None:
+        """Set the value of a gauge.
+
+        :param labels: labels in Prometheus syntax.
+        """
+        self.gauges[name, labels] = value
+
     def record_us(self, name: str, value_us: float, labels: str = "") -> None:
         """Record a latency in a histogram.
 
@@ -46,6 +54,8 @@
         lines = []
         for (name, labels), value in sorted(self.counters.items()):
             lines.append(f"laburnumscale_{name}_total{{{labels}}} {value}")
+        for (name, labels), value in sorted(self.gauges.items()):
+            lines.append(f"laburnumscale_{name}{{{labels}}} {value}")
         for (name, labels), histogram in sorted(self.histograms.items()):
             lines.extend(self._render_histogram(name, labels, histogram))
         return "\n".join(lines) + "\n"
