Bound the memory and the descriptors that clients of a daemon can take

Clients with many large bodies, bodies in very small chunks, unread responses or parts of header sections made daemons use more memory than their hosts have, and uploads that stopped short of their end kept ordinary calls from slots until their time limit.

Each connection, parser buffer, body, kept part and forwarded response now reserves from one budget. An upload without room is refused before it runs (503, out of memory); a response without room is not read on; buffers without room close their connection. Small chunks are joined, the flow control window of streams between daemons is 256 KiB instead of 1 MiB, and less is read ahead from targets. A body or a response without progress for transfer_stall_ms is given up. A stalled body no longer counts against its target.

--- a/packages/laburnumscale/src/laburnumscale/attemptclient.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptclient.py
@@ -25,6 +25,7 @@
 from laburnumscale.keptbodies import BodyMemory, KeptBody
 from laburnumscale.logs import get_logger
 from laburnumscale.members import EndpointView, Members
+from laburnumscale.memory import MemoryBudget
 from laburnumscale.pathhealth import PathHealth
 from laburnumscale.processends import ProcessEnds
 from laburnumscale_schema import peer_pb2
@@ -110,6 +111,7 @@
         channels: PeerChannels,
         settler: AttemptSettler,
         paths: PathHealth,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._paths = paths
         self._members = members
@@ -122,7 +124,7 @@
         self._sequences = AttemptSequences(own.daemon, own.incarnation)
         self._ender = AttemptEnder(channels, paths)
         self._unanswered: dict[str, set[AttemptCopies]] = {}
-        self._body_memory = BodyMemory()
+        self._body_memory = BodyMemory(memory)
         paths.on_silence(self._repeat_unanswered)
 
     @asynccontextmanager
--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -14,6 +14,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
+from laburnumscale.memory import OBJECT_BYTES
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["AttemptRun", "AttemptRuns"]
@@ -21,8 +22,8 @@
 #: Replies of a run that are kept, so that a stream that attaches later gets them, too.
 MAX_KEPT_BYTES = 256 * 1024
 #: Replies that are kept for a stream that falls behind the others. A connection that
-#: delivers nothing any more takes as much as its flow control allows, which is 1 MiB.
-MAX_LAG_BYTES = 1280 * 1024
+#: delivers nothing any more takes as much as its flow control allows: 256 KiB.
+MAX_LAG_BYTES = 512 * 1024
 #: How often runs are checked for an entry that has left the membership.
 ORPHAN_CHECK_INTERVAL_S = 0.5
 #: Time without a stream after which the run of an absent entry is ended. The entry may
@@ -123,7 +124,7 @@
 
     def _keep(self, reply: peer_pb2.CallReply) -> None:
         self._kept.append(reply)
-        self.kept_bytes += reply.ByteSize()
+        self.kept_bytes += reply.ByteSize() + OBJECT_BYTES
         self._is_complete = is_last_reply(reply)
         self._notify()
 
@@ -146,7 +147,7 @@
         while self.kept_bytes > MAX_LAG_BYTES or (
             self.kept_bytes > MAX_KEPT_BYTES and self._dropped < last_position
         ):
-            self.kept_bytes -= self._kept.popleft().ByteSize()
+            self.kept_bytes -= self._kept.popleft().ByteSize() + OBJECT_BYTES
             self._dropped += 1
 
     async def _wait_for_change(self) -> None:
--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -12,6 +12,7 @@
 import attrs
 from sanic import HTTPResponse, Request
 from sanic.exceptions import SanicException
+from sanic.http import Http
 from sanic.response import json
 
 from laburnumscale.callerrequests import (
@@ -24,9 +25,11 @@
 from laburnumscale.calllog import CallLog
 from laburnumscale.calls import CallRunner
 from laburnumscale.callstate import Call
+from laburnumscale.daemonsettings import DEFAULT_TRANSFER_STALL_MS
 from laburnumscale.deadlines import MS_PER_S, Deadline, now_s
 from laburnumscale.errors import (
     BodyIncomplete,
+    BodyStalled,
     BodyTooLarge,
     RequestInvalid,
     WorkCutOff,
@@ -37,6 +40,14 @@
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
+from laburnumscale.memory import (
+    BODY_COPIES,
+    ENTRY_UPLOAD_BYTES,
+    FREE_BYTES,
+    MEMORY_RETRY_AFTER_MS,
+    Purpose,
+    Reservation,
+)
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import is_key
 from laburnumscale.outcomes import Answered, NotRun, Outcome, Unknown, outcome_name
@@ -58,11 +69,22 @@
 CUT_OFF = Unknown(peer_pb2.UNKNOWN_REASON_DRAINING)
 OVERLOADED = NotRun(peer_pb2.NOT_RUN_REASON_OVERLOADED, retry_after_ms=1000)
 BAD_REQUEST = NotRun(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
+OUT_OF_MEMORY = NotRun(
+    peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, retry_after_ms=MEMORY_RETRY_AFTER_MS
+)
+STATUS_REQUEST_TIMEOUT = 408
 STATUS_CONTENT_TOO_LARGE = 413
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
 OPERATION_KEYS_PATH = "/_laburnumscale/v1/operation-keys"
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 MAX_KEYS_PER_REQUEST = 1000
+#: Largest part of a streamed body that is forwarded in one message.
+MAX_PART_BYTES = 64 * 1024
+#: Chunks that are joined to one part, so that small ones cost no message each. The
+#: event loop does nothing else meanwhile, for about 5 ms.
+MAX_JOINED_CHUNKS = 1000
+#: Bytes of a chunk's size line with the preceding line end that are searched for.
+MAX_CHUNK_HEAD_BYTES = 64
 
 
 class CallerApi:
@@ -73,6 +95,7 @@
     :param header_names: names of the header fields used with callers.
     :param routes_only: whether requests that match no route are refused. Otherwise
         the first segment of their path is the name of the service.
+    :ivar stall_ms: time without progress after which a body or a response is given up.
     """
 
     def __init__(
@@ -96,6 +119,8 @@
         self._keyed_calls = keyed_calls
         self._key_table = key_table
         self._metrics = metrics
+        self._memory = runner.memory
+        self.stall_ms = DEFAULT_TRANSFER_STALL_MS
         self._in_flight = 0
 
     def app(self, body_limit_bytes: int) -> App:
@@ -107,7 +132,8 @@
         async def mint(request: Request) -> HTTPResponse:
             return await self.mint_keys(request)
 
-        app = new_app(f"{self._members.own.daemon}-callers", handle)
+        name = f"{self._members.own.daemon}-callers"
+        app = new_app(name, handle, self._memory, self.stall_ms)
         app.add_route(mint, OPERATION_KEYS_PATH, methods=["POST"], name="keys")
         return app
 
@@ -121,6 +147,8 @@
         try:
             check_request(request, body_limit_bytes)
             return await self.handle(request)
+        except BodyStalled as error:
+            return self._refuse(request, error, STATUS_REQUEST_TIMEOUT)
         except RequestInvalid as error:
             return self._refuse(request, error)
         except BodyTooLarge as error:
@@ -220,8 +248,9 @@
             request, settings.time_limit_ms, self._header_names.caller_time_limit
         )
         deadline = Deadline(received_at_s + timeout_ms / MS_PER_S)
-        if not self._drain_state.accepts(deadline):
-            return DRAINING
+        refusal = self._body_refusal(request, deadline)
+        if refusal is not None:
+            return refusal
         body = await self._request_body(request, request_id, deadline)
         if not self._drain_state.accepts(deadline):
             return DRAINING
@@ -272,6 +301,32 @@
     ) -> HTTPResponse:
         return problem_response(outcome, request_id, detail, status, self._header_names)
 
+    def _body_refusal(self, request: Request, deadline: Deadline) -> NotRun | None:
+        """Return why the body of a request is not received, or None if it is."""
+        if not self._drain_state.accepts(deadline):
+            return DRAINING
+        return None if self._reserve_body(request) else OUT_OF_MEMORY
+
+    def _reserve_body(self, request: Request) -> bool:
+        """Reserve memory for the body of a request until its end, unless it is small.
+
+        :returns: whether there was room.
+        """
+        length = request.headers.get("content-length")
+        if length is None and "transfer-encoding" not in request.headers:
+            return True
+        purpose, size_bytes = Purpose.UPLOADS, ENTRY_UPLOAD_BYTES
+        if length is not None and int(length) <= MAX_SINGLE_MESSAGE_BODY_BYTES:
+            if int(length) <= FREE_BYTES:
+                return True
+            purpose, size_bytes = Purpose.BODIES, BODY_COPIES * int(length)
+        reservation = Reservation.try_reserve(self._memory, purpose, size_bytes)
+        protocol = request.stream.protocol
+        protocol.reservation = reservation
+        if protocol.has_accounted_buffers:
+            protocol.account_buffers()
+        return reservation is not None
+
     async def _request_body(
         self, request: Request, request_id: str, deadline: Deadline
     ) -> bytes | AsyncIterator[bytes]:
@@ -279,8 +334,8 @@
         if length is None and "transfer-encoding" not in request.headers:
             return b""
         if length is not None and int(length) <= MAX_SINGLE_MESSAGE_BODY_BYTES:
-            return await _buffer_body(request, deadline)
-        return _stream_body(request, request_id)
+            return await _buffer_body(request, deadline, self.stall_ms)
+        return _stream_body(request, request_id, self.stall_ms)
 
     def _request_id(self, request: Request) -> str:
         value = request.headers.get(self._header_names.request_id, "")
@@ -302,26 +357,84 @@
         self._metrics.record_us("call_latency", elapsed_us, f'service="{service}"')
 
 
-async def _buffer_body(request: Request, deadline: Deadline) -> bytes:
+async def _buffer_body(request: Request, deadline: Deadline, stall_ms: int) -> bytes:
+    """Return a body of known and small length.
+
+    :raises RequestInvalid: it is malformed, or was not received before the deadline.
+    :raises BodyStalled: the caller has sent nothing for ``stall_ms``.
+    """
+    stream = request.stream
+    body = bytearray()
     try:
-        async with asyncio.timeout(deadline.left_s()):
-            await request.receive_body()
+        while not deadline.has_passed():
+            progress_limit = Deadline.after_ms(stall_ms)
+            limit = min(deadline, progress_limit, key=lambda each: each.at_s)
+            async with asyncio.timeout(limit.left_s()):
+                part = await stream.read()
+            body += part or b""
+            if not stream.request_bytes_left:
+                # Reading past the last byte tells the parser that the body has ended.
+                stream.request_body = None
+                return bytes(body)
     except SanicException as error:
         raise RequestInvalid("body", str(error)) from error
     except TimeoutError:
-        raise RequestInvalid("body", "not received before the deadline") from None
-    return request.body
+        if not deadline.has_passed():
+            raise BodyStalled("body", f"nothing received for {stall_ms} ms") from None
+    raise RequestInvalid("body", "not received before the deadline")
 
 
-async def _stream_body(request: Request, request_id: str) -> AsyncIterator[bytes]:
+async def _stream_body(
+    request: Request, request_id: str, stall_ms: int
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a body as they arrive.
+
+    :raises BodyIncomplete: the body is malformed, or its caller has sent nothing for
+        ``stall_ms``. The time during which the parts are not asked for does not count.
+    """
+    stream = request.stream
     while True:
         try:
-            chunk = await request.stream.read()
+            async with asyncio.timeout(stall_ms / MS_PER_S):
+                part = await _read_part(stream)
         except SanicException as error:
             raise BodyIncomplete(request_id, str(error)) from error
-        if not chunk:
+        except TimeoutError:
+            reason = f"nothing received for {stall_ms} ms"
+            raise BodyIncomplete(request_id, reason) from None
+        if not part:
             return
-        yield chunk
+        for start in range(0, len(part), MAX_PART_BYTES):
+            yield part[start : start + MAX_PART_BYTES]
+
+
+async def _read_part(stream: Http) -> bytes:
+    """Return the next bytes of a body, with all small chunks that have arrived."""
+    part = await stream.read()
+    if not part or not _has_next_chunk(stream):
+        return part or b""
+    chunks = [part]
+    size_bytes = len(part)
+    while (
+        size_bytes < MAX_PART_BYTES
+        and len(chunks) < MAX_JOINED_CHUNKS
+        and _has_next_chunk(stream)
+    ):
+        chunks.append(await stream.read())
+        size_bytes += len(chunks[-1])
+    return b"".join(chunks)
+
+
+def _has_next_chunk(stream: Http) -> bool:
+    """Return whether bytes of another chunk can be read without waiting."""
+    buffer = stream.recv_buffer
+    if stream.request_bytes_left:
+        return bool(buffer)
+    if stream.request_body != "chunked":
+        return False
+    end = buffer.find(b"\r\n", 3, MAX_CHUNK_HEAD_BYTES)
+    is_last = buffer[2:3] == b"0"
+    return end != -1 and not is_last and len(buffer) > end + 2
 
 
 def _latency_objective(route: settings_pb2.Route | None) -> Deadline | None:
--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from collections.abc import AsyncIterator
 
 from sanic import HTTPResponse
 
@@ -25,6 +26,7 @@
 from laburnumscale.headers import end_to_end_headers
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.members import EndpointView
+from laburnumscale.memory import MemoryBudget, hold_response_memory
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import (
     Answered,
@@ -54,6 +56,7 @@
     :ivar caller_service: the same, which may change.
     :ivar in_flight: the calls in progress.
     :ivar quarantine: the calls that are refused because their targets ended.
+    :ivar memory: memory for bodies and responses.
     :ivar drain_state: by when calls must have ended, if the daemon drains.
     """
 
@@ -68,6 +71,7 @@
     ) -> None:
         self.in_flight = InFlightCounter()
         self.drain_state = DrainState()
+        self.memory = MemoryBudget()
         self._answer_sizes = AnswerSizes()
         self._attempt_client = attempt_client
         self._router = router
@@ -290,14 +294,26 @@
                     response = buffered_response(first, call.request_id, self._names)
                     return Answered(first.head.status), response
                 call.answer_started = True
-                measured = self._answer_sizes.measure(call.route_hash, first, rest)
-                streamed = stream_response(
-                    call.request, call.request_id, first, measured, self._names
-                )
-                return await streamed, None
+                return await self._stream_response(call, first, rest), None
         finally:
             attempt.record_end()
 
+    async def _stream_response(
+        self,
+        call: Call,
+        first: peer_pb2.CallReply,
+        rest: AsyncIterator[peer_pb2.CallReply],
+    ) -> Outcome:
+        """Forward a response of several messages once there is memory for it."""
+        async with hold_response_memory(self.memory, call.deadline) as has_room:
+            if not has_room:
+                call.request.transport.abort()
+                return Unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
+            measured = self._answer_sizes.measure(call.route_hash, first, rest)
+            return await stream_response(
+                call.request, call.request_id, first, measured, self._names
+            )
+
     def _record_suspect(self, reply: peer_pb2.CallReply) -> None:
         """Record that a call is suspect if the reply says so."""
         if reply.unknown.HasField("suspect"):
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -45,6 +45,7 @@
         peer_pb2.NOT_RUN_REASON_MISDIRECTED,
         peer_pb2.NOT_RUN_REASON_OVERLOADED,
         peer_pb2.NOT_RUN_REASON_IN_DOUBT,
+        peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY,
     }
 )
 #: Refusals that are limited by what they lead to: the call waits, ends, or accepts
--- a/packages/laburnumscale/src/laburnumscale/channels.py
+++ b/packages/laburnumscale/src/laburnumscale/channels.py
@@ -26,10 +26,11 @@
     grpc.ChannelConnectivity.SHUTDOWN,
 )
 #: Bytes of a stream that may be on their way. gRPC would otherwise derive the window
-#: from the bandwidth and the round-trip time, and use megabytes on a busy host.
+#: from the bandwidth and the round-trip time, and use megabytes on a busy host. Each
+#: stream may hold this much unread; it fills a link of 100 Mbit/s over 20 ms.
 FLOW_CONTROL_OPTIONS = (
     ("grpc.http2.bdp_probe", 0),
-    ("grpc.http2.lookahead_bytes", 1024 * 1024),
+    ("grpc.http2.lookahead_bytes", 256 * 1024),
 )
 #: The name is that of the option; gRPC gives up connecting after this time, too.
 CONNECT_TIMEOUT_OPTION = "grpc.min_reconnect_backoff_ms"
--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import signal
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 
 import aiohttp
@@ -33,6 +34,7 @@
 from laburnumscale.logconnections import open_log_session
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members, new_incarnation
+from laburnumscale.memory import MemoryBudget, resident_bytes
 from laburnumscale.metrics import Metrics
 from laburnumscale.operatorapi import OperatorApi
 from laburnumscale.peers import PEER_SERVER_GRACE_S, serve_peers
@@ -50,6 +52,12 @@
 
 FORCED_EXIT_CODE = 130
 SETTINGS_TIMEOUT_MS = 1_000
+BYTES_PER_MB = 1_000_000
+#: The system takes no more from a target than this unread; on loopback, a response is
+#: as fast with it. uvloop would otherwise read up to 250 KiB of each response at once.
+TARGET_RECEIVE_BUFFER_BYTES = 64 * 1024
+#: aiohttp stops reading a response at twice this size.
+TARGET_READ_BUFFER_BYTES = 32 * 1024
 KEEP_ALIVE_TIMEOUT_S = 4  # shorter than the idle timeout of common HTTP servers
 
 
@@ -70,12 +78,17 @@
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         self._handle_signals()
         timeout = aiohttp.ClientTimeout(total=None)
-        connector = TargetConnector(limit=0, keepalive_timeout=KEEP_ALIVE_TIMEOUT_S)
+        connector = TargetConnector(
+            limit=0,
+            keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
+            socket_factory=_open_target_socket,
+        )
         target_session = aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
             auto_decompress=False,
             request_class=SendOnceRequest,
+            read_bufsize=TARGET_READ_BUFFER_BYTES,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         async with target_session, open_log_session() as log_session:
@@ -140,6 +153,7 @@
         await self._wait_unless_stopped(
             shared.feed.wait_for_tree(Deadline.after_ms(SETTINGS_TIMEOUT_MS))
         )
+        shared.memory.set_own_bytes(resident_bytes())
         caller_server = await serve_app(
             entry_role.caller_api.app(shared.settings.body_limit_bytes),
             shared.settings.caller_address,
@@ -188,6 +202,9 @@
             drain_state=self._drain_state,
             notices=FleetNotices.create(metrics),
             roles=ReaderRoles(members),
+            memory=MemoryBudget(
+                settings.memory_limit_mb * BYTES_PER_MB, resident_bytes(), metrics
+            ),
         )
 
     def _start_background_tasks(
@@ -290,3 +307,11 @@
         drain_ms = max(0, self.settings.drain_ms - EXIT_MARGIN_MS)
         self._drain_state.begin(Deadline.after_ms(drain_ms))
         self._stop_requested.set()
+
+
+def _open_target_socket(address_info: tuple) -> socket.socket:
+    """Return a socket for an entry of :func:`socket.getaddrinfo`."""
+    family, kind, protocol, *_ = address_info
+    opened = socket.socket(family=family, type=kind, proto=protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, TARGET_RECEIVE_BUFFER_BYTES)
+    return opened
--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -22,6 +22,7 @@
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
+from laburnumscale.memory import MemoryBudget
 from laburnumscale.metrics import Metrics
 from laburnumscale.operatorapi import OperatorApi
 from laburnumscale.pathhealth import PathHealth
@@ -68,6 +69,7 @@
     drain_state: DrainState
     notices: FleetNotices
     roles: ReaderRoles
+    memory: MemoryBudget
 
 
 @attrs.frozen(eq=False)
@@ -142,6 +144,7 @@
         shared.platform.header_names,
     )
     guard.answer_limit_bytes = shared.settings.answer_limit_bytes
+    guard.memory = shared.memory
     guard.drain_state = shared.drain_state
     guard.quarantine = shared.notices.quarantine
     return GuardRole(targets, stalls, health, guard)
@@ -175,7 +178,7 @@
     settler = AttemptSettler(members, guard.attempts, shared.channels, metrics)
     path_health = PathHealth(shared.channels, metrics)
     attempt_client = AttemptClient(
-        members, guard, shared.channels, settler, path_health
+        members, guard, shared.channels, settler, path_health, shared.memory
     )
     router = Router(members, shared.feed, path_health, guard_role.health)
     retry_budget = RetryBudget(
@@ -189,6 +192,7 @@
         header_names,
         settings.caller_service,
     )
+    runner.memory = shared.memory
     runner.drain_state = shared.drain_state
     runner.quarantine = shared.notices.quarantine
     key_table = KeyTable(
@@ -207,6 +211,7 @@
         header_names,
         settings.routes_only,
     )
+    caller_api.stall_ms = settings.transfer_stall_ms
     return EntryRole(settler, router, runner, key_table, keyed_calls, caller_api)
 
 
--- a/packages/laburnumscale/src/laburnumscale/daemonsettings.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonsettings.py
@@ -20,7 +20,12 @@
 from laburnumscale.settingsfile import SettingsFile, read_settings_file
 from laburnumscale_schema import daemon_pb2
 
-__all__ = ["DEFAULT_ANSWER_LIMIT_BYTES", "DaemonSettings", "read_daemon_settings"]
+__all__ = [
+    "DEFAULT_ANSWER_LIMIT_BYTES",
+    "DEFAULT_TRANSFER_STALL_MS",
+    "DaemonSettings",
+    "read_daemon_settings",
+]
 
 DEFAULT_DRAIN_MS = 10_000
 DEFAULT_ISOLATION_MS = 60_000
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -16,6 +16,7 @@
     "AttemptSentTwice",
     "BackgroundTaskFailed",
     "BodyIncomplete",
+    "BodyStalled",
     "BodyTooLarge",
     "ConnectionUnsuitable",
     "DaemonNameTaken",
@@ -275,6 +276,11 @@
     )
 
 
+@dataclass(eq=False)
+class BodyStalled(RequestInvalid):
+    """The caller has stopped sending the body of its request."""
+
+
 @dataclass(eq=False)
 class BodyIncomplete(LaburnumscaleError):
     """The body of a request was not received completely while it was forwarded."""
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -4,8 +4,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AbstractAsyncContextManager, aclosing, contextmanager
+from functools import partial
 
 import aiohttp
 from multidict import CIMultiDict
@@ -40,6 +41,15 @@
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.logs import get_logger
 from laburnumscale.members import Members
+from laburnumscale.memory import (
+    BODY_COPIES,
+    FREE_BYTES,
+    GUARD_UPLOAD_BYTES,
+    MEMORY_RETRY_AFTER_MS,
+    MemoryBudget,
+    Purpose,
+    TargetResponseRoom,
+)
 from laburnumscale.metrics import Metrics
 from laburnumscale.quarantine import Quarantine
 from laburnumscale.settingsfeed import SettingsFeed
@@ -72,6 +82,7 @@
     :ivar runs: the runs in progress of the attempts of other daemons.
     :ivar untaken_answers: the ended runs whose answers their entries may still fetch.
     :ivar answer_limit_bytes: maximum size of the body of a target's response.
+    :ivar memory: memory for bodies and responses.
     """
 
     def __init__(
@@ -90,6 +101,7 @@
         self.attempts = attempts
         self.in_flight = InFlightCounter()
         self.drain_state = DrainState()
+        self.memory = MemoryBudget()
         self.answer_limit_bytes = DEFAULT_ANSWER_LIMIT_BYTES
         self._data_centre = own.data_centre
         self._targets = targets
@@ -244,6 +256,7 @@
                 id_header=id_header,
             )
             with (
+                self._hold_body_memory(body),
                 self._hold_limited_call(target, attempt),
                 self._health.admit_attempt(target, settings, head),
             ):
@@ -264,6 +277,30 @@
         except WorkCutOff:
             yield _cut_off_reply(attempt)
 
+    @contextmanager
+    def _hold_body_memory(self, body: bytes | AsyncIterator[bytes]) -> Iterator[None]:
+        """Hold memory for the body of an attempt while the attempt runs.
+
+        It is reserved for an attempt on record, so that the refusal also holds for all
+        copies of the attempt.
+
+        :raises AttemptRefused: there is no room.
+        """
+        purpose, size_bytes = Purpose.UPLOADS, GUARD_UPLOAD_BYTES
+        if isinstance(body, bytes):
+            if len(body) <= FREE_BYTES:
+                yield
+                return
+            purpose, size_bytes = Purpose.BODIES, BODY_COPIES * len(body)
+        if not self.memory.reserve(purpose, size_bytes):
+            raise AttemptRefused(
+                peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS
+            )
+        try:
+            yield
+        finally:
+            self.memory.release(purpose, size_bytes)
+
     @contextmanager
     def _hold_limited_call(
         self, target: LocalTarget, attempt: Attempt
@@ -396,6 +433,7 @@
             target, settings, head, transmission.deadline
         )
         sent_at_s = now_s()
+        room = TargetResponseRoom(self.memory, transmission.deadline)
         try:
             async with (
                 response_timeout,
@@ -407,7 +445,12 @@
                 attempt_monitor.record_response(failed=response.status >= SERVER_ERROR)
                 async with aclosing(
                     iter_replies(
-                        target, settings, head, response, self.answer_limit_bytes
+                        target,
+                        settings,
+                        head,
+                        response,
+                        self.answer_limit_bytes,
+                        room.wait,
                     )
                 ) as replies:
                     async for reply in replies:
@@ -431,7 +474,7 @@
             )
         except BodyIncomplete:
             attempt_monitor.discard()
-            yield unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
+            yield _incomplete_reply(transmission.attempt)
         except (AnswerMismatched, AnswerTooLarge) as error:
             attempt_monitor.record_connection_failure()
             reason = self._report_rejected_answer(target, error)
@@ -446,6 +489,7 @@
                 peer_pb2.UNKNOWN_REASON_CONNECTION_LOST, target, head, body
             )
         finally:
+            room.release()
             attempt_monitor.end()
 
     def _report_skipped(
@@ -550,14 +594,66 @@
         )
         if self._header_names.expected_endpoint:
             headers[self._header_names.expected_endpoint] = head.endpoint
-        return send_once(
-            self._session,
-            transmission,
-            head.method,
-            url,
-            headers=headers,
-            data=body or None,
+        send = partial(
+            send_once, self._session, transmission, head.method, url, headers=headers
         )
+        if isinstance(body, bytes):
+            return send(data=body or None)
+        return _SendUpload(lambda data: send(data=data), body)
+
+
+class _SendUpload(AbstractAsyncContextManager):
+    """The sending of a request with a streamed body.
+
+    aiohttp reports an error of the body as one of the connection, for which the target
+    would be blamed.
+
+    :param send: sends the request with the body that it gets.
+    """
+
+    def __init__(
+        self,
+        send: Callable[[AsyncIterator[bytes]], AbstractAsyncContextManager],
+        body: AsyncIterator[bytes],
+    ) -> None:
+        self._body = body
+        self._error: BodyIncomplete | None = None
+        self._exchange = send(self._read())
+
+    async def __aenter__(self) -> aiohttp.ClientResponse:
+        try:
+            return await self._exchange.__aenter__()
+        except aiohttp.ClientError:
+            self._raise_body_error()
+            raise
+
+    async def __aexit__(self, kind, error, traceback) -> None:
+        await self._exchange.__aexit__(kind, error, traceback)
+        if isinstance(error, aiohttp.ClientError):
+            self._raise_body_error()
+
+    def _raise_body_error(self) -> None:
+        if self._error is not None:
+            raise self._error
+
+    async def _read(self) -> AsyncIterator[bytes]:
+        try:
+            async for part in self._body:
+                yield part
+        except BodyIncomplete as error:
+            self._error = error
+            raise
+
+
+def _incomplete_reply(attempt: Attempt) -> peer_pb2.CallReply:
+    """Return the reply to an attempt whose body will not be complete.
+
+    A target may act on the part that it has got, so the outcome is unknown from the
+    moment at which the first byte of the request may have been sent.
+    """
+    if attempt.state is AttemptState.WAITING:
+        return refused_reply(peer_pb2.NOT_RUN_REASON_BAD_REQUEST)
+    return unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
 
 
 def _log_limit(target: LocalTarget) -> None:
--- a/packages/laburnumscale/src/laburnumscale/keptbodies.py
+++ b/packages/laburnumscale/src/laburnumscale/keptbodies.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 
 from laburnumscale.errors import BodyIncomplete
+from laburnumscale.memory import OBJECT_BYTES, MemoryBudget, Purpose
 
 __all__ = ["BodyMemory", "KeptBody"]
 
@@ -19,22 +20,29 @@
 class BodyMemory:
     """The memory that the kept bodies of one entry share.
 
+    :param budget: memory of the daemon, of which it is a part; None for no limit but
+        that of all kept bodies.
     :ivar used_bytes: size of all that is kept.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
         self.used_bytes = 0
+        self._budget = budget or MemoryBudget()
 
     def reserve(self, size_bytes: int) -> bool:
         """Return whether there is room for another part, which is then taken."""
         if self.used_bytes + size_bytes > MAX_TOTAL_BYTES:
             return False
+        if not self._budget.reserve(Purpose.KEPT_PARTS, size_bytes):
+            return False
         self.used_bytes += size_bytes
         return True
 
     def release(self, size_bytes: int) -> None:
         """Give back the room of parts that are not kept any more."""
-        self.used_bytes -= size_bytes
+        if size_bytes:
+            self.used_bytes -= size_bytes
+            self._budget.release(Purpose.KEPT_PARTS, size_bytes)
 
 
 class KeptBody:
@@ -104,7 +112,7 @@
         return part
 
     def _keep(self, part: bytes) -> None:
-        size_bytes = len(part)
+        size_bytes = len(part) + OBJECT_BYTES
         has_room = self._kept_bytes + size_bytes <= MAX_BODY_BYTES
         if not (self.can_repeat and has_room and self._memory.reserve(size_bytes)):
             self._forget()
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -22,6 +22,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
+from laburnumscale.memory import BODY_COPIES, MEMORY_RETRY_AFTER_MS, Purpose
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import KeyInvalid, OperationKey, parse_key
 from laburnumscale.processends import ProcessEnds
@@ -335,6 +336,19 @@
                 )
             if head.service not in self._feed.tree.services():
                 return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
+        body_bytes = BODY_COPIES * len(message.body)
+        memory = self._runner.memory
+        if not memory.reserve(Purpose.BODIES, body_bytes):
+            return not_run_reply(
+                peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS
+            )
+        try:
+            return await self._run_call(message)
+        finally:
+            memory.release(Purpose.BODIES, body_bytes)
+
+    async def _run_call(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
+        head = message.head
         exchange = RecordedExchange(head)
         objective_ms = head.objective_left_ms
         call = Call(
--- a/packages/laburnumscale/src/laburnumscale/targetresponses.py
+++ b/packages/laburnumscale/src/laburnumscale/targetresponses.py
@@ -3,7 +3,7 @@
 Converts the HTTP response of a target into the reply messages sent to the entry.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 
@@ -26,6 +26,7 @@
     head: peer_pb2.CallHead,
     response: aiohttp.ClientResponse,
     limit_bytes: int,
+    wait_for_room: Callable[[], Awaitable[None]] | None = None,
 ) -> AsyncIterator[peer_pb2.CallReply]:
     """Yield the reply messages for a response.
 
@@ -33,6 +34,7 @@
 
     :param head: head of the call.
     :param limit_bytes: maximum size of the body.
+    :param wait_for_room: waits until there is room for a body of several messages.
     :raises AnswerTooLarge: the body is larger, or has no end.
     :raises AnswerUnframed: the response has neither a length nor chunks, and the
         settings do not accept the end of the connection as the end of the response.
@@ -49,6 +51,8 @@
             head=reply_head, body=payload, end=True, load=target.load(head.route)
         )
         return
+    if wait_for_room is not None:
+        await wait_for_room()
     # The head is sent with the first chunk: until then, a failure can be retried.
     received_bytes = 0
     async for chunk in response.content.iter_chunked(CHUNK_BYTES):
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -7,6 +7,7 @@
 import itertools
 import logging
 import select
+import time
 from collections.abc import Awaitable, Callable
 
 from sanic import HTTPResponse, Request, Sanic
@@ -18,9 +19,18 @@
 from sanic.server.protocols.http_protocol import HttpProtocol
 
 from laburnumscale.addresses import Address
-from laburnumscale.deadlines import Deadline
+from laburnumscale.daemonsettings import DEFAULT_TRANSFER_STALL_MS
+from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.errors import AddressInUse
 from laburnumscale.logs import get_logger
+from laburnumscale.memory import (
+    CONNECTION_BYTES,
+    FREE_BYTES,
+    MemoryBudget,
+    Purpose,
+    Reservation,
+    connection_limit,
+)
 from laburnumscale.problems import error_response
 
 __all__ = [
@@ -36,7 +46,16 @@
 #: Iterations of the event loop until a connection is set up and its request is read.
 SETUP_LOOP_ITERATIONS = 3
 MAX_CONNECTIONS = 10_000
+#: Longer than the 3 s in which callers send a header section.
 HEADER_TIMEOUT_S = 10
+#: A connection that waits so long for its next request may be closed if there are too
+#: many. Callers use a connection again within 15 s, or not at all.
+EVICTABLE_IDLE_S = 16
+#: As above, for a connection whose header section is incomplete.
+EVICTABLE_HEADER_S = 4
+#: Time to read the rest of a body after its request was answered, so that the caller
+#: gets the response before the connection is closed.
+DISCARD_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_POLL_INTERVAL_S = 0.02
 MIN_CLOSE_POLLS = 3
@@ -87,28 +106,102 @@
 class LimitedHttpProtocol(HttpProtocol):
     """A connection with a limit on the time to receive the complete header section.
 
-    The number of connections is limited as well.
+    The number of connections is limited as well. If the application has a memory
+    budget, it covers the connections and what their buffers hold.
+
+    :ivar reservation: memory that is held for the body of the request in progress.
+    :ivar discards_since_s: since when the rest of a body is read whose request was
+        answered; 0 if none is.
     """
 
-    __slots__ = ("_first_request_due",)
+    __slots__ = (
+        "_accounted_bytes",
+        "_first_request_due",
+        "_is_counted",
+        "_unsent_bytes",
+        "_unsent_since_s",
+        "discards_since_s",
+        "reservation",
+    )
 
     def __init__(self, *args, **kwargs) -> None:
         super().__init__(*args, **kwargs)
         self._first_request_due: Deadline | None = None
+        self.reservation: Reservation | None = None
+        self._accounted_bytes = 0
+        self.discards_since_s = 0.0
+        self._is_counted = False
+        self._unsent_bytes = 0
+        self._unsent_since_s = 0.0
+
+    @property
+    def _memory(self) -> MemoryBudget:
+        return self.app.ctx.memory
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Accept a connection unless ``MAX_CONNECTIONS`` is reached."""
-        if len(self.connections) >= MAX_CONNECTIONS:
+        """Accept a connection unless there are too many."""
+        if not self._has_room_for_connection():
             transport.abort()
             return
+        self._is_counted = True
         super().connection_made(transport)
         self._first_request_due = Deadline.after_ms(FIRST_REQUEST_TIMEOUT_MS)
 
+    def _has_room_for_connection(self) -> bool:
+        if len(self.connections) >= self.app.ctx.max_connections:
+            self._evict_one()
+        return len(
+            self.connections
+        ) < self.app.ctx.max_connections and self._memory.reserve(
+            Purpose.CONNECTIONS, CONNECTION_BYTES
+        )
+
+    def _evict_one(self) -> None:
+        """Close the connection that has been of least use, if there is one.
+
+        Those with a request in progress are kept.
+        """
+        candidates = [each for each in self.connections if each.is_evictable()]
+        if candidates:
+            oldest = min(candidates, key=lambda each: each.waits_since_s)
+            oldest.drop()
+
+    @property
+    def waits_since_s(self) -> float:
+        """Return since when the connection waits for its caller."""
+        return self._time
+
+    def is_evictable(self) -> bool:
+        """Return whether the caller has kept the connection waiting for too long."""
+        if self.http is None or self.transport is None:
+            return False
+        waited_s = time.monotonic() - self._time
+        if self.http.stage is Stage.IDLE:
+            return waited_s > EVICTABLE_IDLE_S
+        return self.http.stage is Stage.REQUEST and waited_s > EVICTABLE_HEADER_S
+
+    def drop(self) -> None:
+        """Close the connection at once, and release what is held for it."""
+        transport = self.transport
+        self.connections.discard(self)
+        self._release_all()
+        if transport is not None:
+            transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Clean up after a connection unless it was rejected."""
+        self._release_all()
         if self.conn_info is not None:
             super().connection_lost(exc)
 
+    def _release_all(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._memory.release(Purpose.CONNECTIONS, CONNECTION_BYTES)
+        if self._accounted_bytes:
+            self._memory.release(Purpose.PARSERS, self._accounted_bytes)
+            self._accounted_bytes = 0
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes.
 
@@ -123,6 +216,86 @@
         super().data_received(data)
         if in_header_section:
             self._time = header_started_at_s
+        if len(self.recv_buffer) > FREE_BYTES:
+            self.account_buffers()
+
+    async def receive_more(self) -> None:
+        """Wait for more bytes, after those in the buffer were used."""
+        if self._accounted_bytes:
+            self.account_buffers()
+        await super().receive_more()
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a response once there is room in the write buffer."""
+        await super().send(data)
+        if len(data) > FREE_BYTES and self.transport is not None:
+            self.account_buffers()
+
+    def account_buffers(self) -> None:
+        """Adjust what is reserved for the buffers; close the connection without room.
+
+        What a transfer holds is reserved by the call that makes it.
+        """
+        if self.transport is None or not self._is_counted:
+            return
+        held_bytes = 0
+        reservation = self.reservation
+        if reservation is None or reservation.purpose is not Purpose.UPLOADS:
+            held_bytes = len(self.recv_buffer) + self.transport.get_write_buffer_size()
+        if held_bytes <= FREE_BYTES:
+            held_bytes = 0
+        change = held_bytes - self._accounted_bytes
+        if change <= 0:
+            self._memory.release(Purpose.PARSERS, -change)
+        elif not self._reserve_buffers(change):
+            self.drop()
+            return
+        self._accounted_bytes = held_bytes
+
+    def _reserve_buffers(self, size_bytes: int) -> bool:
+        """Reserve memory for buffers, if need be after those of others are checked.
+
+        Buffers that the callers have emptied since are still reserved.
+        """
+        if self._memory.reserve(Purpose.PARSERS, size_bytes):
+            return True
+        for connection in tuple(self.connections):
+            if connection.has_accounted_buffers and connection is not self:
+                connection.account_buffers()
+        return self._memory.reserve(Purpose.PARSERS, size_bytes)
+
+    @property
+    def has_accounted_buffers(self) -> bool:
+        """Return whether memory is reserved for the buffers."""
+        return self._accounted_bytes > 0
+
+    def check_timeouts(self) -> None:
+        """Close the connection if it has waited for its caller for too long."""
+        if self.transport is not None and self._task is not None:
+            if self._accounted_bytes:
+                self.account_buffers()
+            if self._has_stalled():
+                get_logger().info("connection of a caller closed as it stalled")
+                self.drop()
+                return
+        super().check_timeouts()
+
+    def _has_stalled(self) -> bool:
+        """Return whether the caller takes no bytes, or still sends an answered body."""
+        if self.transport is None:
+            return False
+        now_s = time.monotonic()
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes or not unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._unsent_since_s = now_s
+        stalled_s = now_s - max(self._unsent_since_s, self._time)
+        if unsent_bytes and stalled_s > self.app.ctx.stall_s:
+            return True
+        is_discarding = self.discards_since_s and self.http and self.http.request_body
+        return bool(is_discarding) and (
+            now_s - self.discards_since_s > DISCARD_TIMEOUT_S
+        )
 
     def has_unsent_data(self) -> bool:
         """Return whether a part of a response is still to be sent."""
@@ -169,6 +342,8 @@
         if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
             await super().handle_request(request)
             return
+        protocol = request.stream.protocol
+        protocol.discards_since_s = 0.0
         try:
             response = await self.ctx.call_handler(request)
             if response is not None:
@@ -176,14 +351,27 @@
                 await response.send(end_stream=True)
         except Exception as error:
             await self.handle_exception(request, error)
-
-
-def new_app(name: str, call_handler: Handler | None = None) -> App:
+        finally:
+            if protocol.reservation is not None:
+                protocol.reservation.release()
+                protocol.reservation = None
+        if request.stream is not None and request.stream.request_body:
+            protocol.discards_since_s = time.monotonic()
+
+
+def new_app(
+    name: str,
+    call_handler: Handler | None = None,
+    memory: MemoryBudget | None = None,
+    stall_ms: int = DEFAULT_TRANSFER_STALL_MS,
+) -> App:
     """Return an application that writes no logs of its own.
 
     :param name: name of the application, unique in the process.
     :param call_handler: handles all requests except those to the fleet's internal
         paths; if None, all requests are routed.
+    :param memory: covers the connections and their buffers; None for no limit.
+    :param stall_ms: time without progress after which a response is given up.
     """
     app_class = App if call_handler is None else CallerApp
     app = app_class(
@@ -193,6 +381,13 @@
     )
     app.ctx.draining = False
     app.ctx.call_handler = call_handler
+    app.ctx.memory = memory or MemoryBudget()
+    app.ctx.stall_s = stall_ms / MS_PER_S
+    app.ctx.max_connections = MAX_CONNECTIONS
+    if memory is not None:
+        app.ctx.max_connections = memory.connection_share(
+            CONNECTION_BYTES, min(MAX_CONNECTIONS, connection_limit())
+        )
     app.config.ACCESS_LOG = False
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_TIMEOUT_S
     app.config.MOTD = False
