--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -164,7 +164,7 @@
         candidates = [each for each in self.connections if each.is_evictable()]
         if candidates:
             oldest = min(candidates, key=lambda each: each.waits_since_s)
-            oldest.drop()
+            oldest.drop("too many connections")
 
     @property
     def waits_since_s(self) -> float:
@@ -180,8 +180,9 @@
             return waited_s > EVICTABLE_IDLE_S
         return self.http.stage is Stage.REQUEST and waited_s > EVICTABLE_HEADER_S
 
-    def drop(self) -> None:
+    def drop(self, reason: str) -> None:
         """Close the connection at once, and release what is held for it."""
+        get_logger().info("connection of a caller closed", reason=reason)
         transport = self.transport
         self.connections.discard(self)
         self._release_all()
@@ -248,7 +249,7 @@
         if change <= 0:
             self._memory.release(Purpose.PARSERS, -change)
         elif not self._reserve_buffers(change):
-            self.drop()
+            self.drop("no memory")
             return
         self._accounted_bytes = held_bytes
 
@@ -275,8 +276,7 @@
             if self._accounted_bytes:
                 self.account_buffers()
             if self._has_stalled():
-                get_logger().info("connection of a caller closed as it stalled")
-                self.drop()
+                self.drop("stalled")
                 return
         super().check_timeouts()
 
