--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -5,7 +5,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterator
-from contextlib import AbstractAsyncContextManager, aclosing, contextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AbstractContextManager,
+    aclosing,
+    contextmanager,
+    nullcontext,
+)
 from functools import partial
 
 import aiohttp
@@ -67,6 +73,7 @@
 
 STALE_RETRY_AFTER_MS = 5000
 PRUNE_INTERVAL_S = 10
+NOTHING_HELD = nullcontext()
 SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
 
@@ -277,21 +284,25 @@
         except WorkCutOff:
             yield _cut_off_reply(attempt)
 
+    def _hold_body_memory(
+        self, body: bytes | AsyncIterator[bytes]
+    ) -> AbstractContextManager[None]:
+        """Hold memory for the body of an attempt, unless it is small."""
+        if not isinstance(body, bytes):
+            return self._hold_memory(Purpose.UPLOADS, GUARD_UPLOAD_BYTES)
+        if len(body) <= FREE_BYTES:
+            return NOTHING_HELD
+        return self._hold_memory(Purpose.BODIES, BODY_COPIES * len(body))
+
     @contextmanager
-    def _hold_body_memory(self, body: bytes | AsyncIterator[bytes]) -> Iterator[None]:
-        """Hold memory for the body of an attempt while the attempt runs.
+    def _hold_memory(self, purpose: Purpose, size_bytes: int) -> Iterator[None]:
+        """Hold memory while an attempt runs.
 
         It is reserved for an attempt on record, so that the refusal also holds for all
         copies of the attempt.
 
         :raises AttemptRefused: there is no room.
         """
-        purpose, size_bytes = Purpose.UPLOADS, GUARD_UPLOAD_BYTES
-        if isinstance(body, bytes):
-            if len(body) <= FREE_BYTES:
-                yield
-                return
-            purpose, size_bytes = Purpose.BODIES, BODY_COPIES * len(body)
         if not self.memory.reserve(purpose, size_bytes):
             raise AttemptRefused(
                 peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -8,7 +8,8 @@
 import logging
 import select
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from sanic import HTTPResponse, Request, Sanic
 from sanic.exceptions import SanicException
@@ -220,17 +221,21 @@
         if len(self.recv_buffer) > FREE_BYTES:
             self.account_buffers()
 
-    async def receive_more(self) -> None:
+    def receive_more(self) -> Coroutine[Any, Any, None]:
         """Wait for more bytes, after those in the buffer were used."""
         if self._accounted_bytes:
             self.account_buffers()
-        await super().receive_more()
+        return super().receive_more()
 
-    async def send(self, data: bytes) -> None:
+    def send(self, data: bytes) -> Coroutine[Any, Any, None]:
         """Send a part of a response once there is room in the write buffer."""
+        if len(data) > FREE_BYTES:
+            return self._send_accounted(data)
+        return super().send(data)
+
+    async def _send_accounted(self, data: bytes) -> None:
         await super().send(data)
-        if len(data) > FREE_BYTES and self.transport is not None:
-            self.account_buffers()
+        self.account_buffers()
 
     def account_buffers(self) -> None:
         """Adjust what is reserved for the buffers; close the connection without room.
