--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -201,6 +201,7 @@
     keyed_calls = KeyedCalls(
         members, shared.feed, runner, shared.channels, key_table, metrics
     )
+    keyed_calls.memory = shared.memory
     caller_api = CallerApi(
         members,
         shared.feed,
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -22,7 +22,12 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.memberentries import is_present
 from laburnumscale.members import Members
-from laburnumscale.memory import BODY_COPIES, MEMORY_RETRY_AFTER_MS, Purpose
+from laburnumscale.memory import (
+    BODY_COPIES,
+    MEMORY_RETRY_AFTER_MS,
+    MemoryBudget,
+    Purpose,
+)
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import KeyInvalid, OperationKey, parse_key
 from laburnumscale.processends import ProcessEnds
@@ -55,6 +60,8 @@
 
     The holder of a key is its home, which is the daemon incarnation that minted it, or
     the daemon that took over the keys of the home.
+
+    :ivar memory: memory for the bodies of the calls that run here.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         self._channels = channels
         self._table = table
         self._metrics = metrics
+        self.memory = MemoryBudget()
         self._process_ends = ProcessEnds(members, channels)
         self._successor_address = ""
         self._has_handed_over = asyncio.Event()
@@ -337,15 +345,14 @@
             if head.service not in self._feed.tree.services():
                 return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
         body_bytes = BODY_COPIES * len(message.body)
-        memory = self._runner.memory
-        if not memory.reserve(Purpose.BODIES, body_bytes):
+        if not self.memory.reserve(Purpose.BODIES, body_bytes):
             return not_run_reply(
                 peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS
             )
         try:
             return await self._run_call(message)
         finally:
-            memory.release(Purpose.BODIES, body_bytes)
+            self.memory.release(Purpose.BODIES, body_bytes)
 
     async def _run_call(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
