--- a/packages/laburnumscale/src/laburnumscale/daemonparts.py
+++ b/packages/laburnumscale/src/laburnumscale/daemonparts.py
@@ -23,6 +23,7 @@
 from laburnumscale.keyedcalls import KeyedCalls
 from laburnumscale.keytable import KeyTable
 from laburnumscale.members import Members
+from laburnumscale.memory import MemoryBudget
 from laburnumscale.metrics import Metrics
 from laburnumscale.operatorapi import OperatorApi
 from laburnumscale.pathhealth import PathHealth
@@ -80,6 +81,7 @@
     drain_state: DrainState
     notices: FleetNotices
     roles: ReaderRoles
+    memory: MemoryBudget
 
 
 @attrs.frozen(eq=False)
@@ -155,6 +157,7 @@
         shared.platform.header_names,
     )
     guard.answer_limit_bytes = shared.settings.answer_limit_bytes
+    guard.memory = shared.memory
     guard.drain_state = shared.drain_state
     guard.quarantine = shared.notices.quarantine
     return GuardRole(targets, stalls, health, guard)
@@ -188,7 +191,7 @@
     settler = AttemptSettler(members, guard.attempts, shared.channels, metrics)
     path_health = PathHealth(shared.channels, metrics)
     attempt_client = AttemptClient(
-        members, guard, shared.channels, settler, path_health
+        members, guard, shared.channels, settler, path_health, shared.memory
     )
     router = Router(members, shared.feed, path_health, guard_role.health)
     retry_budget = RetryBudget(
@@ -202,6 +205,7 @@
         header_names,
         settings.caller_service,
     )
+    runner.memory = shared.memory
     runner.drain_state = shared.drain_state
     runner.quarantine = shared.notices.quarantine
     key_table = KeyTable(
@@ -217,6 +221,7 @@
         header_names.account_fields(),
     )
     quotas, quota_client = _build_quotas(shared)
+    keyed_calls.memory = shared.memory
     caller_api = CallerApi(
         members,
         shared.feed,
@@ -228,6 +233,7 @@
         settings.routes_only,
     )
     caller_api.quotas = quota_client
+    caller_api.stall_ms = settings.transfer_stall_ms
     return EntryRole(
         settler, router, runner, key_table, keyed_calls, caller_api, quotas
     )
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -17,6 +17,7 @@
     "AttemptSentTwice",
     "BackgroundTaskFailed",
     "BodyIncomplete",
+    "BodyStalled",
     "BodyTooLarge",
     "ConnectionUnsuitable",
     "DaemonNameTaken",
@@ -276,6 +277,11 @@
     )
 
 
+@dataclass(eq=False)
+class BodyStalled(RequestInvalid):
+    """The caller has stopped sending the body of its request."""
+
+
 @dataclass(eq=False)
 class BodyIncomplete(LaburnumscaleError):
     """The body of a request was not received completely while it was forwarded."""
