Look at all connections of callers at most every 200 ms

A flood of connections or of data without room would otherwise cost one scan each. The feature runner's choice of features that run alone has a test.

--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -54,6 +54,10 @@
 EVICTABLE_IDLE_S = 16
 #: As above, for a connection whose header section is incomplete.
 EVICTABLE_HEADER_S = 4
+#: Connections that are closed at once to make room for new ones.
+MAX_EVICTED_CONNECTIONS = 32
+#: A flood of connections or data does not cause more scans of all connections.
+SCAN_INTERVAL_S = 0.2
 #: Time to read the rest of a body after its request was answered, so that the caller
 #: gets the response before the connection is closed.
 DISCARD_TIMEOUT_S = 5
@@ -150,22 +154,33 @@
 
     def _has_room_for_connection(self) -> bool:
         if len(self.connections) >= self.app.ctx.max_connections:
-            self._evict_one()
+            self._evict_waiting()
         return len(
             self.connections
         ) < self.app.ctx.max_connections and self._memory.reserve(
             Purpose.CONNECTIONS, CONNECTION_BYTES
         )
 
-    def _evict_one(self) -> None:
-        """Close the connection that has been of least use, if there is one.
+    def _evict_waiting(self) -> None:
+        """Close the connections that have waited longest for their callers.
 
         Those with a request in progress are kept.
         """
+        if not self._may_scan():
+            return
         candidates = [each for each in self.connections if each.is_evictable()]
-        if candidates:
-            oldest = min(candidates, key=lambda each: each.waits_since_s)
-            oldest.drop("too many connections")
+        candidates.sort(key=lambda each: each.waits_since_s)
+        for connection in candidates[:MAX_EVICTED_CONNECTIONS]:
+            connection.drop("too many connections")
+
+    def _may_scan(self) -> bool:
+        """Return whether all connections may be looked at again, and record it."""
+        context = self.app.ctx
+        now_s = time.monotonic()
+        if now_s - context.scanned_at_s < SCAN_INTERVAL_S:
+            return False
+        context.scanned_at_s = now_s
+        return True
 
     @property
     def waits_since_s(self) -> float:
@@ -265,6 +280,8 @@
         """
         if self._memory.reserve(Purpose.PARSERS, size_bytes):
             return True
+        if not self._may_scan():
+            return False
         for connection in tuple(self.connections):
             if connection.has_accounted_buffers and connection is not self:
                 connection.account_buffers()
@@ -387,6 +404,7 @@
     app.ctx.draining = False
     app.ctx.call_handler = call_handler
     app.ctx.memory = memory or MemoryBudget()
+    app.ctx.scanned_at_s = 0.0
     app.ctx.stall_s = stall_ms / MS_PER_S
     app.ctx.max_connections = MAX_CONNECTIONS
     if memory is not None:
--- a/tests/features/steps/runner_steps.py
+++ b/tests/features/steps/runner_steps.py
@@ -3,9 +3,10 @@
 import sys
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
 
 from tests.standins.fleet import wait_until
+from tools.run_features import runs_alone
 
 ROOT = Path(__file__).parents[3]
 SESSION_FIELD = 3  # index among the fields after the command name in /proc/PID/stat
@@ -52,3 +53,19 @@
     wait_until(
         lambda: not find_session_commands(context.runner.pid), "all ended", limit_s
     )
+
+
+@given('a feature file that begins with "{text}"')
+def step_write_feature(context, text):
+    context.feature_path = context.fleet.directory / "some.feature"
+    context.feature_path.write_text(text)
+
+
+@then("the runner runs it after the others")
+def step_check_alone(context):
+    assert runs_alone(context.feature_path)
+
+
+@then("the runner runs it beside the others")
+def step_check_together(context):
+    assert not runs_alone(context.feature_path)
