--- a/packages/laburnumscale/src/laburnumscale/overload/waitingcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/waitingcalls.py
@@ -201,11 +201,12 @@
     def _choose_useful_victim(self) -> WaitingCall:
         top = min(self._priorities)
         places = LOWER_SHARE * len(self._calls) / max(1, len(self._priorities) - 1)
-        for priority in sorted(self._priorities, reverse=True):
-            calls = self._priorities[priority]
-            if priority == top or calls.count > max(1.0, places):
-                return calls.last_call()
-        raise AssertionError("the most urgent priority always has a call")
+        above_share = (
+            priority
+            for priority, calls in self._priorities.items()
+            if priority != top and calls.count > max(1.0, places)
+        )
+        return self._priorities[max(above_share, default=top)].last_call()
 
     def _remove_useful(self, call: WaitingCall) -> None:
         calls = self._priorities[call.priority]
