Ask the keeper of a quota by way of other daemons

All but these entries reached the keepers, so the membership changed nothing.

The backup now asks the keeper on behalf of the entry before it uses its reserve, and a random third daemon does so if the backup does not reply. Both new scenarios fail without the change; the random histories keep their bound.

--- a/packages/laburnumscale/src/laburnumscale/quotas/keeperview.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/keeperview.py
@@ -4,8 +4,9 @@
 """
 
 import heapq
+import random
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import xxhash
@@ -146,6 +147,17 @@
             ranking = self._catch_up(group, ranking)
         return [daemon for _, daemon in ranking.top]
 
+    def with_relay(self, account: str) -> Iterator[str]:
+        """Yield the keeper of an account, its backup and a random other daemon.
+
+        The last one may reach the keeper where this daemon does not.
+        """
+        ranked = self.rank(account)
+        yield from ranked
+        others = [each for each in self._seeds if each not in (*ranked, self.own)]
+        if others:
+            yield random.choice(others)
+
     def address(self, daemon: str) -> str:
         """Return the peer address of a daemon, or an empty string."""
         member = self._members.get(daemon)
--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
@@ -198,13 +198,14 @@
                 self._metrics.count("quota_failures")
 
     async def _ask_for_waiting(self, state: _Account, attempts: int) -> float:
-        """Ask the keeper once, or its backup if it does not decide.
+        """Ask the keeper once, or others if it does not decide.
+
+        Its backup and one more daemon ask it in turn, as they may reach it.
 
         :returns: the pause in seconds before the next attempt; 0 after a decision.
         """
-        ranked = self._view.rank(state.name)
         keeper_replied = False
-        for position, daemon in enumerate(ranked):
+        for position, daemon in enumerate(self._view.with_relay(state.name)):
             is_backup = position > 0
             if is_backup and keeper_replied and attempts == 1:
                 break
--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaservice.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaservice.py
@@ -17,6 +17,15 @@
 ASK_TIMEOUT_S = 0.15
 #: The wait for a former keeper must end before the entries that wait for this one.
 HAND_OVER_TIMEOUT_S = 0.1
+#: The same holds for the wait for the keeper on behalf of an entry.
+RELAY_TIMEOUT_S = 0.08
+#: How long requests are not relayed to a keeper that did not reply.
+RELAY_PAUSE_S = 0.3
+DECISIONS = (
+    peer_pb2.QUOTA_VERDICT_GRANTED,
+    peer_pb2.QUOTA_VERDICT_EXHAUSTED,
+    peer_pb2.QUOTA_VERDICT_NO_QUOTA,
+)
 END_CHECK_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.25
 
@@ -52,6 +61,7 @@
         self._take_overs: dict[str, asyncio.Task] = {}
         self._end_checks: dict[str, asyncio.Task] = {}
         self._end_checked_at_s: dict[str, float] = {}
+        self._relays_from_s: dict[str, float] = {}
 
     async def watch(self) -> None:
         """Let the keeper notice when this daemon has stood still, until cancelled."""
@@ -68,8 +78,39 @@
                 await self._take_over(account, predecessor)
             elif request.from_reserve:
                 self._check_end(account)
+                relayed = await self._relay(request)
+                if relayed is not None:
+                    return relayed
         return self.keeper.acquire(request)
 
+    async def _relay(
+        self, request: peer_pb2.QuotaRequest
+    ) -> peer_pb2.QuotaReply | None:
+        """Ask the keeper on behalf of an entry that does not reach it.
+
+        A path between two hosts may be broken while both reach all others.
+
+        :returns: None if the keeper does not decide either.
+        """
+        keeper = next(iter(self.view.rank(request.account)), self.view.own)
+        now = self._clock()
+        if keeper == self.view.own or self._relays_from_s.get(keeper, now) > now:
+            return None
+        relayed = peer_pb2.QuotaRequest()
+        relayed.CopyFrom(request)
+        relayed.from_reserve = False
+        address = self.view.address(keeper)
+        reply = await self._ask(address, relayed, RELAY_TIMEOUT_S)
+        if reply is None:
+            now = self._clock()
+            self._relays_from_s = {
+                daemon: from_s
+                for daemon, from_s in self._relays_from_s.items()
+                if from_s > now
+            }
+            self._relays_from_s[keeper] = now + RELAY_PAUSE_S
+        return reply if reply is not None and reply.verdict in DECISIONS else None
+
     async def _take_over(self, account: str, predecessor: str) -> None:
         task = self._take_overs.get(account)
         if task is None:
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -57,6 +57,17 @@
     Then 1 to 13 calls are accepted
 
   # A keeper that joins started with a new bucket beside the full one before.
+  # Paths between some pairs of hosts are lost while each host reaches most others.
+  Scenario Outline: An entry that does not reach <unreachable> gets its calls by way of others
+    Given 5 daemons and a quota of 20 calls a second with a burst of 60
+    When an entry that does not reach <unreachable> gets 10 calls a second for 5 s
+    Then all calls are accepted
+
+    Examples:
+      | unreachable               |
+      | the keeper                |
+      | the keeper and its backup |
+
   Scenario: A daemon that joins during a surge takes the bucket over
     Given 3 daemons and a quota of 20 calls a second with a burst of 60
     When callers use up the burst and a daemon joins that becomes the keeper
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -192,6 +192,21 @@
     fleet.took_s = fleet.loop.time() - started_at_s - duration_s
 
 
+@when(
+    "an entry that does not reach {unreachable} gets {rate:d} calls a second for "
+    "{duration_s:d} s"
+)
+def step_send_by_relay(context, unreachable, rate, duration_s):
+    async def scenario(fleet):
+        ranked = [fleet.keeper_name(), fleet.backup_name()]
+        entry = next(name for name in fleet.daemons if name not in ranked)
+        for lost in ranked if "backup" in unreachable else ranked[:1]:
+            fleet.blocked.add((entry, lost))
+        await send(fleet, rate, duration_s, [entry])
+
+    run(context, scenario)
+
+
 @then("all calls end as {reason} within {limit_ms:d} ms")
 def step_check_undecided(context, reason, limit_ms):
     assert set(context.quotas.results) == {reason}, context.quotas.results
