--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -3,7 +3,8 @@
 Converts an operator's settings file into the edits of a change.
 """
 
-from collections.abc import Iterator
+import functools
+from collections.abc import Callable, Iterator
 
 from google.protobuf import json_format
 
@@ -33,7 +34,9 @@
 from laburnumscale.settingsfile import SettingsFile
 from laburnumscale_schema import settings_pb2
 
-__all__ = ["RANGES", "read_edits"]
+__all__ = ["RANGES", "collect_edits", "read_edits"]
+
+EditBuilder = Callable[[], settings_pb2.Edit]
 
 #: Minimum and maximum of each numeric setting, both inclusive.
 RANGES = {
@@ -80,27 +83,56 @@
     :raises LaburnumscaleError: the file is invalid; the error names the file, the line
         and the setting.
     """
+    return [build() for _, build in _iter_builders(file)]
+
+
+def collect_edits(
+    file: SettingsFile,
+) -> tuple[list[tuple[str, settings_pb2.Edit]], list[LaburnumscaleError]]:
+    """Return the edits of a settings file with their locations, and its errors.
+
+    Unlike :func:`read_edits`, it continues after an error with the next place.
+    """
+    edits = []
+    errors = []
+    try:
+        for location, build in _iter_builders(file):
+            try:
+                edits.append((location, build()))
+            except LaburnumscaleError as error:
+                errors.append(error)
+    except LaburnumscaleError as error:
+        errors.append(error)
+    return edits, errors
+
+
+def _iter_builders(file: SettingsFile) -> Iterator[tuple[str, EditBuilder]]:
+    """Yield the location of each place, and a function that returns its edit."""
     for name in file.value:
         if name not in SECTIONS:
             raise OptionUnknown(file.location(name), name)
-    edits = [
-        _build_settings_edit(file, place, keys, value)
-        for place, keys, value in _iter_places(file)
-    ]
-    edits.extend(
-        _build_route_edit(file, route) for route in file.value.get("routes", [])
-    )
-    edits.extend(
-        _build_account_edit(file, name, value)
-        for name, value in _section_items(file, "accounts")
-    )
-    return edits
+    for place, keys, value in _iter_places(file):
+        build = functools.partial(_build_settings_edit, file, place, keys, value)
+        yield file.location(*keys), build
+    routes = file.value.get("routes", [])
+    if not isinstance(routes, list):
+        location = file.location("routes")
+        raise OptionValueInvalid(location, "routes", "the value is not a list")
+    for index, route in enumerate(routes):
+        location = file.element_location("routes", index)
+        yield location, functools.partial(_build_route_edit, location, route)
+    for name, value in _section_items(file, "accounts"):
+        build = functools.partial(_build_account_edit, file, name, value)
+        yield file.location("accounts", name), build
 
 
 def _iter_places(
     file: SettingsFile,
 ) -> Iterator[tuple[Place, tuple[str, ...], dict | None]]:
     if "fleet" in file.value:
+        if not isinstance(file.value["fleet"], dict | None):
+            location = file.location("fleet")
+            raise OptionValueInvalid(location, "fleet", "the value is not an object")
         yield FLEET, ("fleet",), file.value["fleet"]
     for name, value in _section_items(file, "data_centres"):
         yield DataCentrePlace(name), ("data_centres", name), value
@@ -176,18 +208,17 @@
         raise OptionOutOfRange(location, name, value, minimum, maximum)
 
 
-def _build_route_edit(file: SettingsFile, value: dict) -> settings_pb2.Edit:
+def _build_route_edit(location: str, value: object) -> settings_pb2.Edit:
+    if not isinstance(value, dict):
+        raise OptionValueInvalid(location, "routes", "a route is not an object")
     try:
         route = json_format.ParseDict(value, settings_pb2.Route())
     except json_format.ParseError as error:
-        raise OptionValueInvalid(
-            file.location("routes"), "routes", str(error)
-        ) from error
+        raise OptionValueInvalid(location, "routes", str(error)) from error
     place = RoutePlace(route.host, route.path_prefix)
     try:
         parse_place(str(place))
     except LaburnumscaleError as error:
-        location = file.location("routes", route.path_prefix)
         raise OptionValueInvalid(location, "path_prefix", str(error)) from error
     return settings_pb2.Edit(place=str(place), route=route)
 
--- a/packages/laburnumscale/src/laburnumscale/settingsfile.py
+++ b/packages/laburnumscale/src/laburnumscale/settingsfile.py
@@ -10,7 +10,7 @@
 import jsonc
 
 from laburnumscale.errors import FileSyntaxInvalid, FileUnreadable
-from laburnumscale.jsonoffsets import json_key_offsets
+from laburnumscale.jsonoffsets import json_element_offsets, json_key_offsets
 
 __all__ = ["SettingsFile", "read_settings_file"]
 
@@ -43,6 +43,13 @@
                 offset = max(offset, found_offset)
                 break
             offset = found_offset
+        return self._format(offset)
+
+    def element_location(self, key: str, index: int) -> str:
+        """Return ``file:line`` of an element of an array in the outermost object."""
+        return self._format(json_element_offsets(self.text)[key][index])
+
+    def _format(self, offset: int) -> str:
         line = self.text.count("\n", 0, offset) + 1
         return f"{self.path}:{line}"
 
