Check settings files and documents before they are published

Operators saw routes that hide each other, services without routes, keys of two accounts and limits that contradict each other only by their effect, and values that daemons had adjusted only in the alarm.

laburnumscalectl check shows them with file and line, by the checks and the decoder that daemons use, and the differences from the version in force. It sends nothing.

Each rule is a function over the places and needs no network.

--- a/packages/laburnumscalectl/src/laburnumscalectl/cli.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/cli.py
@@ -12,6 +12,7 @@
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscalectl.accounts import show_accounts
 from laburnumscalectl.changes import publish, remove, settle
+from laburnumscalectl.check import check
 from laburnumscalectl.client import DaemonUnreachable, OperatorClient
 from laburnumscalectl.logfiles import parse_log_lines
 from laburnumscalectl.quarantine import release, show_quarantine
@@ -27,6 +28,8 @@
 EXAMPLES = """examples:
   laburnumscalectl --daemon 127.0.0.1:7002 publish examples/bantayog/services.jsonc
   laburnumscalectl --daemon 127.0.0.1:7002 publish --based-on 17 services.jsonc
+  laburnumscalectl check examples/bantayog/services.jsonc
+  laburnumscalectl --daemon 127.0.0.1:7002 check --platform NAME document.json
   laburnumscalectl --daemon 127.0.0.1:7002 remove endpoint:slot-desk/e3
   laburnumscalectl --daemon 127.0.0.1:7002 show service:slot-desk
   laburnumscalectl --daemon 127.0.0.1:7002 explain endpoint:slot-desk/e3
@@ -42,6 +45,7 @@
 
 exit codes:
   0 done   1 refused   2 invalid input   3 undetermined   4 no answer
+  of check: 0 no errors or warnings   1 findings   2 unreadable file   4 no answer
 """
 PUBLISH_EXAMPLES = """examples:
   publish services.jsonc                                 based on the current tree
@@ -130,6 +134,14 @@
     )
     command.add_argument("file", help="settings file, JSON with comments")
     _add_change_options(command)
+    command = _add_command(
+        commands, "check", check, "check a settings file or a document of a platform"
+    )
+    command.set_defaults(needs_daemon=False)
+    command.add_argument("file", help="settings file, or JSON with --platform")
+    command.add_argument(
+        "--platform", default="", help="package of the platform whose document it is"
+    )
     command = _add_command(commands, "remove", remove, "remove places from the tree")
     command.add_argument("place", nargs="+", help="such as service:slot-desk@makati")
     _add_change_options(command)
