Grant no second burst when a keeper returns before its death is declared

Callers of an account that had used up its burst got a second whole burst after the keeper of the quota was killed and started again, or was frozen for more than 2 s, before other daemons had declared it dead.

The keeper dropped its bucket and asked the next daemon in rank, which created a full one, as it had followed the membership for long, although it had never kept the quota.

--- a/packages/laburnumscale/src/laburnumscale/quotas/keeper.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/keeper.py
@@ -261,6 +261,14 @@
             return peer_pb2.QuotaReply(verdict=NOT_KEEPER)
         if self._is_blocked(account, now):
             return peer_pb2.QuotaReply(verdict=NOT_KEEPER)
+        if (
+            account not in self._buckets
+            and is_ahead
+            and not self._view.has_joined(successor)
+        ):
+            # The successor was the keeper before it paused or restarted, so what it
+            # has granted is not known here.
+            return peer_pb2.QuotaReply(verdict=NOT_KEEPER)
         bucket = self._buckets.pop(account, None)
         level = (
             self._new_level(account, quota, now)
--- a/packages/laburnumscale/src/laburnumscale/quotas/keeperview.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/keeperview.py
@@ -112,6 +112,7 @@
         self._seeds: dict[str, int] = {}
         self._draining_seeds: dict[str, int] = {}
         self._gone: OrderedDict[str, GoneKeeper] = OrderedDict()
+        self._joined_at_s: OrderedDict[str, float] = OrderedDict()
         self._changes: list[tuple[str, bool]] = []
         self._first_change = 0
         self._rankings: dict[bytes, _Ranking] = {}
@@ -168,6 +169,16 @@
         """Return whether a daemon has ceased to be a candidate."""
         return daemon in self._gone and daemon not in self._seeds
 
+    def has_joined(self, daemon: str) -> bool:
+        """Return whether a daemon has recently become a candidate.
+
+        A new process of a daemon that was a candidate until then does not count.
+        """
+        joined_at_s = self._joined_at_s.get(daemon)
+        return joined_at_s is not None and (
+            self._clock() - joined_at_s <= GONE_MEMORY_S
+        )
+
     def predecessor(self, account: str) -> str:
         """Return the daemon that kept the quota of an account if this one does now.
 
@@ -303,6 +314,7 @@
         was_candidate = daemon in self._seeds
         if new.may_keep and not was_candidate:
             self._seeds[daemon] = _seed(daemon)
+            self._record_join(daemon)
             self._record_change(daemon, True)
         elif was_candidate and not new.may_keep:
             self._remove(daemon, member.state == DEAD or self._has_ended(member))
@@ -319,6 +331,13 @@
         self._record_change(daemon, False)
         self.on_gone(daemon, seed)
 
+    def _record_join(self, daemon: str) -> None:
+        now = self._clock()
+        self._joined_at_s[daemon] = now
+        self._joined_at_s.move_to_end(daemon)
+        while now - next(iter(self._joined_at_s.values())) > GONE_MEMORY_S:
+            self._joined_at_s.popitem(last=False)
+
     def _record_change(self, daemon: str, is_candidate: bool) -> None:
         self._changes.append((daemon, is_candidate))
         if len(self._changes) > MAX_FOLLOWED_CHANGES:
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -67,6 +67,19 @@
     When callers use up the burst and the keeper drains
     Then at most 2 calls of a second burst are accepted, and the new daemon is the keeper
 
+  # The next in rank gave it a full bucket, although it had not kept the quota.
+  Scenario Outline: A keeper that is back before its death is declared gets no second burst
+    Given 3 daemons and a quota of 20 calls a second with a burst of 60
+    When callers use up the burst and the keeper <event> for <pause_s> s
+    Then at most 5 calls of a second burst are accepted
+
+    Examples:
+      | event     | pause_s |
+      | is killed | 0.3     |
+      | is killed | 2.5     |
+      | is frozen | 2.1     |
+      | is frozen | 3       |
+
   Scenario: The last daemons that drain decide about their calls
     Given 1 daemons and a quota of 20 calls a second with a burst of 60
     When all daemons drain and 8 calls are sent
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -247,7 +247,9 @@
     names = [name for name in fleet.daemons if name != fleet.keeper_name()]
     await asyncio.gather(*(fleet.call(names[0]) for _ in range(70)))
     fleet.results.clear()
-    change()
+    pause = change()
+    if pause is not None:
+        await pause
     await asyncio.sleep(fleet.gossip_s)
     accrued = context.quota.calls_per_s * fleet.gossip_s
     await asyncio.gather(*(fleet.call(names[0]) for _ in range(70)))
@@ -276,6 +278,21 @@
     run(context, scenario)
 
 
+@when("callers use up the burst and the keeper {event} for {pause_s:g} s")
+def step_pause(context, event, pause_s):
+    async def pause(fleet):
+        keeper = fleet.keeper_name()
+        begin, end = {
+            "is frozen": (fleet.freeze, fleet.thaw),
+            "is killed": (fleet.kill, fleet.restart),
+        }[event]
+        begin(keeper)
+        await asyncio.sleep(pause_s)
+        end(keeper)
+
+    run(context, lambda fleet: use_up_twice(context, fleet, lambda: pause(fleet)))
+
+
 @when("all daemons drain and {count:d} calls are sent")
 def step_drain_all(context, count):
     async def scenario(fleet):
@@ -287,6 +304,11 @@
     run(context, scenario)
 
 
+@then("at most {count:d} calls of a second burst are accepted")
+def step_check_burst(context, count):
+    assert context.beyond <= count, context.beyond
+
+
 @then(
     "at most {count:d} calls of a second burst are accepted, and the new daemon is the "
     "keeper"
--- a/tests/standins/quotafleet.py
+++ b/tests/standins/quotafleet.py
@@ -86,6 +86,7 @@
         for daemon in self.daemons.values():
             daemon.view.started_at_s -= 3_600
             daemon.view._gone.clear()
+            daemon.view._joined_at_s.clear()
 
     def _start(self, name: str, incarnation: int) -> _Daemon:
         members = Members(
