Answer calls over a very low quota

Calls over a quota of less than about one call in 49 days got 503 after up to 1 s instead of 429, and for 0.3 s after each of them the entry did not ask that keeper for the quota of any account.

The time until the next call did not fit into the field of the keeper's reply, so the keeper failed.

--- a/packages/laburnumscale/src/laburnumscale/quotas/bucket.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/bucket.py
@@ -19,6 +19,9 @@
 #: are. It is a little less than a third of the shortest deadline for which quotas were
 #: designed (15 s), because callers ignore a longer delay.
 MAX_SPREAD_S = 4.5
+#: Quotas may be far below one call a day. The time until the next call would exceed the
+#: range of the field of the reply, which is 49 days.
+MAX_RETRY_AFTER_S = 86_400.0
 
 
 def _new_epoch() -> int:
@@ -186,7 +189,7 @@
         if return_at_s > soonest_at_s + MAX_SPREAD_S:
             return_at_s = soonest_at_s
         self._promised_at_s = return_at_s + refused_calls / rate
-        return return_at_s - now_s
+        return min(return_at_s - now_s, MAX_RETRY_AFTER_S)
 
     def _count_prefetched(self, now_s: float) -> int:
         while self._prefetched:
--- a/packages/laburnumscale/src/laburnumscale/quotas/quota.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quota.py
@@ -11,6 +11,9 @@
 __all__ = ["Quota", "QuotaTolerance", "quota_of"]
 
 PERCENT = 100
+#: The smallest rate that is distinguished from others: one call in 31 years. The time
+#: between the calls of a smaller one may be infinite as a floating-point number.
+MIN_CALLS_PER_S = 1e-9
 
 
 @attrs.frozen
@@ -29,7 +32,8 @@
     """Return the quota of an account, or None if its calls are not limited."""
     if account is None or not account.calls_per_s > 0:
         return None
-    return Quota(account.calls_per_s, max(0.0, account.burst_calls))
+    calls_per_s = max(MIN_CALLS_PER_S, account.calls_per_s)
+    return Quota(calls_per_s, max(0.0, account.burst_calls))
 
 
 @attrs.frozen
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -111,6 +111,23 @@
     When 8 calls are sent at once
     Then 2 are accepted, and the others return after 500 1000 1500 2000 2500 3000 ms
 
+  # The time until the next call did not fit into the reply. The entry got none, and did
+  # not ask the keeper for any account for a while.
+  Scenario Outline: A call over a very low quota is refused, not left undecided
+    Given 3 daemons and a quota of <rate> calls a second with a burst of 1
+    When 3 calls are sent at once
+    Then 1 is accepted, and the others return after a day
+
+    Examples:
+      | rate |
+      | 1e-7 |
+      | 1e-9 |
+
+  Scenario: A call over the lowest possible quota is refused
+    Given an account with the smallest rate and a burst of 1
+    When 3 calls are sent at once
+    Then 1 is accepted, and the others return after a day
+
   Scenario: Entries that ask often need fewer messages
     Given 3 daemons and a quota of 100 calls a second with a burst of 400
     When an entry that is not the keeper gets 50 calls a second for 10 s
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -6,8 +6,8 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import NotRun, reason_name
-from laburnumscale.quotas import KeeperView, Quota
-from laburnumscale_schema import peer_pb2
+from laburnumscale.quotas import KeeperView, Quota, quota_of
+from laburnumscale_schema import peer_pb2, settings_pb2
 from tests.standins.quotafleet import (
     ACCOUNT,
     FAULTS,
@@ -386,6 +386,21 @@
     assert all(abs(a - b) <= 20 for a, b in zip(found, expected, strict=True)), found
 
 
+@given("an account with the smallest rate and a burst of 1")
+def step_smallest_rate(context):
+    account = settings_pb2.ClientAccount(calls_per_s=5e-324, burst_calls=1)
+    context.size, context.quota = 3, quota_of(account)
+
+
+@then("{accepted:d} is accepted, and the others return after a day")
+def step_check_day(context, accepted):
+    refused = [each for each in context.results if isinstance(each, NotRun)]
+    assert len(context.results) - len(refused) == accepted, context.results
+    assert {reason_name(each) for each in refused} == {"over_quota"}, refused
+    delays = [each.retry_after_ms for each in refused]
+    assert all(86_400_000 <= each < 86_405_000 for each in delays), delays
+
+
 @when(
     "an entry that is not the keeper gets {rate:d} calls a second for {duration_s:d} s"
 )
