Refuse no keyed call while a copy of it can still be run

A keyed call whose holder took more than a quarter of its time to refuse it was answered 503 (not run and never will be) while the copy that had been sent through a third daemon was still on its way. The holder forgets refused operations, and ran a copy that arrived after the refusal.

The entry now waits up to 500 ms for the reply to the other copy. If the copy was run, the caller gets its result; if there is no reply, the outcome is unknown. Refusals of the key itself apply to all copies and are returned at once.

--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -52,6 +52,13 @@
 #: How long the outcome of an operation is withheld from its caller until the successor
 #: has it, too.
 LATE_OUTCOME_TIMEOUT_S = 0.2
+#: How long a refusal is withheld from its caller until the other copy of the call that
+#: is on its way has a reply, too.
+COPY_TIMEOUT_S = 0.5
+#: Refusals that apply to all copies of a call, whenever they arrive.
+KEY_REFUSALS = frozenset(
+    {peer_pb2.NOT_RUN_REASON_KEY_NOT_MINTED, peer_pb2.NOT_RUN_REASON_KEY_REUSED}
+)
 
 
 class KeyedCalls:
@@ -279,7 +286,7 @@
             for finished in asyncio.as_completed(tasks):
                 reply = await finished
                 if reply is not None:
-                    return reply
+                    return await _confirm_refusal(reply, tasks)
         finally:
             for task in tasks:
                 task.cancel()
@@ -429,6 +436,32 @@
         )
 
 
+async def _confirm_refusal(
+    reply: peer_pb2.CallReply, copies: set[asyncio.Task]
+) -> peer_pb2.CallReply:
+    """Return a refusal only if no other copy of the call can still be run.
+
+    The holder forgets operations that were not run, so it would run a copy that arrives
+    later.
+
+    :param reply: the first reply to one of the copies.
+    :param copies: the sending of the copies.
+    :returns: the reply, the result of another copy, or unknown.
+    """
+    if not reply.HasField("not_run") or reply.not_run.reason in KEY_REFUSALS:
+        return reply
+    others = [each for each in copies if not each.done()]
+    if others:
+        await asyncio.wait(others, timeout=COPY_TIMEOUT_S)
+    for each in others:
+        other = each.result() if each.done() else None
+        if other is None:
+            return unknown_reply(peer_pb2.UNKNOWN_REASON_CONNECTION_LOST)
+        if not other.HasField("not_run"):
+            return other
+    return reply
+
+
 def _is_connect_failure(error: grpc.aio.AioRpcError) -> bool:
     connect_failed = "failed to connect" in (error.details() or "").lower()
     return error.code() == grpc.StatusCode.UNAVAILABLE and connect_failed
--- a/tests/features/keyedcalls.feature
+++ b/tests/features/keyedcalls.feature
@@ -35,6 +35,18 @@
     When the home is declared dead and its host is not reachable
     Then the keyed call ends with home_gone within 1900 ms
 
+  # The holder forgets what it refused and runs a copy that arrives later, but the caller
+  # was told that the call will never be run.
+  Scenario Outline: A keyed call is not refused while a copy of it is on its way: <reply>
+    Given a keyed call that its home refuses after 1700 ms, and a copy by relay with the reply <reply> after <relay_ms> ms
+    Then the keyed call ends with <end> within <limit_ms> ms
+
+    Examples:
+      | reply   | relay_ms | end             | limit_ms |
+      | answer  | 500      | answer          | 2300     |
+      | refusal | 500      | refusal         | 2300     |
+      | answer  | 3000     | connection_lost | 2500     |
+
   Scenario: A keyed call whose home is not known ends after the grace time
     Given a keyed call whose home is not known
     Then the keyed call ends with home_gone within 1900 ms
