Let a keeper that continues after a pause ask before its first grant

The first call that reached a keeper after a pause, before its periodic check, was granted from a new bucket beside the calls of the daemon that had replaced it.

The check for a former keeper came before the buckets from before the pause were dropped. They are now dropped first, so the keeper asks the daemon that has replaced it, and grants nothing while that one keeps the quota.

--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaservice.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaservice.py
@@ -62,6 +62,8 @@
     async def acquire(self, request: peer_pb2.QuotaRequest) -> peer_pb2.QuotaReply:
         """Decide on a request of an entry or of a new keeper."""
         account = request.account
+        # Drops the buckets from before a pause, as others may have replaced them.
+        self.keeper.tick()
         if not request.hand_over_to:
             predecessor = self.keeper.predecessor_to_ask(account)
             if predecessor:
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -80,6 +80,12 @@
       | is frozen | 2.1     |
       | is frozen | 3       |
 
+  # The first call after the pause was granted beside the calls of the new keeper.
+  Scenario: A keeper that continues asks the one that has replaced it before it grants
+    Given 3 daemons and a quota of 20 calls a second with a burst of 60
+    When the keeper is replaced while it is frozen, and gets a call as it continues
+    Then the verdict is not_keeper
+
   Scenario: The last daemons that drain decide about their calls
     Given 1 daemons and a quota of 20 calls a second with a burst of 60
     When all daemons drain and 8 calls are sent
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -293,6 +293,23 @@
     run(context, lambda fleet: use_up_twice(context, fleet, lambda: pause(fleet)))
 
 
+@when("the keeper is replaced while it is frozen, and gets a call as it continues")
+def step_call_as_it_continues(context):
+    async def scenario(fleet):
+        former = fleet.keeper_name()
+        others = [name for name in fleet.daemons if name != former]
+        await fleet.call(former)
+        fleet.freeze(former)
+        await send(fleet, context.quota.calls_per_s, 8, others)
+        # It has not heard yet that it was replaced, nor the others that it is back.
+        fleet.daemons[former].stopped = ""
+        request = peer_pb2.QuotaRequest(account=ACCOUNT, wanted_calls=1, entry=former)
+        reply = await fleet.daemons[former].service.acquire(request)
+        context.verdict = reply.verdict
+
+    run(context, scenario)
+
+
 @when("all daemons drain and {count:d} calls are sent")
 def step_drain_all(context, count):
     async def scenario(fleet):
