--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -78,6 +78,25 @@
     When callers use up the burst and the keeper drains
     Then at most 2 calls of a second burst are accepted, and the new daemon is the keeper
 
+  # The next in rank gave it a full bucket, although it had not kept the quota.
+  Scenario Outline: A keeper that is back before its death is declared gets no second burst
+    Given 3 daemons and a quota of 20 calls a second with a burst of 60
+    When callers use up the burst and the keeper <event> for <pause_s> s
+    Then at most 5 calls of a second burst are accepted
+
+    Examples:
+      | event     | pause_s |
+      | is killed | 0.3     |
+      | is killed | 2.5     |
+      | is frozen | 2.1     |
+      | is frozen | 3       |
+
+  # The first call after the pause was granted beside the calls of the new keeper.
+  Scenario: A keeper that continues asks the one that has replaced it before it grants
+    Given 3 daemons and a quota of 20 calls a second with a burst of 60
+    When the keeper is replaced while it is frozen, and gets a call as it continues
+    Then the verdict is not_keeper
+
   Scenario: The last daemons that drain decide about their calls
     Given 1 daemons and a quota of 20 calls a second with a burst of 60
     When all daemons drain and 8 calls are sent
@@ -109,6 +128,23 @@
     When 8 calls are sent at once
     Then 2 are accepted, and the others return after 500 1000 1500 2000 2500 3000 ms
 
+  # The time until the next call did not fit into the reply. The entry got none, and did
+  # not ask the keeper for any account for a while.
+  Scenario Outline: A call over a very low quota is refused, not left undecided
+    Given 3 daemons and a quota of <rate> calls a second with a burst of 1
+    When 3 calls are sent at once
+    Then 1 is accepted, and the others return after a day
+
+    Examples:
+      | rate |
+      | 1e-7 |
+      | 1e-9 |
+
+  Scenario: A call over the lowest possible quota is refused
+    Given an account with the smallest rate and a burst of 1
+    When 3 calls are sent at once
+    Then 1 is accepted, and the others return after a day
+
   Scenario: Entries that ask often need fewer messages
     Given 3 daemons and a quota of 100 calls a second with a burst of 400
     When an entry that is not the keeper gets 50 calls a second for 10 s
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -6,8 +6,8 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import NotRun, reason_name
-from laburnumscale.quotas import KeeperView, Quota
-from laburnumscale_schema import peer_pb2
+from laburnumscale.quotas import KeeperView, Quota, quota_of
+from laburnumscale_schema import peer_pb2, settings_pb2
 from tests.standins.quotafleet import (
     ACCOUNT,
     FAULTS,
@@ -262,7 +262,9 @@
     names = [name for name in fleet.daemons if name != fleet.keeper_name()]
     await asyncio.gather(*(fleet.call(names[0]) for _ in range(70)))
     fleet.results.clear()
-    change()
+    pause = change()
+    if pause is not None:
+        await pause
     await asyncio.sleep(fleet.gossip_s)
     accrued = context.quota.calls_per_s * fleet.gossip_s
     await asyncio.gather(*(fleet.call(names[0]) for _ in range(70)))
@@ -291,6 +293,38 @@
     run(context, scenario)
 
 
+@when("callers use up the burst and the keeper {event} for {pause_s:g} s")
+def step_pause(context, event, pause_s):
+    async def pause(fleet):
+        keeper = fleet.keeper_name()
+        begin, end = {
+            "is frozen": (fleet.freeze, fleet.thaw),
+            "is killed": (fleet.kill, fleet.restart),
+        }[event]
+        begin(keeper)
+        await asyncio.sleep(pause_s)
+        end(keeper)
+
+    run(context, lambda fleet: use_up_twice(context, fleet, lambda: pause(fleet)))
+
+
+@when("the keeper is replaced while it is frozen, and gets a call as it continues")
+def step_call_as_it_continues(context):
+    async def scenario(fleet):
+        former = fleet.keeper_name()
+        others = [name for name in fleet.daemons if name != former]
+        await fleet.call(former)
+        fleet.freeze(former)
+        await send(fleet, context.quota.calls_per_s, 8, others)
+        # It has not heard yet that it was replaced, nor the others that it is back.
+        fleet.daemons[former].stopped = ""
+        request = peer_pb2.QuotaRequest(account=ACCOUNT, wanted_calls=1, entry=former)
+        reply = await fleet.daemons[former].service.acquire(request)
+        context.verdict = reply.verdict
+
+    run(context, scenario)
+
+
 @when("all daemons drain and {count:d} calls are sent")
 def step_drain_all(context, count):
     async def scenario(fleet):
@@ -302,6 +336,11 @@
     run(context, scenario)
 
 
+@then("at most {count:d} calls of a second burst are accepted")
+def step_check_burst(context, count):
+    assert context.beyond <= count, context.beyond
+
+
 @then(
     "at most {count:d} calls of a second burst are accepted, and the new daemon is the "
     "keeper"
@@ -379,6 +418,21 @@
     assert all(abs(a - b) <= 20 for a, b in zip(found, expected, strict=True)), found
 
 
+@given("an account with the smallest rate and a burst of 1")
+def step_smallest_rate(context):
+    account = settings_pb2.ClientAccount(calls_per_s=5e-324, burst_calls=1)
+    context.size, context.quota = 3, quota_of(account)
+
+
+@then("{accepted:d} is accepted, and the others return after a day")
+def step_check_day(context, accepted):
+    refused = [each for each in context.results if isinstance(each, NotRun)]
+    assert len(context.results) - len(refused) == accepted, context.results
+    assert {reason_name(each) for each in refused} == {"over_quota"}, refused
+    delays = [each.retry_after_ms for each in refused]
+    assert all(86_400_000 <= each < 86_405_000 for each in delays), delays
+
+
 @when(
     "an entry that is not the keeper gets {rate:d} calls a second for {duration_s:d} s"
 )
