Never answer "not run" for a call that another attempt may have run

Callers of a repeatable call could get a 429, 503, 408 or 421 of a target although an earlier attempt was lost or answered with a server error: they were told that the call was not run, and it may have run.

Refusals of the fleet gave way to an unknown attempt, but responses of targets did not: the answer of the last attempt, or a first 503 kept for the case that no other attempt is answered, went to the caller as it was.

Such a response now counts as unknown if another attempt may have run, also if it would be streamed; an earlier server error is preferred to it. A kept 503 is dropped if a later attempt is unknown.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -33,6 +33,7 @@
     Outcome,
     Unknown,
     outcome_name,
+    promises_not_run,
     reason_name,
 )
 from laburnumscale.problems import problem_response
@@ -159,6 +160,7 @@
                 if not (failed and call.may_retry_server_error()):
                     return outcome, response
                 answer = outcome, response
+                call.has_run = call.has_run or not promises_not_run(outcome.status)
             call.record_outcome(outcome, view.endpoint)
             call.stop_reason = self._charge_next_attempt(call, outcome)
             if call.stop_reason:
@@ -166,7 +168,9 @@
             call.deadline = self.drain_state.limit(call.deadline)
         else:
             call.stop_reason = "no endpoint left"
-        return answer or (outcome, None)
+        if answer is None or _is_refuted(answer[0], call):
+            return outcome, None
+        return answer
 
     def _charge_next_attempt(self, call: Call, outcome: Outcome) -> str:
         """Charge another attempt of a call, and return why it is not allowed.
@@ -291,6 +295,11 @@
                 if outcome is not None:
                     self._record_suspect(first)
                     return outcome, None
+                other_may_have_run = call.has_run or call.last_unknown is not None
+                if other_may_have_run and promises_not_run(first.head.status):
+                    # Another attempt may have run, whatever this target states.
+                    unspecified = Unknown(peer_pb2.UNKNOWN_REASON_UNSPECIFIED)
+                    return call.last_unknown or unspecified, None
                 if first.end:
                     self._answer_sizes.add(call.route_hash, len(first.body))
                     response = buffered_response(first, call.request_id, self._names)
@@ -371,5 +380,14 @@
         return headers
 
 
+def _is_refuted(answer: Outcome, call: Call) -> bool:
+    """Return whether an answer states "not run" of a call that may have run."""
+    return (
+        isinstance(answer, Answered)
+        and call.last_unknown is not None
+        and promises_not_run(answer.status)
+    )
+
+
 def _is_good_answer(outcome: Outcome) -> bool:
     return isinstance(outcome, Answered) and outcome.status < SERVER_ERROR
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -96,6 +96,7 @@
     :ivar exempt_attempts: attempts refused for one of ``EXEMPT_REASONS`` that is not
         limited otherwise.
     :ivar last_unknown: outcome of the last attempt that may have run.
+    :ivar has_run: a target ran it and answered with a server error.
     :ivar answer_started: the first part of an answer was sent to the caller.
     :ivar failover_result: outcome and response of a failover that was answered while
         the attempt that it replaces had no reply.
@@ -137,6 +138,7 @@
     fingerprint: bytes = b""
     stop_reason: str = ""
     may_have_run: bool = False
+    has_run: bool = False
     route_hash: int = attrs.field(init=False)
 
     @route_hash.default
--- a/packages/laburnumscale/src/laburnumscale/outcomes.py
+++ b/packages/laburnumscale/src/laburnumscale/outcomes.py
@@ -17,6 +17,7 @@
     "Unknown",
     "is_response_status",
     "outcome_name",
+    "promises_not_run",
     "reason_name",
 ]
 
@@ -24,6 +25,8 @@
 #: target is asked to switch protocols.
 FIRST_STATUS = 200
 LAST_STATUS = 599
+#: Statuses that tell callers that the call was not run and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
@@ -114,3 +117,8 @@
 def is_response_status(status: int) -> bool:
     """Return whether a status can be that of a response to a request (RFC 9110)."""
     return FIRST_STATUS <= status <= LAST_STATUS
+
+
+def promises_not_run(status: int) -> bool:
+    """Return whether a status tells callers that the call was not run."""
+    return status in NOT_RUN_STATUSES
--- a/tests/features/invalid_statuses.feature
+++ b/tests/features/invalid_statuses.feature
@@ -30,6 +30,24 @@
       | 0      | may be repeated | 2       | unknown invalid_status | 2        |
       | 200    | may run once    | 2       | answered none          | 1        |
 
+  Scenario Outline: A call that may have run is not answered "not run" by another target
+    Given guards that reply in turn with <replies>
+    When an entry makes a call that may be repeated, with 2 targets
+    Then the outcome is <outcome> after 2 attempts
+    And the caller gets the status <status>
+
+    Examples: 500 is sent by a target that ran the call
+      | replies              | outcome                 | status |
+      | unknown, 429         | unknown cut_short       | 504    |
+      | unknown, 503         | unknown cut_short       | 504    |
+      | unknown, part of 503 | unknown cut_short       | 504    |
+      | 503, unknown         | unknown cut_short       | 504    |
+      | 500, 503             | answered none           | 500    |
+      | 500, part of 429     | answered none           | 500    |
+      | 503, 503             | answered none           | 503    |
+      | 500, unknown         | answered none           | 500    |
+      | unknown, 404         | answered none           | 404    |
+
   Scenario Outline: A failure in the code of an entry is not reported as a server error
     Given an entry whose code fails <when>
     When a caller sends it a request
--- a/tests/features/steps/invalid_statuses_steps.py
+++ b/tests/features/steps/invalid_statuses_steps.py
@@ -13,7 +13,7 @@
 from laburnumscale.callerapi import CallerApi
 from laburnumscale.calls import CallRunner
 from laburnumscale.deadlines import Deadline
-from laburnumscale.failurereplies import failure_outcome
+from laburnumscale.failurereplies import failure_outcome, unknown_reply
 from laburnumscale.guard import Guard
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.health import TargetHealth
@@ -143,6 +143,29 @@
     context.guards = _OddGuards(status)
 
 
+class _ReplyingGuards:
+    """Guards that send given replies, one for each attempt."""
+
+    def __init__(self, replies):
+        self.replies = replies
+        self.attempts = 0
+
+    @asynccontextmanager
+    async def send(self, view, request):
+        text = self.replies[self.attempts]
+        self.attempts += 1
+        if text == "unknown":
+            yield unknown_reply(peer_pb2.UNKNOWN_REASON_CUT_SHORT), None
+            return
+        head = peer_pb2.ReplyHead(status=int(text.removeprefix("part of ")))
+        yield peer_pb2.CallReply(head=head, end=not text.startswith("part of")), None
+
+
+@given("guards that reply in turn with {replies}")
+def step_create_replying_guards(context, replies):
+    context.guards = _ReplyingGuards(replies.split(", "))
+
+
 @when("an entry makes a call that {kind}, with {count:d} targets")
 def step_make_call(context, kind, count):
     entry = RoutingEntry()
@@ -153,7 +176,7 @@
     )
     request = SimpleNamespace(method="GET", headers={})
     call = new_call(idempotent=kind == "may be repeated", request=request)
-    context.outcome, _ = asyncio.run(runner.run(call))
+    context.outcome, context.caller_response = asyncio.run(runner.run(call))
 
 
 @then("the outcome is {expected} after {count:d} attempts")
@@ -163,6 +186,11 @@
     assert context.guards.attempts == count, context.guards.attempts
 
 
+@then("the caller gets the status {status:d}")
+def step_check_caller_status(context, status):
+    assert context.caller_response.status == status, context.caller_response.status
+
+
 class _Bug(Exception):
     """An error that nobody expects."""
 
