Tell the calls that a cost queue refuses different times to return

Callers that one target refused got a Retry-After near the same time, came back together and were refused again.

Each refusal gave the time until the waiting calls have started, whatever had been told to others before. Now each refused, evicted or expired call is told a time that is one release of a slot after the one told before, at most a third of its remaining time; beyond that the first time is given again. Refusals with no_wait, after which the entry asks a queue, keep the time as before.

The scenario, 50 refusals with 4 slots and calls of 1000 ms, gave 4250 ms to all before, and gives 24 different times up to 10 s after.

--- a/packages/laburnumscale/src/laburnumscale/costqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/costqueue.py
@@ -41,6 +41,12 @@
         """Return after what time all queued calls are expected to have started."""
         return self._decisions.drain_ms(slots, held_ms)
 
+    def return_after_ms(self, deadline_s: float, slots: int, held_ms: float) -> int:
+        """Return after what time a refused call may be repeated."""
+        return self._decisions.return_after_ms(
+            self._clock(), deadline_s, slots, held_ms
+        )
+
     def enqueue(
         self, needs: CallNeeds, slots: int, held_ms: float, limit: int
     ) -> tuple[Waiter, WaitingCall]:
@@ -129,7 +135,7 @@
             waiter.granted.set_exception(
                 QueueRefused(
                     peer_pb2.NOT_RUN_REASON_OVERLOADED,
-                    self._decisions.drain_ms(slots, held_ms),
+                    self.return_after_ms(call.last_start_s, slots, held_ms),
                     "evicted",
                 )
             )
--- a/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -25,6 +25,11 @@
 #: Covers a few seconds of a busy target with a handful of slots.
 GRANT_HISTORY_LENGTH = 20
 MIN_RETRY_AFTER_MS = 100
+#: Callers honour a delay of up to a third of their remaining time.
+HONOURED_SHARE = 1 / 3
+#: That share of the longest deadline of the known workloads; bounds the delay of calls
+#: whose deadline is not known here.
+MAX_RETURN_S = 13.0
 
 
 @attrs.frozen
@@ -70,8 +75,9 @@
 
     :ivar cause: ``deadline``, ``objective`` or ``full``: the call would miss its
         deadline or its objective, or costs less than those that wait.
-    :ivar retry_after_ms: time after which the calls that wait will have started. A
-        call that comes back earlier finds most of them ahead of it again.
+    :ivar retry_after_ms: time after which the calls that wait will have started, and
+        those refused before, if they come back. A call that comes back earlier finds
+        most of them ahead of it again.
     """
 
     cause: str
@@ -90,6 +96,7 @@
         self.estimates = WorkEstimates()
         self._waiting = WaitingCalls()
         self._granted_priorities: deque[float] = deque(maxlen=GRANT_HISTORY_LENGTH)
+        self._promised_at_s = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -119,21 +126,26 @@
         call = self._describe(sequence, needs, held_ms)
         useful_ms = self._waiting.work_ahead_ms(call, self._overtaking(call), now_s)
         wait_ms = (useful_ms + held_ms) / max(1, capacity)
-        retry_after_ms = self.drain_ms(capacity, held_ms)
         start_at_s = now_s + wait_ms / MS_PER_S
+        cause, victim = "", None
         if start_at_s > call.last_start_s:
-            return Refusal("deadline", retry_after_ms)
-        if start_at_s > call.useful_start_s:
-            return Refusal("objective", retry_after_ms)
-        if limit < 1:
-            return Refusal("full", retry_after_ms)
-        self._waiting.add(call, now_s)
-        if len(self._waiting) <= limit:
-            return Admission(call, None)
-        victim = self._waiting.choose_victim(now_s)
-        self._waiting.remove(victim.sequence)
-        if victim is call:
-            return Refusal("full", retry_after_ms)
+            cause = "deadline"
+        elif start_at_s > call.useful_start_s:
+            cause = "objective"
+        elif limit < 1:
+            cause = "full"
+        else:
+            self._waiting.add(call, now_s)
+            if len(self._waiting) > limit:
+                victim = self._waiting.choose_victim(now_s)
+                self._waiting.remove(victim.sequence)
+            if victim is call:
+                cause = "full"
+        if cause:
+            retry_after_ms = self.return_after_ms(
+                now_s, needs.deadline_s, capacity, held_ms
+            )
+            return Refusal(cause, retry_after_ms)
         return Admission(call, victim)
 
     def take_next(self, now_s: float) -> WaitingCall | None:
@@ -155,6 +167,28 @@
         """Remove a call if it waits."""
         self._waiting.remove(sequence)
 
+    def return_after_ms(
+        self, now_s: float, deadline_s: float, capacity: int, held_ms: float
+    ) -> int:
+        """Return after what time a refused call may be repeated.
+
+        Each one is told a later time than those refused before it, by the time in which
+        a part of the capacity becomes free, so that callers do not return together. If
+        a caller would not honour that time, the first time is given again.
+
+        :param deadline_s: deadline of the call.
+        """
+        drain_ms = self.drain_ms(capacity, held_ms)
+        soonest_at_s = now_s + drain_ms / MS_PER_S
+        honoured_s = min(HONOURED_SHARE * (deadline_s - now_s), MAX_RETURN_S)
+        if soonest_at_s > now_s + honoured_s:
+            return drain_ms
+        return_at_s = max(soonest_at_s, self._promised_at_s)
+        if return_at_s > now_s + honoured_s:
+            return_at_s = soonest_at_s
+        self._promised_at_s = return_at_s + held_ms / max(1, capacity) / MS_PER_S
+        return round((return_at_s - now_s) * MS_PER_S)
+
     def drain_ms(self, capacity: int, held_ms: float) -> int:
         """Return after what time all waiting calls are expected to have started."""
         work_ms = self._waiting.total_work_ms() + held_ms
--- a/packages/laburnumscale/src/laburnumscale/queuepolicies.py
+++ b/packages/laburnumscale/src/laburnumscale/queuepolicies.py
@@ -172,12 +172,16 @@
     ) -> None:
         if not target.queue.can_end(_call_needs(transmission, head, call_ms)):
             raise QueueRefused(
-                peer_pb2.NOT_RUN_REASON_OVERLOADED, _drain_ms(target), "deadline"
+                peer_pb2.NOT_RUN_REASON_OVERLOADED,
+                _return_after_ms(target, transmission),
+                "deadline",
             )
 
     def expiry(self, request: SlotRequest) -> AttemptRefused:
         return QueueRefused(
-            peer_pb2.NOT_RUN_REASON_DEADLINE, _drain_ms(request.target), "deadline"
+            peer_pb2.NOT_RUN_REASON_DEADLINE,
+            _return_after_ms(request.target, request.transmission),
+            "deadline",
         )
 
 
@@ -213,6 +217,14 @@
     return target.queue.drain_ms(target.usable_slots, target.slot_time_us / US_PER_MS)
 
 
+def _return_after_ms(target: LocalTarget, transmission: Transmission) -> int:
+    """Return after what time a call may come back that is refused for good."""
+    held_ms = target.slot_time_us / US_PER_MS
+    return target.queue.return_after_ms(
+        transmission.deadline.at_s, target.usable_slots, held_ms
+    )
+
+
 def _expected_wait_ms(target: LocalTarget, priority: int) -> float:
     held_ms = target.slot_time_us / US_PER_MS
     releases = target.queue.expected_releases(priority)
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -68,6 +68,12 @@
       | 9000        | 2000         | refused | objective |
       | 9000        | 8000         | queued  | none      |
 
+  Scenario: Refused calls of one target do not return together
+    Given a target of 4 slots under cost, whose calls take 1000 ms, and 16 calls wait
+    When 50 calls with 30000 ms left, 1000 of them until their objective, are refused
+    Then each of the first 24 is told to return 250 ms after the one before it
+    And none is told to return before 4250 ms, when the waiting calls have started, nor after 10000 ms
+
   Scenario Outline: Cancellation, draining and eviction lose no slot
     Given a target with 2 slots under <policy>
     When 6 calls use it, of which one is cancelled as it waits and one as it gets its slot
--- a/tests/features/steps/overload_steps.py
+++ b/tests/features/steps/overload_steps.py
@@ -551,6 +551,57 @@
     assert not_run.retry_after_ms == time_ms, not_run
 
 
+@given(
+    "a target of {slots:d} slots under cost, whose calls take {work_ms:d} ms, and "
+    "{count:d} calls wait"
+)
+def step_create_busy_slots(context, slots, work_ms, count):
+    step_create_busy_target(context, slots, work_ms, count)
+    time_s = now_s()
+    context.queue._clock = lambda: time_s
+
+
+@when(
+    "{count:d} calls with {left_ms:d} ms left, {objective_ms:d} of them until their "
+    "objective, are refused"
+)
+def step_refuse_calls(context, count, left_ms, objective_ms):
+    needs = make_needs(left_ms, objective_ms)
+    context.delays_ms = []
+
+    async def refuse():
+        for _ in range(count):
+            try:
+                context.queue.enqueue(needs, *context.busy, 20)
+            except QueueRefused as refusal:
+                context.delays_ms.append(refusal.reply.not_run.retry_after_ms)
+
+    context.loop.run_until_complete(refuse())
+    context.loop.close()
+    assert len(context.delays_ms) == count, len(context.delays_ms)
+
+
+@then(
+    "each of the first {count:d} is told to return {step_ms:d} ms after the one before "
+    "it"
+)
+def step_check_spread(context, count, step_ms):
+    delays_ms = context.delays_ms[:count]
+    first_ms = delays_ms[0]
+    expected = [first_ms + index * step_ms for index in range(count)]
+    assert delays_ms == expected, delays_ms
+
+
+@then(
+    "none is told to return before {least_ms:d} ms, when the waiting calls have "
+    "started, nor after {most_ms:d} ms"
+)
+def step_check_delays(context, least_ms, most_ms):
+    delays_ms = context.delays_ms
+    assert min(delays_ms) == least_ms, delays_ms
+    assert max(delays_ms) <= most_ms, delays_ms
+
+
 @given("a target with {slots:d} slots under {policy}")
 def step_create_policy_target(context, slots, policy):
     context.policy = policy
