Give a target its slots back when learn_concurrency is turned off

Where an operator turned learn_concurrency off, targets that had been limited kept their limit until they were registered again: their callers waited or were refused while slots were free.

The number of slots in use follows the learned limit, whatever the setting is, and nothing removed the limit. Now the next answered call at the target removes it. With the setting off and no limit, an answer costs one more method call.

--- a/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptmonitor.py
@@ -128,8 +128,16 @@
         elapsed_s = self._elapsed_s()
         self._record.answered_at_s = time.monotonic()
         self._add_latency(elapsed_s, failed)
-        if self._settings.learn_concurrency and self._reference_us and not failed:
-            target = self._record.target
+        self._record_concurrency(elapsed_s, failed)
+        slow = elapsed_s > self._threshold_s and not failed
+        cause = "server error" if failed else "slow" if slow else ""
+        self._record_result(cause, slow)
+
+    def _record_concurrency(self, elapsed_s: float, failed: bool) -> None:
+        target = self._record.target
+        if not self._settings.learn_concurrency:
+            target.concurrency.clear()
+        elif self._reference_us and not failed:
             target.concurrency.add(
                 self._running,
                 elapsed_s * US_PER_S,
@@ -138,9 +146,6 @@
                 self._route,
                 self._reference_us,
             )
-        slow = elapsed_s > self._threshold_s and not failed
-        cause = "server error" if failed else "slow" if slow else ""
-        self._record_result(cause, slow)
 
     def record_connection_failure(self, reused: bool = False) -> None:
         """Record that the connection failed or that the response was cut short.
--- a/packages/laburnumscale/src/laburnumscale/concurrencylimit.py
+++ b/packages/laburnumscale/src/laburnumscale/concurrencylimit.py
@@ -78,6 +78,16 @@
             throughput = math.log(current) - self._log_sum / self._count
             self._compare(current, throughput, slots)
 
+    def clear(self) -> None:
+        """Forget the limit, as the settings no longer ask for one."""
+        if self.limit is None:
+            return
+        self.limit, self._base = None, None
+        self.phase += 1
+        self._count, self._log_sum = 0, 0.0
+        self._hold_s, self._held_until_s = HOLD_S, 0.0
+        self._references.clear()
+
     def _compare(self, current: int, throughput: float, slots: int) -> None:
         """Choose the next limit after the throughput at one was measured."""
         if self._base is None:
--- a/tests/features/concurrencylimit.feature
+++ b/tests/features/concurrencylimit.feature
@@ -39,6 +39,17 @@
       | 6     | 6       |
       | 3     | 3       |
 
+  Scenario Outline: A target whose limit is no longer wanted gets its slots back
+    Given a target with 8 slots, whose calls take 3.0 times as long with all of them
+    When it is full for 20 s
+    And a call is answered while learn_concurrency is <setting>
+    Then it gets between <least> and <most> calls at a time
+
+    Examples:
+      | setting | least | most |
+      | on      | 5     | 6    |
+      | off     | 8     | 8    |
+
   Scenario: Callers are served better near the capacity
     Given a fleet whose targets slow down when nearly full
     When nine tenths of its capacity are used with and without learned limits
--- a/tests/features/steps/concurrencylimit_steps.py
+++ b/tests/features/steps/concurrencylimit_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import logging
 from types import SimpleNamespace
 from unittest import mock
@@ -9,9 +10,11 @@
 from bench import targetablation
 from laburnumscale import concurrencylimit
 from laburnumscale.addresses import Address
+from laburnumscale.attemptmonitor import AttemptMonitor, HealthRecord
 from laburnumscale.concurrencylimit import ConcurrencyLimit
 from laburnumscale.deadlines import Deadline
 from laburnumscale.localtarget import LocalTarget
+from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slots import release_slot
 from laburnumscale_schema import peer_pb2
 
@@ -78,6 +81,31 @@
     context.factor = 1.0
 
 
+@when("a call is answered while learn_concurrency is {setting}")
+def step_answer_call(context, setting):
+    async def answer():
+        target = SimpleNamespace(
+            running=1,
+            slots=context.slots,
+            concurrency=context.concurrency,
+            record_latency=lambda *values: None,
+        )
+        tracker = SimpleNamespace(
+            stalls=SimpleNamespace(total_s=lambda: 0.0),
+            is_comparison_valid=lambda service: True,
+            record_result=lambda *values: None,
+        )
+        target.service = "slot-desk"
+        settings = EffectiveSettings(learn_concurrency=setting == "on")
+        monitor = AttemptMonitor(
+            tracker, HealthRecord(target), settings, 1, 1.0, True, 1000
+        )
+        monitor.record_response(failed=False)
+        monitor.end()
+
+    asyncio.run(answer())
+
+
 @then("it gets between {least:d} and {most:d} calls at a time")
 def step_check_limit(context, least, most):
     found = context.concurrency.limit or context.slots
