Accept responses to HEAD that state more than the answer limit

The guard compared the stated length with the limit, although such a response has no body. The limit now applies to responses with a body only; the example with GET still fails as before. Two of the three examples fail on the code before.

--- a/packages/laburnumscale/src/laburnumscale/targetresponses.py
+++ b/packages/laburnumscale/src/laburnumscale/targetresponses.py
@@ -10,7 +10,7 @@
 from laburnumscale.errors import AnswerTooLarge
 from laburnumscale.localtarget import LocalTarget
 from laburnumscale.settingstree import EffectiveSettings
-from laburnumscale.transmission import check_framing
+from laburnumscale.transmission import check_framing, has_body
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["MAX_SINGLE_MESSAGE_BODY_BYTES", "iter_replies"]
@@ -43,7 +43,9 @@
         check_framing(head.method, response)
     reply_head = _reply_head(response)
     length = response.content_length
-    if length is not None and length > limit_bytes:
+    # Without a body, the length is that of the body which GET would give.
+    is_held = length is not None and has_body(head.method, response)
+    if is_held and length > limit_bytes:
         raise AnswerTooLarge(str(response.url), limit_bytes)
     if length is not None and length <= MAX_SINGLE_MESSAGE_BODY_BYTES:
         payload = await response.read()
--- a/packages/laburnumscale/src/laburnumscale/transmission.py
+++ b/packages/laburnumscale/src/laburnumscale/transmission.py
@@ -28,6 +28,7 @@
     "TargetConnector",
     "Transmission",
     "check_framing",
+    "has_body",
     "send_once",
 ]
 
@@ -289,6 +290,11 @@
             self._response.close()
 
 
+def has_body(method: str, response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response to a request with this method has a body."""
+    return method != "HEAD" and response.status not in BODILESS_STATUSES
+
+
 def check_framing(method: str, response: aiohttp.ClientResponse) -> None:
     """Check that a response has a length or is chunked.
 
@@ -297,7 +303,7 @@
     :param method: method of the request.
     :raises AnswerUnframed: the response ends when the target closes the connection.
     """
-    if method == "HEAD" or response.status in BODILESS_STATUSES:
+    if not has_body(method, response):
         return
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     if response.content_length is None and not chunked:
--- a/tests/features/invalid_statuses.feature
+++ b/tests/features/invalid_statuses.feature
@@ -18,6 +18,17 @@
       | 600 Odd       | unknown invalid_status |
       | 999 Odd       | unknown invalid_status |
 
+  Scenario Outline: The size that a response without a body states is not limited
+    Given a target whose answer <line> states 9999999999 bytes
+    When its guard sends it an attempt with the method <method>
+    Then the reply is <reply>
+
+    Examples: the length is that of the body that GET would give
+      | line             | method | reply             |
+      | 200 OK           | HEAD   | status 200        |
+      | 304 Not Modified | GET    | status 304        |
+      | 200 OK           | GET    | unknown cut_short |
+
   Scenario Outline: An entry does not forward an invalid status that a guard accepted
     Given a guard that replies with the status <status>
     When an entry makes a call that <kind>, with <targets> targets
