Return calls that are given back while their entry asks for others

An account lost a call of its quota, for good if its rate is low, when the call was given back while its entry waited for the decision about another one.

The timer that returns such calls does nothing while a request is on its way, and nothing started it again after the request. It is now started when the last request has ended.

--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
@@ -196,6 +196,8 @@
             state.task = None
             if state.waiting:  # the decision failed; each call ends undecided in time
                 self._metrics.count("quota_failures")
+            if state.stock.has_returns:  # since the last request of this task
+                self._schedule_return(state, RETURN_DELAY_S)
 
     async def _ask_for_waiting(self, state: _Account, attempts: int) -> float:
         """Ask the keeper once, or its backup if it does not decide.
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -40,6 +40,12 @@
     When a call is accepted but not run, and repeated 100 ms later through another entry
     Then all calls are accepted
 
+  # It was returned with the next request of the entry only, if one followed.
+  Scenario: A call given back while its entry waits for another one is returned
+    Given 3 daemons and a quota of 0.01 calls a second with a burst of 5
+    When a call is given back while its entry waits 50 ms for another one
+    Then the keeper has 4 to 4.1 calls left
+
   # The membership needs seconds to replace a keeper.
   Scenario: The backup takes the place of a keeper whose process has ended
     Given 8 daemons and a quota of 50 calls a second with a burst of 50
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -293,6 +293,35 @@
     run(context, lambda fleet: use_up_twice(context, fleet, lambda: pause(fleet)))
 
 
+@when("a call is given back while its entry waits {wait_ms:d} ms for another one")
+def step_give_back_meanwhile(context, wait_ms):
+    async def scenario(fleet):
+        keeper = fleet.keeper_name()
+        entry = next(name for name in fleet.daemons if name != keeper)
+        client, deadline = fleet.daemons[entry].client, Deadline.after_ms(60_000)
+        grant = await client.acquire(ACCOUNT, deadline)
+        ask = fleet._ask
+
+        async def ask_slowly(*args):
+            await asyncio.sleep(wait_ms / 1000)
+            return await ask(*args)
+
+        with patch.object(fleet, "_ask", ask_slowly):
+            waiting = fleet.spawn(client.acquire(ACCOUNT, deadline))
+            await asyncio.sleep(0.01)
+            grant.give_back()
+            await waiting
+            await asyncio.sleep(1)
+        context.level = fleet.daemons[keeper].keeper.describe(ACCOUNT)["level_calls"]
+
+    run(context, scenario)
+
+
+@then("the keeper has {low:g} to {high:g} calls left")
+def step_check_level(context, low, high):
+    assert low <= context.level <= high, context.level
+
+
 @when("the keeper is replaced while it is frozen, and gets a call as it continues")
 def step_call_as_it_continues(context):
     async def scenario(fleet):
