--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -153,13 +153,12 @@
         self._first_request_due = Deadline.after_ms(FIRST_REQUEST_TIMEOUT_MS)
 
     def _has_room_for_connection(self) -> bool:
-        if len(self.connections) >= self.app.ctx.max_connections:
+        limit = self.app.ctx.max_connections
+        if len(self.connections) >= limit:
             self._evict_waiting()
-        return len(
-            self.connections
-        ) < self.app.ctx.max_connections and self._memory.reserve(
-            Purpose.CONNECTIONS, CONNECTION_BYTES
-        )
+        if len(self.connections) >= limit:
+            return False
+        return self._memory.reserve(Purpose.CONNECTIONS, CONNECTION_BYTES)
 
     def _evict_waiting(self) -> None:
         """Close the connections that have waited longest for their callers.
