--- a/packages/laburnumscale/src/laburnumscale/accounts/callcounts.py
+++ b/packages/laburnumscale/src/laburnumscale/accounts/callcounts.py
@@ -5,7 +5,7 @@
 
 from collections import Counter
 
-from laburnumscale.metrics import Metrics
+from laburnumscale.metrics import Metrics, escape_label
 
 __all__ = ["MAX_COUNTED_ACCOUNTS", "AccountCallCounts"]
 
@@ -36,15 +36,10 @@
             self._counts.setdefault(account, Counter())[outcome] += 1
         else:
             account = ""
-        labels = f'account="{_escape(account)}",outcome="{outcome}"'
+        labels = f'account="{escape_label(account)}",outcome="{outcome}"'
         self._metrics.count("account_calls", labels)
 
     def get(self, account: str) -> dict[str, int] | None:
         """Return the calls of an account by outcome; None if it has no counters."""
         counts = self._counts.get(account)
         return dict(counts) if counts is not None else None
-
-
-def _escape(value: str) -> str:
-    """Escape the value of a label for the Prometheus text format."""
-    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/packages/laburnumscale/src/laburnumscale/metrics.py
+++ b/packages/laburnumscale/src/laburnumscale/metrics.py
@@ -7,12 +7,13 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "escape_label"]
 
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_DIGITS = 3
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+LABEL_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
 class Metrics:
@@ -71,3 +72,8 @@
         count = histogram.get_total_count()
         lines.append(f"laburnumscale_{name}_us_count{{{labels}}} {count}")
         return lines
+
+
+def escape_label(value: str) -> str:
+    """Return the value of a label in Prometheus syntax."""
+    return value.translate(LABEL_ESCAPES)
--- a/packages/laburnumscale/src/laburnumscale/overload/accountlabels.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/accountlabels.py
@@ -3,12 +3,13 @@
 Bounds the number of accounts that metrics distinguish.
 """
 
+from laburnumscale.metrics import escape_label
+
 __all__ = ["AccountLabels"]
 
 #: Counters are kept until the process ends, each with its label.
 MAX_LABELS = 50
 OTHERS = "others"
-ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
 class AccountLabels:
@@ -25,6 +26,6 @@
             return label
         if len(self._labels) >= self._max_labels:
             return OTHERS
-        label = account.translate(ESCAPES)
+        label = escape_label(account)
         self._labels[account] = label
         return label
