Share the grant history and the latency margin of both queue policies

The cost queue had its own copy of the estimate of overtaking calls and of the margin of deadline checks.

--- a/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/costdecisions.py
@@ -3,10 +3,9 @@
 Decides which calls wait for scarce capacity, which are refused, and which goes next.
 """
 
-from collections import deque
-
 import attrs
 
+from laburnumscale.overload.granthistory import GrantHistory
 from laburnumscale.overload.priorityshares import LOWER_SHARE
 from laburnumscale.overload.waitingcalls import WaitingCall, WaitingCalls
 from laburnumscale.overload.workestimates import WorkEstimates, work_class
@@ -22,8 +21,6 @@
 #: to a fifth of that loss, so its likelihood must be about nine tenths.
 MIN_LIKELIHOOD = 0.8
 MIN_LIKELIHOOD_ONCE = 0.9
-#: Covers a few seconds of a busy target with a handful of slots.
-GRANT_HISTORY_LENGTH = 20
 MIN_RETRY_AFTER_MS = 100
 #: Callers honour a delay of up to a third of their remaining time.
 HONOURED_SHARE = 1 / 3
@@ -95,7 +92,7 @@
     def __init__(self) -> None:
         self.estimates = WorkEstimates()
         self._waiting = WaitingCalls()
-        self._granted_priorities: deque[float] = deque(maxlen=GRANT_HISTORY_LENGTH)
+        self._grants = GrantHistory(max_share=1 - LOWER_SHARE)
         self._promised_at_s = 0.0
 
     def __len__(self) -> int:
@@ -124,7 +121,8 @@
         :param limit: maximum number of waiting calls.
         """
         call = self._describe(sequence, needs, held_ms)
-        useful_ms = self._waiting.work_ahead_ms(call, self._overtaking(call), now_s)
+        overtaking = self._grants.overtaking_share(call.priority)
+        useful_ms = self._waiting.work_ahead_ms(call, overtaking, now_s)
         wait_ms = (useful_ms + held_ms) / max(1, capacity)
         start_at_s = now_s + wait_ms / MS_PER_S
         cause, victim = "", None
@@ -152,12 +150,12 @@
         """Remove and return the call that starts next; None if none waits."""
         call = self._waiting.take_next(now_s)
         if call is not None:
-            self._granted_priorities.append(call.priority)
+            self._grants.record_grant(call.priority)
         return call
 
     def record_direct_start(self) -> None:
         """Record that a call started without waiting."""
-        self._granted_priorities.append(float("inf"))
+        self._grants.record_direct_start()
 
     def add(self, call: WaitingCall, now_s: float) -> None:
         """Add a call without a decision, such as one that waits elsewhere already."""
@@ -217,15 +215,6 @@
     def _likely_ms(self, needs: CallNeeds, likelihood: float) -> float:
         return self.estimates.quantile_ms(needs.route, likelihood, needs.reference_ms)
 
-    def _overtaking(self, call: WaitingCall) -> float:
-        """Return the share of the grants that more urgent calls are expected to get.
-
-        It is estimated from the latest calls that started, with or without waiting.
-        """
-        granted = self._granted_priorities
-        overtaking = sum(each < call.priority for each in granted)
-        return min(1 - LOWER_SHARE, overtaking / max(1, len(granted)))
-
 
 def _min_likelihood(needs: CallNeeds) -> float:
     return MIN_LIKELIHOOD if needs.may_repeat else MIN_LIKELIHOOD_ONCE
--- a/packages/laburnumscale/src/laburnumscale/overload/workestimates.py
+++ b/packages/laburnumscale/src/laburnumscale/overload/workestimates.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-__all__ = ["WorkEstimates", "work_class"]
+__all__ = ["LATENCY_MARGIN", "WorkEstimates", "work_class"]
 
 #: Four buckets for each doubling, from 1 ms to 65 s: adjacent times differ by a fifth.
 BUCKETS_PER_DOUBLING = 4
@@ -19,9 +19,11 @@
 MAX_CALLS = 256
 #: A target sees the calls of few routes at a time; the least recent ones are dropped.
 MAX_ROUTES = 256
-#: Fewer calls say nothing of the spread. The margin is then that of the other checks.
+#: Fewer calls say nothing of the spread.
 MIN_CALLS = 8
-MARGIN = 1.25
+#: Without the spread, deadline checks assume that a call takes this multiple of the
+#: average latency.
+LATENCY_MARGIN = 1.25
 
 
 def work_class(work_ms: float) -> int:
@@ -111,14 +113,15 @@
         """Return how likely a call that starts now ends within a time, 0 to 1."""
         histogram = self._known(route)
         if histogram is None:
-            return 1.0 if time_ms >= MARGIN * reference_ms and time_ms > 0 else 0.0
+            is_likely = time_ms > 0 and time_ms >= LATENCY_MARGIN * reference_ms
+            return 1.0 if is_likely else 0.0
         return histogram.share_within(time_ms / _scale(histogram, reference_ms))
 
     def quantile_ms(self, route: int, share: float, reference_ms: float = 0.0) -> float:
         """Return the time within which a call ends with a given likelihood."""
         histogram = self._known(route)
         if histogram is None:
-            return MARGIN * reference_ms
+            return LATENCY_MARGIN * reference_ms
         return histogram.quantile_ms(share) * _scale(histogram, reference_ms)
 
     def _known(self, route: int) -> _Histogram | None:
--- a/packages/laburnumscale/src/laburnumscale/queuepolicies.py
+++ b/packages/laburnumscale/src/laburnumscale/queuepolicies.py
@@ -11,7 +11,7 @@
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.failurereplies import AttemptRefused, QueueRefused
 from laburnumscale.localtarget import LocalTarget
-from laburnumscale.overload import CallNeeds
+from laburnumscale.overload import LATENCY_MARGIN, CallNeeds
 from laburnumscale.settingstree import EffectiveSettings
 from laburnumscale.slotqueue import SlotQueue, Waiter
 from laburnumscale.transmission import Transmission
@@ -21,8 +21,6 @@
 
 OVERLOAD_RETRY_AFTER_MS = 1000
 MIN_RETRY_AFTER_MS = 100
-#: Deadline checks assume that a call takes this multiple of the average latency.
-LATENCY_MARGIN = 1.25
 MOST_URGENT = 0
 US_PER_MS = 1000
 DEFAULT_POLICY = "priority"
--- a/packages/laburnumscale/src/laburnumscale/slotqueue.py
+++ b/packages/laburnumscale/src/laburnumscale/slotqueue.py
@@ -6,21 +6,18 @@
 import asyncio
 import heapq
 import itertools
-from collections import deque
 from collections.abc import Callable
 
 import attrs
 
+from laburnumscale.overload import GrantHistory
+
 __all__ = ["SEQUENCES", "SlotQueue", "Waiter"]
 
 #: Source of the arrival order, which holds when calls change to another queue.
 SEQUENCES = itertools.count()
 
-#: Covers a few seconds of a busy target with a handful of slots.
-GRANT_HISTORY_LENGTH = 20
-#: Below 1, since every priority with waiting calls receives some of the grants.
 MAX_OVERTAKING_SHARE = 0.9
-NO_PRIORITY = 2**31  # a call that did not wait has overtaken nobody
 
 
 @attrs.define(order=True)
@@ -44,7 +41,7 @@
 
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
-        self._granted_priorities: deque[int] = deque(maxlen=GRANT_HISTORY_LENGTH)
+        self._grants = GrantHistory(MAX_OVERTAKING_SHARE)
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -68,7 +65,7 @@
 
     def record_direct_start(self) -> None:
         """Record that a call got a free slot without waiting."""
-        self._granted_priorities.append(NO_PRIORITY)
+        self._grants.record_direct_start()
 
     def record_work(self, route: int, work_us: float) -> None:
         """Do nothing: this queue does not consider the work of a call."""
@@ -80,9 +77,7 @@
         grants is estimated from the most recent calls that started, with or without
         waiting.
         """
-        granted = self._granted_priorities
-        overtaking = sum(each < priority for each in granted)
-        share = min(MAX_OVERTAKING_SHARE, overtaking / max(1, len(granted)))
+        share = self._grants.overtaking_share(priority)
         return (self.count_ahead(priority) + 1) / (1 - share)
 
     def grant_next(self) -> bool:
@@ -94,7 +89,7 @@
             waiter = heapq.heappop(self._waiters)
             if not waiter.granted.done():
                 waiter.granted.set_result(None)
-                self._granted_priorities.append(waiter.priority)
+                self._grants.record_grant(waiter.priority)
                 return True
         return False
 
