Share the pauses and decisions of quota requests

Three dictionaries of daemons that are not asked for a time become one class, and the list of deciding verdicts exists once. The view follows members in one method. Dropping full buckets no longer copies the names of all of them.

--- a/packages/laburnumscale/src/laburnumscale/quotas/keeper.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/keeper.py
@@ -6,6 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import islice
 
 import attrs
 
@@ -223,7 +224,7 @@
         rate = size / self._tolerance.window_s
         reserve = self._reserves.get(account)
         if reserve is None:
-            self._drop_full(self._reserves, lambda each: each.is_full(now))
+            self._drop_full(self._reserves, now)
             reserve = EpochalLevel(rate, size, size, now)
             self._reserves[account] = reserve
             get_logger().info(
@@ -323,7 +324,7 @@
         self, account: str, quota: Quota, level: float, accrues_from_s: float
     ) -> QuotaBucket:
         now = self._clock()
-        self._drop_full(self._buckets, lambda each: each.is_full(now))
+        self._drop_full(self._buckets, now)
         self._released.pop(account, None)
         bucket = QuotaBucket(
             quota,
@@ -335,13 +336,16 @@
         self._buckets[account] = bucket
         return bucket
 
-    def _drop_full(self, kept: OrderedDict, is_full: Callable) -> None:
+    @staticmethod
+    def _drop_full(
+        kept: OrderedDict[str, QuotaBucket] | OrderedDict[str, EpochalLevel], now: float
+    ) -> None:
         """Drop up to two that were not used for the longest time, if they are full."""
-        for account in list(kept)[:2]:
-            if is_full(kept[account]):
+        for account in list(islice(kept, 2)):
+            if kept[account].is_full(now):
                 del kept[account]
 
-    def _handle_gone(self, daemon: str, seed: int) -> None:
+    def _handle_gone(self, daemon: str) -> None:
         """Drop buckets that another daemon may have kept in the meantime."""
         for account in list(self._buckets):
             if self._view.outranks(daemon, account):
--- a/packages/laburnumscale/src/laburnumscale/quotas/keeperview.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/keeperview.py
@@ -99,7 +99,7 @@
 
     :param clock: returns the time in seconds.
     :ivar started_at_s: since when this daemon follows the membership without a gap.
-    :ivar on_gone: called with the seed of a daemon that ceased to be a candidate.
+    :ivar on_gone: called with a daemon that ceased to be a candidate.
     """
 
     def __init__(self, members: Members, clock: Callable[[], float] = now_s) -> None:
@@ -108,7 +108,7 @@
         self.started_at_s = clock()
         self.own = members.own.daemon
         self.own_seed = _seed(self.own)
-        self.on_gone: Callable[[str, int], None] = lambda daemon, seed: None
+        self.on_gone: Callable[[str], None] = lambda daemon: None
         self._known: dict[str, _Candidate] = {}
         self._seeds: dict[str, int] = {}
         self._draining_seeds: dict[str, int] = {}
@@ -124,7 +124,7 @@
         for member in members.peers():
             self._update(member)
         self._update(members.own)
-        members.on_change(self._follow)
+        members.on_change(lambda delta: self._follow(delta.daemon))
 
     @property
     def is_candidate(self) -> bool:
@@ -260,12 +260,12 @@
         The membership needs seconds to declare it dead.
         """
         self._ended[daemon] = _End(incarnation, self._clock() + END_VALID_S)
-        self._follow_end(daemon)
+        self._follow(daemon)
 
     def record_alive(self, daemon: str) -> None:
         """Record that a daemon has sent a message."""
         if self._ended and self._ended.pop(daemon, None) is not None:
-            self._follow_end(daemon)
+            self._follow(daemon)
 
     def restart(self) -> None:
         """Forget that this daemon has followed the membership until now."""
@@ -273,12 +273,7 @@
         self._probes.clear()
         self._share = None
 
-    def _follow(self, delta: peer_pb2.Member) -> None:
-        member = self._members.get(delta.daemon)
-        if member is not None:
-            self._update(member)
-
-    def _follow_end(self, daemon: str) -> None:
+    def _follow(self, daemon: str) -> None:
         member = self._members.get(daemon)
         if member is not None:
             self._update(member)
@@ -288,7 +283,7 @@
         for daemon, end in list(self._ended.items()):
             if end.expires_at_s <= now:
                 del self._ended[daemon]
-                self._follow_end(daemon)
+                self._follow(daemon)
 
     def _has_ended(self, member: peer_pb2.Member) -> bool:
         end = self._ended.get(member.daemon)
@@ -341,7 +336,7 @@
         while now - next(iter(self._gone.values())).at_s > GONE_MEMORY_S:
             self._gone.popitem(last=False)
         self._record_change(daemon, False)
-        self.on_gone(daemon, seed)
+        self.on_gone(daemon)
 
     def _record_join(self, daemon: str) -> None:
         now = self._clock()
--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaclient.py
@@ -15,16 +15,19 @@
 from laburnumscale.outcomes import NotRun
 from laburnumscale.quotas.bucket import MAX_SPREAD_S
 from laburnumscale.quotas.grantstock import GrantStock
+from laburnumscale.quotas.pauses import Pauses
 from laburnumscale.quotas.quota import Quota
-from laburnumscale.quotas.quotaservice import ASK_TIMEOUT_S, Ask, QuotaService
+from laburnumscale.quotas.quotaservice import (
+    ASK_TIMEOUT_S,
+    DECISIONS,
+    Ask,
+    QuotaService,
+)
 from laburnumscale.ratelimit import RateLimiter
 from laburnumscale_schema import peer_pb2
 
 __all__ = ["MAX_WAIT_S", "QuotaClient", "QuotaGrant"]
 
-GRANTED = peer_pb2.QUOTA_VERDICT_GRANTED
-EXHAUSTED = peer_pb2.QUOTA_VERDICT_EXHAUSTED
-NOT_KEEPER = peer_pb2.QUOTA_VERDICT_NOT_KEEPER
 NO_QUOTA = peer_pb2.QUOTA_VERDICT_NO_QUOTA
 #: Longest time for which a call waits for a decision.
 MAX_WAIT_S = 1.0
@@ -114,7 +117,7 @@
         self._revision = revision
         self._clock = clock
         self._accounts: OrderedDict[str, _Account] = OrderedDict()
-        self._unreachable_until_s: dict[str, float] = {}
+        self._unreachable = Pauses(UNREACHABLE_S)
         self._tasks: set[asyncio.Task] = set()
         self._line_rate = RateLimiter(MAX_LINES_PER_S, MAX_LINES_PER_S)
 
@@ -216,7 +219,7 @@
             if reply is None:
                 continue
             keeper_replied = keeper_replied or not is_backup
-            if reply.verdict not in (GRANTED, EXHAUSTED, NO_QUOTA):
+            if reply.verdict not in DECISIONS:
                 continue
             if reply.granted_calls and is_backup and not reply.grant_epoch:
                 self._metrics.count(
@@ -230,7 +233,7 @@
         self, state: _Account, daemon: str, from_reserve: bool
     ) -> peer_pb2.QuotaReply | None:
         now = self._clock()
-        if self._unreachable_until_s.get(daemon, now) > now:
+        if self._unreachable.has(daemon, now):
             return None
         state.stock.expire(now)
         epoch, returned = (0, 0) if from_reserve else state.stock.pop_return()
@@ -250,18 +253,12 @@
         if reply is None:
             self._record_unreachable(daemon)
         else:
-            self._unreachable_until_s.pop(daemon, None)
+            self._unreachable.end(daemon)
         return reply
 
     def _record_unreachable(self, daemon: str) -> None:
-        now = self._clock()
         self._metrics.count("quota_requests_unanswered")
-        self._unreachable_until_s = {
-            each: until_s
-            for each, until_s in self._unreachable_until_s.items()
-            if until_s > now
-        }
-        self._unreachable_until_s[daemon] = now + UNREACHABLE_S
+        self._unreachable.begin(daemon, self._clock())
         if self._line_rate.try_acquire():
             get_logger().warning("quota keeper did not reply", keeper=daemon)
 
--- a/packages/laburnumscale/src/laburnumscale/quotas/quotaservice.py
+++ b/packages/laburnumscale/src/laburnumscale/quotas/quotaservice.py
@@ -9,9 +9,10 @@
 from laburnumscale.deadlines import now_s
 from laburnumscale.quotas.keeper import QuotaKeeper
 from laburnumscale.quotas.keeperview import KeeperView
+from laburnumscale.quotas.pauses import Pauses
 from laburnumscale_schema import peer_pb2
 
-__all__ = ["ASK_TIMEOUT_S", "Ask", "HasEnded", "QuotaService"]
+__all__ = ["ASK_TIMEOUT_S", "DECISIONS", "Ask", "HasEnded", "QuotaService"]
 
 #: Longest wait for the reply of another daemon.
 ASK_TIMEOUT_S = 0.15
@@ -60,8 +61,8 @@
         self._clock = clock
         self._take_overs: dict[str, asyncio.Task] = {}
         self._end_checks: dict[str, asyncio.Task] = {}
-        self._end_checked_at_s: dict[str, float] = {}
-        self._relays_from_s: dict[str, float] = {}
+        self._end_check_pauses = Pauses(END_CHECK_INTERVAL_S)
+        self._relay_pauses = Pauses(RELAY_PAUSE_S)
 
     async def watch(self) -> None:
         """Let the keeper notice when this daemon has stood still, until cancelled."""
@@ -95,8 +96,7 @@
         :returns: None if the keeper does not decide either.
         """
         keeper = next(iter(self.view.rank(request.account)), self.view.own)
-        now = self._clock()
-        if keeper == self.view.own or self._relays_from_s.get(keeper, now) > now:
+        if keeper == self.view.own or self._relay_pauses.has(keeper, self._clock()):
             return None
         relayed = peer_pb2.QuotaRequest()
         relayed.CopyFrom(request)
@@ -104,13 +104,7 @@
         address = self.view.address(keeper)
         reply = await self._ask(address, relayed, RELAY_TIMEOUT_S)
         if reply is None:
-            now = self._clock()
-            self._relays_from_s = {
-                daemon: from_s
-                for daemon, from_s in self._relays_from_s.items()
-                if from_s > now
-            }
-            self._relays_from_s[keeper] = now + RELAY_PAUSE_S
+            self._relay_pauses.begin(keeper, self._clock())
         return reply if reply is not None and reply.verdict in DECISIONS else None
 
     async def _take_over(self, account: str, predecessor: str) -> None:
@@ -134,20 +128,14 @@
         ended, its backup takes its place at once.
         """
         keeper = next(iter(self.view.rank(account)), self.view.own)
-        checked_at_s = self._end_checked_at_s.get(keeper, float("-inf"))
         now = self._clock()
         if (
             keeper == self.view.own
             or keeper in self._end_checks
-            or now - checked_at_s < END_CHECK_INTERVAL_S
+            or self._end_check_pauses.has(keeper, now)
         ):
             return
-        self._end_checked_at_s = {
-            daemon: at_s
-            for daemon, at_s in self._end_checked_at_s.items()
-            if now - at_s < END_CHECK_INTERVAL_S
-        }
-        self._end_checked_at_s[keeper] = now
+        self._end_check_pauses.begin(keeper, now)
         task = asyncio.create_task(self._record_end(keeper))
         self._end_checks[keeper] = task
         task.add_done_callback(lambda _: self._end_checks.pop(keeper, None))
