--- a/packages/laburnumscale/src/laburnumscale/configcheck.py
+++ b/packages/laburnumscale/src/laburnumscale/configcheck.py
@@ -13,6 +13,7 @@
 
 from laburnumscale.accounts import account_place
 from laburnumscale.daemonsettings import DEFAULT_QUOTA_WINDOW_MS
+from laburnumscale.deadlines import MS_PER_S
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.places import FLEET, ServicePlace
 from laburnumscale.settingstree import SettingsTree
@@ -30,7 +31,6 @@
     "fleet_settings",
 ]
 
-MS_PER_S = 1000
 ALL_PERCENT = 100
 NOT_SET = "not set"
 #: Settings that have an effect only if targets may be ejected.
--- a/packages/laburnumscale/src/laburnumscale/publishing.py
+++ b/packages/laburnumscale/src/laburnumscale/publishing.py
@@ -34,7 +34,7 @@
 from laburnumscale.settingsfile import SettingsFile
 from laburnumscale_schema import settings_pb2
 
-__all__ = ["RANGES", "collect_edits", "read_edits"]
+__all__ = ["ACCOUNT_NUMBERS", "RANGES", "collect_edits", "read_edits"]
 
 EditBuilder = Callable[[], settings_pb2.Edit]
 
@@ -184,19 +184,21 @@
         location = file.location(*keys, name)
         if name not in known_fields:
             raise OptionUnknown(location, name)
-        try:
-            json_format.ParseDict({name: setting}, edit.settings)
-        except json_format.ParseError as error:
-            raise OptionValueInvalid(location, name, str(error)) from error
-        _check_allowed(location, name, edit.settings)
+        _parse_setting(location, name, setting, edit.settings)
     return edit
 
 
-def _check_allowed(
+def _parse_setting(
     location: str,
     name: str,
+    setting: object,
     settings: settings_pb2.ServiceSettings | settings_pb2.ClientAccount,
 ) -> None:
+    """Set a field of a message to a value of a settings file, if it is allowed."""
+    try:
+        json_format.ParseDict({name: setting}, settings)
+    except json_format.ParseError as error:
+        raise OptionValueInvalid(location, name, str(error)) from error
     if name in NAMES and getattr(settings, name) not in NAMES[name]:
         reason = f"the value is not one of {', '.join(NAMES[name])}"
         raise OptionValueInvalid(location, name, reason)
@@ -247,11 +249,7 @@
             continue
         if field not in ACCOUNT_NUMBERS:
             raise OptionUnknown(location, field)
-        try:
-            json_format.ParseDict({field: setting}, edit.account)
-        except json_format.ParseError as error:
-            raise OptionValueInvalid(location, field, str(error)) from error
-        _check_allowed(location, field, edit.account)
+        _parse_setting(location, field, setting, edit.account)
     return edit
 
 
--- a/packages/laburnumscale/src/laburnumscale/settingschecks.py
+++ b/packages/laburnumscale/src/laburnumscale/settingschecks.py
@@ -20,7 +20,7 @@
     RoutePlace,
     parse_place,
 )
-from laburnumscale.publishing import RANGES
+from laburnumscale.publishing import ACCOUNT_NUMBERS, RANGES
 from laburnumscale_schema import settings_pb2
 
 __all__ = [
@@ -172,10 +172,8 @@
     if backends and not any(backend.weight for backend in route.backends):
         raise RequestInvalid(location, "no backend has a weight above 0")
     for name in ("time_limit_ms", "attempt_limit"):
-        minimum, maximum = RANGES[name]
-        value = getattr(route, name)
-        if route.HasField(name) and not minimum <= value <= maximum:
-            raise OptionOutOfRange(location, name, value, minimum, maximum)
+        if route.HasField(name):
+            _check_range(location, name, getattr(route, name))
 
 
 def _check_account(
@@ -186,11 +184,8 @@
         raise RequestInvalid(location, "the name differs from that of the place")
     if any(len(digest) != DIGEST_BYTES for digest in account.key_digests):
         raise RequestInvalid(location, "a digest of a key has the wrong length")
-    for name in ("priority", "calls_per_s", "burst_calls"):
-        minimum, maximum = RANGES[name]
-        value = getattr(account, name)
-        if not minimum <= value <= maximum:  # NaN compares false
-            raise OptionOutOfRange(location, name, value, minimum, maximum)
+    for name in ACCOUNT_NUMBERS:
+        _check_range(location, name, getattr(account, name))
 
 
 def _check_settings(
@@ -199,11 +194,8 @@
     if settings.HasField("require_account_key") and place != FLEET:
         raise RequestInvalid(location, "require_account_key applies to the fleet only")
     for field, value in settings.ListFields():
-        if field.name not in RANGES:
-            continue
-        minimum, maximum = RANGES[field.name]
-        if not minimum <= value <= maximum:
-            raise OptionOutOfRange(location, field.name, value, minimum, maximum)
+        if field.name in RANGES:
+            _check_range(location, field.name, value)
     for method in settings.idempotent.methods:
         if not METHOD_PATTERN.fullmatch(method):
             raise RequestInvalid(location, f'"{method}" is not a valid HTTP method')
@@ -212,6 +204,12 @@
             raise RequestInvalid(location, f"{status} is not an HTTP status")
 
 
+def _check_range(location: str, name: str, value: float) -> None:
+    minimum, maximum = RANGES[name]
+    if not minimum <= value <= maximum:  # NaN compares false
+        raise OptionOutOfRange(location, name, value, minimum, maximum)
+
+
 def _reject_unknown_fields(message: Message, location: str) -> None:
     known_only = type(message)()
     known_only.CopyFrom(message)
