--- a/packages/laburnumscalectl/src/laburnumscalectl/changes.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/changes.py
@@ -20,7 +20,7 @@
 from laburnumscalectl.client import DaemonUnreachable, OperatorClient
 from laburnumscalectl.output import format_time, print_message
 
-__all__ = ["publish", "remove", "settle"]
+__all__ = ["changes_value", "publish", "remove", "settle"]
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -149,11 +149,20 @@
     edit: settings_pb2.Edit, state: settings_pb2.PlaceState | None
 ) -> bool:
     """Return whether an edit changes its place or conflicts with its state."""
+    has_conflict = state is not None and edit.based_on_revision != state.revision
+    return has_conflict or changes_value(edit, state)
+
+
+def changes_value(
+    edit: settings_pb2.Edit, state: settings_pb2.PlaceState | None
+) -> bool:
+    """Return whether an edit changes the value of its place.
+
+    :param state: state of the place; None if it is not set.
+    """
     kind = edit.WhichOneof("value")
     if state is None:
         return kind != "removal"
-    if edit.based_on_revision != state.revision:
-        return True
     return kind == "removal" or getattr(edit, kind) != getattr(state, kind)
 
 
--- a/packages/laburnumscalectl/src/laburnumscalectl/check.py
+++ b/packages/laburnumscalectl/src/laburnumscalectl/check.py
@@ -32,6 +32,7 @@
 from laburnumscale.settingschecks import check_change, check_place_value
 from laburnumscale.settingsfile import SettingsFile, read_settings_file
 from laburnumscale_schema import settings_pb2
+from laburnumscalectl.changes import changes_value
 from laburnumscalectl.client import OperatorClient
 
 __all__ = ["check"]
@@ -93,7 +94,11 @@
             removed.append(edit.place)
         else:
             states.append(_state_of(edit))
-    edits = [edit for _, edit in located_edits if _is_change(edit, (in_force or {}))]
+    edits = [
+        edit
+        for _, edit in located_edits
+        if changes_value(edit, (in_force or {}).get(edit.place))
+    ]
     if edits and not errors:
         change = settings_pb2.Change(change_id=CHANGE_ID, author=CHANGE_ID, edits=edits)
         try:
@@ -120,15 +125,6 @@
     return state
 
 
-def _is_change(edit: settings_pb2.Edit, in_force: States) -> bool:
-    """Return whether ``publish`` would send an edit."""
-    state = in_force.get(edit.place)
-    kind = edit.WhichOneof("value")
-    if state is None or kind == "removal":
-        return (state is None) != (kind == "removal")
-    return getattr(state, kind) != getattr(edit, kind)
-
-
 def _describe_error(path: str, error: LaburnumscaleError) -> Finding:
     where = getattr(error, "where", "")
     reason = str(error).removeprefix(f"{where}: ")
