--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -209,7 +209,7 @@
             async with self._drain_state.cut_off_scope():
                 outcome, response = await self._run_call(prepared)
         except WorkCutOff:
-            outcome, response = CUT_OFF, self._cut_off_response(prepared)
+            outcome, response = CUT_OFF, self._failure_response(prepared, CUT_OFF)
         except Exception as error:
             outcome = self._report_failure(request_id, error, prepared.may_have_run)
             response = self._failure_response(prepared, outcome)
@@ -237,10 +237,6 @@
         """Return whether a key has no meaning for the fleet and is only forwarded."""
         return self._header_names.forwards_foreign_keys and not is_key(key)
 
-    def _cut_off_response(self, call: Call) -> HTTPResponse | None:
-        """Return the response to a call that the exit of the daemon cuts off."""
-        return self._failure_response(call, CUT_OFF)
-
     def _failure_response(
         self, call: Call, outcome: NotRun | Unknown
     ) -> HTTPResponse | None:
