--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -13,6 +13,7 @@
 import attrs
 import grpc
 
+from bench.model import VirtualTimeLoop
 from laburnumscale.channels import PeerChannels
 from laburnumscale.deadlines import Deadline
 from laburnumscale.members import Members
@@ -27,7 +28,6 @@
     QuotaTolerance,
 )
 from laburnumscale_schema import peer_pb2, peer_pb2_grpc
-from tests.standins.virtualtime import VirtualTimeLoop
 
 __all__ = ["QuotaCosts", "main", "measure"]
 
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from bench.model import VirtualTimeLoop
 from laburnumscale.deadlines import Deadline
 from laburnumscale.outcomes import NotRun, reason_name
 from laburnumscale.quotas import KeeperView, Quota, quota_of
@@ -15,7 +16,6 @@
     most_over,
     play_history,
 )
-from tests.standins.virtualtime import VirtualTimeLoop
 
 HISTORY_S = 40
 RATES = (0.4, 2, 10, 50, 100)
