--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -47,14 +47,24 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
+_ports = iter(())
+
+
 def free_ports(count):
-    """Return free ports below the range that the system uses for connections."""
-    ports = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(10_000, 32_000)
-        if port not in ports and _can_bind(port):
-            ports.append(port)
-    return ports
+    """Return free ports below the range that the system uses for connections.
+
+    They come from one block for each process, so that two tests seldom meet.
+    """
+    global _ports
+    found = []
+    while len(found) < count:
+        port = next(_ports, None)
+        if port is None:
+            start = random.SystemRandom().randrange(100, 320) * 100
+            _ports = iter(range(start, start + 100))
+        elif _can_bind(port):
+            found.append(port)
+    return found
 
 
 def _can_bind(port):
@@ -511,8 +521,10 @@
             self.endpoints.append(endpoint)
             await endpoint.start()
         ready = await asyncio.gather(*(each.wait_ready() for each in self.daemons))
-        if not all(ready):
-            raise RuntimeError("a daemon is not ready")
+        for daemon, is_ready in zip(self.daemons, ready):
+            if not is_ready:
+                reason = daemon.log_text()[-500:]
+                raise RuntimeError(f"{daemon.name} is not ready: {reason}")
         await asyncio.sleep(2.5)
 
     async def stop(self, keep=False):
