Give the cases the descriptors of their machines, and end what they start

Cause: a lower limit of descriptors would end the cases early, and a script ended by SIGTERM left its daemons. Change: a limit of 4,100; all processes are killed on SIGTERM.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -19,8 +20,9 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PLACEHOLDER_SERVICE = "slot-desk"
 HOST = "ficu95.example"
+MAX_FDS = 4_100
+STARTED = []
 BOUNDS = {
     "drain_ms": 6000,
     "floor_percent": 70,
@@ -286,6 +288,7 @@
             cwd=ROOT, env=environment, stdout=log, stderr=log,
         )
         log.close()
+        STARTED.append(self.process)
         self.fleet.record.add(f"daemon {self.name} started, pid {self.process.pid}")
 
     async def wait_ready(self, timeout_s=20):
@@ -540,6 +543,14 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _end_all(*_):
+    """End all processes that were started, and this one."""
+    for process in STARTED:
+        if process.returncode is None:
+            process.kill()
+    os._exit(2)
+
+
 def main(case, folder, limit_s=115):
     """Run a case and exit with 1 if it saw its rule broken, 0 if not, 2 if it failed.
 
@@ -547,9 +558,17 @@
         held.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
+    # The machines of the site files have so many descriptors; daemons inherit the limit.
+    _, highest = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if highest != resource.RLIM_INFINITY and highest < MAX_FDS:
+        print(f"exit 2: a process may open {highest} descriptors, {MAX_FDS} are needed")
+        sys.exit(2)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, highest))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble: {trouble}")
 
+    signal.signal(signal.SIGTERM, _end_all)
+
     async def limited():
         async with asyncio.timeout(limit_s):
             return await case(record, trouble)
