--- a/review/common-2/held.py
+++ b/review/common-2/held.py
@@ -110,6 +110,7 @@
         while time.monotonic() < until_s:
             number += 1
             identity = f"ordinary-{daemon.name[-1]}-{number}"
+            self.record.add(f"{identity} sent")
             answer = await harness.call(
                 daemon.caller, "POST", f"/pufi791/{identity}",
                 [("X-Attempt-Id", identity), ("X-Deadline-Ms", "2500")], b"hold", timeout_s=2.5,
