Add tests of clients that exhaust memory

The existing crowds hold bodies, incomplete header sections and unread responses. None sends requests ahead, long header sections, or bodies to the daemon's own path, and none mixes them.

The stand-in for a target accepts more than 128 header fields, since daemons accept them.

--- a/tests/features/stalled_uploads.feature
+++ b/tests/features/stalled_uploads.feature
@@ -33,6 +33,15 @@
     When a caller of d1 asks for a response of 16000000 bytes and does not read it
     Then an ordinary request to d1 is answered although the caller stays connected
 
+  Scenario: A caller that asks for another protocol is disconnected as well
+    When a caller of d1 sends a request with "Upgrade: websocket" that takes 7000 ms
+    And it then asks for a response of 16000000 bytes on its connection and does not read it
+    Then an ordinary request to d1 is answered although the caller stays connected
+
+  Scenario: A caller that goes on sending but does not read its response is disconnected
+    When a caller of d1 asks for a response of 16000000 bytes, does not read it and goes on sending
+    Then an ordinary request to d1 is answered although the caller stays connected
+
   Scenario: Chunks of 16 bytes arrive as they were sent
     When a caller of d1 sends 200000 bytes in chunks of 16 bytes
     Then the target has got exactly these bytes
--- a/tests/features/steps/stalled_uploads_steps.py
+++ b/tests/features/steps/stalled_uploads_steps.py
@@ -1,7 +1,9 @@
+import contextlib
 import hashlib
 import json
 import random
 import socket
+import threading
 import time
 
 from behave import given, then, when
@@ -16,6 +18,8 @@
 #: The limit of 1 s, the interval of the checks (5 s) and a busy machine.
 SLOT_TIMEOUT_S = 25
 SEED = 55
+#: Shorter than the limit after which transfers are given up.
+SEND_INTERVAL_S = 0.3
 
 
 @given("{count:d} daemons that give up transfers after {stall_ms:d} ms")
@@ -107,6 +111,47 @@
     send_head(connection, [], "GET", f"/proof-vault/download/{size}")
 
 
+@when(
+    'a caller of {daemon} sends a request with "{field}" that takes {latency_ms:d} ms'
+)
+def step_send_slow(context, daemon, field, latency_ms):
+    target = context.fleet.targets["p1"]
+    target.faults(latency_ms=latency_ms)
+    context.connection = connect(context, daemon, receive_buffer=4096)
+    send_head(context.connection, [field], "GET")
+    wait_until(target.ledger, "the target runs the call")
+    target.faults(latency_ms=1)
+
+
+@when(
+    "it then asks for a response of {size:d} bytes on its connection and does not "
+    "read it"
+)
+def step_ask_again(context, size):
+    assert read_response(context.connection)[0] == 200
+    send_head(context.connection, [], "GET", f"/proof-vault/download/{size}")
+
+
+@when(
+    "a caller of {daemon} asks for a response of {size:d} bytes, does not read it and "
+    "goes on sending"
+)
+def step_ask_and_send(context, daemon, size):
+    connection = connect(context, daemon, receive_buffer=4096)
+    send_head(connection, [], "GET", f"/proof-vault/download/{size}")
+    stopped = threading.Event()
+
+    def send_bytes():
+        with contextlib.suppress(OSError):
+            while not stopped.wait(SEND_INTERVAL_S):
+                connection.sendall(b"G")
+
+    sender = threading.Thread(target=send_bytes, daemon=True)
+    sender.start()
+    context.fleet.cleanups.callback(sender.join)
+    context.fleet.cleanups.callback(stopped.set)
+
+
 @when("a caller of {daemon} sends {size:d} bytes in chunks of {chunk_bytes:d} bytes")
 def step_send_small_chunks(context, daemon, size, chunk_bytes):
     rng = random.Random(SEED)
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -11,6 +11,9 @@
 
 __all__ = ["port_parser", "serve", "target_parser"]
 
+#: More than a header section within the limits of daemons has.
+MAX_HEADERS = 8192
+
 
 def port_parser(description: str) -> argparse.ArgumentParser:
     """Return the command line parser of a stand-in that takes only a port."""
@@ -46,4 +49,5 @@
         port=port,
         print=lambda _: None,
         handler_cancellation=handler_cancellation,
+        max_headers=MAX_HEADERS,
     )
