Give the connections of callers one account of their memory

What is held for a connection was kept in three places: a flag, a number and a reservation. ConnectionMemory holds all of it by purpose, so that further purposes need no further fields. The connection moves from webserver.py to a module of its own. No change of behaviour is intended.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -48,7 +48,6 @@
     FREE_BYTES,
     MEMORY_RETRY_AFTER_MS,
     Purpose,
-    Reservation,
 )
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import is_key
@@ -439,12 +438,7 @@
             if int(length) <= FREE_BYTES:
                 return True
             purpose, size_bytes = Purpose.BODIES, BODY_COPIES * int(length)
-        reservation = Reservation.try_reserve(self._memory, purpose, size_bytes)
-        protocol = request.stream.protocol
-        protocol.reservation = reservation
-        if protocol.has_accounted_buffers:
-            protocol.account_buffers()
-        return reservation is not None
+        return request.stream.protocol.hold_body(purpose, size_bytes)
 
     async def _request_body(
         self, request: Request, request_id: str, deadline: Deadline
--- /dev/null
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -0,0 +1,261 @@
+"""Caller connection.
+
+Limits the time, the memory and the number of the connections of callers.
+"""
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from sanic.http import Stage
+from sanic.server.protocols.http_protocol import HttpProtocol
+
+from laburnumscale.deadlines import Deadline
+from laburnumscale.logs import get_logger
+from laburnumscale.memory import (
+    CONNECTION_BYTES,
+    FREE_BYTES,
+    ConnectionMemory,
+    Purpose,
+)
+
+__all__ = ["CallerConnection"]
+
+#: A connection that waits so long for its next request may be closed if there are too
+#: many. Callers use a connection again within 15 s, or not at all.
+EVICTABLE_IDLE_S = 16
+#: As above, for a connection whose header section is incomplete.
+EVICTABLE_HEADER_S = 4
+#: Connections that are closed at once to make room for new ones.
+MAX_EVICTED_CONNECTIONS = 32
+#: A flood of connections or data does not cause more scans of all connections.
+SCAN_INTERVAL_S = 0.2
+#: Time to read the rest of a body after its request was answered, so that the caller
+#: gets the response before the connection is closed.
+DISCARD_TIMEOUT_S = 5
+#: Time after the opening of a connection in which its caller sends the first request.
+FIRST_REQUEST_TIMEOUT_MS = 500
+
+
+class CallerConnection(HttpProtocol):
+    """A connection with a limit on the time to receive the complete header section.
+
+    The number of connections is limited as well. If the application has a memory
+    budget, it covers the connections and what their buffers hold.
+
+    :ivar memory: what is held for the connection.
+    :ivar discards_since_s: since when the rest of a body is read whose request was
+        answered; 0 if none is.
+    """
+
+    __slots__ = (
+        "_first_request_due",
+        "_unsent_bytes",
+        "_unsent_since_s",
+        "discards_since_s",
+        "memory",
+    )
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self._first_request_due: Deadline | None = None
+        self.memory = ConnectionMemory(self.app.ctx.memory)
+        self.discards_since_s = 0.0
+        self._unsent_bytes = 0
+        self._unsent_since_s = 0.0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Accept a connection unless there are too many."""
+        if not self._has_room_for_connection():
+            transport.abort()
+            return
+        super().connection_made(transport)
+        self._first_request_due = Deadline.after_ms(FIRST_REQUEST_TIMEOUT_MS)
+
+    def _has_room_for_connection(self) -> bool:
+        limit = self.app.ctx.max_connections
+        if len(self.connections) >= limit:
+            self._evict_waiting()
+        if len(self.connections) >= limit:
+            return False
+        return self.memory.hold(Purpose.CONNECTIONS, CONNECTION_BYTES)
+
+    def _evict_waiting(self) -> None:
+        """Close the connections that have waited longest for their callers.
+
+        Those with a request in progress are kept.
+        """
+        if not self._may_scan():
+            return
+        candidates = [each for each in self.connections if each.is_evictable()]
+        candidates.sort(key=lambda each: each.waits_since_s)
+        for connection in candidates[:MAX_EVICTED_CONNECTIONS]:
+            connection.drop("too many connections")
+
+    def _may_scan(self) -> bool:
+        """Return whether all connections may be looked at again, and record it."""
+        context = self.app.ctx
+        now_s = time.monotonic()
+        if now_s - context.scanned_at_s < SCAN_INTERVAL_S:
+            return False
+        context.scanned_at_s = now_s
+        return True
+
+    @property
+    def waits_since_s(self) -> float:
+        """Return since when the connection waits for its caller."""
+        return self._time
+
+    def is_evictable(self) -> bool:
+        """Return whether the caller has kept the connection waiting for too long."""
+        if self.http is None or self.transport is None:
+            return False
+        waited_s = time.monotonic() - self._time
+        if self.http.stage is Stage.IDLE:
+            return waited_s > EVICTABLE_IDLE_S
+        return self.http.stage is Stage.REQUEST and waited_s > EVICTABLE_HEADER_S
+
+    def drop(self, reason: str) -> None:
+        """Close the connection at once, and release what is held for it."""
+        get_logger().info("connection of a caller closed", reason=reason)
+        transport = self.transport
+        self.connections.discard(self)
+        self.memory.release_all()
+        if transport is not None:
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Clean up after a connection unless it was rejected."""
+        self.memory.release_all()
+        if self.conn_info is not None:
+            super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes.
+
+        They restart the timeout while a body is received, but not while the header
+        section is received.
+        """
+        if self.transport is None:
+            return
+        self._first_request_due = None
+        in_header_section = self.http is not None and self.http.stage is Stage.REQUEST
+        header_started_at_s = self._time
+        super().data_received(data)
+        if in_header_section:
+            self._time = header_started_at_s
+        if len(self.recv_buffer) > FREE_BYTES:
+            self.account_buffers()
+
+    def receive_more(self) -> Coroutine[Any, Any, None]:
+        """Wait for more bytes, after those in the buffer were used."""
+        if self.has_accounted_buffers:
+            self.account_buffers()
+        return super().receive_more()
+
+    def send(self, data: bytes) -> Coroutine[Any, Any, None]:
+        """Send a part of a response once there is room in the write buffer."""
+        if len(data) > FREE_BYTES:
+            return self._send_accounted(data)
+        return super().send(data)
+
+    async def _send_accounted(self, data: bytes) -> None:
+        await super().send(data)
+        self.account_buffers()
+
+    def hold_body(self, purpose: Purpose, size_bytes: int) -> bool:
+        """Hold memory for the body of the request in progress, until its end.
+
+        :param purpose: uploads or bodies.
+        :returns: whether there was room.
+        """
+        has_room = self.memory.hold(purpose, size_bytes)
+        if self.has_accounted_buffers:
+            self.account_buffers()
+        return has_room
+
+    def release_body(self) -> None:
+        """Give back what is held for the body of a request."""
+        self.memory.release(Purpose.UPLOADS, Purpose.BODIES)
+
+    def account_buffers(self) -> None:
+        """Adjust what is reserved for the buffers; close the connection without room.
+
+        What a transfer holds is reserved by the call that makes it.
+        """
+        if self.transport is None or not self.memory.held_for(Purpose.CONNECTIONS):
+            return
+        held_bytes = 0
+        if not self.memory.held_for(Purpose.UPLOADS):
+            held_bytes = len(self.recv_buffer) + self.transport.get_write_buffer_size()
+        if held_bytes <= FREE_BYTES:
+            held_bytes = 0
+        if not self._hold_buffers(held_bytes):
+            self.drop("no memory")
+
+    def _hold_buffers(self, size_bytes: int) -> bool:
+        """Hold memory for the buffers, if need be after those of others are checked.
+
+        Buffers that the callers have emptied since are still reserved.
+        """
+        if self.memory.hold(Purpose.PARSERS, size_bytes):
+            return True
+        if not self._may_scan():
+            return False
+        for connection in tuple(self.connections):
+            if connection.has_accounted_buffers and connection is not self:
+                connection.account_buffers()
+        return self.memory.hold(Purpose.PARSERS, size_bytes)
+
+    @property
+    def has_accounted_buffers(self) -> bool:
+        """Return whether memory is reserved for the buffers."""
+        return self.memory.held_for(Purpose.PARSERS) > 0
+
+    def check_timeouts(self) -> None:
+        """Close the connection if it has waited for its caller for too long."""
+        if self.transport is not None and self._task is not None:
+            if self.has_accounted_buffers:
+                self.account_buffers()
+            if self._has_stalled():
+                self.drop("stalled")
+                return
+        super().check_timeouts()
+
+    def _has_stalled(self) -> bool:
+        """Return whether the caller takes no bytes, or still sends an answered body."""
+        if self.transport is None:
+            return False
+        now_s = time.monotonic()
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes or not unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._unsent_since_s = now_s
+        stalled_s = now_s - max(self._unsent_since_s, self._time)
+        if unsent_bytes and stalled_s > self.app.ctx.stall_s:
+            return True
+        is_discarding = self.discards_since_s and self.http and self.http.request_body
+        return bool(is_discarding) and (
+            now_s - self.discards_since_s > DISCARD_TIMEOUT_S
+        )
+
+    def has_unsent_data(self) -> bool:
+        """Return whether a part of a response is still to be sent."""
+        return self.transport is not None and (
+            self.transport.get_write_buffer_size() > 0
+        )
+
+    def awaits_first_request(self) -> bool:
+        """Return whether the connection is new and has received nothing yet."""
+        due = self._first_request_due
+        return due is not None and not due.has_passed()
+
+    def close_if_idle(self) -> bool:
+        """Close the connection unless it has received a part of a request or is new.
+
+        :returns: whether the connection was closed.
+        """
+        if self.recv_buffer or self.awaits_first_request():
+            return False
+        return super().close_if_idle()
--- a/packages/laburnumscale/src/laburnumscale/memory/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/__init__.py
@@ -4,7 +4,8 @@
 package may import ``deadlines`` and ``metrics``, and nothing that opens a connection.
 """
 
-from laburnumscale.memory.budget import MemoryBudget, Purpose, Reservation
+from laburnumscale.memory.budget import MemoryBudget, Purpose
+from laburnumscale.memory.connections import ConnectionMemory
 from laburnumscale.memory.costs import (
     BODY_COPIES,
     CONNECTION_BYTES,
@@ -28,9 +29,9 @@
     "GUARD_UPLOAD_BYTES",
     "MEMORY_RETRY_AFTER_MS",
     "OBJECT_BYTES",
+    "ConnectionMemory",
     "MemoryBudget",
     "Purpose",
-    "Reservation",
     "TargetResponseRoom",
     "connection_limit",
     "hold_response_memory",
--- a/packages/laburnumscale/src/laburnumscale/memory/budget.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/budget.py
@@ -10,7 +10,7 @@
 from laburnumscale.deadlines import Deadline
 from laburnumscale.metrics import Metrics
 
-__all__ = ["MemoryBudget", "Purpose", "Reservation"]
+__all__ = ["MemoryBudget", "Purpose"]
 
 #: The rest of the memory that the process does not need for itself is for
 #: fragmentation and for growing control state. With the budget in full use, processes
@@ -167,27 +167,3 @@
             return max_connections
         share = int(self.size_bytes * CONNECTIONS_SHARE / connection_bytes)
         return max(1, min(max_connections, share))
-
-
-class Reservation:
-    """Memory that is held until it is released, which may be done more than once."""
-
-    def __init__(self, budget: MemoryBudget, purpose: Purpose, size_bytes: int) -> None:
-        self.purpose = purpose
-        self._budget = budget
-        self._size_bytes = size_bytes
-
-    @classmethod
-    def try_reserve(
-        cls, budget: MemoryBudget, purpose: Purpose, size_bytes: int
-    ) -> "Reservation | None":
-        """Reserve memory; return None if there is no room."""
-        if not budget.reserve(purpose, size_bytes):
-            return None
-        return cls(budget, purpose, size_bytes)
-
-    def release(self) -> None:
-        """Give the memory back."""
-        if self._size_bytes:
-            self._budget.release(self.purpose, self._size_bytes)
-            self._size_bytes = 0
