Answer requests for operation keys without reading their body

Callers that sent bodies to the path for operation keys brought daemons over their memory: 100 clients of each of three daemons with 1 MB each took 152 MB of 120, with chunks of 16 bytes 206 MB.

Cause: Sanic handled the path, and collects the body before the handler of a route runs, with neither a reservation nor a deadline. It also keeps the Host fields of up to 1,024 requests in the cache of its router.

Such a request needs no body. Nothing on the callers' address is routed by Sanic.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -78,9 +78,12 @@
 OUT_OF_MEMORY = NotRun(
     peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, retry_after_ms=MEMORY_RETRY_AFTER_MS
 )
+STATUS_NOT_FOUND = 404
+STATUS_METHOD_NOT_ALLOWED = 405
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_CONTENT_TOO_LARGE = 413
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
+INTERNAL_PATH_PREFIX = b"/_laburnumscale/"
 OPERATION_KEYS_PATH = "/_laburnumscale/v1/operation-keys"
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 MAX_KEYS_PER_REQUEST = 1000
@@ -140,13 +143,9 @@
         async def handle(request: Request) -> HTTPResponse | None:
             return await self._check_and_handle(request, body_limit_bytes)
 
-        async def mint(request: Request) -> HTTPResponse:
-            return await self.mint_keys(request)
-
         name = f"{self._members.own.daemon}-callers"
         app = new_app(name, handle, self._memory, self.stall_ms)
         app.ctx.error_response = self._error_response
-        app.add_route(mint, OPERATION_KEYS_PATH, methods=["POST"], name="keys")
         return app
 
     async def _check_and_handle(
@@ -158,6 +157,8 @@
         self._in_flight += 1
         try:
             check_request(request, body_limit_bytes)
+            if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
+                return self._handle_internal(request)
             return await self.handle(request)
         except BodyStalled as error:
             return self._refuse(request, error, STATUS_REQUEST_TIMEOUT)
@@ -271,7 +272,17 @@
             return self._problem_response(FAILED_IN_RUN, request_id)
         return self._problem_response(BAD_REQUEST, request_id, detail, status)
 
-    async def mint_keys(self, request: Request) -> HTTPResponse:
+    def _handle_internal(self, request: Request) -> HTTPResponse:
+        """Answer a request to a path of the daemon itself, without reading its body."""
+        if request.path != OPERATION_KEYS_PATH:
+            status, detail = STATUS_NOT_FOUND, f"{request.path} does not exist"
+        elif request.method != "POST":
+            status, detail = STATUS_METHOD_NOT_ALLOWED, "the method must be POST"
+        else:
+            return self.mint_keys(request)
+        return self._error_response(request, status, detail)
+
+    def mint_keys(self, request: Request) -> HTTPResponse:
         """Return as many new operation keys as the request asks for."""
         count = request.args.get("count", "1")
         if not is_number(count) or not 1 <= int(count) <= MAX_KEYS_PER_REQUEST:
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -45,7 +45,6 @@
 MIN_CLOSE_POLLS = 3
 KEEP_ALIVE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 1024
-INTERNAL_PATH_PREFIX = b"/_laburnumscale/"
 RESPONSE_TIMEOUT_S = 3600
 #: Method of the placeholder that Sanic creates for a request that it cannot parse.
 INVALID_REQUEST_METHOD = "NONE"
@@ -99,16 +98,14 @@
 
 
 class CallerApp(App):
-    """An application that passes requests to ``ctx.call_handler`` without routing them.
+    """An application that passes all requests to ``ctx.call_handler`` without routing.
 
-    Only requests to the paths below ``INTERNAL_PATH_PREFIX`` are routed.
+    The handler decides whether and how the body of a request is received. Sanic would
+    collect it in memory before the handler of a route runs.
     """
 
     async def handle_request(self, request: Request) -> None:
         """Handle one request."""
-        if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
-            await super().handle_request(request)
-            return
         connection = request.stream.protocol
         connection.discards_since_s = 0.0
         try:
@@ -133,8 +130,7 @@
     """Return an application that writes no logs of its own.
 
     :param name: name of the application, unique in the process.
-    :param call_handler: handles all requests except those to the fleet's internal
-        paths; if None, all requests are routed.
+    :param call_handler: handles all requests; if None, requests are routed.
     :param memory: covers the connections and their buffers; None for no limit.
     :param stall_ms: time without progress after which a response is given up.
     """
@@ -163,6 +159,9 @@
     app.config.REQUEST_TIMEOUT = HEADER_TIMEOUT_S
     app.config.RESPONSE_TIMEOUT = RESPONSE_TIMEOUT_S
     app.config.TOUCHUP = False  # rewrites shared code, once per application
+    if call_handler is not None:
+        # Sanic starts no application without a route.
+        app.add_route(call_handler, "/", name="all")
     for logger_name in ("sanic.root", "sanic.error", "sanic.server", "sanic.access"):
         logging.getLogger(logger_name).setLevel(logging.CRITICAL)
     return app
