Free the replies of an attempt when it ends

Daemons held the answers of many ended calls. 200 clients of each daemon that sent requests ahead, with answers of 64 KiB, brought one to 196 MB, although its budget held 18 MB (a trial).

Cause: the reader of the replies is cancelled once the answer has arrived. The traceback of its CancelledError refers to the last reply and to the reader, and the reader to its task, so that the answer was freed by a garbage collection only. A trace showed 248 answers in such cycles. The same holds for runs of attempts that are cancelled, and for a refusal that a generator yields within the handler of its exception.

The reader and the run give up their tasks when these end, and the refusal is yielded after the handler.

--- a/packages/laburnumscale/src/laburnumscale/attemptcopies.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptcopies.py
@@ -55,6 +55,7 @@
         self._on_reply = on_reply
         self._queue: asyncio.Queue[peer_pb2.CallReply | None]
         self._queue = asyncio.Queue(MAX_QUEUED_REPLIES)
+        self._task: asyncio.Task | None
         self._task = asyncio.create_task(self._read_replies(replies))
 
     def has_reply(self) -> bool:
@@ -72,12 +73,19 @@
 
     def cancel(self) -> None:
         """Begin to end the stream of the replies."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     async def close(self) -> None:
-        """End the stream of the replies."""
-        self._task.cancel()
-        await asyncio.wait({self._task})
+        """End the stream of the replies.
+
+        A task that was cancelled refers by its traceback to the last reply, and to this
+        object. Without the task they are freed now, not by a garbage collection.
+        """
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+            await asyncio.wait({task})
 
     async def _read_replies(self, replies: ReplyStream) -> None:
         try:
--- a/packages/laburnumscale/src/laburnumscale/attemptruns.py
+++ b/packages/laburnumscale/src/laburnumscale/attemptruns.py
@@ -60,6 +60,7 @@
         self._positions: dict[int, int] = {}
         self._stream_count = 0
         self._waiters: list[asyncio.Future] = []
+        self._task: asyncio.Task | None
         self._task = asyncio.create_task(self._collect(replies))
         # A task that is cancelled before its first step runs none of its code.
         self._task.add_done_callback(self._handle_end)
@@ -71,11 +72,15 @@
 
     def on_end(self, listener: Callable[["AttemptRun"], None]) -> None:
         """Register a function that is called when the run has ended."""
-        self._task.add_done_callback(lambda _: listener(self))
+        if self._task is None:
+            asyncio.get_running_loop().call_soon(listener, self)
+        else:
+            self._task.add_done_callback(lambda _: listener(self))
 
     def cancel(self) -> None:
         """End the run and its streams."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     async def stream(self) -> ReplyStream:
         """Yield the replies of the run from the first one on."""
@@ -119,6 +124,9 @@
             get_logger().error("running an attempt failed", reason=repr(error))
 
     def _handle_end(self, _: asyncio.Task) -> None:
+        # A task that was cancelled refers to this object by its traceback. Without the
+        # task, the replies are freed with the last reference to the run.
+        self._task = None
         self._has_ended = True
         self._notify()
 
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -285,12 +285,15 @@
                     async with aclosing(reply_stream) as replies:
                         async for reply in replies:
                             yield reply
+            return
         except AttemptRefused as refusal:
             if isinstance(refusal, QueueRefused):
                 self._record_queue_refusal(head, refusal)
-            yield self._with_load_report(head, refusal.reply)
+            refusal_reply = self._with_load_report(head, refusal.reply)
         except WorkCutOff:
-            yield _cut_off_reply(attempt)
+            refusal_reply = _cut_off_reply(attempt)
+        # Out of the handler, as the traceback would keep the call if the stream ends.
+        yield refusal_reply
 
     def _hold_body_memory(
         self, body: bytes | AsyncIterator[bytes]
