Give large blocks back to the system when they are freed

A daemon kept the memory of a burst of answers: glibc raises the size from which it maps blocks on their own with each such block that is freed, up to 32 MiB, and the blocks in its heap stay there behind small objects.

--- a/packages/laburnumscale/src/laburnumscale/memory/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/__init__.py
@@ -18,6 +18,7 @@
 from laburnumscale.memory.process import (
     connection_limit,
     resident_bytes,
+    return_freed_blocks,
 )
 from laburnumscale.memory.responses import TargetResponseRoom, hold_response_memory
 
@@ -36,4 +37,5 @@
     "connection_limit",
     "hold_response_memory",
     "resident_bytes",
+    "return_freed_blocks",
 ]
--- a/packages/laburnumscaled/src/laburnumscaled/cli.py
+++ b/packages/laburnumscaled/src/laburnumscaled/cli.py
@@ -13,6 +13,7 @@
 from laburnumscale.daemonsettings import DaemonSettings, read_daemon_settings
 from laburnumscale.errors import AddressInUse, LaburnumscaleError, PlatformUnknown
 from laburnumscale.logs import configure_logs
+from laburnumscale.memory import return_freed_blocks
 
 __all__ = ["main"]
 
@@ -54,6 +55,7 @@
     unknown.
     """
     options = _build_parser().parse_args()
+    return_freed_blocks()
     try:
         settings = read_daemon_settings(options.settings)
     except LaburnumscaleError as error:
