Serve bodies in chunks with trailer fields

A request in chunks with trailer fields got 504 and was not run, and one with "Transfer-Encoding: Chunked" got 400.

Cause: Sanic refuses trailer sections, since it would read them as the next request, and compares the coding letter by letter. RFC 9112 allows both.

RequestParser reads the trailer section, up to 16 KiB, checks its fields and discards them, which RFC 9110 (6.5.1) allows. What is malformed still ends the connection, so that no rest of it is read as a request. The name of the coding is compared in lower case.

--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -19,6 +19,7 @@
     ConnectionMemory,
     Purpose,
 )
+from laburnumscale.requestparser import RequestParser
 
 __all__ = ["CallerConnection"]
 
@@ -49,6 +50,7 @@
         answered; 0 if none is.
     """
 
+    HTTP_CLASS = RequestParser
     __slots__ = (
         "_first_request_due",
         "_unsent_bytes",
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -75,6 +75,9 @@
     def __init__(self, url_bytes: bytes, headers, version, method, *args, **kwargs):
         if method == INVALID_REQUEST_METHOD:
             url_bytes = b"*"
+        coding = headers.get("transfer-encoding")
+        if coding is not None:  # Sanic compares it with "chunked"
+            headers["transfer-encoding"] = coding.strip().lower()
         super().__init__(url_bytes, headers, version, method, *args, **kwargs)
 
     async def respond(self, *args, **kwargs) -> BaseHTTPResponse:
