Keep the timeouts of connections that ask for another protocol

A caller that sent "Upgrade: websocket" kept its connection, and the slot of a target, for as long as it liked.

Cause: Sanic checks the timeouts of such a connection no more once it has checked them while a request is handled. Daemons change to no other protocol, so the field has no effect now.

The scenario failed before: still connected after 25 s.

--- a/packages/laburnumscale/src/laburnumscale/requestparser.py
+++ b/packages/laburnumscale/src/laburnumscale/requestparser.py
@@ -25,6 +25,11 @@
 
     __slots__ = ()
 
+    async def http1_request_header(self) -> None:
+        """Read the next header section."""
+        await super().http1_request_header()
+        self.upgrade_websocket = False  # Sanic would drop the timeouts
+
     async def read(self) -> bytes | None:
         """Return the next bytes of a body, or None at its end.
 
