Disconnect callers that send but do not read

A caller that read nothing of a response was not disconnected after transfer_stall_ms if it sent a byte now and then.

Cause: what was received counted as progress of the response. Only what is sent counts now.

The scenario failed before: still connected after 25 s.

--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -234,7 +234,7 @@
         if unsent_bytes != self._unsent_bytes or not unsent_bytes:
             self._unsent_bytes = unsent_bytes
             self._unsent_since_s = now_s
-        stalled_s = now_s - max(self._unsent_since_s, self._time)
+        stalled_s = now_s - self._unsent_since_s
         if unsent_bytes and stalled_s > self.app.ctx.stall_s:
             return True
         is_discarding = self.discards_since_s and self.http and self.http.request_body
