Count the memory of parsed header sections

Clients that sent header sections of 16 KB with 1,600 short fields brought daemons of 120 MB to 184 MB while they held bodies, to 316 MB while their calls ran, and to 296 MB while their connections were idle after an answer (200 clients of each of three daemons).

Cause: the fields of such a section take some 0.4 MB as objects and as much again at the guard, and no budget counted them. Sanic keeps the last request of each connection in a context variable, for as long as that is open.

An entry holds memory for a header section while its call is in progress, a guard and the holder of an operation key for those that they get. What an ordinary section takes, about 20 fields, is covered by the share of its connection. Without room the call is refused before it runs: 503, out_of_memory. The section is freed once the request was handled.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -157,9 +157,7 @@
         self._in_flight += 1
         try:
             check_request(request, body_limit_bytes)
-            if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
-                return self._handle_internal(request)
-            return await self.handle(request)
+            return await self._handle_valid(request)
         except BodyStalled as error:
             return self._refuse(request, error, STATUS_REQUEST_TIMEOUT)
         except RequestInvalid as error:
@@ -179,6 +177,19 @@
             BAD_REQUEST, self._request_id(request), str(error), status
         )
 
+    async def _handle_valid(self, request: Request) -> HTTPResponse | None:
+        if not request.stream.protocol.hold_head(request):
+            return self._refuse_for_memory(request)
+        if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
+            return self._handle_internal(request)
+        return await self.handle(request)
+
+    def _refuse_for_memory(self, request: Request) -> HTTPResponse:
+        request_id = self._request_id(request)
+        self._call_log.log_refusal(request_id, OUT_OF_MEMORY, "header section")
+        self._record_call("", OUT_OF_MEMORY, time.monotonic())
+        return self._problem_response(OUT_OF_MEMORY, request_id)
+
     async def handle(self, request: Request) -> HTTPResponse | None:
         """Handle the request for one call.
 
--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -8,6 +8,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from sanic import Request
 from sanic.http import Stage
 from sanic.server.protocols.http_protocol import HttpProtocol
 
@@ -18,6 +19,7 @@
     FREE_BYTES,
     ConnectionMemory,
     Purpose,
+    entry_head_bytes,
 )
 from laburnumscale.requestparser import RequestParser
 
@@ -166,6 +168,14 @@
         await super().send(data)
         self.account_buffers()
 
+    def hold_head(self, request: Request) -> bool:
+        """Hold memory for a parsed header section, until its request was handled.
+
+        :returns: whether there was room.
+        """
+        size_bytes = entry_head_bytes(len(request.head), len(request.headers))
+        return self.memory.hold(Purpose.HEADS, size_bytes)
+
     def hold_body(self, purpose: Purpose, size_bytes: int) -> bool:
         """Hold memory for the body of the request in progress, until its end.
 
@@ -177,9 +187,9 @@
             self.account_buffers()
         return has_room
 
-    def release_body(self) -> None:
-        """Give back what is held for the body of a request."""
-        self.memory.release(Purpose.UPLOADS, Purpose.BODIES)
+    def release_request(self) -> None:
+        """Give back what is held for a request that was handled."""
+        self.memory.release(Purpose.HEADS, Purpose.UPLOADS, Purpose.BODIES)
 
     def account_buffers(self) -> None:
         """Adjust what is reserved for the buffers; close the connection without room.
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -57,6 +57,7 @@
     MemoryBudget,
     Purpose,
     TargetResponseRoom,
+    guard_head_bytes,
 )
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import is_response_status
@@ -268,6 +269,7 @@
                 id_header=id_header,
             )
             with (
+                self._hold_head_memory(head),
                 self._hold_body_memory(body),
                 self._hold_limited_call(target, attempt),
                 self._health.admit_attempt(target, settings, head),
@@ -295,6 +297,15 @@
         # Out of the handler, as the traceback would keep the call if the stream ends.
         yield refusal_reply
 
+    def _hold_head_memory(
+        self, head: peer_pb2.CallHead
+    ) -> AbstractContextManager[None]:
+        """Hold memory for the header section of an attempt, unless it is short."""
+        size_bytes = guard_head_bytes(head.ByteSize(), len(head.headers))
+        if not size_bytes:
+            return NOTHING_HELD
+        return self._hold_memory(Purpose.HEADS, size_bytes)
+
     def _hold_body_memory(
         self, body: bytes | AsyncIterator[bytes]
     ) -> AbstractContextManager[None]:
--- a/packages/laburnumscale/src/laburnumscale/keyedcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/keyedcalls.py
@@ -26,6 +26,7 @@
     MEMORY_RETRY_AFTER_MS,
     MemoryBudget,
     Purpose,
+    guard_head_bytes,
 )
 from laburnumscale.metrics import Metrics
 from laburnumscale.operationkeys import KeyInvalid, OperationKey, parse_key
@@ -355,15 +356,16 @@
                 )
             if head.service not in self._feed.tree.services():
                 return not_run_reply(peer_pb2.NOT_RUN_REASON_NO_SUCH_SERVICE)
-        body_bytes = BODY_COPIES * len(message.body)
-        if not self.memory.reserve(Purpose.BODIES, body_bytes):
+        size_bytes = BODY_COPIES * len(message.body)
+        size_bytes += guard_head_bytes(head.ByteSize(), len(head.headers))
+        if not self.memory.reserve(Purpose.BODIES, size_bytes):
             return not_run_reply(
                 peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS
             )
         try:
             return await self._run_call(message)
         finally:
-            self.memory.release(Purpose.BODIES, body_bytes)
+            self.memory.release(Purpose.BODIES, size_bytes)
 
     async def _run_call(self, message: peer_pb2.KeyedCall) -> peer_pb2.CallReply:
         head = message.head
--- a/packages/laburnumscale/src/laburnumscale/memory/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/__init__.py
@@ -14,6 +14,8 @@
     GUARD_UPLOAD_BYTES,
     MEMORY_RETRY_AFTER_MS,
     OBJECT_BYTES,
+    entry_head_bytes,
+    guard_head_bytes,
 )
 from laburnumscale.memory.process import (
     connection_limit,
@@ -35,6 +37,8 @@
     "Purpose",
     "TargetResponseRoom",
     "connection_limit",
+    "entry_head_bytes",
+    "guard_head_bytes",
     "hold_response_memory",
     "resident_bytes",
     "return_freed_blocks",
--- a/packages/laburnumscale/src/laburnumscale/memory/budget.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/budget.py
@@ -31,6 +31,7 @@
     STREAMS = "streams"
     PARSERS = "parsers"
     BODIES = "bodies"
+    HEADS = "heads"
     CONNECTIONS = "connections"
 
 
@@ -47,6 +48,7 @@
     Purpose.STREAMS: 0.85,
     Purpose.PARSERS: 0.9,
     Purpose.BODIES: 1.0,
+    Purpose.HEADS: 1.0,
     Purpose.CONNECTIONS: 1.0,
 }
 #: Share of the budget that open connections may take.
--- a/packages/laburnumscale/src/laburnumscale/memory/costs.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/costs.py
@@ -15,6 +15,8 @@
     "MEMORY_RETRY_AFTER_MS",
     "OBJECT_BYTES",
     "WAITING_RESPONSE_BYTES",
+    "entry_head_bytes",
+    "guard_head_bytes",
 ]
 
 KIB = 1024
@@ -26,6 +28,17 @@
 #: The objects of an open connection (protocol, task and parser, about 12 KiB) and the
 #: copies of a small body.
 CONNECTION_BYTES = 24 * KIB
+#: Up to this size, what is kept of a header section is covered by the share of its
+#: connection: about 20 fields in 1 KiB.
+FREE_HEAD_BYTES = 12 * KIB
+#: A header section exists as received, decoded, in a message, and serialized.
+HEAD_COPIES = 4
+#: Objects for one header field at the entry: its name, its value, their pair and their
+#: place in a multidict, and the field of the message to the guard.
+ENTRY_FIELD_BYTES = 420
+#: The same at the guard: the field of the message, and those of the request to the
+#: target.
+GUARD_FIELD_BYTES = 420
 #: Python objects around a part of a body or a message: the bytes object, its place in a
 #: container and the message that holds it.
 OBJECT_BYTES = 256
@@ -45,3 +58,23 @@
 #: The read buffer of the connection to the target, and the replies that are kept for
 #: streams that attach later or fall behind.
 GUARD_RESPONSE_BYTES = 896 * KIB
+
+
+def entry_head_bytes(size_bytes: int, field_count: int) -> int:
+    """Return what an entry keeps of a header section while its call is in progress.
+
+    :param size_bytes: size of the header section.
+    :param field_count: number of its fields.
+    :returns: 0 if the share of the connection covers it.
+    """
+    return _head_bytes(size_bytes, field_count, ENTRY_FIELD_BYTES)
+
+
+def guard_head_bytes(size_bytes: int, field_count: int) -> int:
+    """Return what a guard keeps of a header section, as :func:`entry_head_bytes`."""
+    return _head_bytes(size_bytes, field_count, GUARD_FIELD_BYTES)
+
+
+def _head_bytes(size_bytes: int, field_count: int, field_bytes: int) -> int:
+    kept_bytes = HEAD_COPIES * size_bytes + field_count * field_bytes
+    return kept_bytes if kept_bytes > FREE_HEAD_BYTES else 0
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from sanic import HTTPResponse, Request, Sanic
+from sanic.compat import Header
 from sanic.exceptions import SanicException
 from sanic.handlers import ErrorHandler
 from sanic.response import BaseHTTPResponse
@@ -119,11 +120,22 @@
         except Exception as error:
             await self.handle_exception(request, error)
         finally:
-            connection.release_body()
+            connection.release_request()
+            forget_request(request)
         if request.stream is not None and request.stream.request_body:
             connection.discards_since_s = time.monotonic()
 
 
+def forget_request(request: Request) -> None:
+    """Free the header section of a request that was handled.
+
+    Sanic refers to the request while it reads the rest of its body, and to the last
+    request of each connection for as long as that is open.
+    """
+    request.head = b""
+    request.headers = Header()
+
+
 def new_app(
     name: str,
     call_handler: Handler | None = None,
