Run no request before the answers to earlier ones are sent

Clients that sent requests ahead and read no answer brought daemons of 120 MB to 140 MB, and to 412 MB with long header sections (200 clients of each of three daemons). Their calls were run, one after the other, while an answer waited in the write buffer, another one behind it, and up to 310 KiB of further requests were kept.

Cause: an answer in one message was counted only once it was in the write buffer, and then by its unsent rest, although the whole of it is kept. uvloop reads up to 250 KiB at once, however little is wanted. What clients sent and what they did not read were counted as one, and without room for either the connection was closed, with an answer that was ready.

- RequestParser reads the next header section once the system has taken all answers before it.
- Behind a request in progress, a daemon stops reading after 8 KiB.
It reads 16 KiB at once, 64 KiB of streamed bodies.
- Received bytes and unsent answers are purposes of their own.
Without room for requests that were sent ahead these are dropped, not run, and the connection ends with the answer in progress.
- Without room for an answer, callers are disconnected that have taken nothing for longest, 2 s at least.

--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 from sanic import Request
@@ -23,7 +23,10 @@
 )
 from laburnumscale.requestparser import RequestParser
 
-__all__ = ["CallerConnection"]
+__all__ = ["UPLOAD_READ_BYTES", "CallerConnection", "relieve_memory"]
+
+#: What is read at once of a body that is streamed.
+UPLOAD_READ_BYTES = 64 * 1024
 
 #: A connection that waits so long for its next request may be closed if there are too
 #: many. Callers use a connection again within 15 s, or not at all.
@@ -37,6 +40,13 @@
 #: Time to read the rest of a body after its request was answered, so that the caller
 #: gets the response before the connection is closed.
 DISCARD_TIMEOUT_S = 5
+#: A caller that takes nothing of its response for so long may be disconnected if
+#: memory is missing for the responses of others.
+PRESSED_STALL_S = 2
+#: What is read at once, unless a body is streamed.
+READ_BYTES = 16 * 1024
+#: Callers that are disconnected at once for this reason.
+MAX_DISCONNECTED = 4
 #: Time after the opening of a connection in which its caller sends the first request.
 FIRST_REQUEST_TIMEOUT_MS = 500
 
@@ -55,6 +65,7 @@
     HTTP_CLASS = RequestParser
     __slots__ = (
         "_first_request_due",
+        "_part_bytes",
         "_unsent_bytes",
         "_unsent_since_s",
         "discards_since_s",
@@ -66,6 +77,7 @@
         self._first_request_due: Deadline | None = None
         self.memory = ConnectionMemory(self.app.ctx.memory)
         self.discards_since_s = 0.0
+        self._part_bytes = 0
         self._unsent_bytes = 0
         self._unsent_since_s = 0.0
 
@@ -75,6 +87,8 @@
             transport.abort()
             return
         super().connection_made(transport)
+        transport.set_write_buffer_limits(high=0)
+        transport.set_protocol(_BoundedReads(self))
         self._first_request_due = Deadline.after_ms(FIRST_REQUEST_TIMEOUT_MS)
 
     def _has_room_for_connection(self) -> bool:
@@ -134,12 +148,14 @@
         self.memory.release_all()
         if self.conn_info is not None:
             super().connection_lost(exc)
+            self.recv_buffer.clear()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Process received bytes.
 
         They restart the timeout while a body is received, but not while the header
-        section is received.
+        section is received. Behind a request in progress no more is read than one
+        small request takes.
         """
         if self.transport is None:
             return
@@ -150,6 +166,8 @@
         if in_header_section:
             self._time = header_started_at_s
         if len(self.recv_buffer) > FREE_BYTES:
+            if self.http and not self.http.request_body:
+                self.transport.pause_reading()
             self.account_buffers()
 
     def receive_more(self) -> Coroutine[Any, Any, None]:
@@ -166,8 +184,32 @@
 
     async def _send_accounted(self, data: bytes) -> None:
         await super().send(data)
+        self._part_bytes = len(data)
         self.account_buffers()
 
+    def pause_writing(self) -> None:
+        """Record that the caller does not take what is sent."""
+        self._unsent_since_s = time.monotonic()
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Send further parts, as the caller has taken the preceding ones."""
+        super().resume_writing()
+        if self.has_accounted_buffers:
+            self.account_buffers()
+
+    def has_sent_responses(self) -> bool:
+        """Return whether the system has taken all that was to be sent."""
+        return self._can_write.is_set()
+
+    async def wait_until_sent(self) -> None:
+        """Wait until the caller has taken the responses to its earlier requests.
+
+        The time to receive the next header section begins then.
+        """
+        await self._can_write.wait()
+        self._time = time.monotonic()
+
     def hold_head(self, request: Request) -> bool:
         """Hold memory for a parsed header section, until its request was handled.
 
@@ -192,64 +234,102 @@
         self.memory.release(Purpose.HEADS, Purpose.UPLOADS, Purpose.BODIES)
 
     def account_buffers(self) -> None:
-        """Adjust what is reserved for the buffers; close the connection without room.
+        """Adjust what is held for received and unsent bytes.
 
         What a transfer holds is reserved by the call that makes it.
         """
         if self.transport is None or not self.memory.held_for(Purpose.CONNECTIONS):
             return
-        held_bytes = 0
-        if not self.memory.held_for(Purpose.UPLOADS):
-            held_bytes = len(self.recv_buffer) + self.transport.get_write_buffer_size()
-        if held_bytes <= FREE_BYTES:
-            held_bytes = 0
-        if not self._hold_buffers(held_bytes):
+        if not self._hold_buffer(Purpose.RECEIVED, self._received_bytes()):
+            self._refuse_received()
+        if self.memory.held_for(Purpose.CONNECTIONS) and not self._hold_buffer(
+            Purpose.ANSWERS, self._kept_unsent_bytes()
+        ):
             self.drop("no memory")
 
-    def _hold_buffers(self, size_bytes: int) -> bool:
-        """Hold memory for the buffers, if need be after those of others are checked.
-
-        Buffers that the callers have emptied since are still reserved.
-        """
-        if self.memory.hold(Purpose.PARSERS, size_bytes):
+    def _kept_unsent_bytes(self) -> int:
+        """Return what is kept to be sent; a part is kept until all of it is sent."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        return max(unsent_bytes, self._part_bytes) if unsent_bytes else 0
+
+    def _received_bytes(self) -> int:
+        """Return how much was received beside what is held for a body."""
+        if self.memory.held_for(Purpose.UPLOADS):
+            return 0
+        size_bytes = len(self.recv_buffer)
+        if self.memory.held_for(Purpose.BODIES):
+            return max(0, size_bytes - self.http.request_bytes_left)
+        return size_bytes
+
+    def _hold_buffer(self, purpose: Purpose, size_bytes: int) -> bool:
+        """Hold memory for a buffer, if need be after others have given some back."""
+        held_bytes = size_bytes if size_bytes > FREE_BYTES else 0
+        if self.memory.hold(purpose, held_bytes):
             return True
-        if not self._may_scan():
+        if purpose is Purpose.RECEIVED and not self._may_scan():
             return False
-        for connection in tuple(self.connections):
-            if connection.has_accounted_buffers and connection is not self:
-                connection.account_buffers()
-        return self.memory.hold(Purpose.PARSERS, size_bytes)
+        relieve_memory(self.connections)
+        return self.memory.hold(purpose, held_bytes)
+
+    def _refuse_received(self) -> None:
+        """Do without received bytes for which there is no memory.
+
+        Requests that were sent ahead are not run: the connection ends with the response
+        in progress. Otherwise nothing of the connection has run, and it ends at once.
+        """
+        if not self.http or self.http.request_body:
+            self.drop("no memory")
+            return
+        self.recv_buffer.clear()
+        self.memory.release(Purpose.RECEIVED)
+        self.http.keep_alive = False
+        self.transport.pause_reading()
+
+    def release_emptied(self) -> None:
+        """Give back what is held for received and unsent bytes that are gone."""
+        if not self.has_accounted_buffers or self.transport is None:
+            return
+        for purpose, size_bytes in (
+            (Purpose.RECEIVED, self._received_bytes()),
+            (Purpose.ANSWERS, self._kept_unsent_bytes()),
+        ):
+            if size_bytes < self.memory.held_for(purpose):
+                self._hold_buffer(purpose, size_bytes)
 
     @property
     def has_accounted_buffers(self) -> bool:
-        """Return whether memory is reserved for the buffers."""
-        return self.memory.held_for(Purpose.PARSERS) > 0
+        """Return whether memory is held for the buffers."""
+        return bool(
+            self.memory.held_for(Purpose.RECEIVED)
+            or self.memory.held_for(Purpose.ANSWERS)
+        )
 
     def check_timeouts(self) -> None:
         """Close the connection if it has waited for its caller for too long."""
         if self.transport is not None and self._task is not None:
             if self.has_accounted_buffers:
                 self.account_buffers()
-            if self._has_stalled():
+            if self.unsent_for_s() > self.app.ctx.stall_s or self._discards_too_long():
                 self.drop("stalled")
                 return
         super().check_timeouts()
 
-    def _has_stalled(self) -> bool:
-        """Return whether the caller takes no bytes, or still sends an answered body."""
+    def unsent_for_s(self) -> float:
+        """Return for how long the caller has taken nothing of what is to be sent."""
         if self.transport is None:
-            return False
+            return 0.0
         now_s = time.monotonic()
         unsent_bytes = self.transport.get_write_buffer_size()
         if unsent_bytes != self._unsent_bytes or not unsent_bytes:
             self._unsent_bytes = unsent_bytes
             self._unsent_since_s = now_s
-        stalled_s = now_s - self._unsent_since_s
-        if unsent_bytes and stalled_s > self.app.ctx.stall_s:
-            return True
+        return now_s - self._unsent_since_s
+
+    def _discards_too_long(self) -> bool:
+        """Return whether the caller still sends a body whose request was answered."""
         is_discarding = self.discards_since_s and self.http and self.http.request_body
         return bool(is_discarding) and (
-            now_s - self.discards_since_s > DISCARD_TIMEOUT_S
+            time.monotonic() - self.discards_since_s > DISCARD_TIMEOUT_S
         )
 
     def has_unsent_data(self) -> bool:
@@ -271,3 +351,51 @@
         if self.recv_buffer or self.awaits_first_request():
             return False
         return super().close_if_idle()
+
+
+class _BoundedReads(asyncio.BufferedProtocol):
+    """Passes a connection what it receives in parts of bounded size.
+
+    For other protocols uvloop reads up to 250 KiB at once, however little of it is
+    wanted.
+    """
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self._connection = connection
+        self._small_buffer = connection.app.ctx.read_buffer[:READ_BYTES]
+        self._large_buffer = connection.app.ctx.read_buffer
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        is_upload = self._connection.memory.held_for(Purpose.UPLOADS)
+        return self._large_buffer if is_upload else self._small_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._connection.data_received(self._large_buffer[:nbytes])
+
+    def eof_received(self) -> bool | None:
+        return self._connection.eof_received()
+
+    def pause_writing(self) -> None:
+        self._connection.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._connection.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._connection.connection_lost(exc)
+
+
+def relieve_memory(connections: Iterable[CallerConnection]) -> None:
+    """Let connections of callers give back memory because some is missing.
+
+    First they give back what is held for buffers that were emptied since. Then those
+    callers are disconnected that have taken nothing of their responses for longest.
+    """
+    stalled = []
+    for connection in tuple(connections):
+        connection.release_emptied()
+        if connection.unsent_for_s() > PRESSED_STALL_S:
+            stalled.append(connection)
+    stalled.sort(key=CallerConnection.unsent_for_s, reverse=True)
+    for connection in stalled[:MAX_DISCONNECTED]:
+        connection.drop("no memory")
--- a/packages/laburnumscale/src/laburnumscale/memory/budget.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/budget.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import Counter, deque
+from collections.abc import Callable
 from enum import StrEnum
 
 from laburnumscale.deadlines import Deadline
@@ -26,12 +27,13 @@
 
     KEPT_PARTS = "kept_parts"
     UPLOADS = "uploads"
-    TARGET_RESPONSES = "target_responses"
-    RESPONSES = "responses"
-    STREAMS = "streams"
-    PARSERS = "parsers"
     BODIES = "bodies"
     HEADS = "heads"
+    RECEIVED = "received"
+    TARGET_RESPONSES = "target_responses"
+    STREAMS = "streams"
+    RESPONSES = "responses"
+    ANSWERS = "answers"
     CONNECTIONS = "connections"
 
 
@@ -46,11 +48,14 @@
     Purpose.TARGET_RESPONSES: 0.65,
     Purpose.RESPONSES: 0.8,
     Purpose.STREAMS: 0.85,
-    Purpose.PARSERS: 0.9,
+    Purpose.RECEIVED: 0.9,
+    Purpose.ANSWERS: 0.95,
     Purpose.BODIES: 1.0,
     Purpose.HEADS: 1.0,
     Purpose.CONNECTIONS: 1.0,
 }
+#: How often a response that waits for room asks others to give some back.
+SHORTAGE_INTERVAL_S = 0.5
 #: Share of the budget that open connections may take.
 CONNECTIONS_SHARE = 0.4
 
@@ -63,6 +68,8 @@
     :param metrics: gets the reserved bytes and the refusals by purpose.
     :ivar size_bytes: how much may be held; 0 for no limit.
     :ivar used_bytes: how much is held.
+    :ivar on_shortage: called when a response waits for room, now and repeatedly; lets
+        those give back memory that make no progress.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
     ) -> None:
         self.size_bytes = 0
         self.used_bytes = 0
+        self.on_shortage: Callable[[], None] = lambda: None
         self._limit_bytes = limit_bytes
         self._metrics = metrics
         self._used_by_purpose: Counter[Purpose] = Counter()
@@ -130,15 +138,18 @@
         waiter = asyncio.get_running_loop().create_future()
         waiters.append((waiter, size_bytes))
         try:
-            async with asyncio.timeout(deadline.left_s()):
-                await waiter
-        except TimeoutError:
-            return self._was_granted(waiter)
+            while not waiter.done() and not deadline.has_passed():
+                self.on_shortage()
+                wait_s = min(SHORTAGE_INTERVAL_S, deadline.left_s())
+                await asyncio.wait((waiter,), timeout=wait_s)
         except asyncio.CancelledError:
             if self._was_granted(waiter):
                 self.release(purpose, size_bytes)
+            waiter.cancel()
             raise
-        return True
+        if not waiter.done():
+            waiter.cancel()
+        return self._was_granted(waiter)
 
     @staticmethod
     def _was_granted(waiter: asyncio.Future) -> bool:
--- a/packages/laburnumscale/src/laburnumscale/requestparser.py
+++ b/packages/laburnumscale/src/laburnumscale/requestparser.py
@@ -6,7 +6,7 @@
 import re
 
 from sanic.exceptions import BadRequest
-from sanic.http import Http
+from sanic.http import Http, Stage
 from sanic.http.http1 import HTTP_CONTINUE
 
 __all__ = ["RequestParser"]
@@ -21,12 +21,20 @@
 
 
 class RequestParser(Http):
-    """A parser that also accepts trailer sections."""
+    """A parser that also accepts trailer sections, and reads no request too early."""
 
     __slots__ = ()
 
     async def http1_request_header(self) -> None:
-        """Read the next header section."""
+        """Read the next header section once the preceding response has been sent.
+
+        A caller that sends requests ahead and reads no response would otherwise get
+        its calls run, and their answers kept.
+        """
+        if not self.protocol.has_sent_responses():
+            self.stage = Stage.IDLE  # the connection waits for its caller
+            await self.protocol.wait_until_sent()
+            self.stage = Stage.REQUEST
         await super().http1_request_header()
         self.upgrade_websocket = False  # Sanic would drop the timeouts
 
--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -18,7 +18,11 @@
 from sanic.server.async_server import AsyncioServer
 
 from laburnumscale.addresses import Address
-from laburnumscale.callerconnection import CallerConnection
+from laburnumscale.callerconnection import (
+    UPLOAD_READ_BYTES,
+    CallerConnection,
+    relieve_memory,
+)
 from laburnumscale.daemonsettings import DEFAULT_TRANSFER_STALL_MS
 from laburnumscale.deadlines import MS_PER_S, Deadline
 from laburnumscale.errors import AddressInUse
@@ -159,6 +163,7 @@
     app.ctx.call_handler = call_handler
     app.ctx.error_response = _error_response
     app.ctx.memory = memory or MemoryBudget()
+    app.ctx.read_buffer = memoryview(bytearray(UPLOAD_READ_BYTES))
     app.ctx.scanned_at_s = 0.0
     app.ctx.stall_s = stall_ms / MS_PER_S
     app.ctx.max_connections = MAX_CONNECTIONS
@@ -192,6 +197,11 @@
     def __init__(self, app: App, server: AsyncioServer) -> None:
         self._app = app
         self._server = server
+        app.ctx.memory.on_shortage = self.relieve_memory
+
+    def relieve_memory(self) -> None:
+        """Let connections give back memory because some is missing."""
+        relieve_memory(self._server.connections)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current request."""
--- a/tests/features/steps/memorybudget_steps.py
+++ b/tests/features/steps/memorybudget_steps.py
@@ -19,7 +19,8 @@
     Purpose.TARGET_RESPONSES,
     Purpose.RESPONSES,
     Purpose.STREAMS,
-    Purpose.PARSERS,
+    Purpose.RECEIVED,
+    Purpose.ANSWERS,
     Purpose.BODIES,
 ]
 WAIT_MS = 50
