Keep room for the answers of calls that have run

Cause: bodies could fill the budget above the ceilings of answers, and an answer in chunks needs 640 KiB at the entry and 896 KiB at the guard. Answers that waited for room could fill it above the ceiling of those that are forwarded, so that none went on.

- A call whose route has large answers holds memory for one of average size before it is run.
It waits for 1 s at most and is refused then (503, out_of_memory); its answer is not lost afterwards.

--- a/packages/laburnumscale/src/laburnumscale/calls.py
+++ b/packages/laburnumscale/src/laburnumscale/calls.py
@@ -25,7 +25,7 @@
 from laburnumscale.headernames import HeaderNames
 from laburnumscale.inflight import InFlightCounter
 from laburnumscale.members import EndpointView
-from laburnumscale.memory import MemoryBudget, hold_response_memory
+from laburnumscale.memory import MEMORY_RETRY_AFTER_MS, AnswerRoom, MemoryBudget
 from laburnumscale.metrics import Metrics
 from laburnumscale.outcomes import (
     Answered,
@@ -95,7 +95,7 @@
         with self.in_flight.track():
             percent = call.settings.retry_budget_percent
             self._budget.add_call(call.service, percent)
-            outcome, response = await self._run_unless_quarantined(call)
+            outcome, response = await self._run_with_memory(call)
             self._release_reserved_retry(call)
         if isinstance(outcome, Answered) or call.answer_started:
             return outcome, response
@@ -103,6 +103,18 @@
         outcome = call.last_unknown or outcome
         return outcome, problem_response(outcome, call.request_id, names=self._names)
 
+    async def _run_with_memory(self, call: Call) -> tuple[Outcome, HTTPResponse | None]:
+        """Run a call once there is memory for an answer of average size."""
+        call.answer_room = AnswerRoom(self.memory, call.deadline)
+        try:
+            average_bytes = self._answer_sizes.average_bytes(call.route_hash)
+            if await call.answer_room.admit(average_bytes):
+                return await self._run_unless_quarantined(call)
+        finally:
+            call.answer_room.release()
+        reason = peer_pb2.NOT_RUN_REASON_OUT_OF_MEMORY
+        return NotRun(reason, MEMORY_RETRY_AFTER_MS), None
+
     async def _run_unless_quarantined(
         self, call: Call
     ) -> tuple[Outcome, HTTPResponse | None]:
@@ -316,14 +328,13 @@
         rest: AsyncIterator[peer_pb2.CallReply],
     ) -> Outcome:
         """Forward a response of several messages once there is memory for it."""
-        async with hold_response_memory(self.memory, call.deadline) as has_room:
-            if not has_room:
-                call.request.transport.abort()
-                return Unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
-            measured = self._answer_sizes.measure(call.route_hash, first, rest)
-            return await stream_response(
-                call.request, call.request_id, first, measured, self._names
-            )
+        if not await call.answer_room.extend():
+            call.request.transport.abort()
+            return Unknown(peer_pb2.UNKNOWN_REASON_CUT_SHORT)
+        measured = self._answer_sizes.measure(call.route_hash, first, rest)
+        return await stream_response(
+            call.request, call.request_id, first, measured, self._names
+        )
 
     def _record_suspect(self, reply: peer_pb2.CallReply) -> None:
         """Record that a call is suspect if the reply says so."""
--- a/packages/laburnumscale/src/laburnumscale/callstate.py
+++ b/packages/laburnumscale/src/laburnumscale/callstate.py
@@ -10,6 +10,7 @@
 
 from laburnumscale.deadlines import Deadline
 from laburnumscale.headers import end_to_end_headers, without_fields
+from laburnumscale.memory import AnswerRoom
 from laburnumscale.outcomes import NotRun, Outcome, Unknown
 from laburnumscale.quotas import QuotaGrant
 from laburnumscale.routelatencies import hash_route
@@ -101,6 +102,7 @@
     :ivar failover_result: outcome and response of a failover that was answered while
         the attempt that it replaces had no reply.
     :ivar fingerprint: identifies the call and its repeats; empty if not computed yet.
+    :ivar answer_room: memory for its answer, while it runs.
     :ivar route_hash: hash by which daemons refer to the route.
     :ivar attempt_summaries: results of the attempts so far, for the log.
     :ivar stop_reason: why no further attempt was made after the last one, for the log.
@@ -139,6 +141,7 @@
     stop_reason: str = ""
     may_have_run: bool = False
     has_run: bool = False
+    answer_room: AnswerRoom | None = None
     route_hash: int = attrs.field(init=False)
 
     @route_hash.default
--- a/packages/laburnumscale/src/laburnumscale/memory/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/__init__.py
@@ -22,7 +22,7 @@
     resident_bytes,
     return_freed_blocks,
 )
-from laburnumscale.memory.responses import TargetResponseRoom, hold_response_memory
+from laburnumscale.memory.responses import AnswerRoom, TargetResponseRoom
 
 __all__ = [
     "BODY_COPIES",
@@ -32,6 +32,7 @@
     "GUARD_UPLOAD_BYTES",
     "MEMORY_RETRY_AFTER_MS",
     "OBJECT_BYTES",
+    "AnswerRoom",
     "ConnectionMemory",
     "MemoryBudget",
     "Purpose",
@@ -39,7 +40,6 @@
     "connection_limit",
     "entry_head_bytes",
     "guard_head_bytes",
-    "hold_response_memory",
     "resident_bytes",
     "return_freed_blocks",
 ]
--- a/packages/laburnumscale/src/laburnumscale/memory/costs.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/costs.py
@@ -16,6 +16,7 @@
     "OBJECT_BYTES",
     "WAITING_RESPONSE_BYTES",
     "entry_head_bytes",
+    "expected_answer_bytes",
     "guard_head_bytes",
 ]
 
@@ -43,6 +44,7 @@
 #: container and the message that holds it.
 OBJECT_BYTES = 256
 #: A body in one message exists as the received bytes, in the message, and serialized.
+#: That holds for the body of a request and for that of a response.
 BODY_COPIES = 3
 #: Sanic stops reading at 64 KiB, and uvloop reads up to 250 KiB at once. Such a buffer
 #: may be full while its former content is being sent in parts of 64 KiB.
@@ -78,3 +80,13 @@
 def _head_bytes(size_bytes: int, field_count: int, field_bytes: int) -> int:
     kept_bytes = HEAD_COPIES * size_bytes + field_count * field_bytes
     return kept_bytes if kept_bytes > FREE_HEAD_BYTES else 0
+
+
+def expected_answer_bytes(average_bytes: float) -> int:
+    """Return what an entry keeps of an answer of average size until it is forwarded.
+
+    :returns: 0 if the share of the connection covers it.
+    """
+    if average_bytes <= FREE_BYTES:
+        return 0
+    return min(BODY_COPIES * int(average_bytes), WAITING_RESPONSE_BYTES)
