Look for memory to give back at most every 0.2 s

Each response that waits for memory asked all connections of callers every 0.5 s whether they can give some back. With many responses and connections that takes a good part of a core, by calculation; it was not measured.

--- a/packages/laburnumscale/src/laburnumscale/webserver.py
+++ b/packages/laburnumscale/src/laburnumscale/webserver.py
@@ -50,6 +50,8 @@
 MIN_CLOSE_POLLS = 3
 KEEP_ALIVE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 1024
+#: Many responses may wait for memory at a time.
+RELIEF_INTERVAL_S = 0.2
 RESPONSE_TIMEOUT_S = 3600
 #: Method of the placeholder that Sanic creates for a request that it cannot parse.
 INVALID_REQUEST_METHOD = "NONE"
@@ -165,6 +167,7 @@
     app.ctx.memory = memory or MemoryBudget()
     app.ctx.read_buffer = memoryview(bytearray(UPLOAD_READ_BYTES))
     app.ctx.scanned_at_s = 0.0
+    app.ctx.relieved_at_s = 0.0
     app.ctx.stall_s = stall_ms / MS_PER_S
     app.ctx.max_connections = MAX_CONNECTIONS
     if memory is not None:
@@ -200,8 +203,12 @@
         app.ctx.memory.on_shortage = self.relieve_memory
 
     def relieve_memory(self) -> None:
-        """Let connections give back memory because some is missing."""
-        relieve_memory(self._server.connections)
+        """Let connections give back memory because a response waits for some."""
+        context = self._app.ctx
+        now_s = time.monotonic()
+        if now_s - context.relieved_at_s > RELIEF_INTERVAL_S:
+            context.relieved_at_s = now_s
+            relieve_memory(self._server.connections)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current request."""
