Count the memory of calls in progress

A call that waits for its target keeps tasks, frames and gRPC objects at its entry and at its guard, which no budget counted.

The entry holds 28 KiB for each call in progress, the guard as much for each attempt. Without room the call is refused before it runs.

A connection that was dropped for want of memory is not dropped a second time.

--- a/packages/laburnumscale/src/laburnumscale/callerapi.py
+++ b/packages/laburnumscale/src/laburnumscale/callerapi.py
@@ -178,7 +178,7 @@
         )
 
     async def _handle_valid(self, request: Request) -> HTTPResponse | None:
-        if not request.stream.protocol.hold_head(request):
+        if not request.stream.protocol.hold_request(request):
             return self._refuse_for_memory(request)
         if request.raw_url.startswith(INTERNAL_PATH_PREFIX):
             return self._handle_internal(request)
@@ -186,7 +186,7 @@
 
     def _refuse_for_memory(self, request: Request) -> HTTPResponse:
         request_id = self._request_id(request)
-        self._call_log.log_refusal(request_id, OUT_OF_MEMORY, "header section")
+        self._call_log.log_refusal(request_id, OUT_OF_MEMORY, request.path)
         self._record_call("", OUT_OF_MEMORY, time.monotonic())
         return self._problem_response(OUT_OF_MEMORY, request_id)
 
--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -16,6 +16,7 @@
 from laburnumscale.logs import get_logger
 from laburnumscale.memory import (
     CONNECTION_BYTES,
+    ENTRY_CALL_BYTES,
     FREE_BYTES,
     ConnectionMemory,
     Purpose,
@@ -136,6 +137,8 @@
 
     def drop(self, reason: str) -> None:
         """Close the connection at once, and release what is held for it."""
+        if not self.memory.held_for(Purpose.CONNECTIONS):
+            return  # it is closed already
         get_logger().info("connection of a caller closed", reason=reason)
         transport = self.transport
         self.connections.discard(self)
@@ -210,13 +213,15 @@
         await self._can_write.wait()
         self._time = time.monotonic()
 
-    def hold_head(self, request: Request) -> bool:
-        """Hold memory for a parsed header section, until its request was handled.
+    def hold_request(self, request: Request) -> bool:
+        """Hold memory for a request and its header section, until it was handled.
 
         :returns: whether there was room.
         """
         size_bytes = entry_head_bytes(len(request.head), len(request.headers))
-        return self.memory.hold(Purpose.HEADS, size_bytes)
+        return self.memory.hold(Purpose.CALLS, ENTRY_CALL_BYTES) and self.memory.hold(
+            Purpose.HEADS, size_bytes
+        )
 
     def hold_body(self, purpose: Purpose, size_bytes: int) -> bool:
         """Hold memory for the body of the request in progress, until its end.
@@ -231,7 +236,9 @@
 
     def release_request(self) -> None:
         """Give back what is held for a request that was handled."""
-        self.memory.release(Purpose.HEADS, Purpose.UPLOADS, Purpose.BODIES)
+        self.memory.release(
+            Purpose.CALLS, Purpose.HEADS, Purpose.UPLOADS, Purpose.BODIES
+        )
 
     def account_buffers(self) -> None:
         """Adjust what is held for received and unsent bytes.
--- a/packages/laburnumscale/src/laburnumscale/guard.py
+++ b/packages/laburnumscale/src/laburnumscale/guard.py
@@ -52,6 +52,7 @@
 from laburnumscale.memory import (
     BODY_COPIES,
     FREE_BYTES,
+    GUARD_CALL_BYTES,
     GUARD_UPLOAD_BYTES,
     MEMORY_RETRY_AFTER_MS,
     MemoryBudget,
@@ -269,6 +270,7 @@
                 id_header=id_header,
             )
             with (
+                self._hold_memory(Purpose.CALLS, GUARD_CALL_BYTES),
                 self._hold_head_memory(head),
                 self._hold_body_memory(body),
                 self._hold_limited_call(target, attempt),
--- a/packages/laburnumscale/src/laburnumscale/memory/__init__.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/__init__.py
@@ -9,8 +9,10 @@
 from laburnumscale.memory.costs import (
     BODY_COPIES,
     CONNECTION_BYTES,
+    ENTRY_CALL_BYTES,
     ENTRY_UPLOAD_BYTES,
     FREE_BYTES,
+    GUARD_CALL_BYTES,
     GUARD_UPLOAD_BYTES,
     MEMORY_RETRY_AFTER_MS,
     OBJECT_BYTES,
@@ -27,8 +29,10 @@
 __all__ = [
     "BODY_COPIES",
     "CONNECTION_BYTES",
+    "ENTRY_CALL_BYTES",
     "ENTRY_UPLOAD_BYTES",
     "FREE_BYTES",
+    "GUARD_CALL_BYTES",
     "GUARD_UPLOAD_BYTES",
     "MEMORY_RETRY_AFTER_MS",
     "OBJECT_BYTES",
--- a/packages/laburnumscale/src/laburnumscale/memory/budget.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/budget.py
@@ -30,6 +30,7 @@
     BODIES = "bodies"
     HEADS = "heads"
     RECEIVED = "received"
+    CALLS = "calls"
     EXPECTED_ANSWERS = "expected_answers"
     TARGET_RESPONSES = "target_responses"
     STREAMS = "streams"
@@ -40,17 +41,18 @@
 
 #: Up to which share of the budget a purpose may fill it, together with all others. What
 #: costs callers least is refused first: copies of bodies that only a repeat needs, then
-#: large uploads, then small bodies and long header sections. Requests cannot take the
-#: room that responses need, so that calls that have run are answered. The responses of
-#: targets, and those that wait at the entry, leave room for those that callers read,
-#: since each of the former ends only once one of the latter has.
+#: large uploads, then small bodies and long header sections, then all calls. Requests
+#: cannot take the room that responses need, so that calls that have run are answered.
+#: The responses of targets, and those that wait at the entry, leave room for those that
+#: callers read, since each of the former ends only once one of the latter has.
 CEILINGS = {
     Purpose.KEPT_PARTS: 0.4,
     Purpose.UPLOADS: 0.6,
     Purpose.BODIES: 0.65,
     Purpose.HEADS: 0.7,
-    Purpose.RECEIVED: 0.75,
-    Purpose.EXPECTED_ANSWERS: 0.75,
+    Purpose.RECEIVED: 0.73,
+    Purpose.CALLS: 0.75,
+    Purpose.EXPECTED_ANSWERS: 0.77,
     Purpose.TARGET_RESPONSES: 0.8,
     Purpose.STREAMS: 0.85,
     Purpose.RESPONSES: 0.95,
--- a/packages/laburnumscale/src/laburnumscale/memory/costs.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/costs.py
@@ -7,9 +7,11 @@
 __all__ = [
     "BODY_COPIES",
     "CONNECTION_BYTES",
+    "ENTRY_CALL_BYTES",
     "ENTRY_RESPONSE_BYTES",
     "ENTRY_UPLOAD_BYTES",
     "FREE_BYTES",
+    "GUARD_CALL_BYTES",
     "GUARD_RESPONSE_BYTES",
     "GUARD_UPLOAD_BYTES",
     "MEMORY_RETRY_AFTER_MS",
@@ -29,6 +31,11 @@
 #: The objects of an open connection (protocol, task and parser, about 12 KiB) and the
 #: copies of a small body.
 CONNECTION_BYTES = 24 * KIB
+#: Tasks, frames and gRPC objects of a call in progress, beyond the share of its
+#: connection.
+ENTRY_CALL_BYTES = 28 * KIB
+#: The same for an attempt at its guard.
+GUARD_CALL_BYTES = 28 * KIB
 #: Up to this size, what is kept of a header section is covered by the share of its
 #: connection: about 20 fields in 1 KiB.
 FREE_HEAD_BYTES = 12 * KIB
--- a/tests/features/memorybudget.feature
+++ b/tests/features/memorybudget.feature
@@ -48,3 +48,4 @@
       | bodies            |
       | header sections   |
       | received bytes    |
+      | calls             |
--- a/tests/features/steps/memorybudget_steps.py
+++ b/tests/features/steps/memorybudget_steps.py
@@ -14,6 +14,7 @@
     "bodies": Purpose.BODIES,
     "header sections": Purpose.HEADS,
     "received bytes": Purpose.RECEIVED,
+    "calls": Purpose.CALLS,
     "unsent answers": Purpose.ANSWERS,
 }
 CEILING_ORDER = [
@@ -22,6 +23,8 @@
     Purpose.BODIES,
     Purpose.HEADS,
     Purpose.RECEIVED,
+    Purpose.CALLS,
+    Purpose.EXPECTED_ANSWERS,
     Purpose.TARGET_RESPONSES,
     Purpose.STREAMS,
     Purpose.RESPONSES,
