--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,12 @@
 		$(PY) -m behave --no-capture tests/features/outcomes_load.feature \
 		-n "random faults, together and twice" || exit 1; done
 
+.PHONY: soak-clients
+soak-clients: venv
+	failed=0; for seed in $(SEEDS); do SEED=$$seed \
+		$(PY) -m behave --no-capture tests/features/random_clients.feature \
+		|| failed=1; done; exit $$failed
+
 clean:
 	rm -rf $(VENV) build
 
