Send the answers of a connection that is closed for want of memory

A connection without memory for what it had received was aborted when no call was in progress on it, also if answers to earlier requests were still to be sent. Found by reading; no scenario shows it.

--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -28,7 +28,8 @@
 
 #: What is read at once of a body that is streamed.
 UPLOAD_READ_BYTES = 64 * 1024
-
+#: What is read at once of anything else.
+READ_BYTES = 16 * 1024
 #: A connection that waits so long for its next request may be closed if there are too
 #: many. Callers use a connection again within 15 s, or not at all.
 EVICTABLE_IDLE_S = 16
@@ -44,8 +45,6 @@
 #: A caller that takes nothing of its response for so long may be disconnected if
 #: memory is missing for the responses of others.
 PRESSED_STALL_S = 2
-#: What is read at once, unless a body is streamed.
-READ_BYTES = 16 * 1024
 #: Callers that are disconnected at once for this reason.
 MAX_DISCONNECTED = 4
 #: Time after the opening of a connection in which its caller sends the first request.
@@ -281,16 +280,20 @@
     def _refuse_received(self) -> None:
         """Do without received bytes for which there is no memory.
 
-        Requests that were sent ahead are not run: the connection ends with the response
-        in progress. Otherwise nothing of the connection has run, and it ends at once.
+        What they belong to is not run: the connection ends with the response that is in
+        progress or still to be sent, or else at once.
         """
-        if not self.http or self.http.request_body:
+        is_handling = bool(self.http) and not self.http.request_body
+        if not (is_handling or self.has_unsent_data()):
             self.drop("no memory")
             return
         self.recv_buffer.clear()
         self.memory.release(Purpose.RECEIVED)
-        self.http.keep_alive = False
         self.transport.pause_reading()
+        if is_handling:
+            self.http.keep_alive = False
+        else:
+            self.close()
 
     def release_emptied(self) -> None:
         """Give back what is held for received and unsent bytes that are gone."""
--- a/packages/laburnumscale/src/laburnumscale/memory/costs.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/costs.py
@@ -53,8 +53,8 @@
 #: A body in one message exists as the received bytes, in the message, and serialized.
 #: That holds for the body of a request and for that of a response.
 BODY_COPIES = 3
-#: Sanic stops reading at 64 KiB, and uvloop reads up to 250 KiB at once. Such a buffer
-#: may be full while its former content is being sent in parts of 64 KiB.
+#: Sanic stops reading at 64 KiB, and 64 KiB are read at once, into a buffer that may
+#: take twice as much. It may be full while its former content is sent in parts.
 ENTRY_UPLOAD_BYTES = 768 * KIB
 #: The flow control window of the stream (256 KiB), a message and its body, and the
 #: write buffer of the connection to the target.
