Disconnect callers that read nothing before calls are refused

Cause: unsent answers may fill the budget above the ceiling of calls, and a call that found no room was refused without asking others for theirs. The time for which a caller had taken nothing began with the first check, not when it stopped reading, so that nobody could be disconnected within the second for which a call waits.

A call without room now lets connections give back memory first. The time begins when the write buffer is not emptied; after 1 s, and 16 at a time, such callers may be disconnected, only if memory is missing. A call waits for 2 s for the memory of an expected answer.

--- a/packages/laburnumscale/src/laburnumscale/callerconnection.py
+++ b/packages/laburnumscale/src/laburnumscale/callerconnection.py
@@ -44,9 +44,9 @@
 DISCARD_TIMEOUT_S = 5
 #: A caller that takes nothing of its response for so long may be disconnected if
 #: memory is missing for the responses of others.
-PRESSED_STALL_S = 2
+PRESSED_STALL_S = 1
 #: Callers that are disconnected at once for this reason.
-MAX_DISCONNECTED = 4
+MAX_DISCONNECTED = 16
 #: Time after the opening of a connection in which its caller sends the first request.
 FIRST_REQUEST_TIMEOUT_MS = 500
 
@@ -191,6 +191,7 @@
 
     def pause_writing(self) -> None:
         """Record that the caller does not take what is sent."""
+        self._unsent_bytes = self.transport.get_write_buffer_size()
         self._unsent_since_s = time.monotonic()
         super().pause_writing()
 
@@ -218,7 +219,7 @@
         :returns: whether there was room.
         """
         size_bytes = entry_head_bytes(len(request.head), len(request.headers))
-        return self.memory.hold(Purpose.CALLS, ENTRY_CALL_BYTES) and self.memory.hold(
+        return self._hold(Purpose.CALLS, ENTRY_CALL_BYTES) and self.memory.hold(
             Purpose.HEADS, size_bytes
         )
 
@@ -268,14 +269,16 @@
         return size_bytes
 
     def _hold_buffer(self, purpose: Purpose, size_bytes: int) -> bool:
-        """Hold memory for a buffer, if need be after others have given some back."""
-        held_bytes = size_bytes if size_bytes > FREE_BYTES else 0
-        if self.memory.hold(purpose, held_bytes):
+        return self._hold(purpose, size_bytes if size_bytes > FREE_BYTES else 0)
+
+    def _hold(self, purpose: Purpose, size_bytes: int) -> bool:
+        """Hold memory, if need be after other connections have given some back."""
+        if self.memory.hold(purpose, size_bytes):
             return True
-        if purpose is Purpose.RECEIVED and not self._may_scan():
+        if purpose is not Purpose.ANSWERS and not self._may_scan():
             return False
         relieve_memory(self.connections)
-        return self.memory.hold(purpose, held_bytes)
+        return self.memory.hold(purpose, size_bytes)
 
     def _refuse_received(self) -> None:
         """Do without received bytes for which there is no memory.
--- a/packages/laburnumscale/src/laburnumscale/memory/budget.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/budget.py
@@ -30,8 +30,8 @@
     BODIES = "bodies"
     HEADS = "heads"
     RECEIVED = "received"
-    CALLS = "calls"
     EXPECTED_ANSWERS = "expected_answers"
+    CALLS = "calls"
     TARGET_RESPONSES = "target_responses"
     STREAMS = "streams"
     RESPONSES = "responses"
@@ -51,8 +51,8 @@
     Purpose.BODIES: 0.65,
     Purpose.HEADS: 0.7,
     Purpose.RECEIVED: 0.73,
-    Purpose.CALLS: 0.75,
-    Purpose.EXPECTED_ANSWERS: 0.77,
+    Purpose.EXPECTED_ANSWERS: 0.75,
+    Purpose.CALLS: 0.78,
     Purpose.TARGET_RESPONSES: 0.8,
     Purpose.STREAMS: 0.85,
     Purpose.RESPONSES: 0.95,
--- a/packages/laburnumscale/src/laburnumscale/memory/responses.py
+++ b/packages/laburnumscale/src/laburnumscale/memory/responses.py
@@ -16,9 +16,9 @@
 
 __all__ = ["AnswerRoom", "TargetResponseRoom"]
 
-#: Most answers are sent within milliseconds. A call that finds no room for so long is
-#: refused before it runs.
-MAX_ADMISSION_WAIT_MS = 1000
+#: Most answers are sent within milliseconds, and callers that take nothing for a second
+#: are disconnected. A call that finds no room for so long is refused before it runs.
+MAX_ADMISSION_WAIT_MS = 2000
 
 
 class AnswerRoom:
