Name the code that a daemon runs in its first log line

What operators saw: cases that fail on one machine and hold on another, with logs that do not tell which code ran there.

Cause: no line named it.

--- a/packages/laburnumscale/src/laburnumscale/daemon.py
+++ b/packages/laburnumscale/src/laburnumscale/daemon.py
@@ -10,12 +10,14 @@
 from collections.abc import Awaitable, Callable, Coroutine
 
 import aiohttp
+import attrs
 
 from laburnumscale.attempttable import (
     MAX_CACHED_REPLY_BYTES,
     MAX_REPEATABLE_REPLY_BYTES,
 )
 from laburnumscale.channels import PeerChannels
+from laburnumscale.codeversion import read_code_version
 from laburnumscale.daemonparts import (
     EntryRole,
     GuardRole,
@@ -113,6 +115,7 @@
             members=shared.members.group_size,
             fleet_known=shared.members.fleet_known,
             fleet_size=shared.members.fleet_size,
+            **attrs.asdict(read_code_version()),
         )
         guard_role = build_guard_role(shared)
         settings_role = build_settings_role(shared)
--- a/packages/laburnumscaled/src/laburnumscaled/cli.py
+++ b/packages/laburnumscaled/src/laburnumscaled/cli.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from laburnumscale.codeversion import read_code_version
 from laburnumscale.daemon import Daemon
 from laburnumscale.daemonsettings import DaemonSettings, read_daemon_settings
 from laburnumscale.errors import AddressInUse, LaburnumscaleError, PlatformUnknown
@@ -21,9 +22,21 @@
 EXAMPLES = """examples:
   laburnumscaled examples/daemon.jsonc
   laburnumscaled --check examples/daemon.jsonc
+  laburnumscaled --version
 """
 
 
+class _PrintVersion(argparse.Action):
+    """Prints the version only if it is asked for, as its digest reads all modules."""
+
+    def __init__(self, option_strings, dest, **options) -> None:
+        super().__init__(option_strings, argparse.SUPPRESS, nargs=0, **options)
+
+    def __call__(self, parser, namespace, values, option_string=None) -> None:
+        print(f"laburnumscaled {read_code_version()}")
+        parser.exit()
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="laburnumscaled",
@@ -33,6 +46,11 @@
     )
     parser.add_argument("settings", help="settings file, JSON with comments")
     parser.add_argument("--check", action="store_true", help="check the file and exit")
+    parser.add_argument(
+        "--version",
+        action=_PrintVersion,
+        help="print the version and a digest of the sources, and exit",
+    )
     return parser
 
 
