Acknowledge departures only once the log has them

What callers saw: calls that may run once could reach a target that had left, up to its end, after all daemons had ended: its departure was acknowledged, but only in their memory.

Cause: the daemon waited 0.4 s for its log and acknowledged in any case: with a slow or silent log, and in a fleet of 400 from the third departure within 10 s on, as each daemon writes 40 / 400 a second. Repeated announcements that a target drains, and those of one that an operator had drained, were acknowledged without any record.

The daemon now waits for its record for 0.8 s (an acknowledgement after a second is lost) and answers 503 otherwise. The departure is in effect and will be written; the target sends its message again and gets 200 once the log has it. A daemon may write every 2 s however large the fleet is, because acknowledgements after 4 s count as missed.

--- a/packages/laburnumscale/src/laburnumscale/departurerecords.py
+++ b/packages/laburnumscale/src/laburnumscale/departurerecords.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from laburnumscale.departures import Departure
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.logpacing import departure_writes_per_s, draw_retry_delay_s
 from laburnumscale.members import Members
@@ -22,8 +23,8 @@
 class DepartureRecords:
     """Adds departures to the presence record of this daemon.
 
-    One write holds all departures that were acknowledged until then. A daemon that has
-    written much lately writes the next ones together, after their acknowledgement.
+    One write holds all departures that are known until then. A daemon that has written
+    much lately writes the next ones together, a little later.
 
     :param presence: the presence stream, or None for a fleet without a log.
     """
@@ -36,24 +37,27 @@
         self._metrics = metrics
         self._rate = RateLimiter(self._writes_per_s(), MAX_WRITE_BURST)
         self._is_due = asyncio.Event()
-        self._waiting: list[asyncio.Future[bool]] = []
+        self._waiting: list[asyncio.Future[None]] = []
 
-    async def record(self) -> bool:
-        """Let the departures that are known now be written.
+    def has_recorded(self, departure: Departure) -> bool:
+        """Return whether the log has a departure; False for a fleet without a log."""
+        return self._presence is not None and self._presence.has_recorded(departure)
 
-        :returns: whether they are in the log, if there is one; otherwise they will be
-            written later.
+    async def record(self, departure: Departure) -> None:
+        """Wait until the log has a departure, if there is one.
+
+        It is written also if nobody waits any more.
         """
         if self._presence is None:
-            return True
-        self._is_due.set()
+            return
         self._rate.change_rate(self._writes_per_s(), MAX_WRITE_BURST)
         if not self._rate.has_token():
             self._metrics.count("departure_records", 'result="delayed"')
-            return False
-        written = asyncio.get_running_loop().create_future()
-        self._waiting.append(written)
-        return await written
+        while not self.has_recorded(departure):
+            self._is_due.set()
+            written = asyncio.get_running_loop().create_future()
+            self._waiting.append(written)
+            await written
 
     async def write_forever(self) -> None:
         """Write a record whenever departures were acknowledged, until cancelled."""
@@ -68,7 +72,7 @@
             is_written = await self._write()
             for written in waiting:
                 if not written.done():
-                    written.set_result(is_written)
+                    written.set_result(None)
             if is_written or not self._presence.has_departures:
                 attempt = 0
                 continue
--- a/packages/laburnumscale/src/laburnumscale/departurereplicator.py
+++ b/packages/laburnumscale/src/laburnumscale/departurereplicator.py
@@ -8,6 +8,8 @@
 import asyncio
 import random
 
+import attrs
+
 from laburnumscale.deadlines import Deadline
 from laburnumscale.departurerecords import DepartureRecords
 from laburnumscale.departures import Departure
@@ -16,13 +18,27 @@
 from laburnumscale.members import Members
 from laburnumscale.tableexchange import TableExchange
 
-__all__ = ["DepartureReplicator"]
+__all__ = ["DepartureReplicator", "Replicas"]
 
 #: Two other daemons seldom end together with this one before gossip reaches the rest.
 CONFIRMATIONS = 2
 MAX_ASKED = 4
-#: An acknowledgement that takes a second is lost, so it is given without replicas then.
-WAIT_MS = 400
+PEERS_WAIT_MS = 400
+#: An acknowledgement that takes a second is lost.
+RECORD_WAIT_MS = 800
+
+
+@attrs.frozen
+class Replicas:
+    """What outlasts this daemon of a departure.
+
+    :ivar confirmed: daemons that were asked now and have confirmed it.
+    :ivar is_recorded: the log has it, so that it outlasts all daemons, or the fleet has
+        no log.
+    """
+
+    confirmed: int
+    is_recorded: bool
 
 
 class DepartureReplicator:
@@ -35,17 +51,22 @@
         self._exchange = exchange
         self._records = records
 
-    async def replicate(self, departure: Departure) -> int:
+    async def replicate(self, departure: Departure) -> Replicas:
         """Wait until others remember a departure and the log has it, but not for long.
 
-        :returns: the number of daemons that have confirmed it.
+        It may be acknowledged only if it is recorded. If it is not, it will be written
+        nevertheless, and the next message of the target finds it in the log.
         """
-        recorded = asyncio.create_task(self._records.record())
-        deadline = Deadline.after_ms(WAIT_MS)
-        confirmed, wanted = await self._ask_peers(departure, deadline)
-        done, _ = await asyncio.wait((recorded,), timeout=deadline.left_s())
+        if self._records.has_recorded(departure):
+            return Replicas(0, is_recorded=True)
+        recorded = asyncio.create_task(self._records.record(departure))
+        deadline = Deadline.after_ms(RECORD_WAIT_MS)
+        confirmed, wanted = await self._ask_peers(
+            departure, Deadline.after_ms(PEERS_WAIT_MS)
+        )
+        await asyncio.wait((recorded,), timeout=deadline.left_s())
+        is_recorded = recorded.done()
         recorded.cancel()
-        is_recorded = bool(done) and recorded.result()
         if confirmed < wanted or not is_recorded:
             get_logger().warning(
                 "departure not replicated",
@@ -53,7 +74,7 @@
                 confirmed=confirmed,
                 is_recorded=is_recorded,
             )
-        return confirmed
+        return Replicas(confirmed, is_recorded)
 
     async def _ask_peers(
         self, departure: Departure, deadline: Deadline
--- a/packages/laburnumscale/src/laburnumscale/departures.py
+++ b/packages/laburnumscale/src/laburnumscale/departures.py
@@ -26,10 +26,10 @@
 #: Departures that other daemons have reported. A fleet of 30,000 targets that replaces
 #: all of them in an hour has 1,000 in the retention time.
 MAX_REPORTED = 2_048
-#: Departures that this daemon has acknowledged. A host has few targets at a time.
-MAX_ACKNOWLEDGED = 256
 #: Departures in the presence record of a daemon, which all others read at their start.
 MAX_RECORDED = 64
+#: Departures that this daemon has acknowledged. A host has few targets at a time.
+MAX_ACKNOWLEDGED = 256
 
 
 @attrs.frozen
@@ -75,6 +75,7 @@
         self._rejections = RejectionLog("departure", "departure rejected", metrics)
         self._acknowledged: OrderedDict[str, Departure] = OrderedDict()
         self._reported: OrderedDict[str, Departure] = OrderedDict()
+        self._recorded: dict[str, Departure] = {}
         self._listeners: list[Callable[[Departure], None]] = []
 
     def on_change(self, listener: Callable[[Departure], None]) -> None:
@@ -109,11 +110,31 @@
         """Return whether this daemon keeps departures that it has acknowledged."""
         return bool(_unexpired(self._acknowledged.values()))
 
-    def add_to_record(self, record: peer_pb2.Member) -> None:
-        """Add the latest departures that this daemon has acknowledged to its record."""
+    def add_to_record(self, record: peer_pb2.Member) -> list[Departure]:
+        """Add the departures that this daemon has acknowledged to its record.
+
+        :returns: the departures that were added.
+        """
         record.recorded_unix_ms = _unix_ms()
-        known = _unexpired(self._acknowledged.values())
-        record.departures.extend(each.message() for each in known[-MAX_RECORDED:])
+        added = _unexpired(self._acknowledged.values())[-MAX_RECORDED:]
+        record.departures.extend(each.message() for each in added)
+        return added
+
+    def mark_recorded(self, added: list[Departure]) -> None:
+        """Remember which departures the record of this daemon in the log has.
+
+        :param added: all departures of its newest record.
+        """
+        self._recorded = {each.endpoint: each for each in added}
+
+    def is_recorded(self, departure: Departure) -> bool:
+        """Return whether the record of this daemon in the log has a departure."""
+        recorded = self._recorded.get(departure.endpoint)
+        return (
+            recorded is not None
+            and not recorded.expiry.has_passed()
+            and recorded.includes(departure)
+        )
 
     def read_record(self, record: peer_pb2.Member, is_own: bool) -> None:
         """Record the departures in the presence record of a daemon.
--- a/packages/laburnumscale/src/laburnumscale/errors.py
+++ b/packages/laburnumscale/src/laburnumscale/errors.py
@@ -226,6 +226,16 @@
     template: ClassVar[str] = "log {url}: no connection: {reason}"
 
 
+@dataclass(eq=False)
+class DepartureNotRecorded(LaburnumscaleError):
+    """A departure is in effect, but would be forgotten if all daemons ended."""
+
+    endpoint: str
+    template: ClassVar[str] = (
+        'departure of "{endpoint}": not in the log yet; send it again'
+    )
+
+
 @dataclass(eq=False)
 class LogReplyInvalid(LaburnumscaleError):
     """The platform's log sent a response that violates its protocol."""
--- a/packages/laburnumscale/src/laburnumscale/logpacing.py
+++ b/packages/laburnumscale/src/laburnumscale/logpacing.py
@@ -28,6 +28,9 @@
 PRESENCE_READERS_AFTER_START = 4
 #: Records of departures that the whole fleet writes at most in the long run.
 FLEET_DEPARTURE_WRITES_PER_S = 40.0
+#: Departures that are written later are acknowledged too late. Only a fleet that
+#: replaces most targets at once writes more than the above; the log then refuses some.
+MIN_DEPARTURE_WRITES_PER_S = 0.5
 
 
 def draw_read_wait_ms(reader_count: int) -> int:
@@ -74,4 +77,4 @@
 
     :param group_size: number of daemons alive or suspected.
     """
-    return FLEET_DEPARTURE_WRITES_PER_S / group_size
+    return max(MIN_DEPARTURE_WRITES_PER_S, FLEET_DEPARTURE_WRITES_PER_S / group_size)
--- a/packages/laburnumscale/src/laburnumscale/platforms.py
+++ b/packages/laburnumscale/src/laburnumscale/platforms.py
@@ -12,6 +12,7 @@
 
 from laburnumscale.announcements import announcement_app
 from laburnumscale.daemonsettings import DaemonSettings
+from laburnumscale.departurereplicator import Replicas
 from laburnumscale.departures import Departure
 from laburnumscale.errors import PlatformUnknown
 from laburnumscale.headernames import HeaderNames
@@ -69,13 +70,13 @@
         self,
         targets: TargetRegistry,
         feed: SettingsFeed,
-        replicate: Callable[[Departure], Awaitable[int]],
+        replicate: Callable[[Departure], Awaitable[Replicas]],
         metrics: Metrics,
     ) -> Sanic:
         """Return the HTTP application with which the targets of this host register.
 
         :param feed: source of the names of the configured services.
-        :param replicate: lets other daemons remember a departure.
+        :param replicate: lets other daemons and the log remember a departure.
         :param metrics: counts the messages that were rejected.
         """
         return announcement_app(self.settings.daemon, targets)
--- a/packages/laburnumscale/src/laburnumscale/presence.py
+++ b/packages/laburnumscale/src/laburnumscale/presence.py
@@ -9,7 +9,7 @@
 from google.protobuf.message import DecodeError
 
 from laburnumscale.acceptance import accept_member
-from laburnumscale.departures import Departures
+from laburnumscale.departures import Departure, Departures
 from laburnumscale.errors import LaburnumscaleError, RecordInvalid
 from laburnumscale.memberentries import is_unreached, without_endpoints
 from laburnumscale.members import Members
@@ -64,10 +64,11 @@
             await self.read()
         async with self._appending:
             record = without_endpoints(self._members.own)
-            self._departures.add_to_record(record)
+            added = self._departures.add_to_record(record)
             era = self._reader.era
             await self._log.append(STREAM, record.SerializeToString(), record.daemon)
             self._announced_era = era
+            self._departures.mark_recorded(added)
         self._metrics.count("presence_records")
 
     @property
@@ -75,6 +76,12 @@
         """Return whether a record of this daemon holds departures now."""
         return self._departures.has_acknowledged
 
+    def has_recorded(self, departure: Departure) -> bool:
+        """Return whether the log has a departure, in the record of this daemon."""
+        return not self.is_announcement_lost() and self._departures.is_recorded(
+            departure
+        )
+
     def is_announcement_lost(self) -> bool:
         """Return whether the log came back from an older copy since the last record."""
         return self._reader.era > self._announced_era
--- a/packages/laburnumscale/src/laburnumscale/targetregistry.py
+++ b/packages/laburnumscale/src/laburnumscale/targetregistry.py
@@ -72,7 +72,7 @@
         """Add a target or renew its lease.
 
         :param may_replace: whether other targets at its address are withdrawn.
-        :returns: its departure if it has announced for the first time that it drains.
+        :returns: its departure if it announces that it drains.
         :raises EndpointMoved: it was announced to another daemon later.
         :raises RequestInvalid: it cannot be published, or there are too many targets.
         """
@@ -81,7 +81,6 @@
             self._metrics.count("announcements_late")
             return None
         target = self._targets.get((announced.service, announced.endpoint))
-        was_draining = target is not None and target.state == DRAINING
         if target is None or _is_new_process(target, announced):
             if may_replace:
                 self._withdraw_from_address(announced)
@@ -93,7 +92,7 @@
             self._apply_late_draining(target, announced)
         else:
             self._renew(target, announced)
-        if announced.state != DRAINING or was_draining or not _has_start(announced):
+        if announced.state != DRAINING or not _has_start(announced):
             return None
         return self._departures.acknowledge(*_process(announced), is_gone=False)
 
--- a/tests/features/steps/acceptance_steps.py
+++ b/tests/features/steps/acceptance_steps.py
@@ -14,6 +14,7 @@
 from laburnumscale.acceptance import MAX_TIME_US, parse_decimal
 from laburnumscale.addresses import Address
 from laburnumscale.deadlines import Deadline
+from laburnumscale.departurereplicator import Replicas
 from laburnumscale.errors import LaburnumscaleError
 from laburnumscale.fleetnotices import FleetNotices
 from laburnumscale.localtarget import LocalTarget
@@ -113,6 +114,7 @@
 
     async def replicate(self, departure):
         self.replicated.append(departure)
+        return Replicas(confirmed=0, is_recorded=True)
 
     def post(self, endpoint, body, call="instances.heartbeat"):
         """Return the status of the response to a message."""
