Record all departures that a daemon keeps

What callers saw: of more than 64 targets that left one host within 120 s, the first ones could come back after all daemons had ended, by a late announcement.

Cause: the presence record named the latest 64 departures, while 256 are kept and all were acknowledged.

The record names all of them: at most 256, with names as long as they are here some 10 KB, where a record may have 262 KB.

Evidence: "All departures that a daemon has acknowledged are recorded" (200 at once) failed before and passes.

--- a/packages/laburnumscale/src/laburnumscale/departures.py
+++ b/packages/laburnumscale/src/laburnumscale/departures.py
@@ -26,9 +26,8 @@
 #: Departures that other daemons have reported. A fleet of 30,000 targets that replaces
 #: all of them in an hour has 1,000 in the retention time.
 MAX_REPORTED = 2_048
-#: Departures in the presence record of a daemon, which all others read at their start.
-MAX_RECORDED = 64
-#: Departures that this daemon has acknowledged. A host has few targets at a time.
+#: Departures that this daemon has acknowledged, all of which are in its presence record.
+#: A host has few targets at a time.
 MAX_ACKNOWLEDGED = 256
 
 
@@ -116,7 +115,7 @@
         :returns: the departures that were added.
         """
         record.recorded_unix_ms = _unix_ms()
-        added = _unexpired(self._acknowledged.values())[-MAX_RECORDED:]
+        added = _unexpired(self._acknowledged.values())
         record.departures.extend(each.message() for each in added)
         return added
 
--- a/tests/features/recorded_departures.feature
+++ b/tests/features/recorded_departures.feature
@@ -56,6 +56,12 @@
     When 40 processes deregister at once
     Then the log holds 40 departures after at most 2 writes
 
+  # Only the latest 64 of them were recorded, and all were acknowledged.
+  Scenario: All departures that a daemon has acknowledged are recorded
+    Given a daemon d1 with a log
+    When 200 processes deregister at once
+    Then the log holds 200 departures after at most 2 writes
+
   # They were acknowledged and forgotten with the last daemon. A process whose departure is
   # not acknowledged within a second sends it again.
   Scenario Outline: A departure is not acknowledged before the log has it
