Number presence records, so that a late one replaces no newer one

What callers saw: calls that may run once could reach a target that had left, after the platform's store had carried out a write late and all daemons had ended.

Cause: a daemon whose append of its presence record gets no response writes the next one, and acknowledges the departures in it. The earlier append takes effect seconds later and replaces it, without these departures.

Presence records are numbered, also over restarts. Also, a message whose sender gave up no longer leaves the task behind that waits for its record.

KeyedLog returned all records of a key; it returns the newest, as logs do, which is stricter.

--- a/packages/laburnumscale/src/laburnumscale/acceptance.py
+++ b/packages/laburnumscale/src/laburnumscale/acceptance.py
@@ -159,6 +159,7 @@
     where = f'entry of daemon "{accept_name("entry", "daemon", entry.daemon)}"'
     accept_time_us(where, "incarnation", entry.incarnation)
     accept_count(where, "version", entry.version)
+    accept_time_us(where, "record_number", entry.record_number)
     accept_count(where, "endpoints_version", entry.endpoints_version)
     accept_address(where, "peer_address", entry.peer_address)
     if entry.data_centre:
--- a/packages/laburnumscale/src/laburnumscale/departurereplicator.py
+++ b/packages/laburnumscale/src/laburnumscale/departurereplicator.py
@@ -61,12 +61,14 @@
             return Replicas(0, is_recorded=True)
         recorded = asyncio.create_task(self._records.record(departure))
         deadline = Deadline.after_ms(RECORD_WAIT_MS)
-        confirmed, wanted = await self._ask_peers(
-            departure, Deadline.after_ms(PEERS_WAIT_MS)
-        )
-        await asyncio.wait((recorded,), timeout=deadline.left_s())
-        is_recorded = recorded.done()
-        recorded.cancel()
+        try:
+            confirmed, wanted = await self._ask_peers(
+                departure, Deadline.after_ms(PEERS_WAIT_MS)
+            )
+            await asyncio.wait((recorded,), timeout=deadline.left_s())
+            is_recorded = recorded.done()
+        finally:
+            recorded.cancel()
         if confirmed < wanted or not is_recorded:
             get_logger().warning(
                 "departure not replicated",
--- a/packages/laburnumscale/src/laburnumscale/departures.py
+++ b/packages/laburnumscale/src/laburnumscale/departures.py
@@ -26,7 +26,7 @@
 #: Departures that other daemons have reported. A fleet of 30,000 targets that replaces
 #: all of them in an hour has 1,000 in the retention time.
 MAX_REPORTED = 2_048
-#: Departures that this daemon has acknowledged, all of which are in its presence record.
+#: Departures that this daemon has acknowledged, all of which its presence record names.
 #: A host has few targets at a time.
 MAX_ACKNOWLEDGED = 256
 
--- a/packages/laburnumscale/src/laburnumscale/logcalls.py
+++ b/packages/laburnumscale/src/laburnumscale/logcalls.py
@@ -25,10 +25,12 @@
         self._log = log
         self._metrics = metrics
 
-    async def append(self, stream: str, payload: bytes, key: str = "") -> int:
+    async def append(
+        self, stream: str, payload: bytes, key: str = "", number: int = 0
+    ) -> int:
         """Append a record."""
         return await self._count(
-            "append", stream, self._log.append(stream, payload, key)
+            "append", stream, self._log.append(stream, payload, key, number)
         )
 
     async def read(self, stream: str, offset: int, wait_ms: int = 0) -> Batch:
--- a/packages/laburnumscale/src/laburnumscale/platformlog.py
+++ b/packages/laburnumscale/src/laburnumscale/platformlog.py
@@ -91,10 +91,15 @@
 class LogClient:
     """Base class of log clients."""
 
-    async def append(self, stream: str, payload: bytes, key: str = "") -> int:
+    async def append(
+        self, stream: str, payload: bytes, key: str = "", number: int = 0
+    ) -> int:
         """Append a record.
 
         :param key: key of the record.
+        :param number: rises with each append of a key. An append without a response may
+            take effect later; in a log with keys, it then does not replace a record
+            with a higher number. 0 for records that may take effect in any order.
         :returns: the offset of the record.
         :raises LogUnreachable: the connection failed; the record was not appended.
         :raises LogUnavailable: the log did not respond; the record may have been
@@ -197,8 +202,10 @@
         self.url = url
         self._session = session
 
-    async def append(self, stream: str, payload: bytes, key: str = "") -> int:
-        """Append a record; ``key`` is ignored."""
+    async def append(
+        self, stream: str, payload: bytes, key: str = "", number: int = 0
+    ) -> int:
+        """Append a record; ``key`` and ``number`` are ignored."""
         timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
         url = f"{self.url}/streams/{stream}"
         try:
--- a/packages/laburnumscale/src/laburnumscale/presence.py
+++ b/packages/laburnumscale/src/laburnumscale/presence.py
@@ -23,6 +23,8 @@
 STREAM = "presence"
 MAX_CONTACTS = 64
 MAX_KNOWN_RECORDS = 8_192
+#: Records that an earlier process may have written after the latest one that was read.
+MAX_UNSEEN_RECORDS = 1_000
 
 
 class PresenceStream:
@@ -49,6 +51,7 @@
         self._rejections = RejectionLog("presence", "presence record skipped", metrics)
         self._reader = LogReader(log, STREAM)
         self._announced_era = 0
+        self._record_number = 0
         self._contacts: dict[str, peer_pb2.Member] = {}
         self._incarnations: dict[str, int] = {}
 
@@ -66,7 +69,11 @@
             record = without_endpoints(self._members.own)
             added = self._departures.add_to_record(record)
             era = self._reader.era
-            await self._log.append(STREAM, record.SerializeToString(), record.daemon)
+            self._record_number = max(self._record_number + 1, record.incarnation)
+            record.record_number = self._record_number
+            await self._log.append(
+                STREAM, record.SerializeToString(), record.daemon, self._record_number
+            )
             self._announced_era = era
             self._departures.mark_recorded(added)
         self._metrics.count("presence_records")
@@ -124,14 +131,22 @@
             decoded, is_own=decoded.daemon == self._members.own.daemon
         )
         member = without_endpoints(decoded)
-        if member.daemon == self._members.own.daemon and not self._is_namesake(member):
-            return
+        if member.daemon == self._members.own.daemon:
+            self._follow_own_record(decoded)
+            if not self._is_namesake(member):
+                return
         self._record_unreached(member)
         self._contacts.pop(member.daemon, None)
         self._contacts[member.daemon] = member
         if len(self._contacts) > MAX_CONTACTS:
             del self._contacts[next(iter(self._contacts))]
 
+    def _follow_own_record(self, record: peer_pb2.Member) -> None:
+        """Let further records have higher numbers than those of an earlier process."""
+        if record.incarnation != self._members.own.incarnation:
+            number = record.record_number + MAX_UNSEEN_RECORDS
+            self._record_number = max(self._record_number, number)
+
     def _record_unreached(self, member: peer_pb2.Member) -> None:
         """Let a daemon be expected, unless its record was read before.
 
--- a/tests/features/platform_messages.feature
+++ b/tests/features/platform_messages.feature
@@ -38,6 +38,14 @@
     Given a client of a store that is not running
     Then an append raises LogUnreachable and a read raises LogUnavailable
 
+  # A presence record that took effect late replaced a newer one.
+  Scenario: An append that takes effect late does not replace a later one
+    Given a store and its client
+    When the store has the faults {"late_appends_ms": 300}
+    And the client appends "one" with key a, numbered 1, unanswered
+    And the client appends "two" with key a, numbered 2
+    Then the newest record of key a is "two" 600 ms later
+
   Scenario: An append takes effect although its response is lost
     Given a store and its client
     When the store has the faults {"lose_replies": 1}
--- a/tests/features/steps/log_return_steps.py
+++ b/tests/features/steps/log_return_steps.py
@@ -25,8 +25,9 @@
         self.url = url
         self.session = None
 
-    async def append(self, stream, payload, key=""):
-        return await TopicLog(self.url, self.session).append(stream, payload, key)
+    async def append(self, stream, payload, key="", number=0):
+        log = TopicLog(self.url, self.session)
+        return await log.append(stream, payload, key, number)
 
     async def read(self, stream, offset, wait_ms=0):
         return await TopicLog(self.url, self.session).read(stream, offset, wait_ms)
--- a/tests/features/steps/platform_messages_steps.py
+++ b/tests/features/steps/platform_messages_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import time
 from types import SimpleNamespace
 
 import aiohttp
@@ -62,6 +63,30 @@
     assert run_with_client(context, append) is None
 
 
+def append_numbered(context, text, key, number):
+    return run_with_client(
+        context, lambda log: log.append("presence", text.encode(), key, number)
+    )
+
+
+@when('the client appends "{text}" with key {key}, numbered {number:d}')
+def step_append_numbered(context, text, key, number):
+    assert isinstance(append_numbered(context, text, key, number), int)
+
+
+@when('the client appends "{text}" with key {key}, numbered {number:d}, unanswered')
+def step_append_unanswered(context, text, key, number):
+    found = append_numbered(context, text, key, number)
+    assert isinstance(found, errors.LogUnavailable), found
+
+
+@then('the newest record of key {key} is "{text}" {delay_ms:d} ms later')
+def step_check_newest_later(context, key, text, delay_ms):
+    time.sleep(delay_ms / 1000)
+    batch = run_with_client(context, lambda log: log.read_newest("presence"))
+    assert {each.key: each.payload for each in batch.records}[key] == text.encode()
+
+
 @when("the client appends one record for each of {count:d} keys to the topic presence")
 def step_append_one_per_key(context, count):
     async def append(log):
--- a/tests/features/steps/recorded_departures_steps.py
+++ b/tests/features/steps/recorded_departures_steps.py
@@ -8,8 +8,8 @@
 from laburnumscale.deadlines import MS_PER_S, now_s
 from laburnumscale.errors import LogUnavailable
 from laburnumscale_schema import peer_pb2
-from tests.features.steps.departed_targets_steps import DaemonParts, new_member
-from tests.features.steps.departure_histories_steps import ServedDaemon
+from tests.standins.daemonparts import DaemonParts, new_member
+from tests.standins.departurefleet import ServedDaemon
 from tests.standins.keyedlog import KeyedLog
 
 STARTED_MS = 1_000_000_000_000
@@ -24,13 +24,13 @@
         self.refuses_appends = False
         self.delay_ms = 0
 
-    async def append(self, stream, payload, key=""):
+    async def append(self, stream, payload, key="", number=0):
         if self.refuses_appends:
             await asyncio.sleep(1)
             raise LogUnavailable("log", "no response")
         self.writes += 1
         await asyncio.sleep(self.delay_ms / MS_PER_S)
-        return await super().append(stream, payload, key)
+        return await super().append(stream, payload, key, number)
 
 
 def start(context, name):
@@ -43,7 +43,7 @@
     """Return a daemon that targets reach, once it writes departures to the log."""
     daemon = ServedDaemon("d1", 1, log)
     await daemon.presence.read()
-    daemon.start_writing()
+    daemon.spawn(daemon.records.write_forever())
     return daemon
 
 
--- a/tests/features/steps/unreached_members_steps.py
+++ b/tests/features/steps/unreached_members_steps.py
@@ -9,7 +9,7 @@
 from laburnumscale.quotas import KeeperView, Quota, QuotaKeeper, QuotaTolerance
 from laburnumscale.retrybudget import RetryBudget
 from laburnumscale_schema import peer_pb2
-from tests.features.steps.departed_targets_steps import DaemonParts, new_member
+from tests.standins.daemonparts import DaemonParts, new_member
 from tests.standins.keyedlog import KeyedLog
 
 DEAD = peer_pb2.MEMBER_STATE_DEAD
--- a/tests/standins/keyedlog.py
+++ b/tests/standins/keyedlog.py
@@ -3,6 +3,8 @@
 Stand-in for the client of a log whose records have keys.
 """
 
+import attrs
+
 from laburnumscale.errors import LogUnavailable
 from laburnumscale.platformlog import Batch, LogClient, Record
 
@@ -20,10 +22,14 @@
         self.oldest_offset = 0
         self.era = 1
         self.down = False
+        self.numbers = {}
 
-    async def append(self, stream, payload, key=""):
-        """Append a record."""
+    async def append(self, stream, payload, key="", number=0):
+        """Append a record, unless the key has a record with a higher number."""
         self._check_up()
+        if number < self.numbers.get(key, 0):
+            raise LogUnavailable("log", "outdated")
+        self.numbers[key] = number
         self.records.append((key, payload))
         return self.next_offset - 1
 
@@ -35,6 +41,7 @@
     def come_back(self, count):
         """Lose the last records."""
         del self.records[max(0, len(self.records) - count) :]
+        self.numbers.clear()
         self.era += 1
 
     def drop_first(self, count):
@@ -68,9 +75,12 @@
         return self._batch(offset)
 
     async def read_newest(self, stream):
-        """Read all records."""
+        """Read the newest record of each key, in the order of their offsets."""
         self._check_up()
-        return self._batch(0)
+        batch = self._batch(0)
+        newest = {record.key: record for record in batch.records}
+        ordered = sorted(newest.values(), key=lambda record: record.offset)
+        return attrs.evolve(batch, records=tuple(ordered))
 
     def newest(self):
         """Return the newest record of each key."""
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -3,6 +3,7 @@
 Serves topics of keyed records over HTTP by the platform's protocol, with faults.
 """
 
+import asyncio
 import base64
 import struct
 from collections import defaultdict
@@ -41,9 +42,10 @@
 
     ``/faults`` sets ``down`` (connections are reset), ``status`` (status that replaces
     every other response), ``lose_replies`` (number of appends that take effect but get
-    no response), ``garbage`` (response bodies that the protocol does not allow) and
-    ``endless`` (the part of responses to reads that does not end: ``body`` or
-    ``fields``).
+    no response), ``late_appends_ms`` (time after which the next append takes effect,
+    whose connection is reset at once), ``garbage`` (response bodies that the protocol
+    does not allow) and ``endless`` (the part of responses to reads that does not end:
+    ``body`` or ``fields``).
     ``/trim/TOPIC/OFFSET`` drops the records before an offset. ``/return/TOPIC/COUNT``
     drops the last records, as after a return from an older copy, and increases the
     era. ``/put/TOPIC/KEY`` appends the body with a key, as operators do.
@@ -55,6 +57,9 @@
         self.down = False
         self.status = 0
         self.lose_replies = 0
+        self.late_appends_ms = 0
+        self.epochs: dict[tuple[str, str], int] = {}
+        self._late_appends: set[asyncio.Task] = set()
         self.garbage = False
         self.endless = ""
         self.era = 1
@@ -75,13 +80,38 @@
     async def append(self, request: web.Request) -> web.Response:
         """Append the records in the body and return the offset of the first."""
         await self._apply_faults(request, "append")
+        records = split_records(await request.read())
+        if self.late_appends_ms:
+            delay_s, self.late_appends_ms = self.late_appends_ms / 1000, 0
+            late = self._append_late(request.query, records, delay_s)
+            self._late_appends.add(asyncio.create_task(late))
+            abort(request)
+            return web.Response()
         stream = self.topics[request.query["topic"]]
-        offset = await stream.append(split_records(await request.read()))
+        if not self._accepts_epoch(request.query):
+            return web.json_response({"why": "fenced"}, status=409)
+        offset = await stream.append(records)
         if self.lose_replies > 0:
             self.lose_replies -= 1
             abort(request)
         return web.json_response({"offset": offset, "end": stream.next_offset})
 
+    async def _append_late(self, query, records: list[bytes], delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        if self._accepts_epoch(query):
+            await self.topics[query["topic"]].append(records)
+
+    def _accepts_epoch(self, query) -> bool:
+        """Return whether the epoch of a producer, if it has one, is not outdated."""
+        if "producer" not in query:
+            return True
+        producer = (query["topic"], query["producer"])
+        epoch = int(query["epoch"])
+        if epoch < self.epochs.get(producer, 0):
+            return False
+        self.epochs[producer] = epoch
+        return True
+
     async def read(self, request: web.Request) -> web.Response:
         """Return the records from an offset on; wait until there is one."""
         await self._apply_faults(request, "read")
@@ -141,6 +171,7 @@
         """Drop the last records of a topic; their offsets are given out again."""
         stream = self.topics[request.match_info["topic"]]
         stream.drop_last(int(request.match_info["count"]))
+        self.epochs.clear()
         self.era += 1
         return web.json_response({})
 
