--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,12 @@
 		$(PY) -m behave --no-capture tests/features/random_clients.feature \
 		|| failed=1; done; exit $$failed
 
+.PHONY: soak-faults
+soak-faults: venv
+	failed=0; for seed in $(SEEDS); do SEED=$$seed \
+		$(PY) -m behave --no-capture tests/features/random_faults.feature \
+		-n "@1.1" || failed=1; done; exit $$failed
+
 clean:
 	rm -rf $(VENV) build
 
--- a/tests/standins/faultplay.py
+++ b/tests/standins/faultplay.py
@@ -26,10 +26,13 @@
 CALL_TIMEOUT_MS = 2_000
 QUOTA_KEY, OTHER_KEY = "key-1", "key-2"
 #: Calls a second to each daemon.
-CALLS_PER_S = {QUOTA_KEY: 10.0, OTHER_KEY: 4.0}
+CALLS_PER_S = {QUOTA_KEY: 20.0, OTHER_KEY: 4.0}
 FAULTS_S = 8.0
 CALM_S = 8.0
 TARGETS_PER_DAEMON = 2
+MAX_CUT_S = 12.0
+#: A daemon is dead to the others after some 4 s, and starts in one or two.
+MIN_CUT_WITH_RESTART_S = 8.0
 #: A daemon that drains may be frozen meanwhile.
 MAX_END_S = 30.0
 
@@ -59,7 +62,6 @@
         self._chance = Random(seed)
         self._began_at_s = time.monotonic()
         self._request_numbers = itertools.count(1)
-        self._groups: dict[str, set[str]] = {}
 
     async def run(self, series_count: int) -> None:
         """Play some series of faults, each followed by a calm time."""
@@ -198,22 +200,35 @@
 
     async def _cut_from_others(self) -> None:
         inside = self._draw_names()
-        crossing = [
+        await self._cut(f"cut {inside} from the others", self._crossing(inside))
+
+    async def _restart_behind_cut(self) -> None:
+        inside = self._draw_names()
+        event = f"cut {inside} from the others, and restart them"
+        cut = self._cut(event, self._crossing(inside), MIN_CUT_WITH_RESTART_S)
+        task = asyncio.create_task(cut)
+        await asyncio.sleep(self._chance.uniform(0.5, 3))
+        await self._kill(inside)
+        await task
+
+    def _crossing(self, inside: list[str]) -> list[tuple[str, str]]:
+        """Return the ends of the links between some daemons and the others."""
+        return [
             (source, destination)
-            for source in self._names
-            for destination in self._names
+            for source, destination in itertools.permutations(self._names, 2)
             if (source in inside) != (destination in inside)
         ]
-        await self._cut(f"cut {inside} from the others", crossing)
 
     async def _cut_from_store(self) -> None:
         inside = self._chance.choice([self._draw_names(), self._names])
         await self._cut(f"cut {inside} from the log", [(n, STORE) for n in inside])
 
-    async def _cut(self, event: str, ends: list[tuple[str, str]]) -> None:
+    async def _cut(
+        self, event: str, ends: list[tuple[str, str]], min_duration_s: float = 1.0
+    ) -> None:
         self._record(event)
         await self._set_links(ends, cut=True)
-        await asyncio.sleep(self._chance.uniform(1, 8))
+        await asyncio.sleep(self._chance.uniform(min_duration_s, MAX_CUT_S))
         await self._set_links(ends, cut=False)
         self._record(f"end of {event}")
 
@@ -274,7 +289,8 @@
 
 FAULTS = (
     FaultPlay._cut_from_others,
-    FaultPlay._cut_from_others,
+    FaultPlay._restart_behind_cut,
+    FaultPlay._restart_behind_cut,
     FaultPlay._cut_from_store,
     FaultPlay._delay_store,
     FaultPlay._kill_some,
