Name the sources of the platform's package apart from the others

The digest covered the platform's package where it is installed, which it is not in the virtual environment.

The two digests are separate now, and one of a package that is missing is empty.

--- a/packages/laburnumscale/src/laburnumscale/codeversion.py
+++ b/packages/laburnumscale/src/laburnumscale/codeversion.py
@@ -13,12 +13,9 @@
 __all__ = ["VERSION", "CodeVersion", "digest_packages", "read_code_version"]
 
 VERSION = "0.1.0"
-PACKAGES = (
-    "laburnumscale",
-    "laburnumscale_platform",
-    "laburnumscale_schema",
-    "laburnumscaled",
-)
+PACKAGES = ("laburnumscale", "laburnumscale_schema", "laburnumscaled")
+#: Not every installation has it.
+PLATFORM_PACKAGES = ("laburnumscale_platform",)
 DIGEST_LENGTH = 12
 
 
@@ -28,19 +25,21 @@
 
     :ivar version: version of the product.
     :ivar sources: digest of the modules, which also tells unreleased versions apart.
+    :ivar platform_sources: the same for the platform's package; empty without it.
     :ivar python: version of the interpreter.
     :ivar machine: kind of processor.
     """
 
     version: str
     sources: str
+    platform_sources: str
     python: str
     machine: str
 
     def __str__(self) -> str:
         return (
-            f"{self.version} (sources {self.sources}, Python {self.python},"
-            f" {self.machine})"
+            f"{self.version} (sources {self.sources}, platform"
+            f" {self.platform_sources or 'none'}, Python {self.python}, {self.machine})"
         )
 
 
@@ -49,6 +48,7 @@
     return CodeVersion(
         version=VERSION,
         sources=digest_packages(PACKAGES),
+        platform_sources=digest_packages(PLATFORM_PACKAGES),
         python=platform.python_version(),
         machine=platform.machine(),
     )
@@ -57,13 +57,14 @@
 def digest_packages(packages: tuple[str, ...]) -> str:
     """Return a digest of the names and contents of all modules of some packages.
 
-    :param packages: names of packages; those that are not installed are left out.
+    :param packages: names of packages.
+    :returns: the digest; empty if one of the packages is not installed.
     """
     digest = hashlib.sha256()
     for package in packages:
         spec = find_spec(package)
         if spec is None:
-            continue
+            return ""
         for folder in map(Path, spec.submodule_search_locations):
             for module in sorted(folder.rglob("*.py")):
                 name = f"{package}/{module.relative_to(folder).as_posix()}"
--- a/tests/features/codeversion.feature
+++ b/tests/features/codeversion.feature
@@ -18,6 +18,12 @@
       | a name     | is renamed to "second.py"        |
       | the module | is copied to "folder/second.py" |
 
+  # The command of an installation without the platform's package named another digest.
+  Scenario: A missing package does not change the digest of the others
+    Given a package with the module "first.py" that contains "a = 1"
+    Then the digest is empty if a package is missing
+    And the command names the same sources without the platform's package
+
   Scenario: The same sources in another folder have the same digest
     Given a package with the module "first.py" that contains "a = 1"
     When the package is moved, and its module gets other times
--- a/tests/features/steps/codeversion_steps.py
+++ b/tests/features/steps/codeversion_steps.py
@@ -2,6 +2,7 @@
 import json
 import os
 import shutil
+import subprocess
 import sys
 import tomllib
 from pathlib import Path
@@ -50,6 +51,11 @@
     shutil.copy(context.module, copy)
 
 
+@then("the digest is empty if a package is missing")
+def step_check_missing(context):
+    assert digest_packages((PACKAGE, "laburnumscale_missing")) == ""
+
+
 @when("the package is moved, and its module gets other times")
 def step_move(context):
     os.utime(context.module, (1, 1))
@@ -75,6 +81,7 @@
     assert str(named) in context.process_output, context.process_output
     assert line["version"] == named.version
     assert line["sources"] == named.sources
+    assert line["platform_sources"] == named.platform_sources
     assert line["python"] == named.python
     assert line["machine"] == named.machine
 
@@ -86,3 +93,19 @@
     for path in projects:
         project = tomllib.loads(path.read_text())["project"]
         assert project["version"] == VERSION, path
+
+
+@then("the command names the same sources without the platform's package")
+def step_check_without_platform(context):
+    paths = os.environ["PYTHONPATH"].split(os.pathsep)
+    kept = [path for path in paths if Path(path).name != "platform"]
+    assert len(kept) < len(paths)
+    output = subprocess.run(
+        [sys.executable, "-m", "laburnumscaled", "--version"],
+        env=os.environ | {"PYTHONPATH": os.pathsep.join(kept)},
+        cwd=context.folder,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+    assert f"sources {read_code_version().sources}, platform none" in output, output
