--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -499,16 +499,20 @@
 
     async def run():
         fleet = Fleet(record)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         await fleet.store.start()
         try:
             async with asyncio.timeout(115):
                 return await case(fleet, record, trouble)
         finally:
+            for each in fleet.endpoints:
+                record(f"{each.instance} ran {len(each.ran)} requests: {each.ran}")
             await fleet.close()
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
